--- /dev/null
+++ b/cli/src/main/java/io/pathdeck/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package io.pathdeck.cli;
--- /dev/null
+++ b/common/src/main/java/io/pathdeck/common/events/EventCode.java
@@ -0,0 +1,63 @@
+package io.pathdeck.common.events;
+
+import org.apache.logging.log4j.Level;
+
+/** The catalogue of logged events. Numbers are stable; docs/EVENTS.md describes each one. */
+public enum EventCode {
+  PROCESS_STARTED(1001, Level.INFO),
+  PROCESS_STOPPING(1002, Level.INFO),
+  PROCESS_STOPPED(1003, Level.INFO),
+  DUTY_FAILED(1004, Level.ERROR),
+  RING_FULL(1005, Level.WARN),
+  SETTINGS_REJECTED(1006, Level.ERROR),
+  CONNECTION_FAILED(1101, Level.DEBUG),
+  FRAME_REJECTED(1102, Level.WARN),
+  ROLE_CHANGED(2001, Level.INFO),
+  REPLICA_BOOTSTRAPPED(2002, Level.INFO),
+  REPLICA_WAITS_FOR_MEMBERSHIP(2003, Level.INFO),
+  MEMBERSHIP_CHANGED(2004, Level.INFO),
+  SNAPSHOT_WRITTEN(2005, Level.INFO),
+  SNAPSHOT_INSTALLED(2006, Level.INFO),
+  LOG_TAIL_TRUNCATED(2007, Level.WARN),
+  LOG_DAMAGED(2008, Level.ERROR),
+  STORAGE_FAILED(2009, Level.ERROR),
+  STATE_RECOVERED(2010, Level.INFO),
+  DECLARATION_APPLIED(2101, Level.INFO),
+  CONFIGURATION_UPDATED(3001, Level.INFO),
+  CONFIGURATION_LEASE_LAPSED(3002, Level.WARN),
+  CONFIGURATION_LEASE_RENEWED(3003, Level.INFO),
+  ENGINE_EJECTED(3101, Level.WARN),
+  ENGINE_READMITTED(3102, Level.INFO),
+  ATTEMPT_FAILED(3103, Level.WARN),
+  STREAM_RESUMED(3104, Level.INFO),
+  REQUEST_REFUSED(3105, Level.DEBUG),
+  REQUEST_FAILED(3106, Level.WARN),
+  CALLER_TOO_SLOW(3107, Level.WARN),
+  ITEM_RETRIED(4001, Level.WARN),
+  LEASE_REVOKED(4002, Level.INFO),
+  PARTITION_UNREACHABLE(4003, Level.WARN),
+  STAND_IN_FAULT(9001, Level.INFO);
+
+  private final int number;
+  private final Level level;
+
+  EventCode(int number, Level level) {
+    this.number = number;
+    this.level = level;
+  }
+
+  /** The stable identifier, for example {@code PD-1001}. */
+  public String id() {
+    return "PD-" + number;
+  }
+
+  /** The event's name in lower case with hyphens. */
+  public String label() {
+    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+  }
+
+  /** The level at which the event is logged. */
+  public Level level() {
+    return level;
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/FollowerProgress.java
@@ -0,0 +1,29 @@
+package io.pathdeck.consensus;
+
+/** What a leader knows about one other member. */
+final class FollowerProgress {
+  final long incarnation;
+  long nextIndex;
+  long matchIndex;
+  int inFlightAppends;
+  long lastAppendSentMs;
+
+  /** The send time of the newest heartbeat or append that the member answered. */
+  long lastAcknowledgedSendMs;
+
+  /** The offset of the snapshot part to send next, or -1 when no snapshot is being sent. */
+  long snapshotOffset = -1;
+
+  long snapshotIndex;
+  long lastSnapshotSentMs;
+
+  FollowerProgress(long incarnation, long nextIndex, long nowMs) {
+    this.incarnation = incarnation;
+    this.nextIndex = nextIndex;
+    this.lastAcknowledgedSendMs = nowMs;
+  }
+
+  boolean isSendingSnapshot() {
+    return snapshotOffset >= 0;
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
@@ -0,0 +1,167 @@
+package io.pathdeck.consensus;
+
+import io.pathdeck.protocol.raft.GroupConfiguration;
+import io.pathdeck.protocol.raft.Member;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** What a replica knows while it leads: the progress of the members and who wants to join. */
+final class LeaderState {
+  private record JoinAttempt(long incarnation, long heardAtMs) {}
+
+  private final int selfId;
+  private final long selfIncarnation;
+  private final RaftSettings settings;
+  private final Map<Integer, FollowerProgress> progress = new HashMap<>();
+  private final Map<Integer, JoinAttempt> joinAttempts = new HashMap<>();
+  private GroupConfiguration configuration;
+  private long lastHeartbeatMs;
+
+  LeaderState(
+      int selfId, long selfIncarnation, RaftSettings settings, long lastIndex, long nowMs) {
+    this.selfId = selfId;
+    this.selfIncarnation = selfIncarnation;
+    this.settings = settings;
+    this.lastHeartbeatMs = nowMs;
+  }
+
+  /** Follows the members of a new configuration; known incarnations keep their progress. */
+  void adopt(GroupConfiguration next, long lastIndex, long nowMs) {
+    configuration = next;
+    for (Member member : next.members()) {
+      FollowerProgress known = progress.get(member.id());
+      if (known == null || known.incarnation != member.incarnation()) {
+        progress.put(
+            member.id(), new FollowerProgress(member.incarnation(), lastIndex + 1, nowMs));
+      }
+    }
+  }
+
+  FollowerProgress progress(int id) {
+    return progress.get(id);
+  }
+
+  long matchIndex(int id) {
+    FollowerProgress known = progress.get(id);
+    return known == null ? 0 : known.matchIndex;
+  }
+
+  boolean isHeartbeatDue(long nowMs) {
+    return nowMs - lastHeartbeatMs >= settings.heartbeatMs();
+  }
+
+  void onHeartbeatSent(long nowMs) {
+    lastHeartbeatMs = nowMs;
+  }
+
+  /** Forgets messages that were not acknowledged in time, so that their entries are sent again. */
+  void expireInFlight(FollowerProgress follower, long nowMs) {
+    boolean stalled =
+        follower.inFlightAppends > 0
+            && nowMs - follower.lastAppendSentMs >= settings.retransmitMs();
+    if (stalled) {
+      follower.inFlightAppends = 0;
+      follower.nextIndex = follower.matchIndex + 1;
+    }
+  }
+
+  void onMatched(FollowerProgress follower, long matchIndex) {
+    if (matchIndex > follower.matchIndex) {
+      follower.matchIndex = matchIndex;
+      follower.inFlightAppends = 0;
+    }
+    follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
+    boolean snapshotDone =
+        follower.isSendingSnapshot() && follower.matchIndex >= follower.snapshotIndex;
+    if (snapshotDone) {
+      follower.snapshotOffset = -1;
+    }
+  }
+
+  void onMismatch(FollowerProgress follower, long hint) {
+    follower.inFlightAppends = 0;
+    long retryFrom = Math.min(follower.nextIndex, hint + 1);
+    follower.nextIndex = Math.max(follower.matchIndex + 1, retryFrom);
+  }
+
+  /** Records that a snapshot part was sent; a newer snapshot starts again from its beginning. */
+  void onSnapshotPartSent(int memberId, long snapshotIndex, long nowMs) {
+    FollowerProgress follower = progress.get(memberId);
+    if (follower == null) {
+      return;
+    }
+    follower.snapshotIndex = snapshotIndex;
+    follower.lastSnapshotSentMs = nowMs;
+  }
+
+  /** The newest send time that a quorum of voters has answered, the leader itself included. */
+  long quorumAcknowledgedMs(long nowMs) {
+    return quorumValue(
+        configuration, follower -> follower.lastAcknowledgedSendMs, nowMs);
+  }
+
+  /** The highest index that a quorum of voters has synced. */
+  long quorumMatchIndex(GroupConfiguration current, long selfSyncedIndex) {
+    return quorumValue(current, follower -> follower.matchIndex, selfSyncedIndex);
+  }
+
+  private long quorumValue(
+      GroupConfiguration current,
+      java.util.function.ToLongFunction<FollowerProgress> value,
+      long selfValue) {
+    List<Long> values = new ArrayList<>();
+    for (Member member : current.members()) {
+      if (!member.voter()) {
+        continue;
+      }
+      boolean self = member.id() == selfId && member.incarnation() == selfIncarnation;
+      values.add(self ? selfValue : value.applyAsLong(progress.get(member.id())));
+    }
+    values.sort(Collections.reverseOrder());
+    return values.get(current.quorum() - 1);
+  }
+
+  void onJoinRequest(int id, long incarnation, long nowMs) {
+    joinAttempts.put(id, new JoinAttempt(incarnation, nowMs));
+  }
+
+  /**
+   * The next single change of membership: a member whose disk was lost becomes a learner under its
+   * new incarnation, or a learner that has caught up becomes a voter.
+   */
+  Optional<GroupConfiguration> nextConfiguration(
+      GroupConfiguration current, long commitIndex, long nowMs) {
+    for (Member member : current.members()) {
+      Optional<Member> change = changeOf(member, commitIndex, nowMs);
+      if (change.isPresent()) {
+        return Optional.of(current.with(change.get()));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<Member> changeOf(Member member, long commitIndex, long nowMs) {
+    if (member.id() == selfId) {
+      return Optional.empty();
+    }
+    FollowerProgress follower = progress.get(member.id());
+    if (!member.voter() && follower.matchIndex >= commitIndex && follower.matchIndex > 0) {
+      return Optional.of(new Member(member.id(), member.incarnation(), true));
+    }
+    JoinAttempt join = joinAttempts.get(member.id());
+    boolean wantsToJoin =
+        join != null
+            && join.incarnation() != member.incarnation()
+            && nowMs - join.heardAtMs() < settings.electionTimeoutMinMs();
+    boolean memberSilent =
+        nowMs - follower.lastAcknowledgedSendMs >= settings.electionTimeoutMinMs();
+    if (wantsToJoin && memberSilent) {
+      return Optional.of(new Member(member.id(), join.incarnation(), false));
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/VoteTally.java
@@ -0,0 +1,25 @@
+package io.pathdeck.consensus;
+
+import io.pathdeck.protocol.raft.GroupConfiguration;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Counts the votes of one campaign; only incarnations that the configuration names count. */
+final class VoteTally {
+  private final GroupConfiguration configuration;
+  private final Set<Integer> granted = new HashSet<>();
+
+  VoteTally(GroupConfiguration configuration) {
+    this.configuration = configuration;
+  }
+
+  void add(int id, long incarnation) {
+    if (configuration.isVoter(id, incarnation)) {
+      granted.add(id);
+    }
+  }
+
+  boolean isWon() {
+    return granted.size() >= configuration.quorum();
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
@@ -0,0 +1,84 @@
+package io.pathdeck.consensus.storage;
+
+import io.pathdeck.common.result.Result;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+
+/**
+ * The folder that holds a process's durable state, and its incarnation: a random number written
+ * with the folder, so that a folder that was lost and made again is told from the old one.
+ */
+public final class DataFolder {
+  private static final String IDENTITY_FILE = "incarnation";
+
+  private final Path path;
+  private final long incarnation;
+
+  private DataFolder(Path path, long incarnation) {
+    this.path = path;
+    this.incarnation = incarnation;
+  }
+
+  /** Opens the folder, creating it with a new incarnation when it is missing. */
+  public static Result<DataFolder, StorageError> open(Path path) {
+    try {
+      Files.createDirectories(path);
+      Path identity = path.resolve(IDENTITY_FILE);
+      if (!Files.exists(identity)) {
+        long created = new SecureRandom().nextLong() & Long.MAX_VALUE;
+        writeDurably(identity, Long.toString(created).getBytes(StandardCharsets.UTF_8));
+      }
+      long incarnation = Long.parseLong(Files.readString(identity).trim());
+      return Result.ok(new DataFolder(path, incarnation));
+    } catch (IOException | NumberFormatException e) {
+      return Result.err(new StorageError.Io("open data folder " + path, e.toString()));
+    }
+  }
+
+  /** The folder's path. */
+  public Path path() {
+    return path;
+  }
+
+  /** The number that tells this folder from any earlier one. */
+  public long incarnation() {
+    return incarnation;
+  }
+
+  /** Writes a file so that after a crash it is either absent (or old) or whole. */
+  static void writeDurably(Path target, byte[] content) throws IOException {
+    Path temporary = target.resolveSibling(target.getFileName() + ".tmp");
+    try (FileChannel channel =
+        FileChannel.open(
+            temporary,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE)) {
+      ByteBuffer buffer = ByteBuffer.wrap(content);
+      while (buffer.hasRemaining()) {
+        channel.write(buffer);
+      }
+      channel.force(true);
+    }
+    publish(temporary, target);
+  }
+
+  /** Renames a synced file to its final name and syncs the folder. */
+  static void publish(Path temporary, Path target) throws IOException {
+    Files.move(temporary, target, StandardCopyOption.ATOMIC_MOVE);
+    syncFolder(target.getParent());
+  }
+
+  static void syncFolder(Path folder) throws IOException {
+    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+      channel.force(true);
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
@@ -0,0 +1,215 @@
+package io.pathdeck.consensus.storage;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.protocol.codec.ObjectCodec;
+import io.pathdeck.protocol.raft.BootstrapRecord;
+import io.pathdeck.protocol.raft.EntryRecord;
+import io.pathdeck.protocol.raft.HardStateRecord;
+import io.pathdeck.protocol.raft.LogRecord;
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * The one durable log of a process, shared by its groups so that one sync serves all of them.
+ *
+ * <p>A batch is one checksummed frame, written and synced before the next batch is written. So a
+ * broken frame with nothing intact behind it is a write that was cut off and never acknowledged: it
+ * is truncated. A broken frame with an intact one behind it is damage to acknowledged data: the log
+ * refuses to open. Confined to one thread.
+ */
+public final class SegmentedLog implements AutoCloseable {
+  private static final EventLog EVENTS = EventLog.of(SegmentedLog.class);
+  private static final long MAX_SEGMENT_LENGTH = 64L * 1024 * 1024;
+  private static final String PREFIX = "log-";
+
+  private final Path folder;
+
+  /** The highest entry index of each group in each segment, oldest segment first. */
+  private final LinkedHashMap<Path, Map<Integer, Long>> segments = new LinkedHashMap<>();
+
+  private final Map<Integer, HardStateRecord> hardStates = new HashMap<>();
+  private final Map<Integer, BootstrapRecord> bootstraps = new HashMap<>();
+  private FileChannel channel;
+  private Path current;
+  private long nextSequence = 1;
+
+  private SegmentedLog(Path folder) {
+    this.folder = folder;
+  }
+
+  /** Opens the log, handing every recovered record to {@code replay} in order. */
+  public static Result<SegmentedLog, StorageError> open(Path folder, Consumer<LogRecord> replay) {
+    SegmentedLog log = new SegmentedLog(folder);
+    try {
+      List<Path> files = log.existingSegments();
+      for (int i = 0; i < files.size(); i++) {
+        boolean last = i == files.size() - 1;
+        Result<Void, StorageError> recovered = log.recover(files.get(i), last, replay);
+        if (!recovered.isOk()) {
+          return Result.err(recovered.error());
+        }
+      }
+      log.roll();
+      return Result.ok(log);
+    } catch (IOException e) {
+      return Result.err(new StorageError.Io("open log in " + folder, e.toString()));
+    }
+  }
+
+  private List<Path> existingSegments() throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      return files
+          .filter(file -> file.getFileName().toString().startsWith(PREFIX))
+          .sorted()
+          .toList();
+    }
+  }
+
+  private Result<Void, StorageError> recover(Path file, boolean last, Consumer<LogRecord> replay)
+      throws IOException {
+    ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(file));
+    segments.put(file, new HashMap<>());
+    String sequence = file.getFileName().toString().substring(PREFIX.length());
+    nextSequence = Math.max(nextSequence, Long.parseLong(sequence) + 1);
+    while (content.hasRemaining()) {
+      int start = content.position();
+      byte[] batch = FrameFormat.readFrame(content);
+      if (batch == null) {
+        return handleBrokenFrame(file, content, start, last);
+      }
+      for (LogRecord logRecord : decodeBatch(batch)) {
+        track(file, logRecord);
+        replay.accept(logRecord);
+      }
+    }
+    return Result.ok(null);
+  }
+
+  private Result<Void, StorageError> handleBrokenFrame(
+      Path file, ByteBuffer content, int start, boolean last) throws IOException {
+    if (!last || FrameFormat.hasFrameAfter(content, start)) {
+      EVENTS.log(EventCode.LOG_DAMAGED, "file", file, "offset", start);
+      return Result.err(new StorageError.Damaged(file.toString(), start));
+    }
+    EVENTS.log(
+        EventCode.LOG_TAIL_TRUNCATED,
+        "file",
+        file,
+        "offset",
+        start,
+        "bytes",
+        content.limit() - start);
+    try (FileChannel torn = FileChannel.open(file, StandardOpenOption.WRITE)) {
+      torn.truncate(start);
+      torn.force(true);
+    }
+    return Result.ok(null);
+  }
+
+  /** Writes and syncs records as one batch. When it returns, they are durable. */
+  public void append(List<LogRecord> batch) throws IOException {
+    if (channel.position() >= MAX_SEGMENT_LENGTH) {
+      roll();
+    }
+    write(batch);
+    channel.force(false);
+  }
+
+  private void write(List<LogRecord> batch) throws IOException {
+    ByteBuffer frame = FrameFormat.frame(encodeBatch(batch));
+    while (frame.hasRemaining()) {
+      channel.write(frame);
+    }
+    batch.forEach(logRecord -> track(current, logRecord));
+  }
+
+  private void track(Path segment, LogRecord logRecord) {
+    if (logRecord instanceof EntryRecord entry) {
+      segments.get(segment).merge(entry.group(), entry.entry().index(), Math::max);
+    } else if (logRecord instanceof HardStateRecord hardState) {
+      hardStates.put(hardState.group(), hardState);
+    } else if (logRecord instanceof BootstrapRecord bootstrap) {
+      bootstraps.put(bootstrap.group(), bootstrap);
+    }
+  }
+
+  /** Starts a segment with the terms, votes and bootstraps, so that older segments can go. */
+  private void roll() throws IOException {
+    if (channel != null) {
+      channel.close();
+    }
+    current = folder.resolve(String.format("%s%012d", PREFIX, nextSequence++));
+    channel =
+        FileChannel.open(current, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+    segments.put(current, new HashMap<>());
+    List<LogRecord> heads = new ArrayList<>(bootstraps.values());
+    heads.addAll(hardStates.values());
+    if (!heads.isEmpty()) {
+      write(heads);
+      channel.force(false);
+    }
+    DataFolder.syncFolder(folder);
+  }
+
+  /** Deletes the oldest segments whose entries are all covered by {@code snapshotIndexes}. */
+  public void deleteCovered(Map<Integer, Long> snapshotIndexes) throws IOException {
+    List<Path> oldestFirst = new ArrayList<>(segments.keySet());
+    for (Path segment : oldestFirst) {
+      boolean covered =
+          segments.get(segment).entrySet().stream()
+              .allMatch(e -> e.getValue() <= snapshotIndexes.getOrDefault(e.getKey(), 0L));
+      if (segment.equals(current) || !covered) {
+        return;
+      }
+      Files.deleteIfExists(segment);
+      segments.remove(segment);
+    }
+  }
+
+  private static byte[] encodeBatch(List<LogRecord> batch) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    DataOutputStream out = new DataOutputStream(bytes);
+    for (LogRecord logRecord : batch) {
+      byte[] encoded = ObjectCodec.encode(logRecord);
+      out.writeInt(encoded.length);
+      out.write(encoded);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static List<LogRecord> decodeBatch(byte[] batch) throws IOException {
+    List<LogRecord> decoded = new ArrayList<>();
+    ByteBuffer buffer = ByteBuffer.wrap(batch);
+    while (buffer.hasRemaining()) {
+      byte[] encoded = new byte[buffer.getInt()];
+      buffer.get(encoded);
+      Result<LogRecord, ObjectCodec.CodecError> logRecord =
+          ObjectCodec.decode(encoded, LogRecord.class);
+      if (!logRecord.isOk()) {
+        throw new IOException("a record cannot be decoded: " + logRecord.error().reason());
+      }
+      decoded.add(logRecord.value());
+    }
+    return decoded;
+  }
+
+  @Override
+  public void close() throws IOException {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
@@ -0,0 +1,180 @@
+package io.pathdeck.consensus.storage;
+
+import io.pathdeck.common.result.Result;
+import io.pathdeck.consensus.SnapshotInstall;
+import io.pathdeck.consensus.SnapshotMetadata;
+import io.pathdeck.protocol.codec.ObjectCodec;
+import io.pathdeck.protocol.snapshot.SnapshotEndRecord;
+import io.pathdeck.protocol.snapshot.SnapshotHeaderRecord;
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** The snapshot files of all groups in a data folder; a file appears under its name when whole. */
+public final class SnapshotFiles {
+  private static final int BUFFER_LENGTH = 1 << 16;
+
+  private final Path folder;
+
+  public SnapshotFiles(Path folder) {
+    this.folder = folder;
+  }
+
+  /** Writes and syncs a snapshot; when it returns the snapshot is durable. */
+  public Path write(int group, SnapshotMetadata metadata, Iterator<Object> records)
+      throws IOException {
+    Path target = file(group, metadata.index());
+    Path temporary = target.resolveSibling(target.getFileName() + ".tmp");
+    try (FileChannel channel =
+        FileChannel.open(
+            temporary,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE)) {
+      OutputStream out = new BufferedOutputStream(Channels.newOutputStream(channel), BUFFER_LENGTH);
+      writeRecord(
+          out,
+          new SnapshotHeaderRecord(
+              group, metadata.index(), metadata.term(), metadata.configuration()));
+      int count = 0;
+      while (records.hasNext()) {
+        writeRecord(out, records.next());
+        count++;
+      }
+      writeRecord(out, new SnapshotEndRecord(count));
+      out.flush();
+      channel.force(true);
+    }
+    DataFolder.publish(temporary, target);
+    deleteOlder(group, metadata.index());
+    return target;
+  }
+
+  /** Stores a snapshot received from the leader. */
+  public void store(int group, SnapshotInstall install) throws IOException {
+    DataFolder.writeDurably(file(group, install.metadata().index()), install.content());
+    deleteOlder(group, install.metadata().index());
+  }
+
+  /** The newest snapshot of a group. */
+  public Optional<SnapshotMetadata> newest(int group) throws IOException {
+    Optional<Path> file = newestFile(group);
+    if (file.isEmpty()) {
+      return Optional.empty();
+    }
+    Object first = new RecordIterator(file.get()).next();
+    if (first instanceof SnapshotHeaderRecord header) {
+      return Optional.of(
+          new SnapshotMetadata(header.index(), header.term(), header.configuration()));
+    }
+    throw new IOException(file.get() + " does not start with a header");
+  }
+
+  /** The state records of the newest snapshot of a group, checked for completeness. */
+  public Iterator<Object> read(int group) throws IOException {
+    Path file = newestFile(group).orElseThrow(() -> new IOException("no snapshot of " + group));
+    List<Object> records = new ArrayList<>();
+    new RecordIterator(file).forEachRemaining(records::add);
+    Object last = records.remove(records.size() - 1);
+    records.remove(0);
+    boolean complete =
+        last instanceof SnapshotEndRecord end && end.records() == records.size();
+    if (!complete) {
+      throw new IOException(file + " is incomplete");
+    }
+    return records.iterator();
+  }
+
+  /** Reads up to {@code maxLength} bytes of the newest snapshot's file. */
+  public Result<byte[], StorageError> readPart(int group, long offset, int maxLength) {
+    try {
+      Path file = newestFile(group).orElseThrow(() -> new IOException("no snapshot of " + group));
+      try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+        long remaining = Math.max(0, channel.size() - offset);
+        ByteBuffer part = ByteBuffer.allocate((int) Math.min(maxLength, remaining));
+        int read = 0;
+        while (part.hasRemaining() && read >= 0) {
+          read = channel.read(part, offset + part.position());
+        }
+        return Result.ok(part.array());
+      }
+    } catch (IOException e) {
+      return Result.err(new StorageError.Io("read snapshot of group " + group, e.toString()));
+    }
+  }
+
+  /** The length of the newest snapshot's file, 0 when there is none. */
+  public long newestLength(int group) throws IOException {
+    Optional<Path> file = newestFile(group);
+    return file.isEmpty() ? 0 : Files.size(file.get());
+  }
+
+  private Path file(int group, long index) {
+    return folder.resolve(String.format("snapshot-%d-%015d", group, index));
+  }
+
+  private Optional<Path> newestFile(int group) throws IOException {
+    return files(group).stream().reduce((first, second) -> second);
+  }
+
+  private List<Path> files(int group) throws IOException {
+    String prefix = "snapshot-" + group + "-";
+    try (Stream<Path> files = Files.list(folder)) {
+      return files
+          .filter(file -> file.getFileName().toString().startsWith(prefix))
+          .filter(file -> !file.getFileName().toString().endsWith(".tmp"))
+          .sorted()
+          .toList();
+    }
+  }
+
+  private void deleteOlder(int group, long index) throws IOException {
+    for (Path candidate : files(group)) {
+      if (candidate.compareTo(file(group, index)) < 0) {
+        Files.deleteIfExists(candidate);
+      }
+    }
+  }
+
+  private static void writeRecord(OutputStream out, Object value) throws IOException {
+    out.write(FrameFormat.frame(ObjectCodec.encode(value)).array());
+  }
+
+  /** Reads the records of a snapshot file one by one. */
+  private static final class RecordIterator implements Iterator<Object> {
+    private final ByteBuffer content;
+    private final Path file;
+
+    RecordIterator(Path file) throws IOException {
+      this.file = file;
+      try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+        this.content = channel.map(FileChannel.MapMode.READ_ONLY, 0, channel.size());
+      }
+    }
+
+    @Override
+    public boolean hasNext() {
+      return content.hasRemaining();
+    }
+
+    @Override
+    public Object next() {
+      byte[] frame = FrameFormat.readFrame(content);
+      if (frame == null) {
+        throw new IllegalStateException(file + " is damaged at " + content.position());
+      }
+      return ObjectCodec.decode(frame, Object.class).value();
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/io/pathdeck/control/ControllerEvent.java
@@ -0,0 +1,48 @@
+package io.pathdeck.control;
+
+import io.pathdeck.consensus.SnapshotInstall;
+import io.pathdeck.consensus.SnapshotRequest;
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.message.ConfigurationHeartbeat;
+import io.pathdeck.protocol.query.Query;
+import io.pathdeck.protocol.raft.RaftMessage;
+import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
+import java.util.List;
+
+/** What the consensus duty receives through its ring. */
+sealed interface ControllerEvent {
+
+  /** Messages from another controller. */
+  record PeerMessages(List<RaftMessage> messages) implements ControllerEvent {}
+
+  /** A command to replicate. */
+  record Propose(int group, String clientId, long requestId, Command command, ReplySink reply)
+      implements ControllerEvent {}
+
+  /** A linearizable read. */
+  record Read(int group, Query query, ReplySink reply) implements ControllerEvent {}
+
+  /** A process asks for its configuration lease. */
+  record Heartbeat(ConfigurationHeartbeat heartbeat, ReplySink reply) implements ControllerEvent {}
+
+  /** Records of a batch are durable. */
+  record Synced(List<SyncedGroup> groups) implements ControllerEvent {}
+
+  /** The last entry of a group in a synced batch (index 0: none) and the messages it holds back. */
+  record SyncedGroup(int group, long lastIndex, long lastTerm, List<RaftMessage> messages) {}
+
+  /** A snapshot of the group's own state is durable. */
+  record SnapshotWritten(int group, long index) implements ControllerEvent {}
+
+  /** A snapshot received from the leader is durable. */
+  record SnapshotStored(int group, SnapshotInstall install) implements ControllerEvent {}
+
+  /** A part of the newest snapshot was read for a follower. */
+  record SnapshotPartRead(
+      int group,
+      SnapshotRequest request,
+      io.pathdeck.consensus.SnapshotMetadata metadata,
+      byte[] data,
+      boolean last)
+      implements ControllerEvent {}
+}
--- /dev/null
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -0,0 +1,281 @@
+package io.pathdeck.control;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.pathdeck.common.duty.BoundedRing;
+import io.pathdeck.common.duty.DutyThread;
+import io.pathdeck.common.duty.ResourceStack;
+import io.pathdeck.common.duty.Section;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.http.AdminServer;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.consensus.RaftReplica;
+import io.pathdeck.consensus.RaftSettings;
+import io.pathdeck.consensus.RecoveredState;
+import io.pathdeck.consensus.SnapshotMetadata;
+import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.consensus.storage.RecoveredGroups;
+import io.pathdeck.consensus.storage.SegmentedLog;
+import io.pathdeck.consensus.storage.SnapshotFiles;
+import io.pathdeck.consensus.storage.StorageError;
+import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.message.ConfigurationHeartbeat;
+import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.ProposeRequest;
+import io.pathdeck.protocol.message.QueryRequest;
+import io.pathdeck.protocol.message.RaftBatch;
+import io.pathdeck.protocol.message.Unavailable;
+import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
+import io.pathdeck.protocol.transport.PeerClient;
+import io.pathdeck.protocol.transport.PeerServer;
+import io.pathdeck.protocol.transport.TransportTls;
+import io.pathdeck.state.JobsStateMachine;
+import io.pathdeck.state.MetaStateMachine;
+import io.pathdeck.state.StateMachine;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** A running controller. */
+public final class ControllerProcess implements AutoCloseable {
+  /** The group that holds the configuration; jobs partitions have the numbers from 1. */
+  public static final int META_GROUP = 0;
+
+  private static final EventLog EVENTS = EventLog.of(ControllerProcess.class);
+  private static final int NETWORK_THREADS = 2;
+  private static final int STORAGE_FAILURE_EXIT_CODE = 3;
+
+  private final ResourceStack resources = new ResourceStack();
+  private final ControllerSettings settings;
+  private final Section<ControllerStatus> status =
+      new Section<>(new ControllerStatus(List.of()));
+  private final PrometheusMeterRegistry metrics =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+  private ControllerProcess(ControllerSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Recovers the data folder and starts all duties. */
+  public static Result<ControllerProcess, StorageError> start(
+      ControllerSettings settings, TransportTls tls) {
+    Result<DataFolder, StorageError> folder = DataFolder.open(settings.dataFolder());
+    if (!folder.isOk()) {
+      return Result.err(folder.error());
+    }
+    RecoveredGroups recovered = new RecoveredGroups();
+    Result<SegmentedLog, StorageError> log =
+        SegmentedLog.open(settings.dataFolder(), recovered::replay);
+    if (!log.isOk()) {
+      return Result.err(log.error());
+    }
+    ControllerProcess process = new ControllerProcess(settings);
+    try {
+      process.run(folder.value(), log.value(), recovered, tls);
+      return Result.ok(process);
+    } catch (IOException e) {
+      return Result.err(new StorageError.Io("recover", e.toString()));
+    }
+  }
+
+  private void run(
+      DataFolder folder, SegmentedLog log, RecoveredGroups recovered, TransportTls tls)
+      throws IOException {
+    ControllerClock clock = ControllerClock.system();
+    SnapshotFiles snapshotFiles = new SnapshotFiles(folder.path());
+    ControllerRings rings = ControllerRings.create();
+    EventLoopGroup eventLoops =
+        new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
+    resources.push(eventLoops::shutdownGracefully);
+    Map<Integer, PeerClient> peers = connectPeers(eventLoops, tls);
+    Map<Integer, GroupRuntime> groups =
+        recoverGroups(folder, recovered, snapshotFiles, clock.monotonicMs());
+
+    StorageDuty storageDuty =
+        new StorageDuty(
+            log,
+            rings.storage(),
+            event -> complete(rings, event),
+            ControllerProcess::haltAfterStorageFailure);
+    SnapshotDuty snapshotDuty =
+        new SnapshotDuty(
+            snapshotFiles,
+            rings.snapshots(),
+            event -> complete(rings, event),
+            ControllerProcess::haltAfterStorageFailure);
+    ConsensusDuty consensusDuty =
+        new ConsensusDuty(
+            groups,
+            peers,
+            rings,
+            storageDuty,
+            snapshotFiles,
+            new ConfigurationLeases(settings.partitions(), settings.configurationLeaseMs()),
+            status,
+            clock);
+    resources.push(new DutyThread(storageDuty, rings.storage()).start());
+    resources.push(new DutyThread(snapshotDuty, rings.snapshots()).start());
+    resources.push(new DutyThread(consensusDuty, rings.events()).start());
+    startServers(eventLoops, tls, rings);
+    EVENTS.log(
+        EventCode.PROCESS_STARTED,
+        "role",
+        "controller",
+        "id",
+        settings.id(),
+        "listen",
+        settings.listen(),
+        "incarnation",
+        folder.incarnation());
+  }
+
+  private void startServers(EventLoopGroup eventLoops, TransportTls tls, ControllerRings rings)
+      throws IOException {
+    resources.push(
+        new PeerServer(
+            settings.listen(),
+            eventLoops,
+            tls,
+            (message, reply) -> route(message, reply, rings.events())));
+    ControllerClient client =
+        new ControllerClient(
+            settings.peers(), eventLoops, tls, "operator-gateway-" + settings.id());
+    resources.push(client);
+    resources.push(
+        new OperatorServer(
+            settings.operatorListen(), settings.tls(), settings.id(), settings.partitions(), client,
+            status));
+    registerMetrics();
+    resources.push(
+        new AdminServer(
+            settings.adminListen(), eventLoops, metrics, () -> status.read().isReady()));
+  }
+
+  private void registerMetrics() {
+    for (int group = 0; group <= settings.partitions(); group++) {
+      int index = group;
+      Gauge.builder(
+              "pathdeck_group_applied_index",
+              status,
+              section ->
+                  section.read().groups().stream()
+                      .filter(view -> view.group() == index)
+                      .mapToLong(ControllerStatus.GroupView::appliedIndex)
+                      .sum())
+          .tag("group", Integer.toString(group))
+          .register(metrics);
+    }
+  }
+
+  private Map<Integer, PeerClient> connectPeers(EventLoopGroup eventLoops, TransportTls tls) {
+    Map<Integer, PeerClient> peers = new HashMap<>();
+    for (int id = 1; id <= settings.peers().size(); id++) {
+      if (id != settings.id()) {
+        PeerClient client = new PeerClient(settings.peers().get(id - 1), eventLoops, tls);
+        resources.push(client);
+        peers.put(id, client);
+      }
+    }
+    return peers;
+  }
+
+  private Map<Integer, GroupRuntime> recoverGroups(
+      DataFolder folder, RecoveredGroups recovered, SnapshotFiles snapshotFiles, long nowMs)
+      throws IOException {
+    Set<Integer> ids =
+        IntStream.rangeClosed(1, settings.peers().size()).boxed().collect(Collectors.toSet());
+    Map<Integer, GroupRuntime> groups = new TreeMap<>();
+    for (int group = 0; group <= settings.partitions(); group++) {
+      StateMachine machine = group == META_GROUP ? new MetaStateMachine() : new JobsStateMachine();
+      Optional<SnapshotMetadata> snapshot = snapshotFiles.newest(group);
+      if (snapshot.isPresent()) {
+        machine.restoreSnapshot(snapshotFiles.read(group));
+      }
+      RecoveredState state = recovered.state(group, snapshot);
+      RaftReplica replica =
+          new RaftReplica(
+              group,
+              settings.id(),
+              folder.incarnation(),
+              ids,
+              RaftSettings.DEFAULT,
+              state,
+              folder.incarnation() + group,
+              nowMs);
+      long applied = snapshot.map(SnapshotMetadata::index).orElse(0L);
+      groups.put(group, new GroupRuntime(group, replica, machine, applied));
+      EVENTS.log(
+          EventCode.STATE_RECOVERED,
+          "group",
+          group,
+          "snapshot",
+          applied,
+          "last",
+          replica.lastIndex(),
+          "term",
+          replica.term());
+    }
+    return groups;
+  }
+
+  private static void route(
+      Message message, ReplySink reply, BoundedRing<ControllerEvent> events) {
+    ControllerEvent event = toEvent(message, reply);
+    if (event == null) {
+      return;
+    }
+    boolean accepted = events.offer(event);
+    if (!accepted && !(event instanceof ControllerEvent.PeerMessages)) {
+      reply.reply(new Unavailable("the controller is overloaded", false));
+    }
+  }
+
+  private static ControllerEvent toEvent(Message message, ReplySink reply) {
+    if (message instanceof RaftBatch batch) {
+      return new ControllerEvent.PeerMessages(batch.messages());
+    }
+    if (message instanceof ProposeRequest request) {
+      return new ControllerEvent.Propose(
+          request.group(), request.clientId(), request.requestId(), request.command(), reply);
+    }
+    if (message instanceof QueryRequest request) {
+      return new ControllerEvent.Read(request.group(), request.query(), reply);
+    }
+    if (message instanceof ConfigurationHeartbeat heartbeat) {
+      return new ControllerEvent.Heartbeat(heartbeat, reply);
+    }
+    return null;
+  }
+
+  private static void complete(ControllerRings rings, ControllerEvent event) {
+    while (!rings.completions().offer(event)) {
+      rings.events().wakeConsumer();
+      Thread.onSpinWait();
+    }
+    rings.events().wakeConsumer();
+  }
+
+  /** What is durable is unknown after a failed sync, so the process ends without any more steps. */
+  private static void haltAfterStorageFailure() {
+    Runtime.getRuntime().halt(STORAGE_FAILURE_EXIT_CODE);
+  }
+
+  /** Stops in the reverse order of the start. */
+  @Override
+  public void close() {
+    EVENTS.log(EventCode.PROCESS_STOPPING, "role", "controller", "id", settings.id());
+    resources.closeAll();
+    EVENTS.log(EventCode.PROCESS_STOPPED, "role", "controller", "id", settings.id());
+  }
+}
--- /dev/null
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -0,0 +1,207 @@
+package io.pathdeck.control;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.consensus.RaftReplica;
+import io.pathdeck.consensus.ReplicaRole;
+import io.pathdeck.protocol.codec.ObjectCodec;
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.message.NotLeader;
+import io.pathdeck.protocol.message.ProposeReply;
+import io.pathdeck.protocol.message.QueryReply;
+import io.pathdeck.protocol.message.Unavailable;
+import io.pathdeck.protocol.query.Query;
+import io.pathdeck.protocol.raft.LogEntry;
+import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
+import io.pathdeck.state.StateMachine;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/** One group on this controller: its replica, its state machine and the callers that wait. */
+final class GroupRuntime {
+  private static final EventLog EVENTS = EventLog.of(GroupRuntime.class);
+  private static final int MAX_PENDING_PROPOSALS = 16_384;
+  private static final long MIN_LOG_BYTES_BEFORE_SNAPSHOT = 64L * 1024 * 1024;
+
+  private record PendingProposal(long term, ReplySink reply) {}
+
+  private record PendingRead(long index, Runnable answer) {}
+
+  private final int group;
+  private final RaftReplica replica;
+  private final StateMachine stateMachine;
+  private final LogTime logTime = new LogTime();
+  private final Map<Long, PendingProposal> proposals = new HashMap<>();
+  private final ArrayDeque<PendingRead> reads = new ArrayDeque<>();
+  private long appliedIndex;
+  private long appliedTimeMs;
+  private long snapshotIndex;
+  private long lastSnapshotBytes;
+  private boolean snapshotRunning;
+  private ReplicaRole lastRole = ReplicaRole.JOINING;
+
+  GroupRuntime(
+      int group, RaftReplica replica, StateMachine stateMachine, long appliedIndex) {
+    this.group = group;
+    this.replica = replica;
+    this.stateMachine = stateMachine;
+    this.appliedIndex = appliedIndex;
+    this.snapshotIndex = appliedIndex;
+  }
+
+  int group() {
+    return group;
+  }
+
+  RaftReplica replica() {
+    return replica;
+  }
+
+  StateMachine stateMachine() {
+    return stateMachine;
+  }
+
+  long appliedIndex() {
+    return appliedIndex;
+  }
+
+  long snapshotIndex() {
+    return snapshotIndex;
+  }
+
+  // ---- proposals and reads
+
+  void propose(
+      String clientId, long requestId, Command command, ReplySink reply, ControllerClock clock) {
+    if (replica.role() != ReplicaRole.LEADER) {
+      reply.reply(new NotLeader(replica.leaderId()));
+      return;
+    }
+    if (proposals.size() >= MAX_PENDING_PROPOSALS) {
+      reply.reply(new Unavailable("too many commands wait", false));
+      return;
+    }
+    long stampMs = logTime.next(clock.monotonicMs(), clock.wallMs());
+    byte[] encoded =
+        ObjectCodec.encode(new CommandEnvelope(clientId, requestId, stampMs, command));
+    OptionalLong index = replica.propose(encoded, clock.monotonicMs());
+    proposals.put(index.getAsLong(), new PendingProposal(replica.term(), reply));
+  }
+
+  void read(Query query, ReplySink reply, long nowMs) {
+    readLinearizably(
+        () -> reply.reply(new QueryReply(stateMachine.query(query))), reply, nowMs);
+  }
+
+  /** Runs {@code answer} once the state is at least as new as this moment. */
+  void readLinearizably(Runnable answer, ReplySink refusal, long nowMs) {
+    OptionalLong index = replica.readIndex(nowMs);
+    if (index.isPresent() && index.getAsLong() <= appliedIndex) {
+      answer.run();
+    } else if (index.isPresent()) {
+      reads.add(new PendingRead(index.getAsLong(), answer));
+    } else if (replica.role() == ReplicaRole.LEADER) {
+      refusal.reply(new Unavailable("the leader has no lease yet", false));
+    } else {
+      refusal.reply(new NotLeader(replica.leaderId()));
+    }
+  }
+
+  // ---- applying
+
+  void apply(LogEntry entry) {
+    appliedIndex = entry.index();
+    if (entry.configuration() != null) {
+      EVENTS.log(
+          EventCode.MEMBERSHIP_CHANGED,
+          "group",
+          group,
+          "members",
+          entry.configuration().members());
+    }
+    CommandResult result = entry.command() == null ? null : applyCommand(entry.command());
+    PendingProposal pending = proposals.remove(entry.index());
+    if (pending != null && pending.term() == entry.term()) {
+      pending.reply().reply(new ProposeReply(result));
+    } else if (pending != null) {
+      pending.reply().reply(new Unavailable("leadership changed", true));
+    }
+    answerReads();
+  }
+
+  private CommandResult applyCommand(byte[] command) {
+    Result<CommandEnvelope, ObjectCodec.CodecError> decoded =
+        ObjectCodec.decode(command, CommandEnvelope.class);
+    CommandEnvelope envelope = decoded.value();
+    appliedTimeMs = Math.max(appliedTimeMs, envelope.proposedAtMs());
+    return stateMachine.apply(envelope);
+  }
+
+  private void answerReads() {
+    while (!reads.isEmpty() && reads.peekFirst().index() <= appliedIndex) {
+      reads.pollFirst().answer().run();
+    }
+  }
+
+  /** Follows the replica's role; what waited for this replica as leader is answered at once. */
+  void followRole() {
+    ReplicaRole role = replica.role();
+    if (role == lastRole) {
+      return;
+    }
+    EVENTS.log(
+        EventCode.ROLE_CHANGED,
+        "group",
+        group,
+        "role",
+        role,
+        "term",
+        replica.term(),
+        "leader",
+        replica.leaderId());
+    if (role == ReplicaRole.LEADER) {
+      logTime.observe(appliedTimeMs);
+    } else {
+      logTime.pause();
+      proposals
+          .values()
+          .forEach(pending -> pending.reply().reply(new Unavailable("leadership lost", true)));
+      proposals.clear();
+      reads.clear();
+    }
+    lastRole = role;
+  }
+
+  // ---- snapshots
+
+  /** Whether the log has grown enough since the last snapshot to be worth another. */
+  boolean isSnapshotDue() {
+    long threshold = Math.max(MIN_LOG_BYTES_BEFORE_SNAPSHOT, lastSnapshotBytes);
+    return !snapshotRunning
+        && appliedIndex > snapshotIndex
+        && replica.logSizeBytes() > threshold;
+  }
+
+  SnapshotDuty.WriteSnapshot startSnapshot() {
+    snapshotRunning = true;
+    lastSnapshotBytes = replica.logSizeBytes();
+    return new SnapshotDuty.WriteSnapshot(
+        group, replica.snapshotMetadata(appliedIndex), stateMachine.captureSnapshot());
+  }
+
+  void onSnapshotWritten(long index) {
+    snapshotRunning = false;
+    snapshotIndex = index;
+    replica.onSnapshotTaken(index);
+  }
+
+  void onSnapshotInstalled(long index) {
+    appliedIndex = index;
+    snapshotIndex = index;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/io/pathdeck/control/SnapshotDuty.java
@@ -0,0 +1,113 @@
+package io.pathdeck.control;
+
+import io.pathdeck.common.duty.BoundedRing;
+import io.pathdeck.common.duty.Duty;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.consensus.SnapshotInstall;
+import io.pathdeck.consensus.SnapshotMetadata;
+import io.pathdeck.consensus.SnapshotRequest;
+import io.pathdeck.consensus.storage.SnapshotFiles;
+import io.pathdeck.consensus.storage.StorageError;
+import io.pathdeck.common.result.Result;
+import java.io.IOException;
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Writes, stores and reads snapshot files, away from the consensus duty. */
+final class SnapshotDuty implements Duty {
+  private static final EventLog EVENTS = EventLog.of(SnapshotDuty.class);
+  private static final long MAX_IDLE_NS = TimeUnit.SECONDS.toNanos(1);
+  private static final int PART_LENGTH = 512 * 1024;
+
+  /** A piece of work on snapshot files. */
+  sealed interface Task {}
+
+  /** Write a captured state. */
+  record WriteSnapshot(int group, SnapshotMetadata metadata, Iterator<Object> records)
+      implements Task {}
+
+  /** Store a snapshot received from the leader. */
+  record StoreSnapshot(int group, SnapshotInstall install) implements Task {}
+
+  /** Read a part for a follower. */
+  record ReadPart(int group, SnapshotRequest request) implements Task {}
+
+  private final SnapshotFiles files;
+  private final BoundedRing<Task> tasks;
+  private final Consumer<ControllerEvent> completions;
+  private final Runnable onFailure;
+
+  SnapshotDuty(
+      SnapshotFiles files,
+      BoundedRing<Task> tasks,
+      Consumer<ControllerEvent> completions,
+      Runnable onFailure) {
+    this.files = files;
+    this.tasks = tasks;
+    this.completions = completions;
+    this.onFailure = onFailure;
+  }
+
+  @Override
+  public String name() {
+    return "snapshots";
+  }
+
+  @Override
+  public int doWork(long nowNs) {
+    Task task = tasks.poll();
+    if (task == null) {
+      return 0;
+    }
+    try {
+      handle(task);
+    } catch (IOException e) {
+      EVENTS.log(EventCode.STORAGE_FAILED, e);
+      onFailure.run();
+    }
+    return 1;
+  }
+
+  private void handle(Task task) throws IOException {
+    if (task instanceof WriteSnapshot write) {
+      files.write(write.group(), write.metadata(), write.records());
+      EVENTS.log(
+          EventCode.SNAPSHOT_WRITTEN,
+          "group",
+          write.group(),
+          "index",
+          write.metadata().index(),
+          "bytes",
+          files.newestLength(write.group()));
+      completions.accept(
+          new ControllerEvent.SnapshotWritten(write.group(), write.metadata().index()));
+    } else if (task instanceof StoreSnapshot store) {
+      files.store(store.group(), store.install());
+      completions.accept(new ControllerEvent.SnapshotStored(store.group(), store.install()));
+    } else if (task instanceof ReadPart read) {
+      readPart(read);
+    }
+  }
+
+  private void readPart(ReadPart read) throws IOException {
+    Optional<SnapshotMetadata> metadata = files.newest(read.group());
+    Result<byte[], StorageError> part =
+        files.readPart(read.group(), read.request().offset(), PART_LENGTH);
+    if (metadata.isEmpty() || !part.isOk()) {
+      return;
+    }
+    long end = read.request().offset() + part.value().length;
+    boolean last = end >= files.newestLength(read.group());
+    completions.accept(
+        new ControllerEvent.SnapshotPartRead(
+            read.group(), read.request(), metadata.get(), part.value(), last));
+  }
+
+  @Override
+  public long maxIdleNs() {
+    return MAX_IDLE_NS;
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/client/ControlError.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.client;
+
+/** Why the controllers gave no answer. */
+public record ControlError(String reason, boolean mayHaveRun) {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/ClaimGranted.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.command;
+
+/** The caller holds the claim and may run the request. */
+public record ClaimGranted() implements CommandResult {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
@@ -0,0 +1,13 @@
+package io.pathdeck.protocol.message;
+
+/** A message between two processes of the system. */
+public sealed interface Message
+    permits ConfigurationHeartbeat,
+        ConfigurationUpdate,
+        NotLeader,
+        ProposeReply,
+        ProposeRequest,
+        QueryReply,
+        QueryRequest,
+        RaftBatch,
+        Unavailable {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/model/ItemRef.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.model;
+
+/** Names one item of a job. */
+public record ItemRef(String jobId, int index) {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/NotFound.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.query;
+
+/** No such object for this tenant. */
+public record NotFound(String message) implements QueryResult {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/QueryResult.java
@@ -0,0 +1,11 @@
+package io.pathdeck.protocol.query;
+
+/** What a state machine answers to a query. */
+public sealed interface QueryResult
+    permits BacklogResult,
+        DeclarationResult,
+        FileResult,
+        JobListResult,
+        JobResult,
+        LinesResult,
+        NotFound {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/ReadDeclaration.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.query;
+
+/** Reads the declaration. */
+public record ReadDeclaration() implements Query {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/ReadFile.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.query;
+
+/** Reads a file with no content. */
+public record ReadFile(String fileId, String tenant) implements Query {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/raft/RaftMessage.java
@@ -0,0 +1,14 @@
+package io.pathdeck.protocol.raft;
+
+/** A message between two replicas of a group. */
+public sealed interface RaftMessage
+    permits AppendRequest,
+        AppendResponse,
+        JoinRequest,
+        SnapshotChunk,
+        SnapshotChunkResponse,
+        VoteRequest,
+        VoteResponse {
+  /** Sender, receiver and term. */
+  RaftHeader header();
+}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/snapshot/SnapshotEndRecord.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.snapshot;
+
+/** The last record of a snapshot file; a file without it is incomplete. */
+public record SnapshotEndRecord(int records) {}
--- /dev/null
+++ b/state/src/main/java/io/pathdeck/state/LogicalClock.java
@@ -0,0 +1,19 @@
+package io.pathdeck.state;
+
+/** A clock that only moves forward, by the proposal times in the log. */
+final class LogicalClock {
+  private long nowMs;
+
+  long advance(long proposedAtMs) {
+    nowMs = Math.max(nowMs, proposedAtMs);
+    return nowMs;
+  }
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  void restore(long clockMs) {
+    nowMs = clockMs;
+  }
+}
--- /dev/null
+++ b/state/src/main/java/io/pathdeck/state/package-info.java
@@ -0,0 +1,2 @@
+/** The replicated state machines: declaration (meta group) and jobs (jobs partitions). */
+package io.pathdeck.state;
