--- /dev/null
+++ b/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
@@ -0,0 +1,53 @@
+package io.pathdeck.cli;
+
+import java.util.Arrays;
+import java.util.List;
+
+/** The entry point: {@code pathdeck ROLE [options]}. */
+public final class PathdeckMain {
+  private static final String USAGE =
+      """
+      usage: pathdeck ROLE [options]
+
+      roles
+        node          serves callers beside it       --config FILE [--set KEY=VALUE ...]
+        controller    holds the durable state        --config FILE [--set KEY=VALUE ...]
+        dispatcher    runs batch items               --config FILE [--set KEY=VALUE ...]
+        ctl           drives a fleet as an operator  COMMAND [options]
+        check-config  checks a settings file         FILE
+
+      pathdeck ROLE --help describes a role.
+      """;
+
+  private PathdeckMain() {}
+
+  /** Runs the command line and exits with its code unless a role keeps running. */
+  public static void main(String[] arguments) {
+    ExitCode code = run(Arrays.asList(arguments));
+    if (code != ExitCode.OK) {
+      System.exit(code.value());
+    }
+  }
+
+  private static ExitCode run(List<String> arguments) {
+    if (arguments.isEmpty()) {
+      System.err.print(USAGE);
+      return ExitCode.USAGE;
+    }
+    List<String> rest = arguments.subList(1, arguments.size());
+    return switch (arguments.get(0)) {
+      case "--help", "-h", "help" -> {
+        System.out.print(USAGE);
+        yield ExitCode.OK;
+      }
+      case "ctl" -> new OperatorCommand(System.out, System.err).run(rest);
+      case "check-config" -> new CheckConfigCommand(System.out, System.err).run(rest);
+      case "node", "controller", "dispatcher" -> new RoleCommand(arguments.get(0)).run(rest);
+      default -> {
+        System.err.println("unknown role: " + arguments.get(0));
+        System.err.print(USAGE);
+        yield ExitCode.USAGE;
+      }
+    };
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
@@ -0,0 +1,152 @@
+package io.pathdeck.cli;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.common.settings.SettingsError;
+import io.pathdeck.common.settings.SettingsReader;
+import io.pathdeck.common.settings.TlsSettings;
+import io.pathdeck.consensus.storage.StorageError;
+import io.pathdeck.control.ControllerProcess;
+import io.pathdeck.control.ControllerSettings;
+import io.pathdeck.dispatch.DispatcherProcess;
+import io.pathdeck.dispatch.DispatcherSettings;
+import io.pathdeck.protocol.transport.TransportTls;
+import io.pathdeck.serving.NodeProcess;
+import io.pathdeck.serving.NodeSettings;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import javax.net.ssl.SSLException;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.apache.logging.log4j.LogManager;
+
+/** Starts a role and stops it as planned on SIGTERM. */
+final class RoleCommand {
+  private static final EventLog EVENTS = EventLog.of(RoleCommand.class);
+
+  private final String role;
+
+  RoleCommand(String role) {
+    this.role = role;
+  }
+
+  ExitCode run(List<String> arguments) {
+    OptionParser parser = new OptionParser();
+    OptionSpec<String> config =
+        parser.accepts("config", "the settings file").withRequiredArg().required();
+    OptionSpec<String> set =
+        parser.accepts("set", "KEY=VALUE replaces a key of the file").withRequiredArg();
+    parser.accepts("help", "prints this text").forHelp();
+    OptionSet options;
+    try {
+      options = parser.parse(arguments.toArray(new String[0]));
+      if (options.has("help")) {
+        System.out.println("pathdeck " + role + " --config FILE [--set KEY=VALUE ...]");
+        parser.printHelpOn(System.out);
+        return ExitCode.OK;
+      }
+    } catch (OptionException | IOException e) {
+      System.err.println(e.getMessage());
+      return ExitCode.USAGE;
+    }
+    Map<String, String> overrides = new HashMap<>();
+    for (String assignment : options.valuesOf(set)) {
+      int equals = assignment.indexOf('=');
+      if (equals < 1) {
+        System.err.println("--set: expected KEY=VALUE, found " + assignment);
+        return ExitCode.USAGE;
+      }
+      overrides.put(assignment.substring(0, equals), assignment.substring(equals + 1));
+    }
+    return start(Path.of(options.valueOf(config)), overrides);
+  }
+
+  private ExitCode start(Path file, Map<String, String> overrides) {
+    Result<SettingsReader, SettingsError> reader = SettingsReader.open(file, overrides);
+    if (!reader.isOk()) {
+      return rejectSettings(reader.error());
+    }
+    try {
+      return switch (role) {
+        case "node" -> startNode(reader.value());
+        case "controller" -> startController(reader.value());
+        default -> startDispatcher(reader.value());
+      };
+    } catch (SSLException | RuntimeException e) {
+      System.err.println("cannot start: " + e.getMessage());
+      return ExitCode.FAILURE;
+    }
+  }
+
+  private static ExitCode rejectSettings(SettingsError error) {
+    System.err.println(error);
+    EVENTS.log(EventCode.SETTINGS_REJECTED, "problems", error.problems().size());
+    return ExitCode.USAGE;
+  }
+
+  private static ExitCode startNode(SettingsReader reader) throws SSLException {
+    Result<NodeSettings, SettingsError> settings = NodeSettings.read(reader);
+    if (!settings.isOk()) {
+      return rejectSettings(settings.error());
+    }
+    runUntilStopped(NodeProcess.start(settings.value(), tls(settings.value().tls())));
+    return ExitCode.OK;
+  }
+
+  private static ExitCode startDispatcher(SettingsReader reader) throws SSLException {
+    Result<DispatcherSettings, SettingsError> settings = DispatcherSettings.read(reader);
+    if (!settings.isOk()) {
+      return rejectSettings(settings.error());
+    }
+    runUntilStopped(DispatcherProcess.start(settings.value(), tls(settings.value().tls())));
+    return ExitCode.OK;
+  }
+
+  private static ExitCode startController(SettingsReader reader) throws SSLException {
+    Result<ControllerSettings, SettingsError> settings = ControllerSettings.read(reader);
+    if (!settings.isOk()) {
+      return rejectSettings(settings.error());
+    }
+    Result<ControllerProcess, StorageError> process =
+        ControllerProcess.start(settings.value(), tls(settings.value().tls()));
+    if (!process.isOk()) {
+      System.err.println("cannot start: " + process.error());
+      return ExitCode.FAILURE;
+    }
+    runUntilStopped(process.value());
+    return ExitCode.OK;
+  }
+
+  private static TransportTls tls(TlsSettings settings) throws SSLException {
+    return settings.isEnabled()
+        ? TransportTls.load(settings.certificate(), settings.key(), settings.authority())
+        : TransportTls.NONE;
+  }
+
+  /** The process's own threads keep it alive; SIGTERM closes it in order. */
+  private static void runUntilStopped(AutoCloseable process) {
+    Thread stop =
+        new Thread(
+            () -> {
+              try {
+                process.close();
+              } catch (Exception e) {
+                EVENTS.log(EventCode.DUTY_FAILED, e, "duty", "stop");
+              }
+              LogManager.shutdown();
+            },
+            "stop");
+    Runtime.getRuntime().addShutdownHook(stop);
+    try {
+      Thread.currentThread().join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/common/src/main/java/io/pathdeck/common/http/AdminServer.java
+++ b/common/src/main/java/io/pathdeck/common/http/AdminServer.java
@@ -69,10 +69,10 @@
   private static FullHttpResponse text(HttpResponseStatus status, String body) {
     FullHttpResponse response =
         new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            status,
-            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
+            HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+    response
+        .headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
     return response;
   }
--- a/common/src/main/java/io/pathdeck/common/settings/SettingsReader.java
+++ b/common/src/main/java/io/pathdeck/common/settings/SettingsReader.java
@@ -80,6 +80,11 @@
     }
   }
 
+  /** Whether the file has the key. */
+  public boolean has(String key) {
+    return root.has(key);
+  }
+
   /** A required text. */
   public String string(String key) {
     return string(key, null);
--- a/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
@@ -21,8 +21,7 @@
   private GroupConfiguration configuration;
   private long lastHeartbeatMs;
 
-  LeaderState(
-      int selfId, long selfIncarnation, RaftSettings settings, long lastIndex, long nowMs) {
+  LeaderState(int selfId, long selfIncarnation, RaftSettings settings, long lastIndex, long nowMs) {
     this.selfId = selfId;
     this.selfIncarnation = selfIncarnation;
     this.settings = settings;
@@ -35,8 +34,7 @@
     for (Member member : next.members()) {
       FollowerProgress known = progress.get(member.id());
       if (known == null || known.incarnation != member.incarnation()) {
-        progress.put(
-            member.id(), new FollowerProgress(member.incarnation(), lastIndex + 1, nowMs));
+        progress.put(member.id(), new FollowerProgress(member.incarnation(), lastIndex + 1, nowMs));
       }
     }
   }
@@ -100,8 +98,7 @@
 
   /** The newest send time that a quorum of voters has answered, the leader itself included. */
   long quorumAcknowledgedMs(long nowMs) {
-    return quorumValue(
-        configuration, follower -> follower.lastAcknowledgedSendMs, nowMs);
+    return quorumValue(configuration, follower -> follower.lastAcknowledgedSendMs, nowMs);
   }
 
   /** The highest index that a quorum of voters has synced. */
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftLog.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftLog.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The entries of a replica's log after its snapshot, held in memory, and the configurations in it. */
+/**
+ * The entries of a replica's log after its snapshot, held in memory, and the configurations in it.
+ */
 final class RaftLog {
   private final List<LogEntry> entries = new ArrayList<>();
   private final TreeMap<Long, GroupConfiguration> configurations = new TreeMap<>();
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -31,10 +31,10 @@
  *
  * <ul>
  *   <li>A vote leaves only after it is durable, and an acknowledgement covers only synced entries.
- *   <li>A member is an id <em>and</em> an incarnation of its data folder. Votes and acknowledgements
- *       of an incarnation that the configuration does not name are not counted, so a replica that
- *       lost its disk cannot help to elect a leader that misses what the lost disk acknowledged. It
- *       is replaced by a learner first and votes again after it has caught up.
+ *   <li>A member is an id <em>and</em> an incarnation of its data folder. Votes and
+ *       acknowledgements of an incarnation that the configuration does not name are not counted, so
+ *       a replica that lost its disk cannot help to elect a leader that misses what the lost disk
+ *       acknowledged. It is replaced by a learner first and votes again after it has caught up.
  *   <li>A replica that heard from a leader, or has just started, refuses votes for the shortest
  *       election timeout. That is what makes the leader's lease valid.
  * </ul>
@@ -435,10 +435,8 @@
     for (Member member : log.configuration().members()) {
       if (member.voter() && member.id() != id) {
         RaftHeader header =
-            new RaftHeader(
-                group, id, incarnation, member.id(), member.incarnation(), campaignTerm);
-        RaftMessage request =
-            new VoteRequest(header, preVote, log.lastIndex(), log.lastTerm());
+            new RaftHeader(group, id, incarnation, member.id(), member.incarnation(), campaignTerm);
+        RaftMessage request = new VoteRequest(header, preVote, log.lastIndex(), log.lastTerm());
         (preVote ? messages : messagesAfterSync).add(request);
       }
     }
@@ -478,8 +476,7 @@
     RaftHeader from = request.header();
     long responseTerm = request.preVote() && granted ? from.term() : term;
     RaftHeader header =
-        new RaftHeader(
-            group, id, incarnation, from.from(), from.fromIncarnation(), responseTerm);
+        new RaftHeader(group, id, incarnation, from.from(), from.fromIncarnation(), responseTerm);
     messagesAfterSync.add(new VoteResponse(header, request.preVote(), granted));
   }
 
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
@@ -154,8 +154,7 @@
       channel.close();
     }
     current = folder.resolve(String.format("%s%012d", PREFIX, nextSequence++));
-    channel =
-        FileChannel.open(current, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+    channel = FileChannel.open(current, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
     segments.put(current, new HashMap<>());
     List<LogRecord> heads = new ArrayList<>(bootstraps.values());
     heads.addAll(hardStates.values());
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
@@ -88,8 +88,7 @@
     new RecordIterator(file).forEachRemaining(records::add);
     Object last = records.remove(records.size() - 1);
     records.remove(0);
-    boolean complete =
-        last instanceof SnapshotEndRecord end && end.records() == records.size();
+    boolean complete = last instanceof SnapshotEndRecord end && end.records() == records.size();
     if (!complete) {
       throw new IOException(file + " is incomplete");
     }
--- a/control/src/main/java/io/pathdeck/control/ConfigurationLeases.java
+++ b/control/src/main/java/io/pathdeck/control/ConfigurationLeases.java
@@ -33,7 +33,9 @@
     MetaStateMachine state = (MetaStateMachine) meta.stateMachine();
     int liveNodes = countLiveNodes(event.heartbeat(), nowMs);
     meta.readLinearizably(
-        () -> event.reply().reply(update(event.heartbeat(), state, liveNodes)), event.reply(), nowMs);
+        () -> event.reply().reply(update(event.heartbeat(), state, liveNodes)),
+        event.reply(),
+        nowMs);
   }
 
   /** Nodes share each tenant's limits, so every node is told how many there are. */
@@ -53,7 +55,8 @@
     long version = state.store().version();
     long digest = state.store().digest();
     if (heartbeat.version() == version && heartbeat.digest() == digest) {
-      return new ConfigurationUpdate(version, digest, version, null, partitions, liveNodes, leaseMs);
+      return new ConfigurationUpdate(
+          version, digest, version, null, partitions, liveNodes, leaseMs);
     }
     boolean oneBehind = heartbeat.version() + 1 == version;
     if (oneBehind && state.deltaAfter(heartbeat.version()).isPresent()) {
@@ -61,6 +64,7 @@
       return new ConfigurationUpdate(
           version, digest, heartbeat.version(), delta, partitions, liveNodes, leaseMs);
     }
-    return new ConfigurationUpdate(version, digest, 0, state.fullDelta(), partitions, liveNodes, leaseMs);
+    return new ConfigurationUpdate(
+        version, digest, 0, state.fullDelta(), partitions, liveNodes, leaseMs);
   }
 }
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -140,10 +140,7 @@
     for (ControllerEvent.SyncedGroup group : synced.groups()) {
       collect(outgoing, group.messages());
       if (group.lastIndex() > 0) {
-        groups
-            .get(group.group())
-            .replica()
-            .onSynced(group.lastIndex(), group.lastTerm(), nowMs);
+        groups.get(group.group()).replica().onSynced(group.lastIndex(), group.lastTerm(), nowMs);
       }
     }
     send(outgoing);
@@ -226,8 +223,7 @@
         lastTerm = entry.term();
       }
     }
-    return new ControllerEvent.SyncedGroup(
-        group, lastIndex, lastTerm, ready.messagesAfterSync());
+    return new ControllerEvent.SyncedGroup(group, lastIndex, lastTerm, ready.messagesAfterSync());
   }
 
   private void submit(List<LogRecord> records, ControllerEvent.SyncedGroup synced) {
--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -4,8 +4,6 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.pathdeck.common.duty.BoundedRing;
 import io.pathdeck.common.duty.DutyThread;
 import io.pathdeck.common.duty.ResourceStack;
@@ -13,6 +11,7 @@
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.http.AdminServer;
+import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.RaftSettings;
@@ -58,8 +57,7 @@
 
   private final ResourceStack resources = new ResourceStack();
   private final ControllerSettings settings;
-  private final Section<ControllerStatus> status =
-      new Section<>(new ControllerStatus(List.of()));
+  private final Section<ControllerStatus> status = new Section<>(new ControllerStatus(List.of()));
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
@@ -89,14 +87,12 @@
     }
   }
 
-  private void run(
-      DataFolder folder, SegmentedLog log, RecoveredGroups recovered, TransportTls tls)
+  private void run(DataFolder folder, SegmentedLog log, RecoveredGroups recovered, TransportTls tls)
       throws IOException {
     ControllerClock clock = ControllerClock.system();
     SnapshotFiles snapshotFiles = new SnapshotFiles(folder.path());
     ControllerRings rings = ControllerRings.create();
-    EventLoopGroup eventLoops =
-        new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
+    EventLoopGroup eventLoops = EventLoops.create(NETWORK_THREADS);
     resources.push(eventLoops::shutdownGracefully);
     Map<Integer, PeerClient> peers = connectPeers(eventLoops, tls);
     Map<Integer, GroupRuntime> groups =
@@ -154,7 +150,11 @@
     resources.push(client);
     resources.push(
         new OperatorServer(
-            settings.operatorListen(), settings.tls(), settings.id(), settings.partitions(), client,
+            settings.operatorListen(),
+            settings.tls(),
+            settings.id(),
+            settings.partitions(),
+            client,
             status));
     registerMetrics();
     resources.push(
@@ -229,8 +229,7 @@
     return groups;
   }
 
-  private static void route(
-      Message message, ReplySink reply, BoundedRing<ControllerEvent> events) {
+  private static void route(Message message, ReplySink reply, BoundedRing<ControllerEvent> events) {
     ControllerEvent event = toEvent(message, reply);
     if (event == null) {
       return;
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -45,8 +45,7 @@
   private boolean snapshotRunning;
   private ReplicaRole lastRole = ReplicaRole.JOINING;
 
-  GroupRuntime(
-      int group, RaftReplica replica, StateMachine stateMachine, long appliedIndex) {
+  GroupRuntime(int group, RaftReplica replica, StateMachine stateMachine, long appliedIndex) {
     this.group = group;
     this.replica = replica;
     this.stateMachine = stateMachine;
@@ -87,15 +86,13 @@
       return;
     }
     long stampMs = logTime.next(clock.monotonicMs(), clock.wallMs());
-    byte[] encoded =
-        ObjectCodec.encode(new CommandEnvelope(clientId, requestId, stampMs, command));
+    byte[] encoded = ObjectCodec.encode(new CommandEnvelope(clientId, requestId, stampMs, command));
     OptionalLong index = replica.propose(encoded, clock.monotonicMs());
     proposals.put(index.getAsLong(), new PendingProposal(replica.term(), reply));
   }
 
   void read(Query query, ReplySink reply, long nowMs) {
-    readLinearizably(
-        () -> reply.reply(new QueryReply(stateMachine.query(query))), reply, nowMs);
+    readLinearizably(() -> reply.reply(new QueryReply(stateMachine.query(query))), reply, nowMs);
   }
 
   /** Runs {@code answer} once the state is at least as new as this moment. */
@@ -118,11 +115,7 @@
     appliedIndex = entry.index();
     if (entry.configuration() != null) {
       EVENTS.log(
-          EventCode.MEMBERSHIP_CHANGED,
-          "group",
-          group,
-          "members",
-          entry.configuration().members());
+          EventCode.MEMBERSHIP_CHANGED, "group", group, "members", entry.configuration().members());
     }
     CommandResult result = entry.command() == null ? null : applyCommand(entry.command());
     PendingProposal pending = proposals.remove(entry.index());
@@ -182,9 +175,7 @@
   /** Whether the log has grown enough since the last snapshot to be worth another. */
   boolean isSnapshotDue() {
     long threshold = Math.max(MIN_LOG_BYTES_BEFORE_SNAPSHOT, lastSnapshotBytes);
-    return !snapshotRunning
-        && appliedIndex > snapshotIndex
-        && replica.logSizeBytes() > threshold;
+    return !snapshotRunning && appliedIndex > snapshotIndex && replica.logSizeBytes() > threshold;
   }
 
   SnapshotDuty.WriteSnapshot startSnapshot() {
--- a/control/src/main/java/io/pathdeck/control/OperatorMessages.java
+++ b/control/src/main/java/io/pathdeck/control/OperatorMessages.java
@@ -23,8 +23,7 @@
   private OperatorMessages() {}
 
   /** The internal form of a declaration. */
-  public static Declaration fromProto(
-      io.pathdeck.protocol.generated.Declaration declaration) {
+  public static Declaration fromProto(io.pathdeck.protocol.generated.Declaration declaration) {
     List<TenantSpec> tenants = new ArrayList<>();
     for (Tenant tenant : declaration.getTenantsList()) {
       tenants.add(
--- a/control/src/main/java/io/pathdeck/control/OperatorService.java
+++ b/control/src/main/java/io/pathdeck/control/OperatorService.java
@@ -64,10 +64,7 @@
   private final Section<ControllerStatus> status;
 
   OperatorService(
-      int controllerId,
-      int partitions,
-      ControllerClient client,
-      Section<ControllerStatus> status) {
+      int controllerId, int partitions, ControllerClient client, Section<ControllerStatus> status) {
     this.controllerId = controllerId;
     this.partitions = partitions;
     this.client = client;
--- a/control/src/main/java/io/pathdeck/control/StorageDuty.java
+++ b/control/src/main/java/io/pathdeck/control/StorageDuty.java
@@ -66,8 +66,7 @@
       onFailure.run();
       return 0;
     }
-    completions.accept(
-        new ControllerEvent.Synced(waiting.stream().map(Batch::synced).toList()));
+    completions.accept(new ControllerEvent.Synced(waiting.stream().map(Batch::synced).toList()));
     return waiting.size();
   }
 
--- /dev/null
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/EngineWindow.java
@@ -0,0 +1,83 @@
+package io.pathdeck.dispatch;
+
+import io.pathdeck.protocol.model.EngineSpec;
+import io.pathdeck.serving.engine.EngineLoad;
+
+/**
+ * How many batch items may run on one engine. The window opens step by step while the engine has no
+ * online work, and closes at once when it has some.
+ */
+final class EngineWindow {
+  private final DispatchPolicy policy;
+  EngineSpec spec;
+  int running;
+  private int window;
+  private EngineLoad load;
+  private long loadAtMs = Long.MIN_VALUE / 2;
+  private long lastStepMs;
+  private long closedUntilMs;
+  private long failureBackoffMs;
+  private long nextProbeMs;
+
+  EngineWindow(EngineSpec spec, DispatchPolicy policy) {
+    this.spec = spec;
+    this.policy = policy;
+  }
+
+  void onLoad(EngineLoad reported, long nowMs) {
+    load = reported;
+    loadAtMs = nowMs;
+    if (reported.online() > 0) {
+      window = Math.min(window, policy.alongsideOnline());
+    }
+  }
+
+  void onSuccess() {
+    failureBackoffMs = 0;
+  }
+
+  void onFailure(long nowMs) {
+    failureBackoffMs = Math.min(10_000, Math.max(500, failureBackoffMs * 2));
+    closedUntilMs = nowMs + failureBackoffMs;
+    window = 0;
+  }
+
+  void closeUntil(long untilMs) {
+    closedUntilMs = Math.max(closedUntilMs, untilMs);
+    window = 0;
+  }
+
+  /** Opens the window by a step when the engine is known to be idle. */
+  void poll(long nowMs) {
+    boolean known = load != null && nowMs - loadAtMs <= policy.loadValidMs();
+    if (spec.draining() || nowMs < closedUntilMs || !known) {
+      window = 0;
+      return;
+    }
+    int limit = load.online() > 0 ? policy.alongsideOnline() : spec.batchSlots();
+    if (nowMs - lastStepMs >= policy.windowStepMs()) {
+      lastStepMs = nowMs;
+      window = Math.min(limit, window + policy.windowStep());
+    }
+    window = Math.min(window, limit);
+  }
+
+  /** How many more items may start. */
+  int free() {
+    return Math.max(0, window - running);
+  }
+
+  /** How many running items must yield. */
+  int excess() {
+    return Math.max(0, running - window);
+  }
+
+  boolean isProbeDue(long nowMs) {
+    boolean fresh = nowMs - loadAtMs < policy.probeIntervalMs();
+    if (fresh || nowMs < nextProbeMs) {
+      return false;
+    }
+    nextProbeMs = nowMs + policy.probeIntervalMs();
+    return true;
+  }
+}
--- /dev/null
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/ItemRun.java
@@ -0,0 +1,106 @@
+package io.pathdeck.dispatch;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.protocol.model.ItemResult;
+import io.pathdeck.protocol.model.LeasedItem;
+import io.pathdeck.serving.api.CompletionAssembler;
+import io.pathdeck.serving.api.GenerationRequest;
+import io.pathdeck.serving.engine.EngineClient;
+import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.Json;
+
+/** One leased item: its request, and the answer as far as it has been generated. */
+final class ItemRun {
+  private static final int OK = 200;
+
+  final ItemKey key;
+  final LeasedItem leased;
+  private final ObjectNode line;
+  private final GenerationRequest generation;
+  private final CompletionAssembler assembler;
+
+  /** The number of the running attempt; 0 when none runs. Guarded by this. */
+  private int runningAttempt;
+
+  private int attempts;
+  EngineClient.Call call;
+
+  ItemRun(ItemKey key, LeasedItem leased) {
+    this.key = key;
+    this.leased = leased;
+    this.line = Json.parseObject(leased.line()).orElse(Json.object());
+    byte[] body = Json.encode(line.path("body"));
+    Result<GenerationRequest, ApiError> parsed = GenerationRequest.parse(leased.endpoint(), body);
+    this.generation = parsed.isOk() ? parsed.value() : null;
+    this.assembler = new CompletionAssembler(leased.endpoint().equals(GenerationRequest.CHAT_PATH));
+  }
+
+  /** The checked request, or null when the item is invalid. */
+  GenerationRequest generation() {
+    return generation;
+  }
+
+  /** Begins the next attempt and returns its number. */
+  synchronized int beginAttempt() {
+    attempts++;
+    runningAttempt = attempts;
+    return attempts;
+  }
+
+  /** Ends the running attempt; what it still sends is dropped. */
+  synchronized void endAttempt() {
+    runningAttempt = 0;
+  }
+
+  synchronized boolean isRunning(int attempt) {
+    return runningAttempt == attempt;
+  }
+
+  synchronized boolean isRunning() {
+    return runningAttempt != 0;
+  }
+
+  /** Adds events of an attempt, unless it has been ended. */
+  synchronized void add(int attempt, byte[] events, int tokens) {
+    if (runningAttempt == attempt) {
+      assembler.add(events, tokens);
+    }
+  }
+
+  synchronized int tokens() {
+    return assembler.tokens();
+  }
+
+  String requestId() {
+    return key.jobId() + "-" + key.index();
+  }
+
+  /** The result of a whole answer. */
+  synchronized ItemResult toResult() {
+    ObjectNode result = newLine();
+    ObjectNode response = result.putObject("response");
+    response.put("status_code", OK);
+    response.put("request_id", requestId());
+    response.set("body", assembler.assemble());
+    result.putNull("error");
+    return new ItemResult(
+        key.jobId(), key.index(), key.leaseId(), true, Json.encode(result), assembler.tokens());
+  }
+
+  /** The result of an item that failed for good. */
+  synchronized ItemResult toFailure(String code, String message) {
+    ObjectNode result = newLine();
+    result.putNull("response");
+    result.putObject("error").put("code", code).put("message", message);
+    return new ItemResult(
+        key.jobId(), key.index(), key.leaseId(), false, Json.encode(result), assembler.tokens());
+  }
+
+  private ObjectNode newLine() {
+    ObjectNode result = Json.object();
+    result.put("id", requestId());
+    result.put("custom_id", line.path("custom_id").asText());
+    return result;
+  }
+}
--- /dev/null
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/PartitionLink.java
@@ -0,0 +1,91 @@
+package io.pathdeck.dispatch;
+
+import io.pathdeck.common.result.Result;
+import io.pathdeck.protocol.client.ControlError;
+import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.CommitResults;
+import io.pathdeck.protocol.command.RenewLeases;
+import io.pathdeck.protocol.model.ItemResult;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * A dispatcher's dealings with one jobs partition: one commit and one renewal at a time, results
+ * kept until they are known to be stored.
+ */
+final class PartitionLink {
+  private static final int MAX_RESULTS_PER_COMMIT = 256;
+  private static final long CALL_TIMEOUT_MS = 10_000;
+  private static final long RENEW_INTERVAL_MS = 500;
+
+  private final int partition;
+  private final String dispatcherId;
+  private final long leaseMs;
+  private final ControllerClient controllers;
+  private final Consumer<DispatchEvent> events;
+  private final List<ItemResult> uncommitted = new ArrayList<>();
+  private int committing;
+  private boolean renewing;
+  private long nextRenewMs;
+
+  PartitionLink(
+      int partition,
+      String dispatcherId,
+      long leaseMs,
+      ControllerClient controllers,
+      Consumer<DispatchEvent> events) {
+    this.partition = partition;
+    this.dispatcherId = dispatcherId;
+    this.leaseMs = leaseMs;
+    this.controllers = controllers;
+    this.events = events;
+  }
+
+  void add(ItemResult result) {
+    uncommitted.add(result);
+  }
+
+  boolean hasUncommitted() {
+    return !uncommitted.isEmpty();
+  }
+
+  /** Sends what waits, unless a commit is under way. */
+  void commit() {
+    if (committing > 0 || uncommitted.isEmpty()) {
+      return;
+    }
+    committing = Math.min(MAX_RESULTS_PER_COMMIT, uncommitted.size());
+    List<ItemResult> batch = new ArrayList<>(uncommitted.subList(0, committing));
+    controllers
+        .propose(partition, new CommitResults(dispatcherId, batch), CALL_TIMEOUT_MS)
+        .thenAccept(result -> events.accept(new DispatchEvent.Committed(partition, result)));
+  }
+
+  /** A commit ended; a failed one is sent again, which is harmless: the first result stays. */
+  void onCommitted(Result<CommandResult, ControlError> result) {
+    if (result.isOk()) {
+      uncommitted.subList(0, committing).clear();
+    }
+    committing = 0;
+  }
+
+  void renew(List<Long> leaseIds, long nowMs) {
+    if (renewing || leaseIds.isEmpty() || nowMs < nextRenewMs) {
+      return;
+    }
+    renewing = true;
+    nextRenewMs = nowMs + RENEW_INTERVAL_MS;
+    controllers
+        .propose(
+            partition,
+            new RenewLeases(dispatcherId, new ArrayList<>(leaseIds), leaseMs),
+            CALL_TIMEOUT_MS)
+        .thenAccept(result -> events.accept(new DispatchEvent.Renewed(partition, result)));
+  }
+
+  void onRenewed() {
+    renewing = false;
+  }
+}
--- a/dispatch/src/main/java/io/pathdeck/dispatch/package-info.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** The dispatcher: runs leased batch items on idle engine capacity and commits their results. */
 package io.pathdeck.dispatch;
--- a/protocol/src/main/java/io/pathdeck/protocol/client/ControllerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/client/ControllerClient.java
@@ -62,8 +62,7 @@
       int group, String client, long requestId, Command command, long timeoutMs) {
     Message request = new ProposeRequest(group, client, requestId, command);
     return call(group, request, timeoutMs)
-        .thenApply(
-            result -> result.map(reply -> ((ProposeReply) reply).result()));
+        .thenApply(result -> result.map(reply -> ((ProposeReply) reply).result()));
   }
 
   /** Reads linearizably. */
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/ObjectCodec.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/ObjectCodec.java
@@ -24,11 +24,11 @@
     LoggerFactory.disableLogging();
     ThreadLocalFory fory =
         Fory.builder()
-        .withLanguage(Language.JAVA)
-        .requireClassRegistration(true)
-        .withRefTracking(false)
-        .withCodegen(Boolean.parseBoolean(System.getProperty("pathdeck.codec.codegen", "true")))
-        .suppressClassRegistrationWarnings(true)
+            .withLanguage(Language.JAVA)
+            .requireClassRegistration(true)
+            .withRefTracking(false)
+            .withCodegen(Boolean.parseBoolean(System.getProperty("pathdeck.codec.codegen", "true")))
+            .suppressClassRegistrationWarnings(true)
             .buildThreadLocalFory();
     fory.registerCallback(ObjectCodec::register);
     return fory;
--- a/protocol/src/main/java/io/pathdeck/protocol/command/MetaCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/MetaCommand.java
@@ -1,6 +1,4 @@
 package io.pathdeck.protocol.command;
 
 /** A command of the meta group. */
-public sealed interface MetaCommand extends Command
-    permits ApplyDelta,
-        SetEngineDraining {}
+public sealed interface MetaCommand extends Command permits ApplyDelta, SetEngineDraining {}
--- a/protocol/src/main/java/io/pathdeck/protocol/command/SetEngineDraining.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/SetEngineDraining.java
@@ -1,5 +1,4 @@
 package io.pathdeck.protocol.command;
 
 /** Marks an engine as draining or takes the mark back. */
-public record SetEngineDraining(
-    String engine, boolean draining) implements MetaCommand {}
+public record SetEngineDraining(String engine, boolean draining) implements MetaCommand {}
--- a/protocol/src/main/java/io/pathdeck/protocol/query/ReadFileLines.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/ReadFileLines.java
@@ -1,4 +1,5 @@
 package io.pathdeck.protocol.query;
 
 /** Reads lines of a file from {@code fromLine} on. */
-public record ReadFileLines(String fileId, String tenant, int fromLine, int maxBytes) implements Query {}
+public record ReadFileLines(String fileId, String tenant, int fromLine, int maxBytes)
+    implements Query {}
--- a/protocol/src/main/java/io/pathdeck/protocol/raft/LogRecord.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/raft/LogRecord.java
@@ -1,7 +1,8 @@
 package io.pathdeck.protocol.raft;
 
 /** A record of the durable log. */
-public sealed interface LogRecord permits BootstrapRecord, EntryRecord, HardStateRecord, ResetRecord {
+public sealed interface LogRecord
+    permits BootstrapRecord, EntryRecord, HardStateRecord, ResetRecord {
   /** The group the record belongs to. */
   int group();
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
@@ -213,8 +213,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      EVENTS.log(
-          EventCode.CONNECTION_FAILED, "peer", address, "reason", String.valueOf(cause));
+      EVENTS.log(EventCode.CONNECTION_FAILED, "peer", address, "reason", String.valueOf(cause));
       context.close();
     }
   }
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/NodeSettings.java
@@ -0,0 +1,57 @@
+package io.pathdeck.serving;
+
+import io.pathdeck.common.result.Result;
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.common.settings.SettingsError;
+import io.pathdeck.common.settings.SettingsReader;
+import io.pathdeck.common.settings.TlsSettings;
+import io.pathdeck.serving.http.HttpLimits;
+import java.util.List;
+
+/**
+ * The settings of a node.
+ *
+ * @param listen where callers connect
+ * @param controllers all controllers, in the order of their ids
+ * @param requestTimeoutMs how long an online request may take when the caller names no deadline
+ * @param engineIdleTimeoutMs how long an engine may be silent before its stream counts as broken
+ * @param drainTimeoutMs how long a planned stop waits for requests in progress
+ */
+public record NodeSettings(
+    String id,
+    String zone,
+    HostPort listen,
+    HostPort adminListen,
+    List<HostPort> controllers,
+    HttpLimits limits,
+    int requestTimeoutMs,
+    int engineIdleTimeoutMs,
+    int drainTimeoutMs,
+    TlsSettings tls) {
+  private static final int MIB = 1024 * 1024;
+
+  /** Reads and checks the settings. */
+  public static Result<NodeSettings, SettingsError> read(SettingsReader reader) {
+    HttpLimits limits =
+        new HttpLimits(
+            reader.integer("max_header_bytes", 16_384, 1_024, MIB),
+            reader.integer("max_body_bytes", 4 * MIB, 1_024, 256 * MIB),
+            reader.integer("max_upload_bytes", 128 * MIB, 1_024, 1_024 * MIB),
+            reader.integer("max_connections", 10_000, 1, 1_000_000),
+            reader.integer("read_timeout_ms", 30_000, 100, 600_000));
+    NodeSettings settings =
+        new NodeSettings(
+            reader.string("id"),
+            reader.string("zone"),
+            reader.address("listen"),
+            reader.address("admin_listen"),
+            reader.addresses("controllers"),
+            limits,
+            reader.integer("request_timeout_ms", 120_000, 100, 3_600_000),
+            reader.integer("engine_idle_timeout_ms", 5_000, 100, 600_000),
+            reader.integer("drain_timeout_ms", 60_000, 0, 3_600_000),
+            TlsSettings.read(reader));
+    settings.tls().check(reader, settings.controllers());
+    return reader.finish(settings);
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/api/ClaimedWriter.java
@@ -0,0 +1,74 @@
+package io.pathdeck.serving.api;
+
+import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.command.CompleteClaim;
+import io.pathdeck.protocol.command.ReleaseClaim;
+import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.Json;
+import java.io.ByteArrayOutputStream;
+
+/**
+ * Writes the answer of a claimed request and records it with the claim, so that a resend is
+ * answered from the claim. A request that was certainly not run gives its claim back first.
+ */
+final class ClaimedWriter implements ResponseWriter {
+  private static final long CLAIM_TIMEOUT_MS = 5_000;
+  private static final int OK = 200;
+  private static final int MAX_STORED_BYTES = 4 * 1024 * 1024;
+
+  private final ResponseWriter delegate;
+  private final ControllerClient controllers;
+  private final int partition;
+  private final String claimKey;
+  private final String owner;
+  private final boolean stream;
+  private final CompletionAssembler assembler;
+  private final ByteArrayOutputStream events = new ByteArrayOutputStream();
+
+  ClaimedWriter(
+      ResponseWriter delegate,
+      ControllerClient controllers,
+      int partition,
+      String claimKey,
+      String owner,
+      GenerationRequest generation) {
+    this.delegate = delegate;
+    this.controllers = controllers;
+    this.partition = partition;
+    this.claimKey = claimKey;
+    this.owner = owner;
+    this.stream = generation.stream();
+    this.assembler = new CompletionAssembler(generation.isChat());
+  }
+
+  @Override
+  public boolean onEvents(byte[] part, int tokens) {
+    if (stream && events.size() + part.length <= MAX_STORED_BYTES) {
+      events.writeBytes(part);
+    } else if (!stream) {
+      assembler.add(part, tokens);
+    }
+    return delegate.onEvents(part, tokens);
+  }
+
+  @Override
+  public void complete() {
+    String contentType = stream ? StreamWriter.CONTENT_TYPE : "application/json";
+    byte[] body = stream ? events.toByteArray() : Json.encode(assembler.assemble());
+    CompleteClaim command = new CompleteClaim(claimKey, owner, OK, contentType, body);
+    controllers
+        .propose(partition, command, CLAIM_TIMEOUT_MS)
+        .thenAccept(result -> delegate.complete());
+  }
+
+  @Override
+  public void fail(ApiError error) {
+    if (!error.notRun()) {
+      delegate.fail(error);
+      return;
+    }
+    controllers
+        .propose(partition, new ReleaseClaim(claimKey, owner), CLAIM_TIMEOUT_MS)
+        .thenAccept(result -> delegate.fail(error));
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/api/CompletionAssembler.java
@@ -0,0 +1,90 @@
+package io.pathdeck.serving.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pathdeck.serving.http.Json;
+import java.nio.charset.StandardCharsets;
+
+/** Puts the events of a stream together into the answer of a request without a stream. */
+public final class CompletionAssembler {
+  private static final byte[] DATA_PREFIX = "data: ".getBytes(StandardCharsets.UTF_8);
+
+  private final boolean chat;
+  private final StringBuilder text = new StringBuilder();
+  private ObjectNode lastChunk;
+  private String finishReason;
+  private JsonNode usage;
+  private int tokens;
+
+  /**
+   * Starts an empty answer.
+   *
+   * @param chat whether the answer is a chat completion
+   */
+  public CompletionAssembler(boolean chat) {
+    this.chat = chat;
+  }
+
+  /** Adds whole events. */
+  public void add(byte[] events, int tokenCount) {
+    tokens += tokenCount;
+    int start = 0;
+    for (int i = 1; i < events.length; i++) {
+      if (events[i] == '\n' && events[i - 1] == '\n') {
+        addEvent(events, start + DATA_PREFIX.length, i - 1);
+        start = i + 1;
+      }
+    }
+  }
+
+  private void addEvent(byte[] events, int from, int to) {
+    if (to <= from || events[from] != '{') {
+      return;
+    }
+    Json.parseObject(events, from, to - from).ifPresent(this::addChunk);
+  }
+
+  private void addChunk(ObjectNode chunk) {
+    lastChunk = chunk;
+    if (chunk.hasNonNull("usage")) {
+      usage = chunk.get("usage");
+    }
+    JsonNode choice = chunk.path("choices").path(0);
+    JsonNode part = chat ? choice.path("delta").path("content") : choice.path("text");
+    if (part.isTextual()) {
+      text.append(part.textValue());
+    }
+    if (choice.path("finish_reason").isTextual()) {
+      finishReason = choice.path("finish_reason").textValue();
+    }
+  }
+
+  /** The number of generated tokens. */
+  public int tokens() {
+    return tokens;
+  }
+
+  /** The whole answer. */
+  public ObjectNode assemble() {
+    ObjectNode answer = Json.object();
+    if (lastChunk != null) {
+      answer.set("id", lastChunk.get("id"));
+      answer.set("created", lastChunk.get("created"));
+      answer.set("model", lastChunk.get("model"));
+    }
+    answer.put("object", chat ? "chat.completion" : "text_completion");
+    ObjectNode choice = answer.putArray("choices").addObject();
+    choice.put("index", 0);
+    if (chat) {
+      choice.putObject("message").put("role", "assistant").put("content", text.toString());
+    } else {
+      choice.put("text", text.toString());
+    }
+    choice.putNull("logprobs");
+    choice.put("finish_reason", finishReason);
+    if (usage != null) {
+      answer.set("usage", usage);
+    }
+    return answer;
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/api/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' API: completions, models, files and batches. */
+package io.pathdeck.serving.api;
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/config/ConfigurationFollower.java
@@ -0,0 +1,145 @@
+package io.pathdeck.serving.config;
+
+import io.pathdeck.common.duty.BoundedRing;
+import io.pathdeck.common.duty.Duty;
+import io.pathdeck.common.duty.Section;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.protocol.client.ControlError;
+import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.message.ConfigurationHeartbeat;
+import io.pathdeck.protocol.message.ConfigurationUpdate;
+import io.pathdeck.state.DeclarationStore;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps a process's configuration current and holds its lease.
+ *
+ * <p>The lease runs from the moment a heartbeat was <em>sent</em>, so a process that was frozen or
+ * cut off knows that its configuration may be out of date. Only higher versions are taken.
+ */
+public final class ConfigurationFollower implements Duty {
+  private static final EventLog EVENTS = EventLog.of(ConfigurationFollower.class);
+  private static final long HEARTBEAT_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long MAX_IDLE_NS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final long CALL_TIMEOUT_MS = 2_000;
+
+  private record Answer(long sentAtNs, Result<ConfigurationUpdate, ControlError> result) {}
+
+  private final String processId;
+  private final String role;
+  private final ControllerClient controllers;
+  private final BoundedRing<Object> ring = new BoundedRing<>(16);
+  private final DeclarationStore store = new DeclarationStore();
+  private final Section<ConfigurationView> section = new Section<>(ConfigurationView.EMPTY);
+  private volatile long leaseUntilNs = System.nanoTime() - 1;
+  private boolean hadLease;
+  private boolean waiting;
+  private long nextHeartbeatNs = System.nanoTime();
+
+  public ConfigurationFollower(String processId, String role, ControllerClient controllers) {
+    this.processId = processId;
+    this.role = role;
+    this.controllers = controllers;
+  }
+
+  /** The configuration in force, as far as this process knows. */
+  public Section<ConfigurationView> section() {
+    return section;
+  }
+
+  /** Whether the configuration may still be acted on. */
+  public boolean hasLease() {
+    return leaseUntilNs - System.nanoTime() > 0;
+  }
+
+  /** The ring the duty's thread waits on. */
+  public BoundedRing<Object> ring() {
+    return ring;
+  }
+
+  @Override
+  public String name() {
+    return "configuration";
+  }
+
+  @Override
+  public int doWork(long nowNs) {
+    int work = ring.drain(item -> onAnswer((Answer) item), 16);
+    if (!waiting && nowNs - nextHeartbeatNs >= 0) {
+      sendHeartbeat(nowNs);
+      work++;
+    }
+    reportLease();
+    return work;
+  }
+
+  private void sendHeartbeat(long nowNs) {
+    waiting = true;
+    nextHeartbeatNs = nowNs + HEARTBEAT_INTERVAL_NS;
+    ConfigurationHeartbeat heartbeat =
+        new ConfigurationHeartbeat(processId, role, store.version(), store.digest());
+    controllers
+        .heartbeat(heartbeat, CALL_TIMEOUT_MS)
+        .thenAccept(result -> ring.offer(new Answer(nowNs, result)));
+  }
+
+  private void onAnswer(Answer answer) {
+    waiting = false;
+    if (!answer.result().isOk()) {
+      return;
+    }
+    ConfigurationUpdate update = answer.result().value();
+    if (update.version() < store.version()) {
+      return;
+    }
+    boolean changed = takeDelta(update);
+    boolean current = store.version() == update.version() && store.digest() == update.digest();
+    if (!current) {
+      store.clear();
+      nextHeartbeatNs = System.nanoTime();
+      return;
+    }
+    ConfigurationView view = section.read();
+    if (changed
+        || view.partitions() != update.partitions()
+        || view.liveNodes() != update.liveNodes()) {
+      section.publish(
+          new ConfigurationView(
+              store.version(), store.declaration(), update.partitions(), update.liveNodes()));
+    }
+    leaseUntilNs = answer.sentAtNs() + TimeUnit.MILLISECONDS.toNanos(update.leaseMs());
+  }
+
+  private boolean takeDelta(ConfigurationUpdate update) {
+    if (update.delta() == null) {
+      return false;
+    }
+    if (update.fromVersion() == 0) {
+      store.clear();
+    } else if (update.fromVersion() != store.version()) {
+      return false;
+    }
+    store.apply(update.delta(), update.version());
+    EVENTS.log(
+        EventCode.CONFIGURATION_UPDATED, "version", update.version(), "from", update.fromVersion());
+    return true;
+  }
+
+  private void reportLease() {
+    boolean has = hasLease();
+    if (has != hadLease) {
+      hadLease = has;
+      EVENTS.log(
+          has ? EventCode.CONFIGURATION_LEASE_RENEWED : EventCode.CONFIGURATION_LEASE_LAPSED,
+          "version",
+          store.version());
+    }
+  }
+
+  @Override
+  public long maxIdleNs() {
+    return MAX_IDLE_NS;
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/config/package-info.java
@@ -0,0 +1,2 @@
+/** Following the configuration under a lease. */
+package io.pathdeck.serving.config;
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -0,0 +1,204 @@
+package io.pathdeck.serving.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Collects the requests of one connection, one at a time: a pipelined request waits until the
+ * response before it has ended.
+ */
+final class ExchangeHandler extends ChannelInboundHandlerAdapter {
+  private static final int MAX_PIPELINED_MESSAGES = 64;
+
+  private final HttpLimits limits;
+  private final Consumer<HttpExchange> dispatcher;
+  private final ArrayDeque<Object> pipelined = new ArrayDeque<>();
+  private ChannelHandlerContext context;
+  private HttpRequest request;
+  private CompositeByteBuf body;
+  private HttpExchange exchange;
+  private ScheduledFuture<?> readTimeout;
+  private boolean rejected;
+
+  ExchangeHandler(HttpLimits limits, Consumer<HttpExchange> dispatcher) {
+    this.limits = limits;
+    this.dispatcher = dispatcher;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    context = ctx;
+    startReadTimeout();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (rejected) {
+      ReferenceCountUtil.release(message);
+    } else if (exchange != null) {
+      pipeline(message);
+    } else {
+      accept(message);
+    }
+  }
+
+  private void pipeline(Object message) {
+    if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
+      ReferenceCountUtil.release(message);
+      context.close();
+      return;
+    }
+    pipelined.add(message);
+  }
+
+  private void accept(Object message) {
+    if (message instanceof HttpRequest head) {
+      acceptHead(head);
+    }
+    if (message instanceof HttpContent content) {
+      acceptContent(content);
+    }
+  }
+
+  private void acceptHead(HttpRequest head) {
+    request = head;
+    body = Unpooled.compositeBuffer(1024);
+    if (head.decoderResult().isFailure()) {
+      reject(ApiError.invalid("bad_request", "the request is not valid HTTP"));
+      return;
+    }
+    long length = HttpUtil.getContentLength(head, 0L);
+    if (length > maxBodyLength()) {
+      reject(ApiError.tooLarge("the body is larger than " + maxBodyLength() + " bytes"));
+    } else if (HttpUtil.is100ContinueExpected(head)) {
+      context.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  private int maxBodyLength() {
+    boolean upload = request.uri().startsWith("/v1/files");
+    return upload ? limits.maxUploadBytes() : limits.maxBodyBytes();
+  }
+
+  private void acceptContent(HttpContent content) {
+    ByteBuf data = content.content();
+    if (rejected || request == null) {
+      data.release();
+      return;
+    }
+    if (body.readableBytes() + data.readableBytes() > maxBodyLength()) {
+      data.release();
+      reject(ApiError.tooLarge("the body is larger than " + maxBodyLength() + " bytes"));
+      return;
+    }
+    body.addComponent(true, data);
+    if (content instanceof LastHttpContent) {
+      dispatch();
+    }
+  }
+
+  private void dispatch() {
+    cancelReadTimeout();
+    byte[] bytes = new byte[body.readableBytes()];
+    body.readBytes(bytes);
+    releaseBody();
+    exchange = new HttpExchange(context.channel(), request, bytes, this::onExchangeEnd);
+    request = null;
+    dispatcher.accept(exchange);
+  }
+
+  /** Answers before the whole request was read; the connection cannot be used any further. */
+  private void reject(ApiError error) {
+    rejected = true;
+    cancelReadTimeout();
+    HttpExchange failed = new HttpExchange(context.channel(), request, new byte[0], () -> {});
+    request.headers().set(HttpHeaderNames.CONNECTION, "close");
+    failed.closeAfterResponse();
+    failed.sendError(error);
+    releaseBody();
+  }
+
+  private void onExchangeEnd() {
+    context.executor().execute(this::nextExchange);
+  }
+
+  private void nextExchange() {
+    exchange = null;
+    if (context.channel().isActive()) {
+      startReadTimeout();
+      while (!pipelined.isEmpty() && exchange == null) {
+        accept(pipelined.poll());
+      }
+    }
+  }
+
+  private void startReadTimeout() {
+    cancelReadTimeout();
+    readTimeout =
+        context
+            .executor()
+            .schedule(this::onReadTimeout, limits.readTimeoutMs(), TimeUnit.MILLISECONDS);
+  }
+
+  private void onReadTimeout() {
+    if (request != null && !rejected) {
+      reject(
+          new ApiError(
+              408,
+              "invalid_request_error",
+              "request_timeout",
+              "the request came too slowly",
+              true,
+              0));
+    } else if (exchange == null) {
+      context.close();
+    }
+  }
+
+  private void cancelReadTimeout() {
+    if (readTimeout != null) {
+      readTimeout.cancel(false);
+      readTimeout = null;
+    }
+  }
+
+  private void releaseBody() {
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    cancelReadTimeout();
+    releaseBody();
+    pipelined.forEach(ReferenceCountUtil::release);
+    pipelined.clear();
+    if (exchange != null) {
+      exchange.vanished();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    ctx.close();
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -0,0 +1,247 @@
+package io.pathdeck.serving.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * One request of a caller and its response. Responses may be sent from any thread; whoever ends the
+ * response first wins, later ends are ignored.
+ */
+public final class HttpExchange {
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  /** The most bytes that may wait for a slow caller before it is given up. */
+  private static final int MAX_PENDING_BYTES = 4 * 1024 * 1024;
+
+  private final Channel channel;
+  private final HttpRequest request;
+  private final byte[] body;
+  private final QueryStringDecoder uri;
+  private final Runnable onEnd;
+  private volatile Runnable onEndedObserver = () -> {};
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private final AtomicInteger pendingBytes = new AtomicInteger();
+  private volatile boolean streaming;
+  private volatile boolean closeAfter;
+  private volatile Runnable onVanished = () -> {};
+
+  HttpExchange(Channel channel, HttpRequest request, byte[] body, Runnable onEnd) {
+    this.channel = channel;
+    this.request = request;
+    this.body = body;
+    this.uri = new QueryStringDecoder(request.uri());
+    this.onEnd = onEnd;
+    this.closeAfter = !HttpUtil.isKeepAlive(request);
+  }
+
+  public HttpMethod method() {
+    return request.method();
+  }
+
+  /** The path without the query. */
+  public String path() {
+    return uri.path();
+  }
+
+  /** The first value of a query parameter, or null. */
+  public String queryParameter(String name) {
+    List<String> values = uri.parameters().get(name);
+    return values == null ? null : values.get(0);
+  }
+
+  public HttpHeaders headers() {
+    return request.headers();
+  }
+
+  HttpRequest request() {
+    return request;
+  }
+
+  public byte[] body() {
+    return body;
+  }
+
+  /** Runs {@code action} if the caller disconnects before the response has ended. */
+  public void onVanished(Runnable action) {
+    onVanished = action;
+  }
+
+  /** Runs {@code observer} when the response has been sent or given up. */
+  void onEnded(Runnable observer) {
+    onEndedObserver = observer;
+  }
+
+  private void notifyEnded() {
+    onEndedObserver.run();
+    onEnd.run();
+  }
+
+  void vanished() {
+    if (ended.compareAndSet(false, true)) {
+      notifyEnded();
+      onVanished.run();
+    }
+  }
+
+  /** Closes the connection after this response. */
+  public void closeAfterResponse() {
+    closeAfter = true;
+  }
+
+  /** Whether the response has been ended, or the caller is gone. */
+  public boolean isEnded() {
+    return ended.get();
+  }
+
+  // ---- whole responses
+
+  /** Sends a JSON response. */
+  public void sendJson(int status, byte[] json) {
+    send(status, "application/json", json);
+  }
+
+  /** Sends an error response. */
+  public void sendError(ApiError error) {
+    sendError(error, Map.of());
+  }
+
+  /** Sends an error response with further headers. */
+  public void sendError(ApiError error, Map<String, String> headers) {
+    FullHttpResponse response = fullResponse(error.status(), "application/json", error.toJson());
+    headers.forEach(response.headers()::set);
+    if (error.retryAfterMs() > 0) {
+      long seconds = (error.retryAfterMs() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+      response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+    }
+    sendFull(response);
+  }
+
+  /** Sends a whole response. */
+  public void send(int status, String contentType, byte[] content) {
+    send(status, contentType, content, Map.of());
+  }
+
+  /** Sends a whole response with further headers. */
+  public void send(int status, String contentType, byte[] content, Map<String, String> headers) {
+    FullHttpResponse response = fullResponse(status, contentType, content);
+    headers.forEach(response.headers()::set);
+    sendFull(response);
+  }
+
+  private static FullHttpResponse fullResponse(int status, String contentType, byte[] content) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(content));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+    return response;
+  }
+
+  private void sendFull(FullHttpResponse response) {
+    if (!ended.compareAndSet(false, true)) {
+      response.release();
+      return;
+    }
+    finish(response);
+  }
+
+  // ---- streamed responses
+
+  /** Sends the head of a chunked response. */
+  public void startStream(String contentType) {
+    startStream(contentType, Map.of());
+  }
+
+  /** Sends the head of a chunked response with further headers. */
+  public void startStream(String contentType, Map<String, String> headers) {
+    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    headers.forEach(response.headers()::set);
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+    response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    streaming = true;
+    channel.write(response, channel.voidPromise());
+  }
+
+  /** Whether {@link #startStream} was called. */
+  public boolean isStreaming() {
+    return streaming;
+  }
+
+  /** Sends a part of a streamed response; returns false when the caller takes it too slowly. */
+  public boolean write(byte[] part) {
+    if (ended.get()) {
+      return true;
+    }
+    if (pendingBytes.addAndGet(part.length) > MAX_PENDING_BYTES) {
+      return false;
+    }
+    ByteBuf buffer = Unpooled.wrappedBuffer(part);
+    channel
+        .writeAndFlush(new DefaultHttpContent(buffer))
+        .addListener(future -> pendingBytes.addAndGet(-part.length));
+    return true;
+  }
+
+  /** Runs {@code action} once all that was written so far has left this process. */
+  public void whenWritten(Runnable action) {
+    channel
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(
+            future -> {
+              if (future.isSuccess()) {
+                action.run();
+              }
+            });
+  }
+
+  /** Ends a streamed response. */
+  public void endStream() {
+    if (ended.compareAndSet(false, true)) {
+      finish(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+  }
+
+  /** Closes the connection without ending the response properly. */
+  public void abort() {
+    if (ended.compareAndSet(false, true)) {
+      channel.close();
+      notifyEnded();
+    }
+  }
+
+  private void finish(Object last) {
+    if (closeAfter && last instanceof HttpResponse response) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    ChannelFuture written = channel.writeAndFlush(last);
+    written.addListener(future -> notifyEnded());
+    if (closeAfter) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server of the node, over Netty. */
+package io.pathdeck.serving.http;
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/routing/EngineSelector.java
@@ -0,0 +1,116 @@
+package io.pathdeck.serving.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Chooses an engine: own zone first with spill-over, prefix affinity under a load bound, else the
+ * less loaded of two.
+ */
+final class EngineSelector {
+  private static final LongHashFunction HASH = LongHashFunction.xx();
+
+  private final RoutingSettings settings;
+  private final String nodeId;
+  private final String zone;
+  private final SplittableRandom random;
+
+  EngineSelector(RoutingSettings settings, String nodeId, String zone, long seed) {
+    this.settings = settings;
+    this.nodeId = nodeId;
+    this.zone = zone;
+    this.random = new SplittableRandom(seed);
+  }
+
+  /**
+   * The subset of a service's engines that this node uses, so that no node follows all of a large
+   * fleet: the highest by rendezvous hashing, engines of the own zone first.
+   */
+  List<EngineState> candidates(List<EngineState> engines) {
+    if (engines.size() <= settings.candidateCount()) {
+      return engines;
+    }
+    List<EngineState> ranked = new ArrayList<>(engines);
+    ranked.sort(
+        Comparator.comparing((EngineState engine) -> !engine.spec.zone().equals(zone))
+            .thenComparing(engine -> -rank(engine.spec.name(), nodeId.hashCode())));
+    int local = settings.candidateCount() * 3 / 4;
+    List<EngineState> chosen = new ArrayList<>(ranked.subList(0, local));
+    // The rest comes from all zones, so that the loss of a zone leaves every node with engines.
+    List<EngineState> others = new ArrayList<>(ranked.subList(local, ranked.size()));
+    others.sort(Comparator.comparing(engine -> -rank(engine.spec.name(), nodeId.hashCode())));
+    chosen.addAll(others.subList(0, settings.candidateCount() - local));
+    return chosen;
+  }
+
+  /** The engine for a request, or null when none is usable. */
+  EngineState select(List<EngineState> candidates, long prefixHash, EngineState avoid, long nowMs) {
+    List<EngineState> usable = usable(candidates, avoid, nowMs);
+    if (usable.isEmpty()) {
+      return avoid != null && avoid.isUsable(settings, nowMs) ? avoid : null;
+    }
+    List<EngineState> pool = preferZone(usable, nowMs);
+    EngineState preferred = byAffinity(pool, prefixHash);
+    double average = pool.stream().mapToInt(engine -> engine.load(nowMs)).average().orElse(0);
+    if (preferred.load(nowMs) <= average * settings.affinityLoadFactor() + 1) {
+      return preferred;
+    }
+    return lessLoadedOfTwo(pool, nowMs);
+  }
+
+  private List<EngineState> usable(List<EngineState> candidates, EngineState avoid, long nowMs) {
+    List<EngineState> usable = new ArrayList<>();
+    for (EngineState engine : candidates) {
+      if (engine != avoid && engine.isUsable(settings, nowMs)) {
+        usable.add(engine);
+      }
+    }
+    return usable;
+  }
+
+  /** The own zone's engines, unless those of other zones are clearly less loaded. */
+  private List<EngineState> preferZone(List<EngineState> usable, long nowMs) {
+    List<EngineState> local = new ArrayList<>();
+    for (EngineState engine : usable) {
+      if (engine.spec.zone().equals(zone)) {
+        local.add(engine);
+      }
+    }
+    if (local.isEmpty() || local.size() == usable.size()) {
+      return usable;
+    }
+    int bestLocal = leastLoad(local, nowMs);
+    int bestOfAll = leastLoad(usable, nowMs);
+    return bestLocal - bestOfAll >= settings.spillDifference() ? usable : local;
+  }
+
+  private static int leastLoad(List<EngineState> engines, long nowMs) {
+    return engines.stream().mapToInt(engine -> engine.load(nowMs)).min().orElse(0);
+  }
+
+  private static EngineState byAffinity(List<EngineState> engines, long prefixHash) {
+    EngineState best = engines.get(0);
+    long bestRank = Long.MIN_VALUE;
+    for (EngineState engine : engines) {
+      long rank = rank(engine.spec.name(), prefixHash);
+      if (rank > bestRank) {
+        best = engine;
+        bestRank = rank;
+      }
+    }
+    return best;
+  }
+
+  private EngineState lessLoadedOfTwo(List<EngineState> engines, long nowMs) {
+    EngineState first = engines.get(random.nextInt(engines.size()));
+    EngineState second = engines.get(random.nextInt(engines.size()));
+    return first.load(nowMs) <= second.load(nowMs) ? first : second;
+  }
+
+  private static long rank(String name, long key) {
+    return LongHashFunction.xx(key).hashChars(name) ^ HASH.hashLong(key);
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/routing/RetryBudget.java
@@ -0,0 +1,26 @@
+package io.pathdeck.serving.routing;
+
+/** Limits retries to a fraction of the requests, so that failing engines are not flooded. */
+final class RetryBudget {
+  private final double ratio;
+  private final double burst;
+  private double tokens;
+
+  RetryBudget(double ratio, double burst) {
+    this.ratio = ratio;
+    this.burst = burst;
+    this.tokens = burst;
+  }
+
+  void onRequest() {
+    tokens = Math.min(burst, tokens + ratio);
+  }
+
+  boolean tryRetry() {
+    if (tokens < 1) {
+      return false;
+    }
+    tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/routing/TenantLimiter.java
@@ -0,0 +1,62 @@
+package io.pathdeck.serving.routing;
+
+import io.pathdeck.protocol.model.TenantSpec;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** This node's part of each tenant's limits: requests a second and requests at a time. */
+final class TenantLimiter {
+  private static final double MILLIS_PER_SECOND = 1_000.0;
+
+  private static final class Usage {
+    double tokens;
+    long refilledAtMs;
+    int concurrent;
+    boolean started;
+  }
+
+  private final Map<String, Usage> usages = new HashMap<>();
+
+  /** Counts a request in, or says why it is refused. */
+  Optional<RefusalReason> admit(TenantSpec tenant, int liveNodes, long nowMs) {
+    Usage usage = usages.computeIfAbsent(tenant.name(), key -> new Usage());
+    int concurrencyLimit = share(tenant.maxConcurrentRequests(), liveNodes);
+    if (concurrencyLimit > 0 && usage.concurrent >= concurrencyLimit) {
+      return Optional.of(RefusalReason.CONCURRENCY_LIMITED);
+    }
+    int rateLimit = share(tenant.requestsPerSecond(), liveNodes);
+    if (rateLimit > 0 && !takeToken(usage, rateLimit, nowMs)) {
+      return Optional.of(RefusalReason.RATE_LIMITED);
+    }
+    usage.concurrent++;
+    return Optional.empty();
+  }
+
+  private static int share(int limit, int liveNodes) {
+    return limit == 0 ? 0 : Math.max(1, (limit + liveNodes - 1) / liveNodes);
+  }
+
+  private static boolean takeToken(Usage usage, int rate, long nowMs) {
+    if (!usage.started) {
+      usage.started = true;
+      usage.tokens = rate;
+      usage.refilledAtMs = nowMs;
+    }
+    double refill = (nowMs - usage.refilledAtMs) * rate / MILLIS_PER_SECOND;
+    usage.tokens = Math.min(rate, usage.tokens + refill);
+    usage.refilledAtMs = nowMs;
+    if (usage.tokens < 1) {
+      return false;
+    }
+    usage.tokens -= 1;
+    return true;
+  }
+
+  void release(String tenant) {
+    Usage usage = usages.get(tenant);
+    if (usage != null) {
+      usage.concurrent--;
+    }
+  }
+}
--- /dev/null
+++ b/serving/src/main/java/io/pathdeck/serving/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Admission, routing and retries as pure decisions. */
+package io.pathdeck.serving.routing;
--- a/state/src/main/java/io/pathdeck/state/ClaimTable.java
+++ b/state/src/main/java/io/pathdeck/state/ClaimTable.java
@@ -34,8 +34,7 @@
       return new ClaimGranted();
     }
     boolean resend =
-        existing.owner().equals(request.owner())
-            && existing.claim().state() == ClaimState.PENDING;
+        existing.owner().equals(request.owner()) && existing.claim().state() == ClaimState.PENDING;
     return resend ? new ClaimGranted() : existing.claim();
   }
 
--- a/state/src/main/java/io/pathdeck/state/JobsQueries.java
+++ b/state/src/main/java/io/pathdeck/state/JobsQueries.java
@@ -55,8 +55,7 @@
 
   private Job visibleJob(String jobId, String tenant) {
     Job job = state.jobs.get(jobId);
-    boolean visible =
-        job != null && (tenant.isEmpty() || tenant.equals(job.spec().tenant()));
+    boolean visible = job != null && (tenant.isEmpty() || tenant.equals(job.spec().tenant()));
     return visible ? job : null;
   }
 
--- a/state/src/main/java/io/pathdeck/state/JobsSnapshot.java
+++ b/state/src/main/java/io/pathdeck/state/JobsSnapshot.java
@@ -35,10 +35,7 @@
     for (LeaseTable.Lease lease : state.leases.all()) {
       records.add(
           new LeaseRecord(
-              lease.leaseId,
-              lease.dispatcherId,
-              lease.expiresAtMs,
-              new ArrayList<>(lease.items)));
+              lease.leaseId, lease.dispatcherId, lease.expiresAtMs, new ArrayList<>(lease.items)));
     }
     records.addAll(state.keys.records());
     records.addAll(state.claims.records());
--- a/state/src/main/java/io/pathdeck/state/JobsStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/JobsStateMachine.java
@@ -170,8 +170,7 @@
   private CommandResult cancelJob(CancelJob cancel, long nowMs) {
     Job job = jobs.get(cancel.jobId());
     boolean visible =
-        job != null
-            && (cancel.tenant().isEmpty() || cancel.tenant().equals(job.spec().tenant()));
+        job != null && (cancel.tenant().isEmpty() || cancel.tenant().equals(job.spec().tenant()));
     if (!visible) {
       return new Rejected(RejectionCode.NOT_FOUND, "no job " + cancel.jobId());
     }
@@ -209,8 +208,7 @@
               item.job().itemLine(item.index()),
               spec.repeatable()));
     }
-    LeaseTable.Lease lease =
-        leases.grant(command.dispatcherId(), refs, nowMs + command.leaseMs());
+    LeaseTable.Lease lease = leases.grant(command.dispatcherId(), refs, nowMs + command.leaseMs());
     return new ItemsLeased(lease.leaseId, items);
   }
 
@@ -291,9 +289,10 @@
       }
     }
     jobs.values()
-        .removeIf(
-            job -> job.status().isTerminal() && nowMs - job.finishedAtMs() >= RETENTION_MS);
-    files.values().removeIf(file -> nowMs - file.view().createdAtMs() >= RETENTION_MS && !isUsed(file));
+        .removeIf(job -> job.status().isTerminal() && nowMs - job.finishedAtMs() >= RETENTION_MS);
+    files
+        .values()
+        .removeIf(file -> nowMs - file.view().createdAtMs() >= RETENTION_MS && !isUsed(file));
   }
 
   private boolean isUsed(StoredFile file) {
--- a/state/src/main/java/io/pathdeck/state/OutcomeUnknown.java
+++ b/state/src/main/java/io/pathdeck/state/OutcomeUnknown.java
@@ -8,7 +8,12 @@
 
   static byte[] line(Job job, int index) {
     String line =
-        "{\"id\":\"" + job.spec().jobId() + "-" + index + "\",\"item\":" + index
+        "{\"id\":\""
+            + job.spec().jobId()
+            + "-"
+            + index
+            + "\",\"item\":"
+            + index
             + ",\"response\":null,\"error\":{\"code\":\"outcome_unknown\","
             + "\"message\":\"the item may have run and is not repeated\"}}";
     return line.getBytes(StandardCharsets.UTF_8);
--- /dev/null
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The emulated model engine, by the engines' published protocol. */
+package io.pathdeck.testkit.engine;
