Codec: leave Guava's types unregistered

Cause: Fory registers Guava's collections if the library is there and fails on the version gRPC brings. Change: registerGuavaTypes(false).

--- a/protocol/src/main/java/io/pathdeck/protocol/codec/ObjectCodec.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/ObjectCodec.java
@@ -27,6 +27,7 @@
             .withLanguage(Language.JAVA)
             .requireClassRegistration(true)
             .withRefTracking(false)
+            .registerGuavaTypes(false)
             .withCodegen(Boolean.parseBoolean(System.getProperty("pathdeck.codec.codegen", "true")))
             .suppressClassRegistrationWarnings(true)
             .buildThreadLocalFory();
