--- a/testkit/src/main/java/io/pathdeck/testkit/engine/EmulatedEngine.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/EmulatedEngine.java
@@ -195,11 +195,8 @@
   }
 
   private void start(HttpExchange exchange, EngineCall call, Sequence sequence) {
-    if (call.resumeAfter() >= call.answerTokens()) {
-      exchange.sendError(ApiError.invalid("invalid", "nothing is left after this offset"));
-      return;
-    }
-    if (!model.submit(sequence)) {
+    boolean nothingLeft = call.resumeAfter() >= call.answerTokens();
+    if (!nothingLeft && !model.submit(sequence)) {
       refuse(exchange);
       return;
     }
@@ -210,6 +207,11 @@
         Map.of(EngineHeaders.REQUEST_ID, echoed, EngineHeaders.LOAD, reportedLoad().format());
     exchange.startStream("text/event-stream", headers);
     exchange.write(": accepted\n\n".getBytes(StandardCharsets.UTF_8));
+    if (nothingLeft) {
+      // The caller held every token, but had not seen the end of the stream.
+      sequence.output.onNothingLeft(sequence);
+      return;
+    }
     if (faults.kind() == EngineFaults.Kind.LATE) {
       model.cancel(sequence);
       sequence.cancelled = false;
--- a/testkit/src/main/java/io/pathdeck/testkit/engine/EngineStream.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/EngineStream.java
@@ -64,6 +64,15 @@
     }
   }
 
+  @Override
+  public void onNothingLeft(Sequence sequence) {
+    StringBuilder events = new StringBuilder();
+    appendClosing(events, sequence.answerTokens);
+    exchange.write(events.toString().getBytes(StandardCharsets.UTF_8));
+    engine.onFinished(sequence, false);
+    exchange.endStream();
+  }
+
   private void appendOpening(StringBuilder events) {
     if (chat && resumeAfter == 0) {
       events
--- a/testkit/src/main/java/io/pathdeck/testkit/engine/Sequence.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/Sequence.java
@@ -9,6 +9,9 @@
   public interface Output {
     /** The token at {@code offset} was generated; {@code last} if it is the answer's last. */
     void onToken(Sequence sequence, int offset, boolean last);
+
+    /** The request continues after the answer's last token: only the end is left to send. */
+    void onNothingLeft(Sequence sequence);
   }
 
   final String requestId;
