--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/FollowerLog.java
@@ -0,0 +1,184 @@
+package io.pathdeck.consensus;
+
+import io.pathdeck.protocol.raft.AppendRequest;
+import io.pathdeck.protocol.raft.AppendResponse;
+import io.pathdeck.protocol.raft.EntryRecord;
+import io.pathdeck.protocol.raft.LogEntry;
+import io.pathdeck.protocol.raft.RaftHeader;
+import io.pathdeck.protocol.raft.SnapshotChunk;
+import io.pathdeck.protocol.raft.SnapshotChunkResponse;
+import java.util.List;
+
+/**
+ * The work of a follower: takes entries and snapshots from the leader of the term and acknowledges
+ * what is both verified against that leader's log and synced here.
+ */
+final class FollowerLog {
+  private final ReplicaState state;
+  private int leaderId = RecoveredState.NO_VOTE;
+  private long leaderIncarnation;
+
+  /** The newest send time, on the leader's clock, among the messages of the current leader. */
+  private long lastAppendSentAtMs;
+
+  /** Up to where the log is known to agree with the current leader's. */
+  private long verifiedIndex;
+
+  private boolean installing;
+  private SnapshotReceiver receiver;
+  private SnapshotInstall install;
+
+  FollowerLog(ReplicaState state) {
+    this.state = state;
+  }
+
+  int leaderId() {
+    return leaderId;
+  }
+
+  void setLeader(int id) {
+    leaderId = id;
+  }
+
+  void setLeaderIncarnation(long incarnation) {
+    leaderIncarnation = incarnation;
+  }
+
+  /** Forgets what was learnt from the leader of an earlier term. */
+  void onNewTerm() {
+    verifiedIndex = 0;
+    leaderIncarnation = 0;
+    lastAppendSentAtMs = 0;
+  }
+
+  /** Whether a whole received snapshot is being stored. */
+  boolean isInstalling() {
+    return installing;
+  }
+
+  /** Returns the snapshot to be stored, once. */
+  SnapshotInstall takeInstall() {
+    SnapshotInstall taken = install;
+    install = null;
+    return taken;
+  }
+
+  /** More of the log is durable. */
+  void onSynced() {
+    if (leaderId >= 0 && leaderIncarnation != 0) {
+      acknowledge(lastAppendSentAtMs);
+    }
+  }
+
+  /** A received snapshot is stored; the log starts after it. */
+  boolean onSnapshotInstalled(SnapshotMetadata metadata) {
+    installing = false;
+    receiver = null;
+    if (metadata.index() <= state.commitIndex) {
+      return false;
+    }
+    state.log.reset(metadata.index(), metadata.term(), metadata.configuration());
+    state.commitIndex = metadata.index();
+    state.syncedIndex = metadata.index();
+    verifiedIndex = metadata.index();
+    return true;
+  }
+
+  /** Acknowledges an installed snapshot. */
+  void acknowledgeInstalled() {
+    if (leaderId >= 0) {
+      acknowledge(lastAppendSentAtMs);
+    }
+  }
+
+  void onAppendRequest(AppendRequest request) {
+    RaftHeader header = request.header();
+    if (installing) {
+      return;
+    }
+    lastAppendSentAtMs = Math.max(lastAppendSentAtMs, request.sentAtMs());
+    if (!state.log.hasConfiguration()) {
+      respondToAppend(header, false, 0, request.sentAtMs());
+      return;
+    }
+    if (!matchesPrevious(request)) {
+      long hint =
+          Math.min(state.log.lastIndex(), Math.max(state.commitIndex, state.log.snapshotIndex()));
+      respondToAppend(header, false, hint, request.sentAtMs());
+      return;
+    }
+    boolean appended = appendFromLeader(request.entries());
+    long lastInRequest = request.previousIndex() + request.entries().size();
+    verifiedIndex = Math.max(verifiedIndex, lastInRequest);
+    state.commitIndex = Math.max(state.commitIndex, Math.min(request.commitIndex(), verifiedIndex));
+    if (!appended) {
+      acknowledge(request.sentAtMs());
+    }
+  }
+
+  private boolean matchesPrevious(AppendRequest request) {
+    long previous = request.previousIndex();
+    if (previous <= state.commitIndex) {
+      return true;
+    }
+    return previous <= state.log.lastIndex() && state.log.term(previous) == request.previousTerm();
+  }
+
+  private boolean appendFromLeader(List<LogEntry> entries) {
+    boolean appended = false;
+    for (LogEntry entry : entries) {
+      boolean present =
+          entry.index() <= state.commitIndex
+              || (entry.index() <= state.log.lastIndex()
+                  && state.log.term(entry.index()) == entry.term());
+      if (present) {
+        continue;
+      }
+      if (entry.index() <= state.log.lastIndex()) {
+        state.log.truncateFrom(entry.index());
+        state.syncedIndex = Math.min(state.syncedIndex, entry.index() - 1);
+        verifiedIndex = Math.min(verifiedIndex, entry.index() - 1);
+      }
+      state.log.append(entry);
+      state.records.add(new EntryRecord(state.group, entry));
+      appended = true;
+    }
+    return appended;
+  }
+
+  /** Tells the leader up to where its state.log is known to be present and synced here. */
+  private void acknowledge(long sentAtMs) {
+    long match = Math.min(state.syncedIndex, verifiedIndex);
+    RaftHeader header = state.header(leaderId, leaderIncarnation);
+    state.messages.add(new AppendResponse(header, true, match, sentAtMs));
+  }
+
+  void respondToAppend(RaftHeader to, boolean success, long index, long sentAtMs) {
+    RaftHeader header = state.header(to.from(), to.fromIncarnation());
+    state.messages.add(new AppendResponse(header, success, index, sentAtMs));
+  }
+
+  void onSnapshotChunk(SnapshotChunk chunk) {
+    RaftHeader header = chunk.header();
+    if (installing) {
+      return;
+    }
+    lastAppendSentAtMs = Math.max(lastAppendSentAtMs, chunk.sentAtMs());
+    if (chunk.snapshotIndex() <= state.commitIndex) {
+      verifiedIndex = Math.max(verifiedIndex, Math.min(state.commitIndex, state.log.lastIndex()));
+      acknowledge(chunk.sentAtMs());
+      return;
+    }
+    if (receiver == null || !receiver.isFor(chunk)) {
+      receiver = new SnapshotReceiver(chunk);
+    }
+    long nextOffset = receiver.accept(chunk);
+    RaftHeader answer = state.header(header.from(), header.fromIncarnation());
+    state.messages.add(
+        new SnapshotChunkResponse(answer, chunk.snapshotIndex(), nextOffset, chunk.sentAtMs()));
+    if (receiver.isComplete()) {
+      installing = true;
+      install = receiver.toInstall();
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -0,0 +1,191 @@
+package io.pathdeck.consensus;
+
+import io.pathdeck.protocol.raft.AppendRequest;
+import io.pathdeck.protocol.raft.AppendResponse;
+import io.pathdeck.protocol.raft.EntryRecord;
+import io.pathdeck.protocol.raft.LogEntry;
+import io.pathdeck.protocol.raft.Member;
+import io.pathdeck.protocol.raft.RaftHeader;
+import io.pathdeck.protocol.raft.SnapshotChunk;
+import io.pathdeck.protocol.raft.SnapshotChunkResponse;
+import java.util.List;
+
+/**
+ * The work of a leader: appends entries, sends them to the members, decides what is committed and
+ * changes the membership one member at a time. Lives for one term of leadership.
+ */
+final class Replicator {
+  private final ReplicaState state;
+  private final LeaderState progressTable;
+
+  Replicator(ReplicaState state, long nowMs) {
+    this.state = state;
+    this.progressTable =
+        new LeaderState(state.id, state.incarnation, state.settings, state.log.lastIndex(), nowMs);
+    progressTable.adopt(state.log.configuration(), state.log.lastIndex(), nowMs);
+  }
+
+  long matchIndex(int memberId) {
+    return progressTable.matchIndex(memberId);
+  }
+
+  /** For how long no quorum has answered. */
+  long quorumSilenceMs(long nowMs) {
+    return nowMs - progressTable.quorumAcknowledgedMs(nowMs);
+  }
+
+  void onJoinRequest(int memberId, long incarnation, long nowMs) {
+    progressTable.onJoinRequest(memberId, incarnation, nowMs);
+  }
+
+  /** Sends heartbeats, and proposes a change of membership that has become possible. */
+  void poll(long nowMs) {
+    if (progressTable.isHeartbeatDue(nowMs)) {
+      changeMembershipIfNeeded(nowMs);
+      broadcastHeartbeat(nowMs);
+    }
+  }
+
+  /** Sends a part of the newest snapshot. */
+  void sendSnapshotChunk(
+      SnapshotRequest request, SnapshotMetadata metadata, byte[] data, boolean last, long nowMs) {
+    progressTable.onSnapshotPartSent(request.member().id(), metadata.index(), nowMs);
+    state.messages.add(
+        new SnapshotChunk(
+            state.header(request.member().id(), request.member().incarnation()),
+            metadata.index(),
+            metadata.term(),
+            metadata.configuration(),
+            request.offset(),
+            data,
+            last,
+            nowMs));
+  }
+
+  private void changeMembershipIfNeeded(long nowMs) {
+    boolean pending =
+        state.log.configurationIndex() > state.commitIndex
+            || state.log.term(state.commitIndex) != state.term;
+    if (pending) {
+      return;
+    }
+    progressTable
+        .nextConfiguration(state.log.configuration(), state.commitIndex, nowMs)
+        .ifPresent(
+            next -> {
+              LogEntry entry = new LogEntry(state.log.lastIndex() + 1, state.term, null, next);
+              append(entry, nowMs);
+              progressTable.adopt(next, state.log.lastIndex(), nowMs);
+            });
+  }
+
+  void append(LogEntry entry, long nowMs) {
+    state.log.append(entry);
+    state.records.add(new EntryRecord(state.group, entry));
+    replicateToAll(nowMs);
+  }
+
+  private void replicateToAll(long nowMs) {
+    for (Member member : state.log.configuration().members()) {
+      if (member.id() != state.id) {
+        replicateTo(member, nowMs);
+      }
+    }
+  }
+
+  private void replicateTo(Member member, long nowMs) {
+    FollowerProgress progress = progressTable.progress(member.id());
+    if (progress == null) {
+      return;
+    }
+    if (progress.nextIndex <= state.log.snapshotIndex()) {
+      requestSnapshot(member, progress, nowMs);
+      return;
+    }
+    while (progress.nextIndex <= state.log.lastIndex()
+        && progress.inFlightAppends < state.settings.maxInFlightAppends()) {
+      List<LogEntry> entries = state.log.slice(progress.nextIndex, state.settings.maxAppendBytes());
+      sendAppend(member, progress.nextIndex - 1, entries, nowMs);
+      progress.nextIndex += entries.size();
+      progress.inFlightAppends++;
+      progress.lastAppendSentMs = nowMs;
+    }
+  }
+
+  private void requestSnapshot(Member member, FollowerProgress progress, long nowMs) {
+    boolean waits =
+        progress.isSendingSnapshot()
+            && nowMs - progress.lastSnapshotSentMs < state.settings.retransmitMs();
+    if (waits) {
+      return;
+    }
+    progress.snapshotOffset = Math.max(0, progress.snapshotOffset);
+    progress.lastSnapshotSentMs = nowMs;
+    state.snapshotRequests.add(new SnapshotRequest(member, progress.snapshotOffset));
+  }
+
+  void broadcastHeartbeat(long nowMs) {
+    progressTable.onHeartbeatSent(nowMs);
+    for (Member member : state.log.configuration().members()) {
+      FollowerProgress progress = progressTable.progress(member.id());
+      if (member.id() == state.id || progress == null) {
+        continue;
+      }
+      progressTable.expireInFlight(progress, nowMs);
+      long previous = Math.max(progress.matchIndex, state.log.snapshotIndex());
+      sendAppend(member, previous, List.of(), nowMs);
+      replicateTo(member, nowMs);
+    }
+  }
+
+  private void sendAppend(Member member, long previous, List<LogEntry> entries, long nowMs) {
+    state.messages.add(
+        new AppendRequest(
+            state.header(member.id(), member.incarnation()),
+            previous,
+            state.log.term(previous),
+            entries,
+            state.commitIndex,
+            nowMs));
+  }
+
+  void onAppendResponse(AppendResponse response, long nowMs) {
+    RaftHeader header = response.header();
+    FollowerProgress progress = progressTable.progress(header.from());
+    if (progress == null || progress.incarnation != header.fromIncarnation()) {
+      return;
+    }
+    progress.lastAcknowledgedSendMs =
+        Math.max(progress.lastAcknowledgedSendMs, response.sentAtMs());
+    if (response.success()) {
+      progressTable.onMatched(progress, response.matchIndex());
+      advanceCommit();
+    } else {
+      progressTable.onMismatch(progress, response.matchIndex());
+    }
+    state.log.configuration().find(header.from()).ifPresent(member -> replicateTo(member, nowMs));
+  }
+
+  void onSnapshotChunkResponse(SnapshotChunkResponse response, long nowMs) {
+    RaftHeader header = response.header();
+    FollowerProgress progress = progressTable.progress(header.from());
+    if (progress == null || progress.incarnation != header.fromIncarnation()) {
+      return;
+    }
+    progress.lastAcknowledgedSendMs =
+        Math.max(progress.lastAcknowledgedSendMs, response.sentAtMs());
+    if (!progress.isSendingSnapshot() || response.snapshotIndex() != progress.snapshotIndex) {
+      return;
+    }
+    progress.snapshotOffset = response.nextOffset();
+    progress.lastSnapshotSentMs = 0;
+    state.log.configuration().find(header.from()).ifPresent(member -> replicateTo(member, nowMs));
+  }
+
+  void advanceCommit() {
+    long candidate = progressTable.quorumMatchIndex(state.log.configuration(), state.syncedIndex);
+    if (candidate > state.commitIndex && state.log.term(candidate) == state.term) {
+      state.commitIndex = candidate;
+    }
+  }
+}
