--- a/control/src/main/java/io/pathdeck/control/ConfigurationLeases.java
+++ b/control/src/main/java/io/pathdeck/control/ConfigurationLeases.java
@@ -13,7 +13,7 @@
  * <p>Each answer is a linearizable read and grants a lease from the moment the process asked. So a
  * process acts on a configuration no longer than the lease after a newer one was accepted.
  */
-final class ConfigurationLeases {
+public final class ConfigurationLeases {
   /** The role that callers' nodes report. */
   static final String NODE_ROLE = "node";
 
@@ -24,7 +24,8 @@
   private final int partitions;
   private final long leaseMs;
 
-  ConfigurationLeases(int partitions, long leaseMs) {
+  /** Leases of this length, for a deployment with this many jobs partitions. */
+  public ConfigurationLeases(int partitions, long leaseMs) {
     this.partitions = partitions;
     this.leaseMs = leaseMs;
   }
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -8,7 +8,6 @@
 import io.pathdeck.consensus.Ready;
 import io.pathdeck.consensus.SnapshotInstall;
 import io.pathdeck.consensus.SnapshotRequest;
-import io.pathdeck.consensus.storage.SnapshotFiles;
 import io.pathdeck.protocol.message.RaftBatch;
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.raft.EntryRecord;
@@ -16,7 +15,6 @@
 import io.pathdeck.protocol.raft.LogRecord;
 import io.pathdeck.protocol.raft.RaftMessage;
 import io.pathdeck.protocol.raft.ResetRecord;
-import io.pathdeck.protocol.transport.PeerClient;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,7 +26,7 @@
  * Runs all groups of the controller on one thread: feeds the replicas, hands records to storage,
  * applies committed entries and answers callers.
  */
-final class ConsensusDuty implements Duty {
+public final class ConsensusDuty implements Duty {
   private static final EventLog EVENTS = EventLog.of(ConsensusDuty.class);
   private static final int MAX_EVENTS_PER_STEP = 512;
   private static final int MAX_OUTSTANDING_BATCHES = 256;
@@ -36,25 +34,24 @@
   private static final long STATUS_INTERVAL_MS = 200;
 
   private final Map<Integer, GroupRuntime> groups;
-  private final Map<Integer, PeerClient> peers;
+  private final Map<Integer, PeerLink> peers;
   private final BoundedRing<ControllerEvent> events;
   private final BoundedRing<ControllerEvent> completions;
-  private final BoundedRing<StorageDuty.Batch> storage;
-  private final BoundedRing<SnapshotDuty.Task> snapshots;
-  private final StorageDuty storageDuty;
-  private final SnapshotFiles snapshotFiles;
+  private final BoundedRing<StorageBatch> storage;
+  private final BoundedRing<SnapshotTask> snapshots;
+  private final GroupStorage groupStorage;
   private final ConfigurationLeases configurationLeases;
   private final Section<ControllerStatus> status;
   private final ControllerClock clock;
   private int outstandingBatches;
   private long nextStatusMs;
 
-  ConsensusDuty(
+  /** Creates the duty of a recovered controller. */
+  public ConsensusDuty(
       Map<Integer, GroupRuntime> groups,
-      Map<Integer, PeerClient> peers,
+      Map<Integer, PeerLink> peers,
       ControllerRings rings,
-      StorageDuty storageDuty,
-      SnapshotFiles snapshotFiles,
+      GroupStorage groupStorage,
       ConfigurationLeases configurationLeases,
       Section<ControllerStatus> status,
       ControllerClock clock) {
@@ -64,8 +61,7 @@
     this.completions = rings.completions();
     this.storage = rings.storage();
     this.snapshots = rings.snapshots();
-    this.storageDuty = storageDuty;
-    this.snapshotFiles = snapshotFiles;
+    this.groupStorage = groupStorage;
     this.configurationLeases = configurationLeases;
     this.status = status;
     this.clock = clock;
@@ -164,7 +160,7 @@
     GroupRuntime group = groups.get(stored.group());
     SnapshotInstall install = stored.install();
     try {
-      group.stateMachine().restoreSnapshot(snapshotFiles.read(stored.group()));
+      group.stateMachine().restoreSnapshot(groupStorage.readSnapshot(stored.group()));
     } catch (IOException e) {
       EVENTS.log(EventCode.STORAGE_FAILED, e, "group", stored.group());
       return;
@@ -182,7 +178,7 @@
   private void coverSegments() {
     Map<Integer, Long> covered = new HashMap<>();
     groups.forEach((id, group) -> covered.put(id, group.snapshotIndex()));
-    storageDuty.coverUpTo(covered);
+    groupStorage.coverUpTo(covered);
   }
 
   private int carryOutReadies() {
@@ -200,9 +196,9 @@
       ready.committed().forEach(group::apply);
       ready
           .install()
-          .ifPresent(install -> offer(new SnapshotDuty.StoreSnapshot(group.group(), install)));
+          .ifPresent(install -> offer(new SnapshotTask.StoreSnapshot(group.group(), install)));
       for (SnapshotRequest request : ready.snapshotRequests()) {
-        offer(new SnapshotDuty.ReadPart(group.group(), request));
+        offer(new SnapshotTask.ReadPart(group.group(), request));
       }
       if (group.isSnapshotDue()) {
         offer(group.startSnapshot());
@@ -228,12 +224,12 @@
 
   private void submit(List<LogRecord> records, ControllerEvent.SyncedGroup synced) {
     outstandingBatches++;
-    if (!storage.offer(new StorageDuty.Batch(records, synced))) {
+    if (!storage.offer(new StorageBatch(records, synced))) {
       throw new IllegalStateException("the storage ring is sized for all outstanding batches");
     }
   }
 
-  private void offer(SnapshotDuty.Task task) {
+  private void offer(SnapshotTask task) {
     if (!snapshots.offer(task)) {
       EVENTS.log(EventCode.RING_FULL, "ring", "snapshots");
     }
@@ -249,9 +245,9 @@
   private void send(Map<Integer, List<RaftMessage>> outgoing) {
     outgoing.forEach(
         (peer, messages) -> {
-          PeerClient client = peers.get(peer);
-          if (client != null) {
-            client.send(new RaftBatch(messages));
+          PeerLink link = peers.get(peer);
+          if (link != null) {
+            link.send(new RaftBatch(messages));
           }
         });
   }
--- a/control/src/main/java/io/pathdeck/control/ControllerClock.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerClock.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The clocks of a controller. */
-interface ControllerClock {
+public interface ControllerClock {
   /** Milliseconds of a clock that never jumps. */
   long monotonicMs();
 
--- a/control/src/main/java/io/pathdeck/control/ControllerEvent.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerEvent.java
@@ -1,16 +1,39 @@
 package io.pathdeck.control;
 
 import io.pathdeck.consensus.SnapshotInstall;
+import io.pathdeck.consensus.SnapshotMetadata;
 import io.pathdeck.consensus.SnapshotRequest;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.message.ConfigurationHeartbeat;
+import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.ProposeRequest;
+import io.pathdeck.protocol.message.QueryRequest;
+import io.pathdeck.protocol.message.RaftBatch;
 import io.pathdeck.protocol.query.Query;
 import io.pathdeck.protocol.raft.RaftMessage;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import java.util.List;
 
 /** What the consensus duty receives through its ring. */
-sealed interface ControllerEvent {
+public sealed interface ControllerEvent {
+
+  /** The event for a message from another process, or null when none is expected. */
+  static ControllerEvent of(Message message, ReplySink reply) {
+    if (message instanceof RaftBatch batch) {
+      return new ControllerEvent.PeerMessages(batch.messages());
+    }
+    if (message instanceof ProposeRequest request) {
+      return new ControllerEvent.Propose(
+          request.group(), request.clientId(), request.requestId(), request.command(), reply);
+    }
+    if (message instanceof QueryRequest request) {
+      return new ControllerEvent.Read(request.group(), request.query(), reply);
+    }
+    if (message instanceof ConfigurationHeartbeat heartbeat) {
+      return new ControllerEvent.Heartbeat(heartbeat, reply);
+    }
+    return null;
+  }
 
   /** Messages from another controller. */
   record PeerMessages(List<RaftMessage> messages) implements ControllerEvent {}
@@ -39,10 +62,6 @@
 
   /** A part of the newest snapshot was read for a follower. */
   record SnapshotPartRead(
-      int group,
-      SnapshotRequest request,
-      io.pathdeck.consensus.SnapshotMetadata metadata,
-      byte[] data,
-      boolean last)
+      int group, SnapshotRequest request, SnapshotMetadata metadata, byte[] data, boolean last)
       implements ControllerEvent {}
 }
--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -22,12 +22,9 @@
 import io.pathdeck.consensus.storage.SegmentedLog;
 import io.pathdeck.consensus.storage.SnapshotFiles;
 import io.pathdeck.consensus.storage.StorageError;
-import io.pathdeck.protocol.client.ControllerClient;
-import io.pathdeck.protocol.message.ConfigurationHeartbeat;
+import io.pathdeck.protocol.client.ControlPlane;
+import io.pathdeck.protocol.client.ControllerConnections;
 import io.pathdeck.protocol.message.Message;
-import io.pathdeck.protocol.message.ProposeRequest;
-import io.pathdeck.protocol.message.QueryRequest;
-import io.pathdeck.protocol.message.RaftBatch;
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.protocol.transport.PeerClient;
@@ -38,6 +35,7 @@
 import io.pathdeck.state.StateMachine;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,6 +51,7 @@
 
   private static final EventLog EVENTS = EventLog.of(ControllerProcess.class);
   private static final int NETWORK_THREADS = 2;
+  private static final long SNAPSHOT_THRESHOLD_BYTES = 64L * 1024 * 1024;
   private static final int STORAGE_FAILURE_EXIT_CODE = 3;
 
   private final ResourceStack resources = new ResourceStack();
@@ -94,7 +93,7 @@
     ControllerRings rings = ControllerRings.create();
     EventLoopGroup eventLoops = EventLoops.create(NETWORK_THREADS);
     resources.push(eventLoops::shutdownGracefully);
-    Map<Integer, PeerClient> peers = connectPeers(eventLoops, tls);
+    Map<Integer, PeerLink> peers = connectPeers(eventLoops, tls);
     Map<Integer, GroupRuntime> groups =
         recoverGroups(folder, recovered, snapshotFiles, clock.monotonicMs());
 
@@ -115,8 +114,7 @@
             groups,
             peers,
             rings,
-            storageDuty,
-            snapshotFiles,
+            groupStorage(storageDuty, snapshotFiles),
             new ConfigurationLeases(settings.partitions(), settings.configurationLeaseMs()),
             status,
             clock);
@@ -136,6 +134,20 @@
         folder.incarnation());
   }
 
+  private static GroupStorage groupStorage(StorageDuty storageDuty, SnapshotFiles snapshotFiles) {
+    return new GroupStorage() {
+      @Override
+      public Iterator<Object> readSnapshot(int group) throws IOException {
+        return snapshotFiles.read(group);
+      }
+
+      @Override
+      public void coverUpTo(Map<Integer, Long> snapshotIndexes) {
+        storageDuty.coverUpTo(snapshotIndexes);
+      }
+    };
+  }
+
   private void startServers(EventLoopGroup eventLoops, TransportTls tls, ControllerRings rings)
       throws IOException {
     resources.push(
@@ -144,10 +156,12 @@
             eventLoops,
             tls,
             (message, reply) -> route(message, reply, rings.events())));
-    ControllerClient client =
-        new ControllerClient(
-            settings.peers(), eventLoops, tls, "operator-gateway-" + settings.id());
-    resources.push(client);
+    ControlPlane client =
+        resources
+            .push(
+                new ControllerConnections(
+                    settings.peers(), eventLoops, tls, "operator-gateway-" + settings.id()))
+            .client();
     resources.push(
         new OperatorServer(
             settings.operatorListen(),
@@ -178,13 +192,13 @@
     }
   }
 
-  private Map<Integer, PeerClient> connectPeers(EventLoopGroup eventLoops, TransportTls tls) {
-    Map<Integer, PeerClient> peers = new HashMap<>();
+  private Map<Integer, PeerLink> connectPeers(EventLoopGroup eventLoops, TransportTls tls) {
+    Map<Integer, PeerLink> peers = new HashMap<>();
     for (int id = 1; id <= settings.peers().size(); id++) {
       if (id != settings.id()) {
         PeerClient client = new PeerClient(settings.peers().get(id - 1), eventLoops, tls);
         resources.push(client);
-        peers.put(id, client);
+        peers.put(id, client::send);
       }
     }
     return peers;
@@ -214,7 +228,8 @@
               folder.incarnation() + group,
               nowMs);
       long applied = snapshot.map(SnapshotMetadata::index).orElse(0L);
-      groups.put(group, new GroupRuntime(group, replica, machine, applied));
+      groups.put(
+          group, new GroupRuntime(group, replica, machine, applied, SNAPSHOT_THRESHOLD_BYTES));
       EVENTS.log(
           EventCode.STATE_RECOVERED,
           "group",
@@ -230,7 +245,7 @@
   }
 
   private static void route(Message message, ReplySink reply, BoundedRing<ControllerEvent> events) {
-    ControllerEvent event = toEvent(message, reply);
+    ControllerEvent event = ControllerEvent.of(message, reply);
     if (event == null) {
       return;
     }
@@ -240,23 +255,6 @@
     }
   }
 
-  private static ControllerEvent toEvent(Message message, ReplySink reply) {
-    if (message instanceof RaftBatch batch) {
-      return new ControllerEvent.PeerMessages(batch.messages());
-    }
-    if (message instanceof ProposeRequest request) {
-      return new ControllerEvent.Propose(
-          request.group(), request.clientId(), request.requestId(), request.command(), reply);
-    }
-    if (message instanceof QueryRequest request) {
-      return new ControllerEvent.Read(request.group(), request.query(), reply);
-    }
-    if (message instanceof ConfigurationHeartbeat heartbeat) {
-      return new ControllerEvent.Heartbeat(heartbeat, reply);
-    }
-    return null;
-  }
-
   private static void complete(ControllerRings rings, ControllerEvent event) {
     while (!rings.completions().offer(event)) {
       rings.events().wakeConsumer();
--- a/control/src/main/java/io/pathdeck/control/ControllerRings.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerRings.java
@@ -3,17 +3,18 @@
 import io.pathdeck.common.duty.BoundedRing;
 
 /** The rings that join the duties of a controller. */
-record ControllerRings(
+public record ControllerRings(
     BoundedRing<ControllerEvent> events,
     BoundedRing<ControllerEvent> completions,
-    BoundedRing<StorageDuty.Batch> storage,
-    BoundedRing<SnapshotDuty.Task> snapshots) {
+    BoundedRing<StorageBatch> storage,
+    BoundedRing<SnapshotTask> snapshots) {
   private static final int EVENTS_CAPACITY = 16_384;
   private static final int COMPLETIONS_CAPACITY = 1_024;
   private static final int STORAGE_CAPACITY = 1_024;
   private static final int SNAPSHOTS_CAPACITY = 256;
 
-  static ControllerRings create() {
+  /** Creates empty rings. */
+  public static ControllerRings create() {
     return new ControllerRings(
         new BoundedRing<>(EVENTS_CAPACITY),
         new BoundedRing<>(COMPLETIONS_CAPACITY),
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -23,10 +23,9 @@
 import java.util.OptionalLong;
 
 /** One group on this controller: its replica, its state machine and the callers that wait. */
-final class GroupRuntime {
+public final class GroupRuntime {
   private static final EventLog EVENTS = EventLog.of(GroupRuntime.class);
   private static final int MAX_PENDING_PROPOSALS = 16_384;
-  private static final long MIN_LOG_BYTES_BEFORE_SNAPSHOT = 64L * 1024 * 1024;
 
   private record PendingProposal(long term, ReplySink reply) {}
 
@@ -35,6 +34,7 @@
   private final int group;
   private final RaftReplica replica;
   private final StateMachine stateMachine;
+  private final long snapshotThresholdBytes;
   private final LogTime logTime = new LogTime();
   private final Map<Long, PendingProposal> proposals = new HashMap<>();
   private final ArrayDeque<PendingRead> reads = new ArrayDeque<>();
@@ -45,7 +45,18 @@
   private boolean snapshotRunning;
   private ReplicaRole lastRole = ReplicaRole.JOINING;
 
-  GroupRuntime(int group, RaftReplica replica, StateMachine stateMachine, long appliedIndex) {
+  /**
+   * Creates the runtime of a recovered group.
+   *
+   * @param snapshotThresholdBytes the least size of the log that is worth a snapshot
+   */
+  public GroupRuntime(
+      int group,
+      RaftReplica replica,
+      StateMachine stateMachine,
+      long appliedIndex,
+      long snapshotThresholdBytes) {
+    this.snapshotThresholdBytes = snapshotThresholdBytes;
     this.group = group;
     this.replica = replica;
     this.stateMachine = stateMachine;
@@ -57,15 +68,15 @@
     return group;
   }
 
-  RaftReplica replica() {
+  public RaftReplica replica() {
     return replica;
   }
 
-  StateMachine stateMachine() {
+  public StateMachine stateMachine() {
     return stateMachine;
   }
 
-  long appliedIndex() {
+  public long appliedIndex() {
     return appliedIndex;
   }
 
@@ -174,14 +185,14 @@
 
   /** Whether the log has grown enough since the last snapshot to be worth another. */
   boolean isSnapshotDue() {
-    long threshold = Math.max(MIN_LOG_BYTES_BEFORE_SNAPSHOT, lastSnapshotBytes);
+    long threshold = Math.max(snapshotThresholdBytes, lastSnapshotBytes);
     return !snapshotRunning && appliedIndex > snapshotIndex && replica.logSizeBytes() > threshold;
   }
 
-  SnapshotDuty.WriteSnapshot startSnapshot() {
+  SnapshotTask.WriteSnapshot startSnapshot() {
     snapshotRunning = true;
     lastSnapshotBytes = replica.logSizeBytes();
-    return new SnapshotDuty.WriteSnapshot(
+    return new SnapshotTask.WriteSnapshot(
         group, replica.snapshotMetadata(appliedIndex), stateMachine.captureSnapshot());
   }
 
--- a/control/src/main/java/io/pathdeck/control/OperatorServer.java
+++ b/control/src/main/java/io/pathdeck/control/OperatorServer.java
@@ -5,7 +5,7 @@
 import io.pathdeck.common.duty.Section;
 import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.common.settings.TlsSettings;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import java.io.IOException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -25,7 +25,7 @@
       TlsSettings tls,
       int controllerId,
       int partitions,
-      ControllerClient client,
+      ControlPlane client,
       Section<ControllerStatus> status)
       throws IOException {
     NettyServerBuilder builder =
--- a/control/src/main/java/io/pathdeck/control/OperatorService.java
+++ b/control/src/main/java/io/pathdeck/control/OperatorService.java
@@ -6,7 +6,7 @@
 import io.pathdeck.common.duty.Section;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.protocol.client.ControlError;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.protocol.command.ApplyDelta;
 import io.pathdeck.protocol.command.CancelJob;
 import io.pathdeck.protocol.command.Command;
@@ -60,11 +60,11 @@
 
   private final int controllerId;
   private final int partitions;
-  private final ControllerClient client;
+  private final ControlPlane client;
   private final Section<ControllerStatus> status;
 
   OperatorService(
-      int controllerId, int partitions, ControllerClient client, Section<ControllerStatus> status) {
+      int controllerId, int partitions, ControlPlane client, Section<ControllerStatus> status) {
     this.controllerId = controllerId;
     this.partitions = partitions;
     this.client = client;
--- a/control/src/main/java/io/pathdeck/control/SnapshotDuty.java
+++ b/control/src/main/java/io/pathdeck/control/SnapshotDuty.java
@@ -5,13 +5,10 @@
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.result.Result;
-import io.pathdeck.consensus.SnapshotInstall;
 import io.pathdeck.consensus.SnapshotMetadata;
-import io.pathdeck.consensus.SnapshotRequest;
 import io.pathdeck.consensus.storage.SnapshotFiles;
 import io.pathdeck.consensus.storage.StorageError;
 import java.io.IOException;
-import java.util.Iterator;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -22,27 +19,14 @@
   private static final long MAX_IDLE_NS = TimeUnit.SECONDS.toNanos(1);
   private static final int PART_LENGTH = 512 * 1024;
 
-  /** A piece of work on snapshot files. */
-  sealed interface Task {}
-
-  /** Write a captured state. */
-  record WriteSnapshot(int group, SnapshotMetadata metadata, Iterator<Object> records)
-      implements Task {}
-
-  /** Store a snapshot received from the leader. */
-  record StoreSnapshot(int group, SnapshotInstall install) implements Task {}
-
-  /** Read a part for a follower. */
-  record ReadPart(int group, SnapshotRequest request) implements Task {}
-
   private final SnapshotFiles files;
-  private final BoundedRing<Task> tasks;
+  private final BoundedRing<SnapshotTask> tasks;
   private final Consumer<ControllerEvent> completions;
   private final Runnable onFailure;
 
   SnapshotDuty(
       SnapshotFiles files,
-      BoundedRing<Task> tasks,
+      BoundedRing<SnapshotTask> tasks,
       Consumer<ControllerEvent> completions,
       Runnable onFailure) {
     this.files = files;
@@ -58,7 +42,7 @@
 
   @Override
   public int doWork(long nowNs) {
-    Task task = tasks.poll();
+    SnapshotTask task = tasks.poll();
     if (task == null) {
       return 0;
     }
@@ -71,8 +55,8 @@
     return 1;
   }
 
-  private void handle(Task task) throws IOException {
-    if (task instanceof WriteSnapshot write) {
+  private void handle(SnapshotTask task) throws IOException {
+    if (task instanceof SnapshotTask.WriteSnapshot write) {
       files.write(write.group(), write.metadata(), write.records());
       EVENTS.log(
           EventCode.SNAPSHOT_WRITTEN,
@@ -84,15 +68,15 @@
           files.newestLength(write.group()));
       completions.accept(
           new ControllerEvent.SnapshotWritten(write.group(), write.metadata().index()));
-    } else if (task instanceof StoreSnapshot store) {
+    } else if (task instanceof SnapshotTask.StoreSnapshot store) {
       files.store(store.group(), store.install());
       completions.accept(new ControllerEvent.SnapshotStored(store.group(), store.install()));
-    } else if (task instanceof ReadPart read) {
+    } else if (task instanceof SnapshotTask.ReadPart read) {
       readPart(read);
     }
   }
 
-  private void readPart(ReadPart read) throws IOException {
+  private void readPart(SnapshotTask.ReadPart read) throws IOException {
     Optional<SnapshotMetadata> metadata = files.newest(read.group());
     Result<byte[], StorageError> part =
         files.readPart(read.group(), read.request().offset(), PART_LENGTH);
--- a/control/src/main/java/io/pathdeck/control/StorageDuty.java
+++ b/control/src/main/java/io/pathdeck/control/StorageDuty.java
@@ -19,11 +19,8 @@
   private static final long MAX_IDLE_NS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final int MAX_BATCHES = 256;
 
-  /** Records of one group and what to report when they are durable. */
-  record Batch(List<LogRecord> records, ControllerEvent.SyncedGroup synced) {}
-
   private final SegmentedLog log;
-  private final BoundedRing<Batch> batches;
+  private final BoundedRing<StorageBatch> batches;
   private final Consumer<ControllerEvent> completions;
   private final Runnable onFailure;
   private volatile Map<Integer, Long> coveredIndexes = Map.of();
@@ -31,7 +28,7 @@
 
   StorageDuty(
       SegmentedLog log,
-      BoundedRing<Batch> batches,
+      BoundedRing<StorageBatch> batches,
       Consumer<ControllerEvent> completions,
       Runnable onFailure) {
     this.log = log;
@@ -52,7 +49,7 @@
 
   @Override
   public int doWork(long nowNs) {
-    List<Batch> waiting = new ArrayList<>();
+    List<StorageBatch> waiting = new ArrayList<>();
     batches.drain(waiting::add, MAX_BATCHES);
     if (waiting.isEmpty()) {
       return 0;
@@ -66,11 +63,12 @@
       onFailure.run();
       return 0;
     }
-    completions.accept(new ControllerEvent.Synced(waiting.stream().map(Batch::synced).toList()));
+    completions.accept(
+        new ControllerEvent.Synced(waiting.stream().map(StorageBatch::synced).toList()));
     return waiting.size();
   }
 
-  private void sync(List<Batch> waiting) throws IOException {
+  private void sync(List<StorageBatch> waiting) throws IOException {
     List<LogRecord> records = new ArrayList<>();
     waiting.forEach(batch -> records.addAll(batch.records()));
     if (!records.isEmpty()) {
--- a/dispatch/src/main/java/io/pathdeck/dispatch/DispatchDuty.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/DispatchDuty.java
@@ -8,7 +8,7 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.protocol.client.ControlError;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.ItemsLeased;
 import io.pathdeck.protocol.command.LeaseItems;
@@ -38,7 +38,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Feeds the dispatch core and carries out its decisions. */
-final class DispatchDuty implements Duty {
+public final class DispatchDuty implements Duty {
   private static final EventLog EVENTS = EventLog.of(DispatchDuty.class);
   private static final int MAX_EVENTS_PER_STEP = 1_024;
   private static final int RING_CAPACITY = 65_536;
@@ -48,7 +48,7 @@
 
   private final DispatcherSettings settings;
   private final DispatchCore core;
-  private final ControllerClient controllers;
+  private final ControlPlane controllers;
   private final EngineClient engineClient;
   private final LoadProbe loadProbe;
   private final ConfigurationFollower configuration;
@@ -57,13 +57,18 @@
   private final Map<ItemKey, ItemRun> runs = new HashMap<>();
   private final Map<Integer, PartitionLink> partitions = new TreeMap<>();
   private long configurationVersion = -1;
+
+  /** The time of the current step. */
+  private long nowMs;
+
   private volatile boolean stopRequested;
   private volatile boolean drained;
 
-  DispatchDuty(
+  /** Creates the duty. */
+  public DispatchDuty(
       DispatcherSettings settings,
       DispatchCore core,
-      ControllerClient controllers,
+      ControlPlane controllers,
       EngineClient engineClient,
       LoadProbe loadProbe,
       ConfigurationFollower configuration,
@@ -77,18 +82,19 @@
     this.metrics = metrics;
   }
 
-  BoundedRing<DispatchEvent> ring() {
+  /** The ring the duty's thread waits on. */
+  public BoundedRing<DispatchEvent> ring() {
     return ring;
   }
 
   /** Starts a planned stop: items that run may end, the others are given back. */
-  void requestStop() {
+  public void requestStop() {
     stopRequested = true;
     ring.wakeConsumer();
   }
 
   /** Whether, after a stop was requested, nothing is left to do. */
-  boolean isDrained() {
+  public boolean isDrained() {
     return drained;
   }
 
@@ -105,7 +111,7 @@
 
   @Override
   public int doWork(long nowNs) {
-    long nowMs = nowMs();
+    nowMs = TimeUnit.NANOSECONDS.toMillis(nowNs);
     takeConfiguration();
     int work = ring.drain(this::handle, MAX_EVENTS_PER_STEP);
     if (stopRequested) {
@@ -121,10 +127,6 @@
     return work;
   }
 
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-  }
-
   private void takeConfiguration() {
     Section.Snapshot<ConfigurationView> snapshot = configuration.section().snapshot();
     if (snapshot.version() == configurationVersion) {
@@ -142,7 +144,6 @@
   // ---- events
 
   private void handle(DispatchEvent event) {
-    long nowMs = nowMs();
     if (event instanceof DispatchEvent.Loaded loaded) {
       execute(core.onLoad(loaded.engine(), loaded.load(), nowMs));
     } else if (event instanceof DispatchEvent.Completed completed) {
--- a/dispatch/src/main/java/io/pathdeck/dispatch/DispatchEvent.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/DispatchEvent.java
@@ -8,7 +8,7 @@
 import io.pathdeck.serving.engine.EngineLoad;
 
 /** What the dispatch duty receives through its ring. */
-sealed interface DispatchEvent {
+public sealed interface DispatchEvent {
   /** A lease call ended. */
   record Leased(int partition, String service, Result<CommandResult, ControlError> result)
       implements DispatchEvent {}
--- a/dispatch/src/main/java/io/pathdeck/dispatch/DispatcherProcess.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/DispatcherProcess.java
@@ -9,7 +9,8 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.http.AdminServer;
 import io.pathdeck.common.http.EventLoops;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
+import io.pathdeck.protocol.client.ControllerConnections;
 import io.pathdeck.protocol.transport.TransportTls;
 import io.pathdeck.serving.config.ConfigurationFollower;
 import io.pathdeck.serving.engine.HttpEngineClient;
@@ -30,11 +31,12 @@
     this.settings = settings;
     EventLoopGroup eventLoops = EventLoops.create(NETWORK_THREADS);
     resources.push(eventLoops::shutdownGracefully);
-    ControllerClient controllers =
-        resources.push(
-            new ControllerClient(settings.controllers(), eventLoops, tls, settings.id()));
+    ControlPlane controllers =
+        resources
+            .push(new ControllerConnections(settings.controllers(), eventLoops, tls, settings.id()))
+            .client();
     ConfigurationFollower configuration =
-        new ConfigurationFollower(settings.id(), "dispatcher", controllers);
+        new ConfigurationFollower(settings.id(), "dispatcher", controllers, System::nanoTime);
     HttpEngineClient engines =
         resources.push(new HttpEngineClient(eventLoops, MAX_CONNECTIONS_PER_ENGINE));
     HttpLoadProbe loadProbe = resources.push(new HttpLoadProbe(eventLoops));
--- a/dispatch/src/main/java/io/pathdeck/dispatch/LoadProbe.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/LoadProbe.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 
 /** Asks an engine for its load. */
-interface LoadProbe {
+public interface LoadProbe {
   /** Reports the load; a probe that fails reports nothing. */
   void probe(EngineSpec engine, Consumer<EngineLoad> listener);
 }
--- a/dispatch/src/main/java/io/pathdeck/dispatch/PartitionLink.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/PartitionLink.java
@@ -2,7 +2,7 @@
 
 import io.pathdeck.common.result.Result;
 import io.pathdeck.protocol.client.ControlError;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.CommitResults;
 import io.pathdeck.protocol.command.RenewLeases;
@@ -23,7 +23,7 @@
   private final int partition;
   private final String dispatcherId;
   private final long leaseMs;
-  private final ControllerClient controllers;
+  private final ControlPlane controllers;
   private final Consumer<DispatchEvent> events;
   private final List<ItemResult> uncommitted = new ArrayList<>();
   private int committing;
@@ -34,7 +34,7 @@
       int partition,
       String dispatcherId,
       long leaseMs,
-      ControllerClient controllers,
+      ControlPlane controllers,
       Consumer<DispatchEvent> events) {
     this.partition = partition;
     this.dispatcherId = dispatcherId;
--- a/protocol/src/main/java/io/pathdeck/protocol/client/ControllerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/client/ControllerClient.java
@@ -1,8 +1,6 @@
 package io.pathdeck.protocol.client;
 
-import io.netty.channel.EventLoopGroup;
 import io.pathdeck.common.result.Result;
-import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.message.ConfigurationHeartbeat;
@@ -16,10 +14,7 @@
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.query.Query;
 import io.pathdeck.protocol.query.QueryResult;
-import io.pathdeck.protocol.transport.PeerClient;
 import io.pathdeck.protocol.transport.TransportError;
-import io.pathdeck.protocol.transport.TransportTls;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -33,31 +28,40 @@
  * <p>A command is resent under the same request id until its deadline: state machines recognise
  * resends, so that a command takes effect once.
  */
-public final class ControllerClient implements AutoCloseable {
+public final class ControllerClient implements ControlPlane {
   private static final long ATTEMPT_TIMEOUT_MS = 2_000;
   private static final long RETRY_DELAY_MS = 50;
 
-  private final List<PeerClient> controllers = new ArrayList<>();
-  private final EventLoopGroup eventLoops;
+  private final List<ControllerEndpoint> controllers;
+  private final RetryTimer timer;
   private final String clientId;
-  private final AtomicLong nextRequestId = new AtomicLong(System.currentTimeMillis() << 20);
+  private final AtomicLong nextRequestId;
   private final Map<Integer, Integer> leaders = new ConcurrentHashMap<>();
 
-  /** Creates a client; {@code addresses} lists the controllers in the order of their ids from 1. */
+  /**
+   * Creates a client.
+   *
+   * @param controllers the controllers in the order of their ids from 1
+   * @param firstRequestId larger than any request id that {@code clientId} has used before
+   */
   public ControllerClient(
-      List<HostPort> addresses, EventLoopGroup eventLoops, TransportTls tls, String clientId) {
-    this.eventLoops = eventLoops;
+      List<? extends ControllerEndpoint> controllers,
+      RetryTimer timer,
+      String clientId,
+      long firstRequestId) {
+    this.controllers = List.copyOf(controllers);
+    this.timer = timer;
     this.clientId = clientId;
-    addresses.forEach(address -> controllers.add(new PeerClient(address, eventLoops, tls)));
+    this.nextRequestId = new AtomicLong(firstRequestId);
   }
 
-  /** Replicates and applies a command. */
+  @Override
   public CompletableFuture<Result<CommandResult, ControlError>> propose(
       int group, Command command, long timeoutMs) {
     return propose(group, clientId, nextRequestId.incrementAndGet(), command, timeoutMs);
   }
 
-  /** Replicates and applies a command under an identity chosen by the caller. */
+  @Override
   public CompletableFuture<Result<CommandResult, ControlError>> propose(
       int group, String client, long requestId, Command command, long timeoutMs) {
     Message request = new ProposeRequest(group, client, requestId, command);
@@ -65,14 +69,14 @@
         .thenApply(result -> result.map(reply -> ((ProposeReply) reply).result()));
   }
 
-  /** Reads linearizably. */
+  @Override
   public CompletableFuture<Result<QueryResult, ControlError>> query(
       int group, Query query, long timeoutMs) {
     return call(group, new QueryRequest(group, query), timeoutMs)
         .thenApply(result -> result.map(reply -> ((QueryReply) reply).result()));
   }
 
-  /** Reports the configuration in use and asks for its lease. */
+  @Override
   public CompletableFuture<Result<ConfigurationUpdate, ControlError>> heartbeat(
       ConfigurationHeartbeat heartbeat, long timeoutMs) {
     return call(0, heartbeat, timeoutMs)
@@ -82,16 +86,11 @@
   private CompletableFuture<Result<Message, ControlError>> call(
       int group, Message request, long timeoutMs) {
     CompletableFuture<Result<Message, ControlError>> outcome = new CompletableFuture<>();
-    long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    long deadlineNs = timer.nowNs() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     new Call(group, request, deadlineNs, outcome).attempt();
     return outcome;
   }
 
-  @Override
-  public void close() {
-    controllers.forEach(PeerClient::close);
-  }
-
   /** One call and its attempts, which follow each other and never overlap. */
   private final class Call {
     private final int group;
@@ -112,7 +111,7 @@
     }
 
     void attempt() {
-      long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - System.nanoTime());
+      long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - timer.nowNs());
       if (remainingMs <= 0) {
         outcome.complete(Result.err(new ControlError("no controller answered", mayHaveRun)));
         return;
@@ -154,7 +153,7 @@
 
     private void retryAt(int target) {
       leaders.put(group, target);
-      eventLoops.next().schedule(this::attempt, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+      timer.schedule(this::attempt, RETRY_DELAY_MS);
     }
   }
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
@@ -16,6 +16,7 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.protocol.client.ControllerEndpoint;
 import io.pathdeck.protocol.message.Message;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -30,7 +31,7 @@
  * <p>All state belongs to one event loop. Requests are bounded in number and time; each future
  * completes exactly once, on the event loop.
  */
-public final class PeerClient implements AutoCloseable {
+public final class PeerClient implements ControllerEndpoint, AutoCloseable {
   private static final EventLog EVENTS = EventLog.of(PeerClient.class);
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final long RECONNECT_DELAY_NS = TimeUnit.MILLISECONDS.toNanos(200);
@@ -96,7 +97,7 @@
                 }));
   }
 
-  /** Sends a request; the future completes with the reply or a typed error. */
+  @Override
   public CompletableFuture<Result<Message, TransportError>> request(
       Message message, long timeoutMs) {
     CompletableFuture<Result<Message, TransportError>> reply = new CompletableFuture<>();
--- a/serving/src/main/java/io/pathdeck/serving/NodeProcess.java
+++ b/serving/src/main/java/io/pathdeck/serving/NodeProcess.java
@@ -12,7 +12,8 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.http.AdminServer;
 import io.pathdeck.common.http.EventLoops;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
+import io.pathdeck.protocol.client.ControllerConnections;
 import io.pathdeck.protocol.transport.TransportTls;
 import io.pathdeck.serving.api.NodeApi;
 import io.pathdeck.serving.config.ConfigurationFollower;
@@ -35,11 +36,12 @@
     this.settings = settings;
     EventLoopGroup eventLoops = EventLoops.create(NETWORK_THREADS);
     resources.push(eventLoops::shutdownGracefully);
-    ControllerClient controllers =
-        resources.push(
-            new ControllerClient(settings.controllers(), eventLoops, tls, settings.id()));
+    ControlPlane controllers =
+        resources
+            .push(new ControllerConnections(settings.controllers(), eventLoops, tls, settings.id()))
+            .client();
     ConfigurationFollower configuration =
-        new ConfigurationFollower(settings.id(), "node", controllers);
+        new ConfigurationFollower(settings.id(), "node", controllers, System::nanoTime);
     HttpEngineClient engines =
         resources.push(new HttpEngineClient(eventLoops, MAX_CONNECTIONS_PER_ENGINE));
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
--- a/serving/src/main/java/io/pathdeck/serving/api/BatchesApi.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/BatchesApi.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.protocol.client.ControlError;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.protocol.command.CancelJob;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.JobAccepted;
@@ -47,9 +47,9 @@
   private static final int MAX_LIMIT = 100;
   private static final int MAX_METADATA_ENTRIES = 16;
 
-  private final ControllerClient controllers;
+  private final ControlPlane controllers;
 
-  BatchesApi(ControllerClient controllers) {
+  BatchesApi(ControlPlane controllers) {
     this.controllers = controllers;
   }
 
--- a/serving/src/main/java/io/pathdeck/serving/api/ClaimedWriter.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/ClaimedWriter.java
@@ -1,6 +1,6 @@
 package io.pathdeck.serving.api;
 
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.protocol.command.CompleteClaim;
 import io.pathdeck.protocol.command.ReleaseClaim;
 import io.pathdeck.serving.http.ApiError;
@@ -17,26 +17,20 @@
   private static final int MAX_STORED_BYTES = 4 * 1024 * 1024;
 
   private final ResponseWriter delegate;
-  private final ControllerClient controllers;
-  private final int partition;
-  private final String claimKey;
-  private final String owner;
+  private final ControlPlane controllers;
+  private final ClaimService.Claim claim;
   private final boolean stream;
   private final CompletionAssembler assembler;
   private final ByteArrayOutputStream events = new ByteArrayOutputStream();
 
   ClaimedWriter(
       ResponseWriter delegate,
-      ControllerClient controllers,
-      int partition,
-      String claimKey,
-      String owner,
+      ControlPlane controllers,
+      ClaimService.Claim claim,
       GenerationRequest generation) {
     this.delegate = delegate;
     this.controllers = controllers;
-    this.partition = partition;
-    this.claimKey = claimKey;
-    this.owner = owner;
+    this.claim = claim;
     this.stream = generation.stream();
     this.assembler = new CompletionAssembler(generation.isChat());
   }
@@ -55,9 +49,10 @@
   public void complete() {
     String contentType = stream ? StreamWriter.CONTENT_TYPE : "application/json";
     byte[] body = stream ? events.toByteArray() : Json.encode(assembler.assemble());
-    CompleteClaim command = new CompleteClaim(claimKey, owner, OK, contentType, body);
+    CompleteClaim command =
+        new CompleteClaim(claim.claimKey(), claim.owner(), OK, contentType, body);
     controllers
-        .propose(partition, command, CLAIM_TIMEOUT_MS)
+        .propose(claim.partition(), command, CLAIM_TIMEOUT_MS)
         .thenAccept(result -> delegate.complete());
   }
 
@@ -68,7 +63,8 @@
       return;
     }
     controllers
-        .propose(partition, new ReleaseClaim(claimKey, owner), CLAIM_TIMEOUT_MS)
+        .propose(
+            claim.partition(), new ReleaseClaim(claim.claimKey(), claim.owner()), CLAIM_TIMEOUT_MS)
         .thenAccept(result -> delegate.fail(error));
   }
 }
--- a/serving/src/main/java/io/pathdeck/serving/api/CompletionApi.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/CompletionApi.java
@@ -1,14 +1,7 @@
 package io.pathdeck.serving.api;
 
 import io.pathdeck.common.result.Result;
-import io.pathdeck.protocol.client.ControlError;
-import io.pathdeck.protocol.client.ControllerClient;
-import io.pathdeck.protocol.command.ClaimExists;
-import io.pathdeck.protocol.command.ClaimGranted;
-import io.pathdeck.protocol.command.ClaimRequest;
-import io.pathdeck.protocol.command.CommandResult;
-import io.pathdeck.protocol.command.ReleaseClaim;
-import io.pathdeck.protocol.model.ClaimState;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.protocol.model.ServiceSpec;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
@@ -23,20 +16,18 @@
 
 /** Serves {@code /v1/chat/completions} and {@code /v1/completions}. */
 final class CompletionApi {
-  private static final long CLAIM_TIMEOUT_MS = 3_000;
-  private static final long RELEASE_TIMEOUT_MS = 30_000;
   private static final int NODE_PREFIX_SHIFT = 40;
 
   private final RoutingDuty routing;
-  private final ControllerClient controllers;
+  private final ClaimService claims;
   private final String nodeId;
   private final long requestTimeoutMs;
   private final AtomicLong nextRequestId;
 
   CompletionApi(
-      RoutingDuty routing, ControllerClient controllers, String nodeId, long requestTimeoutMs) {
+      RoutingDuty routing, ControlPlane controllers, String nodeId, long requestTimeoutMs) {
     this.routing = routing;
-    this.controllers = controllers;
+    this.claims = new ClaimService(controllers);
     this.nodeId = nodeId;
     this.requestTimeoutMs = requestTimeoutMs;
     long prefix = UUID.randomUUID().getMostSignificantBits() >>> NODE_PREFIX_SHIFT;
@@ -112,60 +103,40 @@
       GenerationRequest generation,
       ResponseWriter writer,
       String idempotencyKey) {
+    HttpExchange exchange = caller.exchange();
     String key = idempotencyKey == null ? UUID.randomUUID().toString() : idempotencyKey;
     String claimKey = caller.tenant().name() + "/" + key;
-    int partition = PartitionIds.partitionFor(claimKey, caller.configuration().partitions());
-    String owner = nodeId + "-" + routable.requestId();
-    String fingerprint = fingerprint(caller.exchange());
-    ClaimRequest command = new ClaimRequest(claimKey, caller.tenant().name(), fingerprint, owner);
-    ClaimedWriter claimed =
-        new ClaimedWriter(writer, controllers, partition, claimKey, owner, generation);
-    controllers
-        .propose(partition, command, CLAIM_TIMEOUT_MS)
-        .thenAccept(
-            result -> {
-              if (result.isOk() && result.value() instanceof ClaimGranted) {
-                submit(caller.exchange(), routable, generation, claimed);
-              } else if (result.isOk()) {
-                answerFromClaim(caller.exchange(), result.value(), fingerprint);
-              } else {
-                onClaimFailed(caller.exchange(), partition, claimKey, owner, result.error());
-              }
-            });
+    ClaimService.Claim claim =
+        new ClaimService.Claim(
+            PartitionIds.partitionFor(claimKey, caller.configuration().partitions()),
+            claimKey,
+            caller.tenant().name(),
+            fingerprint(exchange),
+            nodeId + "-" + routable.requestId());
+    claims.claim(
+        claim,
+        generation,
+        writer,
+        new ClaimService.Outcome() {
+          @Override
+          public void granted(ResponseWriter claimedWriter) {
+            submit(exchange, routable, generation, claimedWriter);
+          }
+
+          @Override
+          public void alreadyCompleted(int status, String contentType, byte[] body) {
+            exchange.send(status, contentType, body);
+          }
+
+          @Override
+          public void refused(ApiError error) {
+            exchange.sendError(error);
+          }
+        });
   }
 
   private static String fingerprint(HttpExchange exchange) {
     String body = new String(exchange.body(), StandardCharsets.UTF_8);
     return Long.toHexString(PartitionIds.hash(exchange.path() + body));
   }
-
-  private static void answerFromClaim(
-      HttpExchange exchange, CommandResult result, String fingerprint) {
-    if (!(result instanceof ClaimExists claim)) {
-      exchange.sendError(ApiError.failed(500, "internal", "unexpected claim", false));
-      return;
-    }
-    if (!claim.fingerprint().equals(fingerprint)) {
-      exchange.sendError(
-          ApiError.conflict(
-              "idempotency_key_reused", "the key was used with another request", true));
-    } else if (claim.state() == ClaimState.COMPLETED) {
-      exchange.send(claim.status(), claim.contentType(), claim.body());
-    } else {
-      exchange.sendError(
-          ApiError.conflict(
-              "outcome_unknown",
-              "the request is in progress or its outcome is unknown; it is not run again",
-              false));
-    }
-  }
-
-  /** The request is not run. The claim may have been stored all the same, so it is given back. */
-  private void onClaimFailed(
-      HttpExchange exchange, int partition, String claimKey, String owner, ControlError error) {
-    if (error.mayHaveRun()) {
-      controllers.propose(partition, new ReleaseClaim(claimKey, owner), RELEASE_TIMEOUT_MS);
-    }
-    exchange.sendError(ApiErrors.of(new ControlError(error.reason(), false)));
-  }
 }
--- a/serving/src/main/java/io/pathdeck/serving/api/FilesApi.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/FilesApi.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.protocol.client.ControlError;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.protocol.command.AppendFileChunk;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandResult;
@@ -42,9 +42,9 @@
   private static final long TIMEOUT_MS = 15_000;
   private static final long MILLIS_PER_SECOND = 1_000;
 
-  private final ControllerClient controllers;
+  private final ControlPlane controllers;
 
-  FilesApi(ControllerClient controllers) {
+  FilesApi(ControlPlane controllers) {
     this.controllers = controllers;
   }
 
--- a/serving/src/main/java/io/pathdeck/serving/api/NodeApi.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/NodeApi.java
@@ -1,7 +1,7 @@
 package io.pathdeck.serving.api;
 
 import io.micrometer.core.instrument.MeterRegistry;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.serving.NodeSettings;
 import io.pathdeck.serving.config.ConfigurationFollower;
 import io.pathdeck.serving.engine.EngineClient;
@@ -15,7 +15,7 @@
   public static NodeApi create(
       NodeSettings settings,
       ConfigurationFollower configuration,
-      ControllerClient controllers,
+      ControlPlane controllers,
       EngineClient engines,
       MeterRegistry metrics) {
     RoutingCore core =
@@ -26,7 +26,8 @@
             engines,
             configuration.section(),
             new NodeMetrics(metrics),
-            settings.engineIdleTimeoutMs());
+            settings.engineIdleTimeoutMs(),
+            System::nanoTime);
     CompletionApi completions =
         new CompletionApi(routing, controllers, settings.id(), settings.requestTimeoutMs());
     ApiRouter router =
--- a/serving/src/main/java/io/pathdeck/serving/api/NodeMetrics.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/NodeMetrics.java
@@ -7,13 +7,14 @@
 import java.util.concurrent.TimeUnit;
 
 /** Counters and timers of online requests. */
-final class NodeMetrics {
+public final class NodeMetrics {
   private final MeterRegistry registry;
   private final Timer firstToken;
   private final Counter tokens;
   private final Counter resumed;
 
-  NodeMetrics(MeterRegistry registry) {
+  /** Registers the metrics. */
+  public NodeMetrics(MeterRegistry registry) {
     this.registry = registry;
     this.firstToken =
         Timer.builder("pathdeck_first_token_seconds")
--- a/serving/src/main/java/io/pathdeck/serving/api/OnlineRequest.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/OnlineRequest.java
@@ -7,7 +7,7 @@
  * An online request in progress. The routing duty starts attempts one after the other; the running
  * attempt's events come on a network thread and are dropped once the attempt is superseded.
  */
-final class OnlineRequest {
+public final class OnlineRequest {
   final RoutableRequest routable;
   final GenerationRequest generation;
   final ResponseWriter writer;
@@ -28,7 +28,8 @@
   /** Whether an attempt may have run; used by the routing duty only. */
   boolean mayHaveRun;
 
-  OnlineRequest(
+  /** A request that has just arrived. */
+  public OnlineRequest(
       RoutableRequest routable,
       GenerationRequest generation,
       ResponseWriter writer,
--- a/serving/src/main/java/io/pathdeck/serving/api/ResponseWriter.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/ResponseWriter.java
@@ -3,7 +3,7 @@
 import io.pathdeck.serving.http.ApiError;
 
 /** Writes the answer of one generation request to its caller. */
-interface ResponseWriter {
+public interface ResponseWriter {
   /**
    * Takes whole stream events of the running attempt.
    *
--- a/serving/src/main/java/io/pathdeck/serving/api/RoutingDuty.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/RoutingDuty.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /** Feeds the routing core and carries out its decisions. */
 public final class RoutingDuty implements Duty {
@@ -33,17 +34,24 @@
   private final Section<ConfigurationView> configuration;
   private final NodeMetrics metrics;
   private final long engineIdleTimeoutMs;
+  private final LongSupplier clockNs;
   private final BoundedRing<RoutingEvent> ring = new BoundedRing<>(RING_CAPACITY);
   private final Map<Long, OnlineRequest> requests = new HashMap<>();
   private long configurationVersion = -1;
   private long nextPollMs;
 
-  RoutingDuty(
+  /** The time of the current step. */
+  private long nowMs;
+
+  /** Creates the duty; {@code clockNs} is the clock of {@link #doWork}. */
+  public RoutingDuty(
       RoutingCore core,
       EngineClient engineClient,
       Section<ConfigurationView> configuration,
       NodeMetrics metrics,
-      long engineIdleTimeoutMs) {
+      long engineIdleTimeoutMs,
+      LongSupplier clockNs) {
+    this.clockNs = clockNs;
     this.core = core;
     this.engineClient = engineClient;
     this.configuration = configuration;
@@ -57,12 +65,12 @@
   }
 
   /** Hands over a request; false when the node is overloaded. */
-  boolean submit(OnlineRequest request) {
+  public boolean submit(OnlineRequest request) {
     return ring.offer(new RoutingEvent.Arrived(request));
   }
 
   /** Gives up a request whose caller has gone. */
-  void cancel(long requestId) {
+  public void cancel(long requestId) {
     offer(new RoutingEvent.Cancelled(requestId));
   }
 
@@ -80,9 +88,9 @@
 
   @Override
   public int doWork(long nowNs) {
+    nowMs = TimeUnit.NANOSECONDS.toMillis(nowNs);
     takeConfiguration();
     int work = ring.drain(this::handle, MAX_EVENTS_PER_STEP);
-    long nowMs = nowMs();
     if (nowMs >= nextPollMs) {
       nextPollMs = nowMs + POLL_INTERVAL_MS;
       execute(core.poll(nowMs));
@@ -90,10 +98,6 @@
     return work;
   }
 
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-  }
-
   private void takeConfiguration() {
     Section.Snapshot<ConfigurationView> snapshot = configuration.snapshot();
     if (snapshot.version() != configurationVersion) {
@@ -106,7 +110,7 @@
     if (event instanceof RoutingEvent.Arrived arrived) {
       OnlineRequest request = arrived.request();
       requests.put(request.routable.requestId(), request);
-      execute(core.onRequest(request.routable, nowMs()));
+      execute(core.onRequest(request.routable, nowMs));
     } else if (event instanceof RoutingEvent.Completed completed) {
       core.onCompleted(completed.requestId(), completed.attempt());
       requests.remove(completed.requestId());
@@ -117,7 +121,7 @@
       requests.remove(cancelled.requestId());
       metrics.onOutcome("cancelled");
     } else if (event instanceof RoutingEvent.Loaded loaded) {
-      core.onLoad(loaded.engine(), loaded.load(), nowMs());
+      core.onLoad(loaded.engine(), loaded.load(), nowMs);
     }
   }
 
@@ -142,8 +146,7 @@
     }
     boolean started = request.mayHaveRun || request.started;
     request.mayHaveRun |= failed.failure().mayHaveRun();
-    execute(
-        core.onFailed(failed.requestId(), failed.attempt(), failed.failure(), started, nowMs()));
+    execute(core.onFailed(failed.requestId(), failed.attempt(), failed.failure(), started, nowMs));
   }
 
   private void execute(List<RoutingDecision> decisions) {
@@ -193,7 +196,7 @@
             Priority.ONLINE,
             request.deliveredTokens,
             engineIdleTimeoutMs,
-            Math.max(1, request.routable.deadlineMs() - nowMs()));
+            Math.max(1, request.routable.deadlineMs() - nowMs));
     request.call = engineClient.start(engine, engineRequest, listener);
   }
 
@@ -237,7 +240,7 @@
       }
       int deliveredBefore = request.deliveredTokens;
       if (tokens > 0 && deliveredBefore == 0) {
-        metrics.onFirstToken(System.nanoTime() - request.arrivedAtNs);
+        metrics.onFirstToken(clockNs.getAsLong() - request.arrivedAtNs);
       }
       // Only one attempt runs at a time, so this thread is the only writer.
       request.deliveredTokens = deliveredBefore + tokens;
--- a/serving/src/main/java/io/pathdeck/serving/api/RoutingEvent.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/RoutingEvent.java
@@ -4,7 +4,7 @@
 import io.pathdeck.serving.engine.EngineLoad;
 
 /** What the routing duty receives through its ring. */
-sealed interface RoutingEvent {
+public sealed interface RoutingEvent {
   /** A request arrived. */
   record Arrived(OnlineRequest request) implements RoutingEvent {}
 
--- a/serving/src/main/java/io/pathdeck/serving/config/ConfigurationFollower.java
+++ b/serving/src/main/java/io/pathdeck/serving/config/ConfigurationFollower.java
@@ -7,11 +7,12 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.protocol.client.ControlError;
-import io.pathdeck.protocol.client.ControllerClient;
+import io.pathdeck.protocol.client.ControlPlane;
 import io.pathdeck.protocol.message.ConfigurationHeartbeat;
 import io.pathdeck.protocol.message.ConfigurationUpdate;
 import io.pathdeck.state.DeclarationStore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Keeps a process's configuration current and holds its lease.
@@ -29,16 +30,26 @@
 
   private final String processId;
   private final String role;
-  private final ControllerClient controllers;
+  private final ControlPlane controllers;
+  private final LongSupplier clockNs;
   private final BoundedRing<Object> ring = new BoundedRing<>(16);
   private final DeclarationStore store = new DeclarationStore();
   private final Section<ConfigurationView> section = new Section<>(ConfigurationView.EMPTY);
-  private volatile long leaseUntilNs = System.nanoTime() - 1;
+  private volatile long leaseUntilNs;
   private boolean hadLease;
   private boolean waiting;
-  private long nextHeartbeatNs = System.nanoTime();
+  private long nextHeartbeatNs;
 
-  public ConfigurationFollower(String processId, String role, ControllerClient controllers) {
+  /**
+   * Creates a follower without a lease.
+   *
+   * @param clockNs the monotonic clock, also read by other threads
+   */
+  public ConfigurationFollower(
+      String processId, String role, ControlPlane controllers, LongSupplier clockNs) {
+    this.clockNs = clockNs;
+    this.leaseUntilNs = clockNs.getAsLong() - 1;
+    this.nextHeartbeatNs = clockNs.getAsLong();
     this.processId = processId;
     this.role = role;
     this.controllers = controllers;
@@ -51,7 +62,7 @@
 
   /** Whether the configuration may still be acted on. */
   public boolean hasLease() {
-    return leaseUntilNs - System.nanoTime() > 0;
+    return leaseUntilNs - clockNs.getAsLong() > 0;
   }
 
   /** The ring the duty's thread waits on. */
@@ -98,7 +109,7 @@
     boolean current = store.version() == update.version() && store.digest() == update.digest();
     if (!current) {
       store.clear();
-      nextHeartbeatNs = System.nanoTime();
+      nextHeartbeatNs = clockNs.getAsLong();
       return;
     }
     ConfigurationView view = section.read();
