--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -13,9 +13,7 @@
 import io.pathdeck.common.http.AdminServer;
 import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.common.result.Result;
-import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.RaftSettings;
-import io.pathdeck.consensus.RecoveredState;
 import io.pathdeck.consensus.SnapshotMetadata;
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.consensus.storage.RecoveredGroups;
@@ -30,19 +28,12 @@
 import io.pathdeck.protocol.transport.PeerClient;
 import io.pathdeck.protocol.transport.PeerServer;
 import io.pathdeck.protocol.transport.TransportTls;
-import io.pathdeck.state.JobsStateMachine;
-import io.pathdeck.state.MetaStateMachine;
-import io.pathdeck.state.StateMachine;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 /** A running controller. */
 public final class ControllerProcess implements AutoCloseable {
@@ -94,15 +85,22 @@
     EventLoopGroup eventLoops = EventLoops.create(NETWORK_THREADS);
     resources.push(eventLoops::shutdownGracefully);
     Map<Integer, PeerLink> peers = connectPeers(eventLoops, tls);
-    Map<Integer, GroupRuntime> groups =
-        recoverGroups(folder, recovered, snapshotFiles, clock.monotonicMs());
-
     StorageDuty storageDuty =
         new StorageDuty(
             log,
             rings.storage(),
             event -> complete(rings, event),
             ControllerProcess::haltAfterStorageFailure);
+    GroupStorage groupStorage = groupStorage(storageDuty, snapshotFiles);
+    Map<Integer, GroupRuntime> groups =
+        new GroupRecovery(
+                settings.id(),
+                folder.incarnation(),
+                settings.peers().size(),
+                RaftSettings.DEFAULT,
+                SNAPSHOT_THRESHOLD_BYTES)
+            .recover(settings.partitions(), recovered, groupStorage, clock.monotonicMs());
+
     SnapshotDuty snapshotDuty =
         new SnapshotDuty(
             snapshotFiles,
@@ -114,7 +112,7 @@
             groups,
             peers,
             rings,
-            groupStorage(storageDuty, snapshotFiles),
+            groupStorage,
             new ConfigurationLeases(settings.partitions(), settings.configurationLeaseMs()),
             status,
             clock);
@@ -136,6 +134,11 @@
 
   private static GroupStorage groupStorage(StorageDuty storageDuty, SnapshotFiles snapshotFiles) {
     return new GroupStorage() {
+      @Override
+      public Optional<SnapshotMetadata> newestSnapshot(int group) throws IOException {
+        return snapshotFiles.newest(group);
+      }
+
       @Override
       public Iterator<Object> readSnapshot(int group) throws IOException {
         return snapshotFiles.read(group);
@@ -204,46 +207,6 @@
     return peers;
   }
 
-  private Map<Integer, GroupRuntime> recoverGroups(
-      DataFolder folder, RecoveredGroups recovered, SnapshotFiles snapshotFiles, long nowMs)
-      throws IOException {
-    Set<Integer> ids =
-        IntStream.rangeClosed(1, settings.peers().size()).boxed().collect(Collectors.toSet());
-    Map<Integer, GroupRuntime> groups = new TreeMap<>();
-    for (int group = 0; group <= settings.partitions(); group++) {
-      StateMachine machine = group == META_GROUP ? new MetaStateMachine() : new JobsStateMachine();
-      Optional<SnapshotMetadata> snapshot = snapshotFiles.newest(group);
-      if (snapshot.isPresent()) {
-        machine.restoreSnapshot(snapshotFiles.read(group));
-      }
-      RecoveredState state = recovered.state(group, snapshot);
-      RaftReplica replica =
-          new RaftReplica(
-              group,
-              settings.id(),
-              folder.incarnation(),
-              ids,
-              RaftSettings.DEFAULT,
-              state,
-              folder.incarnation() + group,
-              nowMs);
-      long applied = snapshot.map(SnapshotMetadata::index).orElse(0L);
-      groups.put(
-          group, new GroupRuntime(group, replica, machine, applied, SNAPSHOT_THRESHOLD_BYTES));
-      EVENTS.log(
-          EventCode.STATE_RECOVERED,
-          "group",
-          group,
-          "snapshot",
-          applied,
-          "last",
-          replica.lastIndex(),
-          "term",
-          replica.term());
-    }
-    return groups;
-  }
-
   private static void route(Message message, ReplySink reply, BoundedRing<ControllerEvent> events) {
     ControllerEvent event = ControllerEvent.of(message, reply);
     if (event == null) {
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -39,7 +39,10 @@
   private final Map<Long, PendingProposal> proposals = new HashMap<>();
   private final ArrayDeque<PendingRead> reads = new ArrayDeque<>();
   private long appliedIndex;
-  private long appliedTimeMs;
+
+  /** The entry that this replica appended when it began to lead. */
+  private long firstIndexAsLeader;
+
   private long snapshotIndex;
   private long lastSnapshotBytes;
   private boolean snapshotRunning;
@@ -92,10 +95,16 @@
       reply.reply(new NotLeader(replica.leaderId()));
       return;
     }
+    if (appliedIndex < firstIndexAsLeader) {
+      // Until what earlier leaders committed is applied, the time of the log is not known.
+      reply.reply(new Unavailable("the leader has not caught up yet", false));
+      return;
+    }
     if (proposals.size() >= MAX_PENDING_PROPOSALS) {
       reply.reply(new Unavailable("too many commands wait", false));
       return;
     }
+    logTime.observe(stateMachine.timeMs());
     long stampMs = logTime.next(clock.monotonicMs(), clock.wallMs());
     byte[] encoded = ObjectCodec.encode(new CommandEnvelope(clientId, requestId, stampMs, command));
     OptionalLong index = replica.propose(encoded, clock.monotonicMs());
@@ -141,9 +150,7 @@
   private CommandResult applyCommand(byte[] command) {
     Result<CommandEnvelope, ObjectCodec.CodecError> decoded =
         ObjectCodec.decode(command, CommandEnvelope.class);
-    CommandEnvelope envelope = decoded.value();
-    appliedTimeMs = Math.max(appliedTimeMs, envelope.proposedAtMs());
-    return stateMachine.apply(envelope);
+    return stateMachine.apply(decoded.value());
   }
 
   private void answerReads() {
@@ -169,7 +176,7 @@
         "leader",
         replica.leaderId());
     if (role == ReplicaRole.LEADER) {
-      logTime.observe(appliedTimeMs);
+      firstIndexAsLeader = replica.lastIndex();
     } else {
       logTime.pause();
       proposals
--- a/dispatch/src/main/java/io/pathdeck/dispatch/DispatchCore.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/DispatchCore.java
@@ -136,7 +136,10 @@
     return decisions;
   }
 
-  /** Stops the items that started last; they continue later where they are. */
+  /**
+   * Stops the items that started last; they continue later where they are. An item that must not
+   * run twice keeps its place: what an engine was told to stop may have run on.
+   */
   private void preempt(EngineWindow engine, List<DispatchDecision> decisions) {
     int excess = engine.excess();
     if (excess == 0) {
@@ -144,7 +147,7 @@
     }
     List<Item> onEngine = new ArrayList<>();
     for (Item item : items.values()) {
-      if (item.engine == engine) {
+      if (item.engine == engine && item.leased.repeatable()) {
         onEngine.add(item);
       }
     }
--- a/state/src/main/java/io/pathdeck/state/JobsStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/JobsStateMachine.java
@@ -60,6 +60,11 @@
   private final JobsQueries queries = new JobsQueries(this);
   private long nextSweepMs;
 
+  @Override
+  public long timeMs() {
+    return clock.nowMs();
+  }
+
   @Override
   public CommandResult apply(CommandEnvelope envelope) {
     long nowMs = clock.advance(envelope.proposedAtMs());
--- a/state/src/main/java/io/pathdeck/state/MetaStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/MetaStateMachine.java
@@ -43,6 +43,11 @@
     return store;
   }
 
+  @Override
+  public long timeMs() {
+    return clock.nowMs();
+  }
+
   @Override
   public CommandResult apply(CommandEnvelope envelope) {
     long nowMs = clock.advance(envelope.proposedAtMs());
--- a/state/src/main/java/io/pathdeck/state/OutcomeUnknown.java
+++ b/state/src/main/java/io/pathdeck/state/OutcomeUnknown.java
@@ -1,21 +1,40 @@
 package io.pathdeck.state;
 
-import java.nio.charset.StandardCharsets;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 
-/** The result line of a non-repeatable item whose run was lost from sight. */
+/** The result line of an item that may have run and must not run again. */
 final class OutcomeUnknown {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
   private OutcomeUnknown() {}
 
   static byte[] line(Job job, int index) {
-    String line =
-        "{\"id\":\""
-            + job.spec().jobId()
-            + "-"
-            + index
-            + "\",\"item\":"
-            + index
-            + ",\"response\":null,\"error\":{\"code\":\"outcome_unknown\","
-            + "\"message\":\"the item may have run and is not repeated\"}}";
-    return line.getBytes(StandardCharsets.UTF_8);
+    ObjectNode result = MAPPER.createObjectNode();
+    result.put("id", job.spec().jobId() + "-" + index);
+    result.set("custom_id", customId(job.itemLine(index)));
+    result.putNull("response");
+    result
+        .putObject("error")
+        .put("code", "outcome_unknown")
+        .put("message", "the item may have run and is not repeated");
+    try {
+      return MAPPER.writeValueAsBytes(result);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static JsonNode customId(byte[] itemLine) {
+    try {
+      return MAPPER.readTree(itemLine).path("custom_id");
+    } catch (IOException e) {
+      // Lines are checked when they are uploaded; one that is not JSON has no id to return.
+      return MAPPER.nullNode();
+    }
   }
 }
--- a/state/src/main/java/io/pathdeck/state/StateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/StateMachine.java
@@ -13,6 +13,9 @@
  * has expired. It is confined to one thread; captured snapshots may be read by another.
  */
 public interface StateMachine {
+  /** The highest proposal time applied, snapshots included. */
+  long timeMs();
+
   /** Applies a committed command. */
   CommandResult apply(CommandEnvelope envelope);
 
--- a/testkit/src/main/java/io/pathdeck/testkit/engine/EngineModel.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/EngineModel.java
@@ -54,6 +54,12 @@
     return running.isEmpty() && waitingOnline.isEmpty() && waitingBatch.isEmpty();
   }
 
+  /** Whether an online sequence waits although a batch sequence runs. */
+  public boolean onlineWaitsBehindBatch() {
+    boolean onlineWaits = waitingOnline.stream().anyMatch(Sequence::isOnline);
+    return onlineWaits && running.stream().anyMatch(sequence -> !sequence.isOnline());
+  }
+
   /** The load now. */
   public EngineLoad load() {
     int online = 0;
--- a/testkit/src/main/java/io/pathdeck/testkit/engine/EngineStream.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/EngineStream.java
@@ -9,31 +9,14 @@
 
   private final HttpExchange exchange;
   private final EmulatedEngine engine;
-  private final boolean chat;
-  private final boolean includeUsage;
-  private final int promptTokens;
-  private final String head;
-  private final long seed;
+  private final AnswerEvents answer;
   private final int resumeAfter;
 
   EngineStream(HttpExchange exchange, EmulatedEngine engine, EngineCall call, long createdSeconds) {
     this.exchange = exchange;
     this.engine = engine;
-    this.chat = call.chat();
-    this.includeUsage = call.includeUsage();
-    this.promptTokens = call.promptTokens();
-    this.seed = call.seed();
     this.resumeAfter = call.resumeAfter();
-    this.head =
-        "data: {\"id\":\""
-            + call.responseId()
-            + "\",\"object\":\""
-            + (chat ? "chat.completion.chunk" : "text_completion")
-            + "\",\"created\":"
-            + createdSeconds
-            + ",\"model\":\""
-            + call.model()
-            + "\",\"choices\":[";
+    this.answer = new AnswerEvents(call, createdSeconds);
   }
 
   @Override
@@ -47,15 +30,15 @@
     }
     StringBuilder events = new StringBuilder();
     if (offset == resumeAfter + 1) {
-      appendOpening(events);
+      answer.appendOpening(events);
     }
     if (offset % LOAD_INTERVAL_TOKENS == 0) {
       events.append(": load ").append(engine.reportedLoad().format()).append("\n\n");
     }
-    appendToken(events, offset);
+    answer.appendToken(events, offset);
     boolean cutShort = middle && fault == EngineFaults.Kind.SHORT;
     if (last || cutShort) {
-      appendClosing(events, offset);
+      answer.appendClosing(events, offset);
     }
     exchange.write(events.toString().getBytes(StandardCharsets.UTF_8));
     if (last || cutShort) {
@@ -67,49 +50,9 @@
   @Override
   public void onNothingLeft(Sequence sequence) {
     StringBuilder events = new StringBuilder();
-    appendClosing(events, sequence.answerTokens);
+    answer.appendClosing(events, sequence.answerTokens);
     exchange.write(events.toString().getBytes(StandardCharsets.UTF_8));
     engine.onFinished(sequence, false);
     exchange.endStream();
   }
-
-  private void appendOpening(StringBuilder events) {
-    if (chat && resumeAfter == 0) {
-      events
-          .append(head)
-          .append("{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"\"},")
-          .append("\"finish_reason\":null}]}\n\n");
-    }
-  }
-
-  private void appendToken(StringBuilder events, int offset) {
-    events.append("id: ").append(offset).append('\n').append(head).append("{\"index\":0,");
-    String token = EmulatedText.token(seed, offset);
-    if (chat) {
-      events.append("\"delta\":{\"content\":\"").append(token).append("\"}");
-    } else {
-      events.append("\"text\":\"").append(token).append('"');
-    }
-    events.append(",\"finish_reason\":null}]}\n\n");
-  }
-
-  private void appendClosing(StringBuilder events, int tokens) {
-    events
-        .append(head)
-        .append("{\"index\":0,")
-        .append(chat ? "\"delta\":{}" : "\"text\":\"\"")
-        .append(",\"finish_reason\":\"length\"}]}\n\n");
-    if (includeUsage) {
-      events
-          .append(head)
-          .append("],\"usage\":{\"prompt_tokens\":")
-          .append(promptTokens)
-          .append(",\"completion_tokens\":")
-          .append(tokens)
-          .append(",\"total_tokens\":")
-          .append(promptTokens + tokens)
-          .append("}}\n\n");
-    }
-    events.append("data: [DONE]\n\n");
-  }
 }
--- a/testkit/src/main/java/io/pathdeck/testkit/engine/Sequence.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/Sequence.java
@@ -14,11 +14,16 @@
     void onNothingLeft(Sequence sequence);
   }
 
-  final String requestId;
+  /** Identifies the attempt. */
+  public final String requestId;
+
   final Priority priority;
   final List<Long> prefixBlocks;
   final int promptTokens;
-  final int answerTokens;
+
+  /** How many tokens the whole answer has. */
+  public final int answerTokens;
+
   final Output output;
   int nextOffset;
   int prefillRemaining;
@@ -47,7 +52,8 @@
     return promptTokens + nextOffset - 1;
   }
 
-  boolean isOnline() {
+  /** Whether it comes before batch sequences. */
+  public boolean isOnline() {
     return priority == Priority.ONLINE;
   }
 }
--- /dev/null
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimRequest.java
@@ -0,0 +1,96 @@
+package io.pathdeck.testkit.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pathdeck.serving.api.CompletionAssembler;
+import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.Json;
+import io.pathdeck.testkit.engine.EmulatedText;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** One arrival of an online request at a node, as its caller sees it. */
+final class SimRequest {
+  /** How an arrival ended. */
+  enum End {
+    ANSWERED,
+    REFUSED_NOT_RUN,
+    FAILED
+  }
+
+  private final long id;
+  private final ObjectNode body;
+  private final String claimKey;
+  private final Oracle oracle;
+  private final Consumer<End> whenEnded;
+  private final CompletionAssembler received = new CompletionAssembler(true);
+  private boolean ended;
+
+  SimRequest(long id, ObjectNode body, String claimKey, Oracle oracle, Consumer<End> whenEnded) {
+    this.id = id;
+    this.body = body;
+    this.claimKey = claimKey;
+    this.oracle = oracle;
+    this.whenEnded = whenEnded;
+  }
+
+  long id() {
+    return id;
+  }
+
+  byte[] body() {
+    return Json.encode(body);
+  }
+
+  Optional<String> claimKey() {
+    return Optional.ofNullable(claimKey);
+  }
+
+  boolean isEnded() {
+    return ended;
+  }
+
+  void onEvents(byte[] events, int tokens) {
+    if (!ended) {
+      received.add(events, tokens);
+    }
+  }
+
+  void onCompleted() {
+    check(received.assemble());
+    end(End.ANSWERED);
+  }
+
+  void onStoredAnswer(byte[] stored) {
+    CompletionAssembler assembler = new CompletionAssembler(true);
+    assembler.add(stored, 0);
+    check(assembler.assemble());
+    end(End.ANSWERED);
+  }
+
+  private void check(JsonNode answer) {
+    String text = answer.path("choices").path(0).path("message").path("content").asText();
+    if (!text.equals(EmulatedText.answer(body))) {
+      oracle.violation(
+          Promise.WHOLE_OWN_ANSWER, "request " + id + " got \"" + text + "\" for " + body);
+    }
+  }
+
+  void onRefused(ApiError error) {
+    onFailed(error);
+  }
+
+  void onFailed(ApiError error) {
+    if (error.notRun()) {
+      oracle.onRefusedAsNotRun("cmpl-" + Long.toHexString(id));
+    }
+    end(error.notRun() ? End.REFUSED_NOT_RUN : End.FAILED);
+  }
+
+  private void end(End how) {
+    if (!ended) {
+      ended = true;
+      whenEnded.accept(how);
+    }
+  }
+}
