Consensus and jobs: two stalls found by the simulation, both mended

Change: what is sent again is decided by the oldest unacknowledged entry, not by a count. Change: the leader proposes AdvanceTime after a second without commands while leases are open.

--- a/consensus/src/main/java/io/pathdeck/consensus/FollowerProgress.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/FollowerProgress.java
@@ -5,6 +5,10 @@
   final long incarnation;
   long nextIndex;
   long matchIndex;
+
+  /** From where to send again when sent entries are not acknowledged in time. */
+  long resendFrom;
+
   int inFlightAppends;
   long lastAppendSentMs;
 
@@ -20,6 +24,7 @@
   FollowerProgress(long incarnation, long nextIndex, long nowMs) {
     this.incarnation = incarnation;
     this.nextIndex = nextIndex;
+    this.resendFrom = nextIndex;
     this.lastAcknowledgedSendMs = nowMs;
   }
 
--- a/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
@@ -56,20 +56,25 @@
     lastHeartbeatMs = nowMs;
   }
 
-  /** Forgets messages that were not acknowledged in time, so that their entries are sent again. */
+  /**
+   * Sends entries again that were not acknowledged in time. What counts is that something sent is
+   * outstanding, not how many messages are: an acknowledgement of earlier entries says nothing
+   * about a later message that was lost.
+   */
   void expireInFlight(FollowerProgress follower, long nowMs) {
     boolean stalled =
-        follower.inFlightAppends > 0
+        follower.nextIndex > follower.resendFrom
             && nowMs - follower.lastAppendSentMs >= settings.retransmitMs();
     if (stalled) {
       follower.inFlightAppends = 0;
-      follower.nextIndex = follower.matchIndex + 1;
+      follower.nextIndex = follower.resendFrom;
     }
   }
 
   void onMatched(FollowerProgress follower, long matchIndex) {
     if (matchIndex > follower.matchIndex) {
       follower.matchIndex = matchIndex;
+      follower.resendFrom = matchIndex + 1;
       follower.inFlightAppends = 0;
     }
     follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
@@ -84,6 +89,7 @@
     follower.inFlightAppends = 0;
     long retryFrom = Math.min(follower.nextIndex, hint + 1);
     follower.nextIndex = Math.max(follower.matchIndex + 1, retryFrom);
+    follower.resendFrom = follower.nextIndex;
   }
 
   /** Records that a snapshot part was sent; a newer snapshot starts again from its beginning. */
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -80,6 +80,7 @@
     for (GroupRuntime group : groups.values()) {
       group.replica().poll(nowMs);
       group.followRole();
+      group.advanceTimeIfIdle(clock);
     }
     work += carryOutReadies();
     publishStatus(nowMs);
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -6,6 +6,7 @@
 import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.ReplicaRole;
 import io.pathdeck.protocol.codec.ObjectCodec;
+import io.pathdeck.protocol.command.AdvanceTime;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
@@ -26,6 +27,7 @@
 public final class GroupRuntime {
   private static final EventLog EVENTS = EventLog.of(GroupRuntime.class);
   private static final int MAX_PENDING_PROPOSALS = 16_384;
+  private static final long IDLE_TIME_STEP_MS = 1_000;
 
   private record PendingProposal(long term, ReplySink reply) {}
 
@@ -43,6 +45,7 @@
   /** The entry that this replica appended when it began to lead. */
   private long firstIndexAsLeader;
 
+  private long lastProposalMs;
   private long snapshotIndex;
   private long lastSnapshotBytes;
   private boolean snapshotRunning;
@@ -104,6 +107,7 @@
       reply.reply(new Unavailable("too many commands wait", false));
       return;
     }
+    lastProposalMs = clock.monotonicMs();
     logTime.observe(stateMachine.timeMs());
     long stampMs = logTime.next(clock.monotonicMs(), clock.wallMs());
     byte[] encoded = ObjectCodec.encode(new CommandEnvelope(clientId, requestId, stampMs, command));
@@ -111,6 +115,16 @@
     proposals.put(index.getAsLong(), new PendingProposal(replica.term(), reply));
   }
 
+  /** Lets time pass in the state when commands do not. */
+  void advanceTimeIfIdle(ControllerClock clock) {
+    long nowMs = clock.monotonicMs();
+    boolean idle = nowMs - lastProposalMs >= IDLE_TIME_STEP_MS;
+    boolean leads = replica.role() == ReplicaRole.LEADER && appliedIndex >= firstIndexAsLeader;
+    if (idle && leads && stateMachine.waitsForTime()) {
+      propose("", 0, new AdvanceTime(), reply -> {}, clock);
+    }
+  }
+
   void read(Query query, ReplySink reply, long nowMs) {
     readLinearizably(() -> reply.reply(new QueryReply(stateMachine.query(query))), reply, nowMs);
   }
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -1,5 +1,6 @@
 package io.pathdeck.protocol.codec;
 
+import io.pathdeck.protocol.command.AdvanceTime;
 import io.pathdeck.protocol.command.AppendFileChunk;
 import io.pathdeck.protocol.command.ApplyDelta;
 import io.pathdeck.protocol.command.CancelJob;
@@ -197,7 +198,8 @@
           ClaimRecord.class,
           ResetRecord.class,
           SnapshotHeaderRecord.class,
-          SnapshotEndRecord.class);
+          SnapshotEndRecord.class,
+          AdvanceTime.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/JobsCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/JobsCommand.java
@@ -2,7 +2,8 @@
 
 /** A command of a jobs partition. */
 public sealed interface JobsCommand extends Command
-    permits AppendFileChunk,
+    permits AdvanceTime,
+        AppendFileChunk,
         CancelJob,
         ClaimRequest,
         CommitResults,
--- a/state/src/main/java/io/pathdeck/state/JobsStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/JobsStateMachine.java
@@ -1,5 +1,6 @@
 package io.pathdeck.state;
 
+import io.pathdeck.protocol.command.AdvanceTime;
 import io.pathdeck.protocol.command.AppendFileChunk;
 import io.pathdeck.protocol.command.CancelJob;
 import io.pathdeck.protocol.command.ClaimRequest;
@@ -65,6 +66,11 @@
     return clock.nowMs();
   }
 
+  @Override
+  public boolean waitsForTime() {
+    return !leases.all().isEmpty();
+  }
+
   @Override
   public CommandResult apply(CommandEnvelope envelope) {
     long nowMs = clock.advance(envelope.proposedAtMs());
@@ -117,6 +123,9 @@
     if (command instanceof ReleaseClaim release) {
       return claims.release(release);
     }
+    if (command instanceof AdvanceTime) {
+      return new Done();
+    }
     return new Rejected(RejectionCode.INVALID, "not a command of a jobs partition");
   }
 
--- a/state/src/main/java/io/pathdeck/state/MetaStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/MetaStateMachine.java
@@ -48,6 +48,11 @@
     return clock.nowMs();
   }
 
+  @Override
+  public boolean waitsForTime() {
+    return false;
+  }
+
   @Override
   public CommandResult apply(CommandEnvelope envelope) {
     long nowMs = clock.advance(envelope.proposedAtMs());
--- a/state/src/main/java/io/pathdeck/state/StateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/StateMachine.java
@@ -19,6 +19,9 @@
   /** Applies a committed command. */
   CommandResult apply(CommandEnvelope envelope);
 
+  /** Whether something will expire, so that time must pass even without commands. */
+  boolean waitsForTime();
+
   /** Answers a read from the applied state. */
   QueryResult query(Query query);
 
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/Defect.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/Defect.java
@@ -12,7 +12,7 @@
   ACKNOWLEDGE_BEFORE_COMMIT(
       "the leader answers a command before a quorum has it", Scenario.CUT_LEADER),
   SAME_INCARNATION_AFTER_DISK_LOSS(
-      "a controller that lost its disk votes as if it had not", Scenario.DISK_LOSS),
+      "a controller that lost its disk votes as if it had not", Scenario.TWO_LOST),
   SKIP_DAMAGED_ENTRY("recovery skips an entry in the middle of the log", Scenario.KILL_ALL),
   STALE_READS("any controller answers reads from what it has applied", Scenario.CUT_LEADER),
   LEASE_LONGER_THAN_ELECTION(
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/FaultInjector.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/FaultInjector.java
@@ -185,11 +185,14 @@
     if (leader.isEmpty()) {
       return false;
     }
-    List<String> others =
-        simulation.chance(0.5)
-            ? fleet.names()
-            : fleet.controllers().stream().map(controller -> controller.name).toList();
-    fleet.network().isolate(leader.get().name, others);
+    String name = leader.get().name;
+    List<String> controllers =
+        fleet.controllers().stream().map(controller -> controller.name).toList();
+    switch (simulation.random().nextInt(3)) {
+      case 0 -> fleet.network().isolate(name, fleet.names());
+      case 1 -> fleet.network().isolate(name, controllers);
+      default -> fleet.network().cutInbound(name, controllers);
+    }
     simulation.scheduleMs(simulation.between(500, 6_000), () -> fleet.network().heal());
     return true;
   }
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/JobActor.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/JobActor.java
@@ -147,8 +147,8 @@
     untilAnswered(
         new CancelJob(spec.jobId(), SimFleet.TENANT),
         answer -> {
-          if (answer instanceof JobAccepted) {
-            oracle.onCancelled(truth);
+          if (answer instanceof JobAccepted accepted) {
+            oracle.onCancelled(truth, accepted.job().status());
           }
         });
   }
@@ -249,6 +249,10 @@
     return ended || !truth.accepted;
   }
 
+  int partition() {
+    return partition;
+  }
+
   String jobId() {
     return spec.jobId();
   }
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/OperatorActor.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/OperatorActor.java
@@ -16,6 +16,7 @@
 import io.pathdeck.protocol.query.DeclarationResult;
 import io.pathdeck.protocol.query.ReadDeclaration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -43,6 +44,9 @@
   private long lastSeenVersion;
   private boolean stopped;
 
+  /** Requests of which a try may have run; only an answer settles them. */
+  private final Set<Long> inDoubt = new HashSet<>();
+
   OperatorActor(SimFleet fleet, String name, long pauseMs) {
     this.fleet = fleet;
     this.simulation = fleet.simulation();
@@ -66,7 +70,17 @@
             List.of(new ServiceSpec(SimFleet.SERVICE, SimFleet.MODEL, 1)),
             engines);
     ApplyDelta command = new ApplyDelta(0, delta(declaration));
-    send(command, SimFleet.TENANT, nextRequestId++, answer -> whenDone.run());
+    send(
+        command,
+        SimFleet.TENANT,
+        nextRequestId++,
+        answer -> {
+          if (answer == null) {
+            declareFleet(whenDone);
+          } else {
+            whenDone.run();
+          }
+        });
   }
 
   private static DeclarationDelta delta(Declaration upserts) {
@@ -123,7 +137,9 @@
 
   private void propose(
       MetaCommand command, long requestId, Consumer<Result<CommandResult, ControlError>> whenDone) {
-    client.propose(META, name, requestId, command, CALL_TIMEOUT_MS).thenAccept(whenDone);
+    client
+        .propose(META, name, requestId, command, simulation.between(300, CALL_TIMEOUT_MS))
+        .thenAccept(whenDone);
   }
 
   private void onResult(
@@ -134,14 +150,20 @@
       Result<CommandResult, ControlError> result) {
     if (!result.isOk()) {
       if (result.error().mayHaveRun()) {
+        inDoubt.add(requestId);
+      }
+      if (inDoubt.contains(requestId)) {
         send(command, tenant, requestId, whenAnswered);
       } else {
-        oracle.onOperatorCommandNotRun(tenant);
+        if (!tenant.equals(SimFleet.TENANT)) {
+          oracle.onOperatorCommandNotRun(tenant);
+        }
         whenAnswered.accept(null);
       }
       return;
     }
-    oracle.onOperatorAnswer(name + "/" + requestId, tenant, result.value());
+    oracle.onOperatorAnswer(
+        name + "/" + requestId, tenant, expectedVersion(command), result.value());
     if (simulation.chance(RESEND_CHANCE)) {
       fleet
           .callers()
@@ -153,13 +175,21 @@
                       requestId,
                       again -> {
                         if (again.isOk()) {
-                          oracle.onOperatorAnswer(name + "/" + requestId, tenant, again.value());
+                          oracle.onOperatorAnswer(
+                              name + "/" + requestId,
+                              tenant,
+                              expectedVersion(command),
+                              again.value());
                         }
                       }));
     }
     whenAnswered.accept(result.value());
   }
 
+  private static long expectedVersion(MetaCommand command) {
+    return command instanceof ApplyDelta apply ? apply.expectedVersion() : -1;
+  }
+
   /** Drains an engine for a while, telling the oracle when the order was accepted. */
   void drainFor(String engine, long durationMs) {
     setDraining(
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/Oracle.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/Oracle.java
@@ -4,6 +4,7 @@
 import io.pathdeck.consensus.ReplicaRole;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.DeclarationApplied;
+import io.pathdeck.protocol.model.JobStatus;
 import io.pathdeck.serving.engine.EngineRequest;
 import io.pathdeck.serving.http.Json;
 import java.util.ArrayList;
@@ -28,6 +29,8 @@
   /** By when nothing new may start on a leaving engine or for a cancelled job. */
   private static final long STOP_MS = 4_000;
 
+  private static final int MAX_TEXT = 400;
+
   /** What callers know of a job. */
   static final class JobTruth {
     final String jobId;
@@ -70,7 +73,8 @@
   }
 
   void violation(Promise promise, String text) {
-    violations.add(new Violation(promise, "at " + simulation.nowMs() + " ms: " + text));
+    String shown = text.length() > MAX_TEXT ? text.substring(0, MAX_TEXT) + " ..." : text;
+    violations.add(new Violation(promise, "at " + simulation.nowMs() + " ms: " + shown));
   }
 
   List<Violation> violations() {
@@ -156,8 +160,13 @@
 
   // ---- operators
 
-  /** The answer of a command; {@code key} names the command across resends. */
-  void onOperatorAnswer(String key, String tenant, CommandResult answer) {
+  /**
+   * The answer of a command.
+   *
+   * @param key names the command across resends
+   * @param expectedVersion the version that the command builds on, or -1 for any
+   */
+  void onOperatorAnswer(String key, String tenant, long expectedVersion, CommandResult answer) {
     CommandResult before = answers.putIfAbsent(key, answer);
     if (before != null) {
       if (!before.equals(answer)) {
@@ -174,6 +183,11 @@
             Promise.ONE_WINNER_PER_VERSION,
             key + " and " + winner + " both won version " + applied.version());
       }
+      if (expectedVersion >= 0 && applied.version() != expectedVersion + 1) {
+        violation(
+            Promise.ONE_WINNER_PER_VERSION,
+            key + " expected version " + expectedVersion + " and won " + applied.version());
+      }
       acceptedAtMsByVersion.put(applied.version(), simulation.nowMs());
       acceptedTenants.add(tenant);
     } else {
@@ -199,7 +213,9 @@
     }
     for (String tenant : tenants) {
       if (tenantsNotRun.contains(tenant)) {
-        violation(Promise.REFUSED_WAS_NOT_RUN, "the change " + tenant + " took effect");
+        violation(
+            Promise.REFUSED_WAS_NOT_RUN,
+            "the change " + tenant + " took effect by version " + version);
       }
     }
   }
@@ -226,7 +242,10 @@
     return jobs.values();
   }
 
-  void onCancelled(JobTruth job) {
+  void onCancelled(JobTruth job, JobStatus status) {
+    if (!status.isTerminal()) {
+      violation(Promise.CANCELLED_JOB_STOPS, job.jobId + " is " + status + " after its cancel");
+    }
     job.cancelledAtMs = Math.min(job.cancelledAtMs, simulation.nowMs());
   }
 
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/Sabotage.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/Sabotage.java
@@ -2,12 +2,13 @@
 
 import io.pathdeck.protocol.command.ApplyDelta;
 import io.pathdeck.protocol.command.CancelJob;
-import io.pathdeck.protocol.command.CommitResults;
 import io.pathdeck.protocol.command.JobAccepted;
-import io.pathdeck.protocol.command.ResultsCommitted;
+import io.pathdeck.protocol.command.SubmitJob;
 import io.pathdeck.protocol.message.ProposeReply;
 import io.pathdeck.protocol.message.ProposeRequest;
 import io.pathdeck.protocol.message.Unavailable;
+import io.pathdeck.protocol.model.JobStatus;
+import io.pathdeck.protocol.model.JobView;
 import io.pathdeck.protocol.query.JobResult;
 import io.pathdeck.protocol.query.QueryResult;
 import io.pathdeck.protocol.query.ReadJob;
@@ -61,8 +62,9 @@
       }
     }
     if (defect == Defect.ACKNOWLEDGE_BEFORE_COMMIT
-        && request.command() instanceof CommitResults commit) {
-      reply.reply(new ProposeReply(new ResultsCommitted(commit.results().size(), 0)));
+        && request.command() instanceof SubmitJob submit) {
+      JobView view = new JobView(submit.spec(), JobStatus.IN_PROGRESS, 0, 0, 0, 0, 0, 0);
+      reply.reply(new ProposeReply(new JobAccepted(view)));
     }
     return Optional.of(request);
   }
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/Scenario.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/Scenario.java
@@ -12,7 +12,11 @@
   KILL("controllers, nodes, dispatchers and engines are killed at any step", Fault.KILL),
   KILL_ALL("all controllers are killed at the same time", Fault.KILL_ALL, Fault.KILL),
   DISK_LOSS("a controller loses its disk after acknowledging writes", Fault.DISK_LOSS),
-  TWO_LOST("two controllers lose their disks together", Fault.TWO_DISKS_LOST),
+  TWO_LOST(
+      "two controllers lose their disks together, while leaders are cut off or killed",
+      Fault.TWO_DISKS_LOST,
+      Fault.CUT_LEADER,
+      Fault.KILL),
   LOSS_AFTER_REPAIR("a second disk is lost right after a repair", Fault.LOSS_AFTER_REPAIR),
   CUT_LEADER("a leader is cut off in silence for long, then back", Fault.CUT_LEADER),
   NODE_CUT("nodes and dispatchers are cut off from the controllers", Fault.CUT_NODE),
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimController.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimController.java
@@ -32,7 +32,7 @@
 
 /** A controller: the consensus duty of production on a simulated disk and network. */
 final class SimController extends SimProcess {
-  private static final long SNAPSHOT_THRESHOLD_BYTES = 48 * 1024;
+  private static final long SNAPSHOT_THRESHOLD_BYTES = 12 * 1024;
   private static final int SNAPSHOT_PART_LENGTH = 16 * 1024;
   private static final long WALL_EPOCH_MS = 1_700_000_000_000L;
   private static final int FORGOTTEN_RECORDS = 24;
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimNetwork.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimNetwork.java
@@ -47,6 +47,15 @@
     }
   }
 
+  /** Drops what others send to a process, while its own messages arrive. */
+  void cutInbound(String name, Iterable<String> others) {
+    for (String other : others) {
+      if (!other.equals(name)) {
+        cut(other, name);
+      }
+    }
+  }
+
   /** Ends all cuts and faults. */
   void heal() {
     cuts.clear();
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimRun.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimRun.java
@@ -1,6 +1,7 @@
 package io.pathdeck.testkit.sim;
 
 import io.pathdeck.protocol.model.TenantSpec;
+import io.pathdeck.protocol.query.ReadJob;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,6 +18,7 @@
   private static final int OPERATORS = 3;
   private static final int JOBS = 8;
   private static final int MAX_ITEMS = 24;
+  private static final int LARGE_JOB_ITEMS = 200;
   private static final long MANY_CHANGES_PAUSE_MS = 30;
   private static final long CHANGES_PAUSE_MS = 400;
   private static final long ONLINE_INTERVAL_MS = 60;
@@ -74,7 +76,8 @@
     simulation.runForMs(BOOT_MS);
     operators.forEach(OperatorActor::run);
     for (int i = 0; i < JOBS; i++) {
-      JobActor job = new JobActor(fleet, i, 1 + simulation.random().nextInt(MAX_ITEMS));
+      int items = i == 0 ? LARGE_JOB_ITEMS : 1 + simulation.random().nextInt(MAX_ITEMS);
+      JobActor job = new JobActor(fleet, i, items);
       jobs.add(job);
       simulation.scheduleMs(simulation.between(0, FAULTS_MS * 3 / 4), job::run);
     }
@@ -143,7 +146,7 @@
     String unsettled =
         jobs.stream()
             .filter(job -> !job.isSettled())
-            .map(JobActor::jobId)
+            .map(this::describe)
             .collect(Collectors.joining(" "));
     oracle.violation(
         Promise.PROGRESS_AFTER_FAULTS,
@@ -157,6 +160,14 @@
             + unsettled);
   }
 
+  private String describe(JobActor job) {
+    ReadJob read = new ReadJob(job.jobId(), SimFleet.TENANT);
+    return fleet
+        .leaderOf(job.partition())
+        .map(leader -> leader.groups().get(job.partition()).stateMachine().query(read).toString())
+        .orElse(job.jobId() + " without a leader");
+  }
+
   /** Replicas that have applied the same entries have the same state. */
   private void checkReplicas() {
     Map<String, Integer> stateByIndex = new HashMap<>();
