--- a/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
@@ -85,11 +85,18 @@
     }
   }
 
-  void onMismatch(FollowerProgress follower, long hint) {
+  /**
+   * The member's log ends earlier or differs: go back as far as it says.
+   *
+   * @return whether that is news; the same news again must not be answered at once, or doubled
+   *     messages would multiply
+   */
+  boolean onMismatch(FollowerProgress follower, long hint) {
+    long before = follower.nextIndex;
     follower.inFlightAppends = 0;
-    long retryFrom = Math.min(follower.nextIndex, hint + 1);
-    follower.nextIndex = Math.max(follower.matchIndex + 1, retryFrom);
+    follower.nextIndex = Math.max(follower.matchIndex + 1, Math.min(before, hint + 1));
     follower.resendFrom = follower.nextIndex;
+    return follower.nextIndex < before;
   }
 
   /** Records that a snapshot part was sent; a newer snapshot starts again from its beginning. */
--- a/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -160,8 +160,8 @@
     if (response.success()) {
       progressTable.onMatched(progress, response.matchIndex());
       advanceCommit();
-    } else {
-      progressTable.onMismatch(progress, response.matchIndex());
+    } else if (!progressTable.onMismatch(progress, response.matchIndex())) {
+      return;
     }
     state.log.configuration().find(header.from()).ifPresent(member -> replicateTo(member, nowMs));
   }
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -91,6 +91,7 @@
 import io.pathdeck.protocol.snapshot.KeyRecord;
 import io.pathdeck.protocol.snapshot.LeaseRecord;
 import io.pathdeck.protocol.snapshot.MetaRecord;
+import io.pathdeck.protocol.snapshot.QueueRecord;
 import io.pathdeck.protocol.snapshot.ResultRecord;
 import io.pathdeck.protocol.snapshot.SnapshotEndRecord;
 import io.pathdeck.protocol.snapshot.SnapshotHeaderRecord;
@@ -199,7 +200,8 @@
           ResetRecord.class,
           SnapshotHeaderRecord.class,
           SnapshotEndRecord.class,
-          AdvanceTime.class);
+          AdvanceTime.class,
+          QueueRecord.class);
 
   private RegisteredTypes() {}
 }
--- a/state/src/main/java/io/pathdeck/state/JobQueues.java
+++ b/state/src/main/java/io/pathdeck/state/JobQueues.java
@@ -1,5 +1,6 @@
 package io.pathdeck.state;
 
+import io.pathdeck.protocol.snapshot.QueueRecord;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -82,6 +83,33 @@
     tenants.put(tenant, jobs);
   }
 
+  /** The queues in their order, without the jobs that have ended. */
+  List<Object> records() {
+    List<Object> records = new ArrayList<>();
+    byService.forEach(
+        (service, tenants) ->
+            tenants.forEach((tenant, jobs) -> records.add(record(service, tenant, jobs))));
+    return records;
+  }
+
+  private static QueueRecord record(String service, String tenant, ArrayDeque<Job> jobs) {
+    List<String> jobIds = new ArrayList<>();
+    for (Job job : jobs) {
+      if (!job.status().isTerminal()) {
+        jobIds.add(job.spec().jobId());
+      }
+    }
+    return new QueueRecord(service, tenant, jobIds);
+  }
+
+  void restore(QueueRecord record, Map<String, Job> jobs) {
+    ArrayDeque<Job> queue =
+        byService
+            .computeIfAbsent(record.service(), key -> new LinkedHashMap<>())
+            .computeIfAbsent(record.tenant(), key -> new ArrayDeque<>());
+    record.jobIds().forEach(jobId -> queue.addLast(jobs.get(jobId)));
+  }
+
   void clear() {
     byService.clear();
   }
--- a/state/src/main/java/io/pathdeck/state/JobsSnapshot.java
+++ b/state/src/main/java/io/pathdeck/state/JobsSnapshot.java
@@ -8,6 +8,7 @@
 import io.pathdeck.protocol.snapshot.JobsHeaderRecord;
 import io.pathdeck.protocol.snapshot.KeyRecord;
 import io.pathdeck.protocol.snapshot.LeaseRecord;
+import io.pathdeck.protocol.snapshot.QueueRecord;
 import io.pathdeck.protocol.snapshot.ResultRecord;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -25,7 +26,8 @@
 
   static Iterator<Object> capture(JobsStateMachine state) {
     List<Object> records = new ArrayList<>();
-    records.add(new JobsHeaderRecord(state.clock.nowMs(), state.leases.nextLeaseId()));
+    records.add(
+        new JobsHeaderRecord(state.clock.nowMs(), state.leases.nextLeaseId(), state.nextSweepMs));
     for (StoredFile file : state.files.values()) {
       captureFile(file, records);
     }
@@ -37,6 +39,7 @@
           new LeaseRecord(
               lease.leaseId, lease.dispatcherId, lease.expiresAtMs, new ArrayList<>(lease.items)));
     }
+    records.addAll(state.queues.records());
     records.addAll(state.keys.records());
     records.addAll(state.claims.records());
     return records.iterator();
@@ -76,17 +79,13 @@
     while (records.hasNext()) {
       restoreRecord(state, records.next());
     }
-    for (Job job : state.jobs.values()) {
-      if (!job.status().isTerminal()) {
-        state.queues.add(job);
-      }
-    }
   }
 
   private static void restoreRecord(JobsStateMachine state, Object next) {
     if (next instanceof JobsHeaderRecord header) {
       state.clock.restore(header.clockMs());
       state.leases.reset(header.nextLeaseId());
+      state.nextSweepMs = header.nextSweepMs();
     } else if (next instanceof FileRecord file) {
       state.files.put(file.view().fileId(), StoredFile.restore(file.view()));
     } else if (next instanceof FileChunkRecord chunk) {
@@ -98,6 +97,8 @@
       restoreResults(state.jobs.get(results.jobId()), results);
     } else if (next instanceof LeaseRecord lease) {
       restoreLease(state, lease);
+    } else if (next instanceof QueueRecord queue) {
+      state.queues.restore(queue, state.jobs);
     } else if (next instanceof KeyRecord key) {
       state.keys.restore(key);
     } else if (next instanceof ClaimRecord claim) {
--- a/state/src/main/java/io/pathdeck/state/JobsStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/JobsStateMachine.java
@@ -59,7 +59,7 @@
   final KeyTable keys = new KeyTable();
   final JobQueues queues = new JobQueues();
   private final JobsQueries queries = new JobsQueries(this);
-  private long nextSweepMs;
+  long nextSweepMs;
 
   @Override
   public long timeMs() {
