--- /dev/null
+++ b/serving/src/test/java/io/pathdeck/serving/engine/TestSseReader.java
@@ -0,0 +1,63 @@
+package io.pathdeck.serving.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Streams are split into whole events, and a gap, a repeat or a missing end is noticed. */
+class TestSseReader {
+  private static String token(int offset) {
+    return "id: " + offset + "\ndata: {\"token\":" + offset + "}\n\n";
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static final String STREAM =
+      ": accepted\n\n" + token(1) + token(2) + token(3) + "data: [DONE]\n\n";
+
+  @Property(tries = 200, seed = "31")
+  void anySplitGivesTheSameEvents(@ForAll @IntRange(min = 1, max = 80) int size) {
+    SseReader reader = new SseReader(0);
+    StringBuilder events = new StringBuilder();
+    int tokens = 0;
+    byte[] stream = bytes(STREAM);
+    for (int at = 0; at < stream.length; at += size) {
+      reader.feed(Arrays.copyOfRange(stream, at, Math.min(stream.length, at + size)));
+      events.append(new String(reader.events(), StandardCharsets.UTF_8));
+      tokens += reader.tokens();
+    }
+    assertThat(tokens).isEqualTo(3);
+    assertThat(reader.isDone()).isTrue();
+    assertThat(reader.problem()).isNull();
+    assertThat(events.toString()).contains("{\"token\":1}").doesNotContain("id:");
+  }
+
+  @Test
+  void noticesGapsAndRepeats() {
+    for (String wrong : new String[] {token(1) + token(3), token(1) + token(1), token(2)}) {
+      SseReader reader = new SseReader(0);
+      reader.feed(bytes(wrong));
+      assertThat(reader.problem()).as(wrong).isNotNull();
+    }
+  }
+
+  @Test
+  void resumesAfterTheOffsetHeld() {
+    SseReader reader = new SseReader(7);
+    reader.feed(bytes(token(8)));
+    assertThat(reader.problem()).isNull();
+    assertThat(reader.isDone()).isFalse();
+  }
+
+  @Property(tries = 300, seed = "32")
+  void anyBytesAreHandled(@ForAll byte[] noise) {
+    new SseReader(0).feed(noise);
+  }
+}
--- a/state/src/main/java/io/pathdeck/state/Job.java
+++ b/state/src/main/java/io/pathdeck/state/Job.java
@@ -95,12 +95,10 @@
     return index;
   }
 
-  /** Marks an item as leased while a snapshot is restored. */
+  /** Counts an item that a lease holds, while a snapshot is restored; it may have a result. */
   void restoreLeased(int index) {
-    if (waiting.get(index)) {
-      waiting.clear(index);
-      leased++;
-    }
+    waiting.clear(index);
+    leased++;
   }
 
   /** A leased item's lease ended without a result: it waits again. */
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimEngine.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimEngine.java
@@ -23,6 +23,7 @@
       new EngineProfile(8_000, 250, 40, 50, 512, 6, 64, 256, 200, 500, 5);
   private static final Pattern EVENT_ID = Pattern.compile("(?m)^id: \\d+\\n");
   private static final long HANG_POLL_MS = 20;
+  private static final long CANCEL_POLL_MS = 400;
   private static final int SLOWDOWN = 20;
   private static final int REFUSED_STATUS = 503;
   private static final long REFUSED_RETRY_MS = 300;
@@ -93,7 +94,7 @@
             answerTokens,
             request.resumeAfter(),
             output);
-    call.onCancel(() -> model.cancel(sequence));
+    call.onCancel(() -> cancelWhenResponsive(sequence));
     if (request.resumeAfter() >= answerTokens) {
       output.onNothingLeft(sequence);
       return;
@@ -112,6 +113,15 @@
     return reported;
   }
 
+  /** A hanging engine notices a cancel only some time after it has come back. */
+  private void cancelWhenResponsive(Sequence sequence) {
+    if (mode == Mode.HANG) {
+      later(CANCEL_POLL_MS, () -> cancelWhenResponsive(sequence));
+    } else {
+      model.cancel(sequence);
+    }
+  }
+
   private void startStepping() {
     if (!stepping) {
       stepping = true;
