Routing fills engines in a common order; batch windows follow

Ruled out: the lag; an exact report would have kept all windows shut. Change: nodes fill engines in a common order up to a pressure; windows stay shut for 300 ms after online work, nothing starts beside it, at most 12 running items go on.

--- a/dispatch/src/main/java/io/pathdeck/dispatch/DispatchPolicy.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/DispatchPolicy.java
@@ -4,6 +4,7 @@
  * Constants of the dispatch decisions.
  *
  * @param alongsideOnline how many batch items may run on an engine that has online work
+ * @param quietMs how long an engine must be without online work before items start there
  * @param windowStep by how many items a window opens in {@code windowStepMs} on an idle engine
  * @param loadValidMs how long a load report counts
  * @param probeIntervalMs how often an engine that reports nothing is asked for its load
@@ -13,6 +14,7 @@
  */
 public record DispatchPolicy(
     int alongsideOnline,
+    long quietMs,
     int windowStep,
     long windowStepMs,
     long loadValidMs,
@@ -23,5 +25,5 @@
     int maxLeasePerCall) {
   /** The policy of production. */
   public static final DispatchPolicy DEFAULT =
-      new DispatchPolicy(0, 4, 50, 3_000, 100, 200, 8, 20, 256);
+      new DispatchPolicy(12, 300, 4, 50, 3_000, 100, 200, 8, 20, 256);
 }
--- a/dispatch/src/main/java/io/pathdeck/dispatch/EngineWindow.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/EngineWindow.java
@@ -12,6 +12,8 @@
   EngineSpec spec;
   int running;
   private int window;
+  private boolean open;
+  private long onlineSeenAtMs = Long.MIN_VALUE / 2;
   private EngineLoad load;
   private long loadAtMs = Long.MIN_VALUE / 2;
   private long lastStepMs;
@@ -28,6 +30,7 @@
     load = reported;
     loadAtMs = nowMs;
     if (reported.online() > 0) {
+      onlineSeenAtMs = nowMs;
       window = Math.min(window, policy.alongsideOnline());
     }
   }
@@ -52,9 +55,12 @@
     boolean known = load != null && nowMs - loadAtMs <= policy.loadValidMs();
     if (spec.draining() || nowMs < closedUntilMs || !known) {
       window = 0;
+      open = false;
       return;
     }
-    int limit = load.online() > 0 ? policy.alongsideOnline() : spec.batchSlots();
+    boolean quiet = isQuiet(nowMs);
+    int limit = quiet ? spec.batchSlots() : policy.alongsideOnline();
+    open = quiet || policy.alongsideOnline() >= spec.batchSlots();
     if (nowMs - lastStepMs >= policy.windowStepMs()) {
       lastStepMs = nowMs;
       window = Math.min(limit, window + policy.windowStep());
@@ -62,9 +68,17 @@
     window = Math.min(window, limit);
   }
 
-  /** How many more items may start. */
+  /** Whether no online work was seen for a while. */
+  private boolean isQuiet(long nowMs) {
+    return load.online() == 0 && nowMs - onlineSeenAtMs >= policy.quietMs();
+  }
+
+  /**
+   * How many more items may start: none beside online work, because reading an item's prompt delays
+   * the tokens of all others.
+   */
   int free() {
-    return Math.max(0, window - running);
+    return open ? Math.max(0, window - running) : 0;
   }
 
   /** How many running items must yield. */
--- a/serving/src/main/java/io/pathdeck/serving/routing/EngineSelector.java
+++ b/serving/src/main/java/io/pathdeck/serving/routing/EngineSelector.java
@@ -3,16 +3,20 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import net.openhft.hashing.LongHashFunction;
 
 /**
- * Chooses an engine: own zone first with spill-over, prefix affinity under a load bound, else the
- * less loaded of two.
+ * Chooses an engine: own zone first with spill-over; the first engine with room in a common order;
+ * when all are busy, prefix affinity under a load bound, else the less loaded of two.
  */
 final class EngineSelector {
   private static final LongHashFunction HASH = LongHashFunction.xx();
 
+  /** The key of the common order in which engines are filled. */
+  private static final long PACKING_ORDER = 1;
+
   private final RoutingSettings settings;
   private final String nodeId;
   private final String zone;
@@ -53,6 +57,20 @@
       return avoid != null && avoid.isUsable(settings, nowMs) ? avoid : null;
     }
     List<EngineState> pool = preferZone(usable, nowMs);
+    return firstWithRoom(pool, nowMs).orElseGet(() -> spread(pool, prefixHash, nowMs));
+  }
+
+  /**
+   * Fills engines one after the other, in an order that all nodes share. So online requests gather
+   * on few engines, and the others are idle for batch items, which need no yielding there.
+   */
+  private Optional<EngineState> firstWithRoom(List<EngineState> pool, long nowMs) {
+    return pool.stream()
+        .filter(engine -> engine.pressure(nowMs) < settings.packLimit())
+        .max(Comparator.comparingLong(engine -> rank(engine.spec.name(), PACKING_ORDER)));
+  }
+
+  private EngineState spread(List<EngineState> pool, long prefixHash, long nowMs) {
     EngineState preferred = byAffinity(pool, prefixHash);
     double average = pool.stream().mapToInt(engine -> engine.load(nowMs)).average().orElse(0);
     if (preferred.load(nowMs) <= average * settings.affinityLoadFactor() + 1) {
--- a/serving/src/main/java/io/pathdeck/serving/routing/EngineState.java
+++ b/serving/src/main/java/io/pathdeck/serving/routing/EngineState.java
@@ -2,16 +2,21 @@
 
 import io.pathdeck.protocol.model.EngineSpec;
 import io.pathdeck.serving.engine.EngineLoad;
+import java.util.ArrayDeque;
 
 /** What a node knows of one engine. */
 final class EngineState {
   private static final long LOAD_VALID_MS = 1_000;
 
+  private static final long PROMPT_MS = 80;
+  private static final int PROMPT_WEIGHT = 1;
+
   EngineSpec spec;
   final EngineHealth health;
   int inFlight;
   boolean leaving;
   private EngineLoad reported = new EngineLoad(0, 0, 0);
+  private final ArrayDeque<Long> recentStartsMs = new ArrayDeque<>();
   private int inFlightAtReport;
   private long reportedAtMs = Long.MIN_VALUE / 2;
 
@@ -38,6 +43,20 @@
     return Math.max(inFlight, reported.online() + reported.waiting() + correction);
   }
 
+  /** A request was started on the engine. */
+  void onStarted(long nowMs) {
+    inFlight++;
+    recentStartsMs.addLast(nowMs);
+  }
+
+  /** The load, counting requests whose prompt is probably still being read several times. */
+  int pressure(long nowMs) {
+    while (!recentStartsMs.isEmpty() && nowMs - recentStartsMs.peekFirst() > PROMPT_MS) {
+      recentStartsMs.pollFirst();
+    }
+    return load(nowMs) + PROMPT_WEIGHT * recentStartsMs.size();
+  }
+
   boolean isUsable(RoutingSettings settings, long nowMs) {
     return !spec.draining()
         && !leaving
--- a/serving/src/main/java/io/pathdeck/serving/routing/RoutingCore.java
+++ b/serving/src/main/java/io/pathdeck/serving/routing/RoutingCore.java
@@ -110,7 +110,7 @@
     }
     entry.attempts++;
     entry.engine = engine;
-    engine.inFlight++;
+    engine.onStarted(nowMs);
     return List.of(
         new RoutingDecision.StartAttempt(request.requestId(), entry.attempts, engine.spec));
   }
--- a/serving/src/main/java/io/pathdeck/serving/routing/RoutingSettings.java
+++ b/serving/src/main/java/io/pathdeck/serving/routing/RoutingSettings.java
@@ -6,6 +6,7 @@
  * @param maxAttempts the most attempts of one request
  * @param maxInFlightPerEngine the most online requests of this node on one engine
  * @param candidateCount how many engines of a service a node uses when there are many
+ * @param packLimit up to which pressure an engine is filled before the next one is used
  * @param affinityLoadFactor how far above the average an engine's load may be for prefix affinity
  * @param spillDifference by how many requests the best engine of another zone must be less loaded
  * @param ejectAfterFailures consecutive failures that eject an engine
@@ -18,6 +19,7 @@
     int maxAttempts,
     int maxInFlightPerEngine,
     int candidateCount,
+    int packLimit,
     double affinityLoadFactor,
     int spillDifference,
     int ejectAfterFailures,
@@ -27,5 +29,5 @@
     double retryBudgetBurst) {
   /** The settings of production. */
   public static final RoutingSettings DEFAULT =
-      new RoutingSettings(4, 96, 16, 1.25, 3, 3, 1_000, 30_000, 0.2, 50);
+      new RoutingSettings(4, 96, 16, 8, 1.25, 3, 3, 1_000, 30_000, 0.2, 50);
 }
--- a/testkit/src/main/java/io/pathdeck/testkit/TestkitMain.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/TestkitMain.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.testkit.engine.EngineCommand;
 import io.pathdeck.testkit.load.LoadCommand;
+import io.pathdeck.testkit.sim.HarmCommand;
 import io.pathdeck.testkit.sim.SimCommand;
 import java.util.Arrays;
 import java.util.List;
@@ -22,8 +23,9 @@
           case "engine" -> new EngineCommand().run(rest);
           case "load" -> new LoadCommand().run(rest);
           case "sim" -> new SimCommand().run(rest, System.out);
+          case "harm" -> new HarmCommand().run(rest, System.out);
           default -> {
-            System.err.println("usage: testkit engine|load|sim [options]");
+            System.err.println("usage: testkit engine|load|sim|harm [options]");
             yield USAGE;
           }
         };
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/JobActor.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/JobActor.java
@@ -23,6 +23,7 @@
 import io.pathdeck.serving.http.Json;
 import io.pathdeck.state.PartitionIds;
 import io.pathdeck.testkit.engine.EmulatedText;
+import io.pathdeck.testkit.load.Prompts;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -49,7 +50,9 @@
   private final JobSpec spec;
   private final List<byte[]> lines = new ArrayList<>();
   private final Oracle.JobTruth truth;
+  private final boolean isLoad;
   private boolean ended;
+  private int succeeded;
 
   JobActor(SimFleet fleet, int number, int items) {
     this.fleet = fleet;
@@ -58,19 +61,58 @@
     this.client = fleet.controllerClient(fleet.callers());
     this.partition = 1 + number % SimFleet.PARTITIONS;
     this.fileId = PartitionIds.create("file_", partition, number, simulation.random().nextLong());
-    String jobId = PartitionIds.create("batch_", partition, number, simulation.random().nextLong());
-    boolean repeatable = !simulation.chance(NON_REPEATABLE_CHANCE);
-    this.spec =
-        new JobSpec(
-            jobId,
-            SimFleet.TENANT,
-            SimFleet.SERVICE,
-            "/v1/chat/completions",
-            fileId,
-            repeatable,
-            WINDOW_MS,
-            new HashMap<>());
-    this.truth = oracle.addJob(new Oracle.JobTruth(jobId, newItems(number, items), repeatable));
+    this.spec = newSpec(number, !simulation.chance(NON_REPEATABLE_CHANCE));
+    this.isLoad = false;
+    this.truth =
+        oracle.addJob(
+            new Oracle.JobTruth(spec.jobId(), newItems(number, items), spec.repeatable()));
+  }
+
+  /** A job of the load experiments: repeatable, never cancelled, with items of one size. */
+  static JobActor ofLoad(
+      SimFleet fleet, int number, int items, int promptTokens, int answerTokens) {
+    return new JobActor(fleet, number, items, promptTokens, answerTokens);
+  }
+
+  private JobActor(SimFleet fleet, int number, int items, int promptTokens, int answerTokens) {
+    this.fleet = fleet;
+    this.simulation = fleet.simulation();
+    this.oracle = fleet.oracle();
+    this.client = fleet.controllerClient(fleet.callers());
+    this.partition = 1 + number % SimFleet.PARTITIONS;
+    this.fileId = PartitionIds.create("file_", partition, number, simulation.random().nextLong());
+    this.spec = newSpec(number, true);
+    this.isLoad = true;
+    Map<String, ObjectNode> bodies = new HashMap<>();
+    for (int item = 0; item < items; item++) {
+      String customId = "job-" + number + "-item-" + item;
+      ObjectNode body =
+          Prompts.chat(SimFleet.MODEL, 1_000 + number, customId, promptTokens, answerTokens, true);
+      addItem(customId, body, bodies);
+    }
+    this.truth = oracle.addJob(new Oracle.JobTruth(spec.jobId(), bodies, true));
+  }
+
+  private JobSpec newSpec(int number, boolean repeatable) {
+    return new JobSpec(
+        PartitionIds.create("batch_", partition, number, simulation.random().nextLong()),
+        SimFleet.TENANT,
+        fleet.shape().batchService(),
+        "/v1/chat/completions",
+        fileId,
+        repeatable,
+        WINDOW_MS,
+        new HashMap<>());
+  }
+
+  private void addItem(String customId, ObjectNode body, Map<String, ObjectNode> bodies) {
+    bodies.put(customId, body);
+    ObjectNode line = Json.object();
+    line.put("custom_id", customId);
+    line.put("method", "POST");
+    line.put("url", "/v1/chat/completions");
+    line.set("body", body);
+    lines.add(Json.encode(line));
   }
 
   private Map<String, ObjectNode> newItems(int number, int items) {
@@ -78,13 +120,7 @@
     for (int item = 0; item < items; item++) {
       String customId = "job-" + number + "-item-" + item;
       ObjectNode body = SimPrompts.chat(customId, 3 + simulation.random().nextInt(8));
-      bodies.put(customId, body);
-      ObjectNode line = Json.object();
-      line.put("custom_id", customId);
-      line.put("method", "POST");
-      line.put("url", "/v1/chat/completions");
-      line.set("body", body);
-      lines.add(Json.encode(line));
+      addItem(customId, body, bodies);
       if (!spec.repeatable()) {
         oracle.registerUnrepeatable(EmulatedText.promptText(body));
       }
@@ -126,6 +162,10 @@
       return;
     }
     truth.accepted = true;
+    if (isLoad) {
+      pollCounts();
+      return;
+    }
     if (simulation.chance(RESEND_CHANCE)) {
       fleet.callers().later(simulation.between(0, 4_000), () -> submit(this::checkResent));
     }
@@ -153,6 +193,21 @@
         });
   }
 
+  /** Follows the counts only; reading all results again and again would take too long. */
+  private void pollCounts() {
+    readJob(
+        view -> {
+          succeeded = view.succeeded();
+          if (!view.status().isTerminal()) {
+            fleet.callers().later(POLL_MS, this::pollCounts);
+          }
+        });
+  }
+
+  int succeeded() {
+    return succeeded;
+  }
+
   private void poll() {
     readJob(
         view -> {
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/OperatorActor.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/OperatorActor.java
@@ -30,7 +30,6 @@
   private static final String NO_TENANT = "";
 
   private static final long CALL_TIMEOUT_MS = 4_000;
-  private static final int BATCH_SLOTS = 4;
   private static final double RESEND_CHANCE = 0.3;
   private static final double STALE_VERSION_CHANCE = 0.2;
 
@@ -58,17 +57,27 @@
 
   /** Declares the tenant, the service and the engines, and then runs {@code whenDone}. */
   void declareFleet(Runnable whenDone) {
+    FleetShape shape = fleet.shape();
     List<EngineSpec> engines = new ArrayList<>();
     for (SimEngine engine : fleet.engines()) {
-      String zone = "zone-" + (1 + engines.size() % 2);
+      boolean batchOnly = engines.size() < shape.batchEngines();
       engines.add(
-          new EngineSpec(engine.name, "127.0.0.1:1", zone, SimFleet.SERVICE, BATCH_SLOTS, false));
+          new EngineSpec(
+              engine.name,
+              "127.0.0.1:1",
+              "zone-" + (1 + engines.size() % shape.zones()),
+              batchOnly ? shape.batchService() : SimFleet.SERVICE,
+              shape.batchSlots(),
+              false));
+    }
+    List<ServiceSpec> services = new ArrayList<>();
+    services.add(new ServiceSpec(SimFleet.SERVICE, SimFleet.MODEL, 1));
+    if (shape.batchEngines() > 0) {
+      services.add(new ServiceSpec(shape.batchService(), "model-batch", 1));
     }
     Declaration declaration =
         new Declaration(
-            List.of(new TenantSpec(SimFleet.TENANT, 1, List.of(), 0, 0)),
-            List.of(new ServiceSpec(SimFleet.SERVICE, SimFleet.MODEL, 1)),
-            engines);
+            List.of(new TenantSpec(SimFleet.TENANT, 1, List.of(), 0, 0)), services, engines);
     ApplyDelta command = new ApplyDelta(0, delta(declaration));
     send(
         command,
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimDispatcher.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimDispatcher.java
@@ -6,7 +6,6 @@
 import io.pathdeck.common.settings.TlsSettings;
 import io.pathdeck.dispatch.DispatchCore;
 import io.pathdeck.dispatch.DispatchDuty;
-import io.pathdeck.dispatch.DispatchPolicy;
 import io.pathdeck.dispatch.DispatcherSettings;
 import io.pathdeck.dispatch.LoadProbe;
 import io.pathdeck.protocol.client.ControllerClient;
@@ -45,7 +44,7 @@
     duty =
         new DispatchDuty(
             settings,
-            new DispatchCore(DispatchPolicy.DEFAULT),
+            new DispatchCore(fleet.shape().dispatchPolicy()),
             client,
             new SimEngineClient(fleet, this),
             loadProbe(),
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimEngine.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimEngine.java
@@ -9,7 +9,6 @@
 import io.pathdeck.testkit.engine.AnswerEvents;
 import io.pathdeck.testkit.engine.EmulatedText;
 import io.pathdeck.testkit.engine.EngineModel;
-import io.pathdeck.testkit.engine.EngineProfile;
 import io.pathdeck.testkit.engine.PrefixCache;
 import io.pathdeck.testkit.engine.Sequence;
 import java.nio.charset.StandardCharsets;
@@ -19,8 +18,6 @@
 
 /** An engine on virtual time. Its record of what it started is the oracle's witness. */
 final class SimEngine extends SimProcess {
-  private static final EngineProfile PROFILE =
-      new EngineProfile(8_000, 250, 40, 50, 512, 6, 64, 256, 200, 500, 5);
   private static final Pattern EVENT_ID = Pattern.compile("(?m)^id: \\d+\\n");
   private static final long HANG_POLL_MS = 20;
   private static final long CANCEL_POLL_MS = 400;
@@ -51,10 +48,13 @@
 
   @Override
   List<Duty> boot() {
-    boolean honourPriority = !fleet.hasDefect(Defect.PRIORITY_IGNORED);
+    boolean honourPriority =
+        fleet.shape().honourPriority() && !fleet.hasDefect(Defect.PRIORITY_IGNORED);
     model =
         new EngineModel(
-            PROFILE, new PrefixCache(PROFILE.cacheBlocks(), (kind, block) -> {}), honourPriority);
+            fleet.shape().profile(),
+            new PrefixCache(fleet.shape().profile().cacheBlocks(), (kind, block) -> {}),
+            honourPriority);
     mode = Mode.NORMAL;
     leaving = false;
     stepping = false;
@@ -140,7 +140,7 @@
       return;
     }
     long micros = model.beginStep();
-    if (model.onlineWaitsBehindBatch()) {
+    if (fleet.shape().honourPriority() && model.onlineWaitsBehindBatch()) {
       fleet
           .oracle()
           .violation(Promise.ONLINE_NEVER_BEHIND_BATCH, name + " runs batch while online waits");
@@ -164,7 +164,7 @@
 
   private void rememberLoad() {
     EngineLoad load = model.load();
-    later(PROFILE.loadLagMs(), () -> reported = load);
+    later(fleet.shape().profile().loadLagMs(), () -> reported = load);
   }
 
   /** Sends what is generated to the caller. */
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimFleet.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimFleet.java
@@ -14,9 +14,6 @@
 final class SimFleet {
   static final int CONTROLLERS = 5;
   static final int PARTITIONS = 2;
-  static final int ENGINES = 4;
-  static final int NODES = 2;
-  static final int DISPATCHERS = 2;
   static final long CONFIGURATION_LEASE_MS = 2_500;
   static final String TENANT = "tenant-a";
   static final String SERVICE = "service-a";
@@ -30,6 +27,7 @@
   private final SimNetwork network;
   private final Oracle oracle;
   private final Defect defect;
+  private final FleetShape shape;
   private final Sabotage sabotage;
   private final List<SimController> controllers = new ArrayList<>();
   private final Map<String, SimEngine> engines = new TreeMap<>();
@@ -39,7 +37,8 @@
   private final Map<String, ResponseWriter> writers = new HashMap<>();
   private int clientLives;
 
-  SimFleet(Simulation simulation, Oracle oracle, Defect defect) {
+  SimFleet(Simulation simulation, Oracle oracle, Defect defect, FleetShape shape) {
+    this.shape = shape;
     this.simulation = simulation;
     this.oracle = oracle;
     this.defect = defect;
@@ -49,13 +48,13 @@
     for (int id = 1; id <= CONTROLLERS; id++) {
       controllers.add(new SimController(id, this));
     }
-    for (int i = 1; i <= ENGINES; i++) {
+    for (int i = 1; i <= shape.engines(); i++) {
       engines.put("engine-" + i, new SimEngine("engine-" + i, this));
     }
-    for (int i = 1; i <= NODES; i++) {
+    for (int i = 1; i <= shape.zones(); i++) {
       nodes.add(new SimNode("node-" + i, "zone-" + i, this));
     }
-    for (int i = 1; i <= DISPATCHERS; i++) {
+    for (int i = 1; i <= shape.dispatchers(); i++) {
       dispatchers.add(new SimDispatcher("dispatcher-" + i, this));
     }
   }
@@ -84,6 +83,10 @@
     return processes().stream().map(process -> process.name).toList();
   }
 
+  FleetShape shape() {
+    return shape;
+  }
+
   Simulation simulation() {
     return simulation;
   }
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimRequest.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimRequest.java
@@ -7,7 +7,9 @@
 import io.pathdeck.serving.http.Json;
 import io.pathdeck.testkit.engine.EmulatedText;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
 
 /** One arrival of an online request at a node, as its caller sees it. */
 final class SimRequest {
@@ -25,6 +27,11 @@
   private final Consumer<End> whenEnded;
   private final CompletionAssembler received = new CompletionAssembler(true);
   private boolean ended;
+  private Simulation clock;
+  private Histogram firstToken;
+  private Histogram gap;
+  private long sentAtNs;
+  private long lastTokenAtNs;
 
   SimRequest(long id, ObjectNode body, String claimKey, Oracle oracle, Consumer<End> whenEnded) {
     this.id = id;
@@ -51,9 +58,31 @@
   }
 
   void onEvents(byte[] events, int tokens) {
-    if (!ended) {
-      received.add(events, tokens);
+    if (ended) {
+      return;
+    }
+    received.add(events, tokens);
+    if (clock != null && tokens > 0) {
+      measureToken();
+    }
+  }
+
+  /** Measures the time to the first token and between tokens from now on. */
+  void measure(Simulation simulation, Histogram firstTokens, Histogram gaps) {
+    clock = simulation;
+    firstToken = firstTokens;
+    gap = gaps;
+    sentAtNs = simulation.nowNs();
+  }
+
+  private void measureToken() {
+    long nowNs = clock.nowNs();
+    if (lastTokenAtNs == 0) {
+      firstToken.recordValue(TimeUnit.NANOSECONDS.toMicros(nowNs - sentAtNs));
+    } else {
+      gap.recordValue(TimeUnit.NANOSECONDS.toMicros(nowNs - lastTokenAtNs));
     }
+    lastTokenAtNs = nowNs;
   }
 
   void onCompleted() {
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimRun.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimRun.java
@@ -41,7 +41,7 @@
     this.scenario = scenario;
     this.simulation = new Simulation(seed);
     this.oracle = new Oracle(simulation);
-    this.fleet = new SimFleet(simulation, oracle, defect);
+    this.fleet = new SimFleet(simulation, oracle, defect, FleetShape.FAULTS);
     boolean manyChanges = scenario == Scenario.MANY_CHANGES;
     for (int i = 1; i <= OPERATORS; i++) {
       long pauseMs = manyChanges ? MANY_CHANGES_PAUSE_MS : CHANGES_PAUSE_MS;
