--- a/serving/src/main/java/io/pathdeck/serving/NodeProcess.java
+++ b/serving/src/main/java/io/pathdeck/serving/NodeProcess.java
@@ -25,7 +25,7 @@
 /** A running node. */
 public final class NodeProcess implements AutoCloseable {
   private static final EventLog EVENTS = EventLog.of(NodeProcess.class);
-  private static final int NETWORK_THREADS = 3;
+  private static final int NETWORK_THREADS = 4;
   private static final int MAX_CONNECTIONS_PER_ENGINE = 512;
 
   private final NodeSettings settings;
--- a/testkit/src/main/java/io/pathdeck/testkit/TestkitMain.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/TestkitMain.java
@@ -1,5 +1,6 @@
 package io.pathdeck.testkit;
 
+import io.pathdeck.testkit.bench.StateBench;
 import io.pathdeck.testkit.engine.EngineCommand;
 import io.pathdeck.testkit.load.LoadCommand;
 import io.pathdeck.testkit.sim.HarmCommand;
@@ -23,9 +24,10 @@
           case "engine" -> new EngineCommand().run(rest);
           case "load" -> new LoadCommand().run(rest);
           case "sim" -> new SimCommand().run(rest, System.out);
+          case "state" -> new StateBench().run(rest, System.out);
           case "harm" -> new HarmCommand().run(rest, System.out);
           default -> {
-            System.err.println("usage: testkit engine|load|sim|harm [options]");
+            System.err.println("usage: testkit engine|load|sim|harm|state [options]");
             yield USAGE;
           }
         };
--- a/testkit/src/main/java/io/pathdeck/testkit/load/LoadCommand.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/load/LoadCommand.java
@@ -40,6 +40,14 @@
       parser.accepts("jobs-per-heap").withRequiredArg().ofType(Integer.class).defaultsTo(2);
   private final OptionSpec<Integer> itemsPerJob =
       parser.accepts("items-per-job").withRequiredArg().ofType(Integer.class).defaultsTo(100);
+  private final OptionSpec<Integer> warmUp =
+      parser
+          .accepts("warm-up-seconds", "times of the first requests do not count")
+          .withRequiredArg()
+          .ofType(Integer.class)
+          .defaultsTo(0);
+  private final OptionSpec<Void> streamOnly =
+      parser.accepts("stream-only", "ask for streams only, as engines do");
   private final OptionSpec<String> json = parser.accepts("json").withRequiredArg();
 
   /** Runs the command; returns the exit code. */
@@ -110,7 +118,8 @@
                   "request-" + arrival.number(),
                   arrival.promptTokens(),
                   arrival.answerTokens(),
-                  arrival.stream()),
+                  arrival.stream() || options.has(streamOnly)),
+              arrival.atMs() >= TimeUnit.SECONDS.toMillis(options.valueOf(warmUp)),
               statistics));
     }
     CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0])).join();
--- a/testkit/src/main/java/io/pathdeck/testkit/load/OnlineCaller.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/load/OnlineCaller.java
@@ -22,6 +22,10 @@
   private final LoadStatistics statistics;
   private final ObjectNode request;
   private final boolean stream;
+
+  /** Whether its times count; those of the warm-up do not. */
+  private final boolean measured;
+
   private final long sentAtNs = System.nanoTime();
   private final CompletableFuture<Void> done = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -32,8 +36,9 @@
   private boolean endMarker;
   private boolean errorEvent;
 
-  private OnlineCaller(LoadStatistics statistics, ObjectNode request) {
+  private OnlineCaller(LoadStatistics statistics, ObjectNode request, boolean measured) {
     this.statistics = statistics;
+    this.measured = measured;
     this.request = request;
     this.stream = request.path("stream").asBoolean();
   }
@@ -44,8 +49,9 @@
       String baseUrl,
       String key,
       ObjectNode request,
+      boolean measured,
       LoadStatistics statistics) {
-    OnlineCaller caller = new OnlineCaller(statistics, request);
+    OnlineCaller caller = new OnlineCaller(statistics, request, measured);
     statistics.onSent();
     client
         .preparePost(baseUrl + "/v1/chat/completions")
@@ -84,13 +90,27 @@
     int start = 0;
     for (int i = 1; i < all.length; i++) {
       if (all[i] == '\n' && all[i - 1] == '\n') {
-        acceptEvent(all, start + EVENT_PREFIX.length, i - 1);
+        acceptLines(all, start, i - 1);
         start = i + 1;
       }
     }
     pending = java.util.Arrays.copyOfRange(all, start, all.length);
   }
 
+  /** Passes over an engine's {@code id} line and comments; nodes send neither. */
+  private void acceptLines(byte[] bytes, int from, int to) {
+    int start = from;
+    while (start < to && bytes[start] != EVENT_PREFIX[0]) {
+      while (start < to && bytes[start] != '\n') {
+        start++;
+      }
+      start++;
+    }
+    if (start < to) {
+      acceptEvent(bytes, start + EVENT_PREFIX.length, to);
+    }
+  }
+
   private void acceptEvent(byte[] bytes, int from, int to) {
     if (bytes[from] == '[') {
       endMarker = true;
@@ -107,7 +127,9 @@
 
   private void onToken() {
     long nowNs = System.nanoTime();
-    if (lastTokenAtNs == 0) {
+    if (!measured) {
+      lastTokenAtNs = nowNs;
+    } else if (lastTokenAtNs == 0) {
       statistics.onFirstToken(nowNs - sentAtNs);
     } else {
       statistics.onGap(nowNs - lastTokenAtNs);
