--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -72,7 +72,8 @@
     this.random = new SplittableRandom(seed);
     state.term = recovered.term();
     this.votedFor = recovered.votedFor();
-    restoreLog(recovered);
+    state.restoreLog(recovered);
+    deliveredIndex = state.commitIndex;
     state.syncedIndex = state.log.lastIndex();
     this.refuseVotesUntilMs = nowMs + settings.electionTimeoutMinMs();
     resetElectionDeadline(nowMs);
@@ -81,24 +82,6 @@
     }
   }
 
-  private void restoreLog(RecoveredState recovered) {
-    if (recovered.snapshot().isPresent()) {
-      SnapshotMetadata snapshot = recovered.snapshot().get();
-      state.log.reset(snapshot.index(), snapshot.term(), snapshot.configuration());
-    } else if (recovered.bootstrap().isPresent()) {
-      state.log.reset(0, 0, recovered.bootstrap().get());
-    } else {
-      return;
-    }
-    state.commitIndex = state.log.snapshotIndex();
-    deliveredIndex = state.commitIndex;
-    for (LogEntry entry : recovered.entries()) {
-      if (entry.index() == state.log.lastIndex() + 1) {
-        state.log.append(entry);
-      }
-    }
-  }
-
   // ---- state seen from outside
 
   public ReplicaRole role() {
--- a/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
@@ -1,5 +1,6 @@
 package io.pathdeck.consensus;
 
+import io.pathdeck.protocol.raft.LogEntry;
 import io.pathdeck.protocol.raft.LogRecord;
 import io.pathdeck.protocol.raft.RaftHeader;
 import io.pathdeck.protocol.raft.RaftMessage;
@@ -29,6 +30,25 @@
     this.settings = settings;
   }
 
+  /** Rebuilds the log from what the disk held; what a snapshot covers counts as committed. */
+  void restoreLog(RecoveredState recovered) {
+    if (recovered.snapshot().isPresent()) {
+      SnapshotMetadata snapshot = recovered.snapshot().get();
+      log.reset(snapshot.index(), snapshot.term(), snapshot.configuration());
+    } else if (recovered.bootstrap().isPresent()) {
+      log.reset(0, 0, recovered.bootstrap().get());
+    } else {
+      return;
+    }
+    commitIndex = log.snapshotIndex();
+    for (LogEntry entry : recovered.entries()) {
+      // Entries of an older term than the snapshot's were replaced before it was taken.
+      if (entry.index() == log.lastIndex() + 1 && entry.term() >= log.lastTerm()) {
+        log.append(entry);
+      }
+    }
+  }
+
   /** The header of a message of this term. */
   RaftHeader header(int to, long toIncarnation) {
     return new RaftHeader(group, id, incarnation, to, toIncarnation, term);
