--- a/serving/src/main/java/io/pathdeck/serving/api/GenerationRequest.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/GenerationRequest.java
@@ -59,15 +59,7 @@
     if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
       return invalid("stream", "true or false");
     }
-    JsonNode maxTokens =
-        object.path(object.has("max_completion_tokens") ? "max_completion_tokens" : "max_tokens");
-    boolean validLimit =
-        maxTokens.isMissingNode()
-            || maxTokens.isNull()
-            || (maxTokens.isInt()
-                && maxTokens.intValue() >= 1
-                && maxTokens.intValue() <= MAX_TOKENS);
-    if (!validLimit) {
+    if (!isValidTokenLimit(object)) {
       return invalid("max_tokens", "an integer from 1 to " + MAX_TOKENS);
     }
     if (object.path("n").asInt(1) != 1) {
@@ -79,6 +71,15 @@
         new GenerationRequest(path, model.textValue(), streams, engineBody, prefixHash(prompt)));
   }
 
+  private static boolean isValidTokenLimit(ObjectNode object) {
+    JsonNode limit =
+        object.path(object.has("max_completion_tokens") ? "max_completion_tokens" : "max_tokens");
+    if (limit.isMissingNode() || limit.isNull()) {
+      return true;
+    }
+    return limit.isInt() && limit.intValue() >= 1 && limit.intValue() <= MAX_TOKENS;
+  }
+
   private static String checkMessages(JsonNode messages) {
     if (!messages.isArray() || messages.isEmpty()) {
       return "a list of at least one message";
