Node: bodies held at a time are bounded over all connections

Cause: with the smaller heap a file of 87,000 items (42 MB) ended the node for want of memory, and several large uploads at once would have done so with any heap. Ruled out: the jobs partition (it was never reached).

--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -25,8 +25,10 @@
  */
 final class ExchangeHandler extends ChannelInboundHandlerAdapter {
   private static final int MAX_PIPELINED_MESSAGES = 64;
+  private static final long RETRY_AFTER_MS = 2_000;
 
   private final HttpLimits limits;
+  private final BodyBudget budget;
   private final Consumer<HttpExchange> dispatcher;
   private final ArrayDeque<Object> pipelined = new ArrayDeque<>();
   private ChannelHandlerContext context;
@@ -36,7 +38,11 @@
   private ScheduledFuture<?> readTimeout;
   private boolean rejected;
 
-  ExchangeHandler(HttpLimits limits, Consumer<HttpExchange> dispatcher) {
+  /** What this connection holds of the budget. */
+  private long reservedBytes;
+
+  ExchangeHandler(HttpLimits limits, BodyBudget budget, Consumer<HttpExchange> dispatcher) {
+    this.budget = budget;
     this.limits = limits;
     this.dispatcher = dispatcher;
   }
@@ -108,6 +114,14 @@
       reject(ApiError.tooLarge("the body is larger than " + maxBodyLength() + " bytes"));
       return;
     }
+    int length = data.readableBytes();
+    if (!budget.tryReserve(length)) {
+      data.release();
+      reject(
+          ApiError.unavailable("overloaded", "too many large requests at a time", RETRY_AFTER_MS));
+      return;
+    }
+    reservedBytes += length;
     body.addComponent(true, data);
     if (content instanceof LastHttpContent) {
       dispatch();
@@ -133,14 +147,21 @@
     failed.closeAfterResponse();
     failed.sendError(error);
     releaseBody();
+    releaseBudget();
   }
 
   private void onExchangeEnd() {
     context.executor().execute(this::nextExchange);
   }
 
+  private void releaseBudget() {
+    budget.release(reservedBytes);
+    reservedBytes = 0;
+  }
+
   private void nextExchange() {
     exchange = null;
+    releaseBudget();
     if (context.channel().isActive()) {
       startReadTimeout();
       while (!pipelined.isEmpty() && exchange == null) {
@@ -190,6 +211,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     cancelReadTimeout();
     releaseBody();
+    releaseBudget();
     pipelined.forEach(ReferenceCountUtil::release);
     pipelined.clear();
     if (exchange != null) {
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
@@ -25,6 +25,7 @@
   private static final int MAX_INITIAL_LINE_LENGTH = 8_192;
   private static final long DRAIN_POLL_MS = 20;
 
+  private final BodyBudget bodyBudget;
   private final HttpLimits limits;
   private final Optional<SslContext> tls;
   private final Consumer<HttpExchange> handler;
@@ -41,6 +42,7 @@
       Optional<SslContext> tls,
       Consumer<HttpExchange> handler) {
     this.limits = limits;
+    this.bodyBudget = new BodyBudget(limits.maxUploadBytes() + 8L * limits.maxBodyBytes());
     this.tls = tls;
     this.handler = handler;
     this.channel =
@@ -106,7 +108,7 @@
               .setMaxHeaderSize(limits.maxHeaderBytes());
       child.pipeline().addLast(new FlushConsolidationHandler(64, true));
       child.pipeline().addLast(new HttpServerCodec(decoder));
-      child.pipeline().addLast(new ExchangeHandler(limits, HttpServer.this::dispatch));
+      child.pipeline().addLast(new ExchangeHandler(limits, bodyBudget, HttpServer.this::dispatch));
     }
   }
 
--- /dev/null
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestExchangeHandler.java
@@ -0,0 +1,62 @@
+package io.pathdeck.serving.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Request bodies are bounded, each and all together. */
+class TestExchangeHandler {
+  private static final HttpLimits LIMITS = new HttpLimits(8_192, 100, 1_000, 10, 30_000);
+
+  private final List<HttpExchange> dispatched = new ArrayList<>();
+
+  private EmbeddedChannel connect(BodyBudget budget) {
+    return new EmbeddedChannel(
+        new HttpServerCodec(), new ExchangeHandler(LIMITS, budget, dispatched::add));
+  }
+
+  private static ByteBuf post(String path, int announced, int sent) {
+    String head = "POST " + path + " HTTP/1.1\r\nContent-Length: " + announced + "\r\n\r\n";
+    return Unpooled.copiedBuffer(head + "x".repeat(sent), StandardCharsets.UTF_8);
+  }
+
+  private static String answer(EmbeddedChannel channel) {
+    channel.runPendingTasks();
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+      text.append(part.toString(StandardCharsets.UTF_8));
+      part.release();
+    }
+    return text.toString();
+  }
+
+  @Test
+  void refusesABodyThatIsTooLarge() {
+    EmbeddedChannel channel = connect(new BodyBudget(10_000));
+    channel.writeInbound(post("/v1/batches", 101, 0));
+    assertThat(answer(channel)).contains("413").contains("request_too_large");
+    assertThat(dispatched).isEmpty();
+  }
+
+  /** The failure behind it: one upload of 42 MB ended a node for want of memory. */
+  @Test
+  void refusesMoreThanTheServerCanHold() {
+    BodyBudget budget = new BodyBudget(1_500);
+    EmbeddedChannel first = connect(budget);
+    first.writeInbound(post("/v1/files", 1_000, 900));
+    EmbeddedChannel second = connect(budget);
+    second.writeInbound(post("/v1/files", 900, 900));
+    assertThat(answer(second)).contains("503").contains("\"not_run\":true").contains("retry-after");
+    first.close();
+    EmbeddedChannel third = connect(budget);
+    third.writeInbound(post("/v1/files", 900, 900));
+    assertThat(dispatched).hasSize(1);
+  }
+}
