--- a/testkit/src/main/java/io/pathdeck/testkit/engine/EmulatedText.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/EmulatedText.java
@@ -42,6 +42,16 @@
     return Long.toString(Math.floorMod(mixed, 1_679_616L), 36) + " ";
   }
 
+  /** The text of a batch result line, or nothing when it holds no answer. */
+  public static String ofResult(JsonNode result) {
+    return ofCompletion(result.path("response").path("body"));
+  }
+
+  /** The text of a chat completion. */
+  public static String ofCompletion(JsonNode completion) {
+    return completion.path("choices").path(0).path("message").path("content").asText();
+  }
+
   /** The whole answer. */
   public static String answer(JsonNode body) {
     long seed = seed(body);
--- a/testkit/src/main/java/io/pathdeck/testkit/load/BatchCaller.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/load/BatchCaller.java
@@ -208,15 +208,7 @@
         Json.parseObject(line.getBytes(StandardCharsets.UTF_8)).orElse(Json.object());
     String customId = result.path("custom_id").asText();
     ObjectNode request = expected.get(customId);
-    String text =
-        result
-            .path("response")
-            .path("body")
-            .path("choices")
-            .path(0)
-            .path("message")
-            .path("content")
-            .asText();
+    String text = EmulatedText.ofResult(result);
     boolean first = seen.merge(customId, 1, Integer::sum) == 1;
     if (request == null || !first) {
       statistics.onItemWrong(customId + " is unknown or doubled");
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/Oracle.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/Oracle.java
@@ -7,6 +7,8 @@
 import io.pathdeck.protocol.model.JobStatus;
 import io.pathdeck.serving.engine.EngineRequest;
 import io.pathdeck.serving.http.Json;
+import io.pathdeck.testkit.engine.EmulatedText;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -257,8 +259,7 @@
       String customId = result.path("custom_id").asText();
       if (!job.bodies.containsKey(customId)) {
         violation(Promise.WHOLE_OWN_ANSWER, job.jobId + " has a result of " + customId);
-      } else if (current.put(customId, new String(line, java.nio.charset.StandardCharsets.UTF_8))
-          != null) {
+      } else if (current.put(customId, new String(line, StandardCharsets.UTF_8)) != null) {
         violation(Promise.EXACTLY_ONCE_AND_READABLE, customId + " has two results");
       } else {
         checkAnswer(job, customId, result);
@@ -281,16 +282,8 @@
       }
       return;
     }
-    String text =
-        result
-            .path("response")
-            .path("body")
-            .path("choices")
-            .path(0)
-            .path("message")
-            .path("content")
-            .asText();
-    String expected = io.pathdeck.testkit.engine.EmulatedText.answer(job.bodies.get(customId));
+    String text = EmulatedText.ofResult(result);
+    String expected = EmulatedText.answer(job.bodies.get(customId));
     if (!text.equals(expected)) {
       violation(Promise.WHOLE_OWN_ANSWER, customId + " got \"" + text + "\"");
     }
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimRequest.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimRequest.java
@@ -98,7 +98,7 @@
   }
 
   private void check(JsonNode answer) {
-    String text = answer.path("choices").path(0).path("message").path("content").asText();
+    String text = EmulatedText.ofCompletion(answer);
     if (!text.equals(EmulatedText.answer(body))) {
       oracle.violation(
           Promise.WHOLE_OWN_ANSWER, "request " + id + " got \"" + text + "\" for " + body);
