--- a/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -149,14 +149,22 @@
             nowMs));
   }
 
-  void onAppendResponse(AppendResponse response, long nowMs) {
-    RaftHeader header = response.header();
+  /** Notes that a member answered; null when the configuration does not name its incarnation. */
+  private FollowerProgress heardFrom(RaftHeader header, long sentAtMs) {
     FollowerProgress progress = progressTable.progress(header.from());
     if (progress == null || progress.incarnation != header.fromIncarnation()) {
+      return null;
+    }
+    progress.lastAcknowledgedSendMs = Math.max(progress.lastAcknowledgedSendMs, sentAtMs);
+    return progress;
+  }
+
+  void onAppendResponse(AppendResponse response, long nowMs) {
+    RaftHeader header = response.header();
+    FollowerProgress progress = heardFrom(header, response.sentAtMs());
+    if (progress == null) {
       return;
     }
-    progress.lastAcknowledgedSendMs =
-        Math.max(progress.lastAcknowledgedSendMs, response.sentAtMs());
     if (response.success()) {
       progressTable.onMatched(progress, response.matchIndex());
       advanceCommit();
@@ -168,12 +176,10 @@
 
   void onSnapshotChunkResponse(SnapshotChunkResponse response, long nowMs) {
     RaftHeader header = response.header();
-    FollowerProgress progress = progressTable.progress(header.from());
-    if (progress == null || progress.incarnation != header.fromIncarnation()) {
+    FollowerProgress progress = heardFrom(header, response.sentAtMs());
+    if (progress == null) {
       return;
     }
-    progress.lastAcknowledgedSendMs =
-        Math.max(progress.lastAcknowledgedSendMs, response.sentAtMs());
     if (!progress.isSendingSnapshot() || response.snapshotIndex() != progress.snapshotIndex) {
       return;
     }
