Simulator: a batch caller reads its results one read at a time

Ruled out: a lost result (the later reads and the final check have it). Change: the next read starts after the last one ended, so that linearizability gives their order; the check itself is as strict as before.

--- a/testkit/src/main/java/io/pathdeck/testkit/sim/JobActor.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/JobActor.java
@@ -211,10 +211,13 @@
   private void poll() {
     readJob(
         view -> {
-          readResults(() -> {});
-          if (!view.status().isTerminal()) {
-            fleet.callers().later(POLL_MS, this::poll);
-          }
+          // One read after the other: of two that overlap, the answer of the older may come last.
+          readResults(
+              () -> {
+                if (!view.status().isTerminal()) {
+                  fleet.callers().later(POLL_MS, this::poll);
+                }
+              });
         });
   }
 
