--- a/testkit/src/main/java/io/pathdeck/testkit/sim/JobActor.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/JobActor.java
@@ -1,6 +1,8 @@
 package io.pathdeck.testkit.sim;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.protocol.client.ControlError;
 import io.pathdeck.protocol.client.ControllerClient;
 import io.pathdeck.protocol.command.AppendFileChunk;
 import io.pathdeck.protocol.command.CancelJob;
@@ -17,6 +19,7 @@
 import io.pathdeck.protocol.query.JobResult;
 import io.pathdeck.protocol.query.LinesResult;
 import io.pathdeck.protocol.query.NotFound;
+import io.pathdeck.protocol.query.Query;
 import io.pathdeck.protocol.query.QueryResult;
 import io.pathdeck.protocol.query.ReadJob;
 import io.pathdeck.protocol.query.ReadResults;
@@ -28,7 +31,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** A batch caller: submits a job, resends it, perhaps cancels it, and reads its results. */
 final class JobActor {
@@ -144,14 +149,18 @@
 
   /** Sends a command again and again until it has an answer; all of them may be repeated. */
   private void untilAnswered(Command command, Consumer<CommandResult> whenAnswered) {
-    client
-        .propose(partition, command, CALL_TIMEOUT_MS)
+    repeat(() -> client.propose(partition, command, CALL_TIMEOUT_MS), whenAnswered);
+  }
+
+  private <T> void repeat(
+      Supplier<CompletableFuture<Result<T, ControlError>>> call, Consumer<T> whenAnswered) {
+    call.get()
         .thenAccept(
             result -> {
               if (result.isOk()) {
                 whenAnswered.accept(result.value());
               } else {
-                fleet.callers().later(RETRY_MS, () -> untilAnswered(command, whenAnswered));
+                fleet.callers().later(RETRY_MS, () -> repeat(call, whenAnswered));
               }
             });
   }
@@ -234,17 +243,8 @@
         });
   }
 
-  private void untilRead(io.pathdeck.protocol.query.Query query, Consumer<QueryResult> whenRead) {
-    client
-        .query(partition, query, CALL_TIMEOUT_MS)
-        .thenAccept(
-            result -> {
-              if (result.isOk()) {
-                whenRead.accept(result.value());
-              } else {
-                fleet.callers().later(RETRY_MS, () -> untilRead(query, whenRead));
-              }
-            });
+  private void untilRead(Query query, Consumer<QueryResult> whenRead) {
+    repeat(() -> client.query(partition, query, CALL_TIMEOUT_MS), whenRead);
   }
 
   private void readResults(Runnable whenRead) {
