--- a/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
+++ b/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
@@ -13,6 +13,9 @@
         node          serves callers beside it       --config FILE [--set KEY=VALUE ...]
         controller    holds the durable state        --config FILE [--set KEY=VALUE ...]
         dispatcher    runs batch items               --config FILE [--set KEY=VALUE ...]
+        gateway       forwards to a fleet's engines  --config FILE [--set KEY=VALUE ...]
+        coordinator   keeps a fleet's configuration  --config FILE [--set KEY=VALUE ...]
+        store         keeps a fleet's batch jobs     --config FILE [--set KEY=VALUE ...]
         ctl           drives a fleet as an operator  COMMAND [options]
         check-config  checks a settings file         FILE
 
@@ -42,7 +45,8 @@
       }
       case "ctl" -> new OperatorCommand(System.out, System.err).run(rest);
       case "check-config" -> new CheckConfigCommand(System.out, System.err).run(rest);
-      case "node", "controller", "dispatcher" -> new RoleCommand(arguments.get(0)).run(rest);
+      case "node", "controller", "dispatcher", "gateway", "coordinator", "store" ->
+          new RoleCommand(arguments.get(0)).run(rest);
       default -> {
         System.err.println("unknown role: " + arguments.get(0));
         System.err.print(USAGE);
--- a/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
@@ -11,6 +11,15 @@
 import io.pathdeck.control.ControllerSettings;
 import io.pathdeck.dispatch.DispatcherProcess;
 import io.pathdeck.dispatch.DispatcherSettings;
+import io.pathdeck.fleet.FleetMemberProcess;
+import io.pathdeck.fleet.FleetSettings;
+import io.pathdeck.fleet.adapter.FleetAdapter;
+import io.pathdeck.fleet.coordinator.CoordinatorProcess;
+import io.pathdeck.fleet.coordinator.CoordinatorSettings;
+import io.pathdeck.fleet.gateway.GatewayProcess;
+import io.pathdeck.fleet.gateway.GatewaySettings;
+import io.pathdeck.fleet.store.StoreProcess;
+import io.pathdeck.fleet.store.StoreSettings;
 import io.pathdeck.protocol.transport.TransportTls;
 import io.pathdeck.serving.NodeProcess;
 import io.pathdeck.serving.NodeSettings;
@@ -19,6 +28,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import javax.net.ssl.SSLException;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -31,6 +41,8 @@
   private static final EventLog EVENTS = EventLog.of(RoleCommand.class);
 
   private final String role;
+  private Path settingsFile;
+  private Map<String, String> settingsOverrides = Map.of();
 
   RoleCommand(String role) {
     this.role = role;
@@ -68,6 +80,8 @@
   }
 
   private ExitCode start(Path file, Map<String, String> overrides) {
+    settingsFile = file;
+    settingsOverrides = overrides;
     Result<SettingsReader, SettingsError> reader = SettingsReader.open(file, overrides);
     if (!reader.isOk()) {
       return rejectSettings(reader.error());
@@ -76,6 +90,9 @@
       return switch (role) {
         case "node" -> startNode(reader.value());
         case "controller" -> startController(reader.value());
+        case "gateway" -> startGateway(reader.value());
+        case "coordinator" -> startCoordinator(reader.value());
+        case "store" -> startStore(reader.value());
         default -> startDispatcher(reader.value());
       };
     } catch (SSLException | RuntimeException e) {
@@ -115,6 +132,71 @@
     }
     Result<ControllerProcess, StorageError> process =
         ControllerProcess.start(settings.value(), tls(settings.value().tls()));
+    return runOrExplain(process);
+  }
+
+  private ExitCode startGateway(SettingsReader reader) throws SSLException {
+    Result<GatewaySettings, SettingsError> settings = GatewaySettings.read(reader);
+    if (!settings.isOk()) {
+      return rejectSettings(settings.error());
+    }
+    TlsSettings tls = warnIfPlain(settings.value().fleet());
+    GatewayProcess process = GatewayProcess.start(settings.value(), tls(tls), FleetAdapter.load());
+    reloadOnHangup(process, reread -> GatewaySettings.read(reread).map(GatewaySettings::fleet));
+    runUntilStopped(process);
+    return ExitCode.OK;
+  }
+
+  private ExitCode startCoordinator(SettingsReader reader) throws SSLException {
+    Result<CoordinatorSettings, SettingsError> settings = CoordinatorSettings.read(reader);
+    if (!settings.isOk()) {
+      return rejectSettings(settings.error());
+    }
+    TlsSettings tls = warnIfPlain(settings.value().fleet());
+    return runOrExplain(CoordinatorProcess.start(settings.value(), tls(tls), FleetAdapter.load()));
+  }
+
+  private ExitCode startStore(SettingsReader reader) throws SSLException {
+    Result<StoreSettings, SettingsError> settings = StoreSettings.read(reader);
+    if (!settings.isOk()) {
+      return rejectSettings(settings.error());
+    }
+    TlsSettings tls = warnIfPlain(settings.value().fleet());
+    Result<StoreProcess, StorageError> process =
+        StoreProcess.start(settings.value(), tls(tls), FleetAdapter.load());
+    if (process.isOk()) {
+      reloadOnHangup(
+          process.value(), reread -> StoreSettings.read(reread).map(StoreSettings::fleet));
+    }
+    return runOrExplain(process);
+  }
+
+  /** Reads the settings again on SIGHUP; a file that is wrong changes nothing. */
+  private void reloadOnHangup(
+      FleetMemberProcess process,
+      Function<SettingsReader, Result<FleetSettings, SettingsError>> read) {
+    HangupSignal.onHangup(
+        () -> {
+          Result<SettingsReader, SettingsError> reader =
+              SettingsReader.open(settingsFile, settingsOverrides);
+          Result<FleetSettings, SettingsError> settings =
+              reader.isOk() ? read.apply(reader.value()) : Result.err(reader.error());
+          if (settings.isOk()) {
+            process.reload(settings.value());
+          } else {
+            rejectSettings(settings.error());
+          }
+        });
+  }
+
+  private static TlsSettings warnIfPlain(FleetSettings fleet) {
+    if (!fleet.tls().isEnabled() && !fleet.listen().isLoopback()) {
+      EVENTS.log(EventCode.NETWORK_TRUSTED, "listen", fleet.listen());
+    }
+    return fleet.tls();
+  }
+
+  private static ExitCode runOrExplain(Result<? extends AutoCloseable, StorageError> process) {
     if (!process.isOk()) {
       System.err.println("cannot start: " + process.error());
       return ExitCode.FAILURE;
--- a/consensus/src/main/java/io/pathdeck/consensus/JoinProtocol.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/JoinProtocol.java
@@ -3,36 +3,45 @@
 import io.pathdeck.protocol.raft.BootstrapRecord;
 import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.JoinRequest;
+import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.raft.RaftHeader;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 
 /**
  * How a replica with an empty disk comes into the group.
  *
- * <p>A new group starts once every controller was heard to have an empty disk; all derive the same
+ * <p>A new group starts once every founder was heard to have an empty disk; all derive the same
  * first configuration from what they heard. A replica that finds a group already started takes over
  * that group's first configuration. If the configuration does not name its incarnation, its disk
- * was lost: it follows without a vote until the leader admits the new incarnation.
+ * was lost or it is new: it follows without a vote until the leader admits it.
  */
 final class JoinProtocol {
   private static final long JOIN_INTERVAL_MS = 200;
 
   private final ReplicaState state;
-  private final Set<Integer> controllerIds;
+  private final JoinSettings settings;
+  private final Set<Integer> contacts;
   private final JoinTracker joins = new JoinTracker();
   private GroupConfiguration bootstrap;
   private long nextJoinMs;
 
-  JoinProtocol(
-      ReplicaState state, Set<Integer> controllerIds, Optional<GroupConfiguration> bootstrap) {
+  JoinProtocol(ReplicaState state, JoinSettings settings, Optional<GroupConfiguration> bootstrap) {
     this.state = state;
-    this.controllerIds = Set.copyOf(controllerIds);
+    this.settings = settings;
+    this.contacts = new HashSet<>(settings.contacts());
     this.bootstrap = bootstrap.orElse(null);
   }
 
-  boolean isController(int id) {
-    return controllerIds.contains(id);
+  /** Whether the replica may take part in the group. */
+  boolean isEligible(int id) {
+    return settings.policy().open() || settings.founders().contains(id);
+  }
+
+  /** Adds replicas that may know the group. */
+  void addContacts(Set<Integer> ids) {
+    contacts.addAll(ids);
   }
 
   /** Announces the empty disk; returns whether the first configuration is now known. */
@@ -40,7 +49,7 @@
     if (nowMs < nextJoinMs) {
       return false;
     }
-    joins.heard(state.id, state.incarnation);
+    joins.heard(state.id, state.incarnation, settings.address());
     sendJoinRequests(false, nowMs);
     return tryBootstrap();
   }
@@ -54,17 +63,27 @@
 
   private void sendJoinRequests(boolean bootstrapped, long nowMs) {
     nextJoinMs = nowMs + JOIN_INTERVAL_MS;
-    for (int peer : controllerIds) {
+    for (int peer : knownReplicas()) {
       if (peer != state.id) {
-        state.messages.add(new JoinRequest(state.header(peer, 0), bootstrapped, bootstrap));
+        state.messages.add(
+            new JoinRequest(state.header(peer, 0), bootstrapped, bootstrap, settings.address()));
       }
     }
   }
 
+  private Set<Integer> knownReplicas() {
+    Set<Integer> known = new HashSet<>(contacts);
+    known.addAll(settings.founders());
+    if (state.log.hasConfiguration()) {
+      state.log.configuration().members().stream().map(Member::id).forEach(known::add);
+    }
+    return known;
+  }
+
   /** Handles a peer's request here; returns whether the first configuration is now known. */
   boolean onJoinRequestWhileJoining(JoinRequest join) {
     if (!join.bootstrapped()) {
-      joins.heard(join.header().from(), join.header().fromIncarnation());
+      joins.heard(join.header().from(), join.header().fromIncarnation(), join.address());
       return tryBootstrap();
     }
     if (join.bootstrapConfiguration() == null) {
@@ -78,19 +97,21 @@
   void answer(JoinRequest join) {
     if (!join.bootstrapped()) {
       RaftHeader header = state.header(join.header().from(), join.header().fromIncarnation());
-      state.messages.add(new JoinRequest(header, true, bootstrap));
+      state.messages.add(new JoinRequest(header, true, bootstrap, settings.address()));
     }
   }
 
   private boolean tryBootstrap() {
-    if (!joins.hasHeardAll(controllerIds)) {
+    boolean founder = settings.founders().contains(state.id);
+    if (!founder || !joins.hasHeardAll(settings.founders())) {
       return false;
     }
-    adopt(joins.configuration(controllerIds));
+    adopt(joins.configuration(settings.founders()));
     return true;
   }
 
-  private void adopt(GroupConfiguration configuration) {
+  /** Takes over the first configuration of a group. */
+  void adopt(GroupConfiguration configuration) {
     bootstrap = configuration;
     state.records.add(new BootstrapRecord(state.group, configuration));
     state.log.reset(0, 0, configuration);
--- a/consensus/src/main/java/io/pathdeck/consensus/JoinTracker.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/JoinTracker.java
@@ -7,22 +7,21 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Collects the incarnations of controllers that reported an empty disk. */
+/** Collects the replicas that reported an empty disk. */
 final class JoinTracker {
-  private final Map<Integer, Long> incarnations = new HashMap<>();
+  private final Map<Integer, Member> heard = new HashMap<>();
 
-  void heard(int id, long incarnation) {
-    incarnations.put(id, incarnation);
+  void heard(int id, long incarnation, String address) {
+    heard.put(id, new Member(id, incarnation, true, address));
   }
 
   boolean hasHeardAll(Set<Integer> ids) {
-    return incarnations.keySet().containsAll(ids);
+    return heard.keySet().containsAll(ids);
   }
 
   /** The configuration in which all {@code ids} vote. */
   GroupConfiguration configuration(Set<Integer> ids) {
-    List<Member> members =
-        ids.stream().sorted().map(id -> new Member(id, incarnations.get(id), true)).toList();
+    List<Member> members = ids.stream().sorted().map(heard::get).toList();
     return new GroupConfiguration(members);
   }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
@@ -1,27 +1,39 @@
 package io.pathdeck.consensus;
 
 import io.pathdeck.protocol.raft.GroupConfiguration;
+import io.pathdeck.protocol.raft.JoinRequest;
 import io.pathdeck.protocol.raft.Member;
+import io.pathdeck.protocol.raft.RaftHeader;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** What a replica knows while it leads: the progress of the members and who wants to join. */
 final class LeaderState {
-  private record JoinAttempt(long incarnation, long heardAtMs) {}
+  private record JoinAttempt(long incarnation, String address, long heardAtMs) {}
 
   private final int selfId;
   private final long selfIncarnation;
   private final RaftSettings settings;
+  private final MembershipPolicy policy;
+  private Set<Integer> leaving = Set.of();
   private final Map<Integer, FollowerProgress> progress = new HashMap<>();
   private final Map<Integer, JoinAttempt> joinAttempts = new HashMap<>();
   private GroupConfiguration configuration;
   private long lastHeartbeatMs;
 
-  LeaderState(int selfId, long selfIncarnation, RaftSettings settings, long lastIndex, long nowMs) {
+  LeaderState(
+      int selfId,
+      long selfIncarnation,
+      RaftSettings settings,
+      MembershipPolicy policy,
+      long nowMs) {
+    this.policy = policy;
     this.selfId = selfId;
     this.selfIncarnation = selfIncarnation;
     this.settings = settings;
@@ -31,6 +43,7 @@
   /** Follows the members of a new configuration; known incarnations keep their progress. */
   void adopt(GroupConfiguration next, long lastIndex, long nowMs) {
     configuration = next;
+    progress.keySet().removeIf(id -> next.find(id).isEmpty());
     for (Member member : next.members()) {
       FollowerProgress known = progress.get(member.id());
       if (known == null || known.incarnation != member.incarnation()) {
@@ -135,13 +148,19 @@
     return values.get(current.quorum() - 1);
   }
 
-  void onJoinRequest(int id, long incarnation, long nowMs) {
-    joinAttempts.put(id, new JoinAttempt(incarnation, nowMs));
+  void onJoinRequest(JoinRequest join, long nowMs) {
+    RaftHeader from = join.header();
+    joinAttempts.put(from.from(), new JoinAttempt(from.fromIncarnation(), join.address(), nowMs));
+  }
+
+  void setLeaving(Set<Integer> ids) {
+    leaving = ids;
   }
 
   /**
    * The next single change of membership: a member whose disk was lost becomes a learner under its
-   * new incarnation, or a learner that has caught up becomes a voter.
+   * new incarnation, a learner that has caught up becomes a voter, a newcomer is admitted as a
+   * learner, or a member that leaves or is silent is removed.
    */
   Optional<GroupConfiguration> nextConfiguration(
       GroupConfiguration current, long commitIndex, long nowMs) {
@@ -151,7 +170,12 @@
         return Optional.of(current.with(change.get()));
       }
     }
-    return Optional.empty();
+    if (!policy.open()) {
+      return Optional.empty();
+    }
+    return newcomer(current, nowMs)
+        .map(current::with)
+        .or(() -> removable(current, nowMs).map(member -> current.without(member.id())));
   }
 
   private Optional<Member> changeOf(Member member, long commitIndex, long nowMs) {
@@ -159,19 +183,46 @@
       return Optional.empty();
     }
     FollowerProgress follower = progress.get(member.id());
-    if (!member.voter() && follower.matchIndex >= commitIndex && follower.matchIndex > 0) {
-      return Optional.of(new Member(member.id(), member.incarnation(), true));
+    boolean caughtUp = follower.matchIndex >= commitIndex && follower.matchIndex > 0;
+    if (!member.voter() && caughtUp && !leaving.contains(member.id())) {
+      return Optional.of(new Member(member.id(), member.incarnation(), true, member.address()));
     }
     JoinAttempt join = joinAttempts.get(member.id());
-    boolean wantsToJoin =
-        join != null
-            && join.incarnation() != member.incarnation()
-            && nowMs - join.heardAtMs() < settings.electionTimeoutMinMs();
-    boolean memberSilent =
-        nowMs - follower.lastAcknowledgedSendMs >= settings.electionTimeoutMinMs();
-    if (wantsToJoin && memberSilent) {
-      return Optional.of(new Member(member.id(), join.incarnation(), false));
+    boolean wantsToJoin = isRecent(join, nowMs) && join.incarnation() != member.incarnation();
+    if (wantsToJoin && silenceMs(member, nowMs) >= settings.electionTimeoutMinMs()) {
+      return Optional.of(new Member(member.id(), join.incarnation(), false, join.address()));
+    }
+    return Optional.empty();
+  }
+
+  private boolean isRecent(JoinAttempt join, long nowMs) {
+    return join != null && nowMs - join.heardAtMs() < settings.electionTimeoutMinMs();
+  }
+
+  private long silenceMs(Member member, long nowMs) {
+    return nowMs - progress.get(member.id()).lastAcknowledgedSendMs;
+  }
+
+  private Optional<Member> newcomer(GroupConfiguration current, long nowMs) {
+    for (Map.Entry<Integer, JoinAttempt> entry : joinAttempts.entrySet()) {
+      int id = entry.getKey();
+      JoinAttempt join = entry.getValue();
+      boolean admitted = current.find(id).isPresent() || leaving.contains(id);
+      if (!admitted && isRecent(join, nowMs)) {
+        return Optional.of(new Member(id, join.incarnation(), false, join.address()));
+      }
     }
     return Optional.empty();
   }
+
+  private Optional<Member> removable(GroupConfiguration current, long nowMs) {
+    boolean votersToSpare = current.voterCount() > policy.minVoters();
+    return current.members().stream()
+        .filter(member -> member.id() != selfId)
+        .filter(member -> !member.voter() || votersToSpare)
+        .filter(
+            member ->
+                leaving.contains(member.id()) || silenceMs(member, nowMs) >= policy.silenceMs())
+        .max(Comparator.comparingLong(member -> silenceMs(member, nowMs)));
+  }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -6,7 +6,6 @@
 import io.pathdeck.protocol.raft.HardStateRecord;
 import io.pathdeck.protocol.raft.JoinRequest;
 import io.pathdeck.protocol.raft.LogEntry;
-import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.raft.RaftHeader;
 import io.pathdeck.protocol.raft.RaftMessage;
 import io.pathdeck.protocol.raft.SnapshotChunk;
@@ -18,7 +17,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.SplittableRandom;
 
 /**
  * One replica of a replicated log, as a pure state machine.
@@ -40,13 +38,16 @@
   private final ReplicaState state;
   private final FollowerLog follower;
   private final JoinProtocol joining;
-  private final SplittableRandom random;
+  private final VoteMessages voteMessages;
+  private final ElectionTimer timer;
+  private final MembershipPolicy policy;
+
+  /** The members that are to leave the group. */
+  private Set<Integer> leaving = Set.of();
 
   private ReplicaRole role = ReplicaRole.JOINING;
   private int votedFor;
   private long deliveredIndex;
-  private long refuseVotesUntilMs;
-  private long electionDeadlineMs;
   private VoteTally votes;
 
   /** Not null exactly while this replica leads. */
@@ -66,17 +67,30 @@
       RecoveredState recovered,
       long seed,
       long nowMs) {
+    this(group, id, incarnation, JoinSettings.fixed(initialIds), settings, recovered, seed, nowMs);
+  }
+
+  /** Restores a replica that finds its group as {@code joinSettings} say. */
+  public RaftReplica(
+      int group,
+      int id,
+      long incarnation,
+      JoinSettings joinSettings,
+      RaftSettings settings,
+      RecoveredState recovered,
+      long seed,
+      long nowMs) {
+    this.policy = joinSettings.policy();
     this.state = new ReplicaState(group, id, incarnation, settings);
     this.follower = new FollowerLog(state);
-    this.joining = new JoinProtocol(state, initialIds, recovered.bootstrap());
-    this.random = new SplittableRandom(seed);
+    this.joining = new JoinProtocol(state, joinSettings, recovered.bootstrap());
+    this.voteMessages = new VoteMessages(state);
+    this.timer = new ElectionTimer(settings, seed, nowMs);
     state.term = recovered.term();
     this.votedFor = recovered.votedFor();
     state.restoreLog(recovered);
     deliveredIndex = state.commitIndex;
     state.syncedIndex = state.log.lastIndex();
-    this.refuseVotesUntilMs = nowMs + settings.electionTimeoutMinMs();
-    resetElectionDeadline(nowMs);
     if (state.log.hasConfiguration()) {
       role = ReplicaRole.FOLLOWER;
     }
@@ -115,6 +129,11 @@
     return state.log.hasConfiguration() ? Optional.of(state.log.configuration()) : Optional.empty();
   }
 
+  /** The newest configuration once it is committed; empty while a change is under way. */
+  public Optional<GroupConfiguration> committedConfiguration() {
+    return configuration().filter(next -> state.log.configurationIndex() <= state.commitIndex);
+  }
+
   /** The highest index known to be synced on {@code memberId}; for the leader's reports. */
   public long matchIndex(int memberId) {
     if (memberId == state.id) {
@@ -123,6 +142,31 @@
     return leader == null ? 0 : leader.matchIndex(memberId);
   }
 
+  /** Adds replicas that may know the group, for a replica that seeks admission. */
+  public void addContacts(Set<Integer> ids) {
+    joining.addContacts(ids);
+  }
+
+  /** Starts from the first configuration of a group that was founded by others' decision. */
+  public void adoptBootstrap(GroupConfiguration configuration, long nowMs) {
+    if (role == ReplicaRole.JOINING) {
+      joining.adopt(configuration);
+      onBootstrapAdopted(nowMs);
+    }
+  }
+
+  /**
+   * Names the members that are to leave. The leader removes them while enough voters remain; one
+   * that leads hands over by ending its term.
+   */
+  public void setLeaving(Set<Integer> ids) {
+    leaving = Set.copyOf(ids);
+    timer.setLeaving(leaving.contains(state.id));
+    if (leader != null) {
+      leader.setLeaving(leaving);
+    }
+  }
+
   /** What a snapshot taken after applying {@code index} must record. */
   public SnapshotMetadata snapshotMetadata(long index) {
     return new SnapshotMetadata(index, state.log.term(index), state.log.configurationAt(index));
@@ -140,10 +184,11 @@
   }
 
   private void pollFollower(long nowMs) {
-    if (!isMember()) {
+    boolean forgotten = policy.open() && timer.isLeaderLost(nowMs);
+    if (!isMember() || forgotten) {
       joining.askToJoin(nowMs);
     }
-    if (nowMs >= electionDeadlineMs) {
+    if (timer.isExpired(nowMs)) {
       startPreVote(nowMs);
     }
   }
@@ -248,7 +293,7 @@
     if (role == ReplicaRole.JOINING) {
       role = ReplicaRole.FOLLOWER;
     }
-    resetElectionDeadline(nowMs);
+    timer.reset(nowMs);
     follower.acknowledgeInstalled();
   }
 
@@ -296,7 +341,7 @@
 
   private void onJoinRequest(JoinRequest join, long nowMs) {
     RaftHeader header = join.header();
-    if (header.to() != state.id || !joining.isController(header.from())) {
+    if (header.to() != state.id || !joining.isEligible(header.from())) {
       return;
     }
     if (role == ReplicaRole.JOINING) {
@@ -307,19 +352,19 @@
     }
     joining.answer(join);
     if (role == ReplicaRole.LEADER) {
-      leader.onJoinRequest(header.from(), header.fromIncarnation(), nowMs);
+      leader.onJoinRequest(join, nowMs);
     }
   }
 
   private void onBootstrapAdopted(long nowMs) {
     role = ReplicaRole.FOLLOWER;
-    resetElectionDeadline(nowMs);
+    timer.reset(nowMs);
   }
 
   // ---- elections
 
   private void startPreVote(long nowMs) {
-    resetElectionDeadline(nowMs);
+    timer.reset(nowMs);
     if (!state.log.configuration().isVoter(state.id, state.incarnation)
         || follower.isInstalling()) {
       return;
@@ -334,7 +379,7 @@
     state.term++;
     votedFor = state.id;
     state.records.add(new HardStateRecord(state.group, state.term, votedFor));
-    resetElectionDeadline(nowMs);
+    timer.reset(nowMs);
     campaign(false, nowMs);
   }
 
@@ -345,22 +390,7 @@
       onVotesWon(preVote, nowMs);
       return;
     }
-    long campaignTerm = preVote ? state.term + 1 : state.term;
-    for (Member member : state.log.configuration().members()) {
-      if (member.voter() && member.id() != state.id) {
-        RaftHeader header =
-            new RaftHeader(
-                state.group,
-                state.id,
-                state.incarnation,
-                member.id(),
-                member.incarnation(),
-                campaignTerm);
-        RaftMessage request =
-            new VoteRequest(header, preVote, state.log.lastIndex(), state.log.lastTerm());
-        (preVote ? state.messages : state.messagesAfterSync).add(request);
-      }
-    }
+    voteMessages.request(preVote);
   }
 
   private void onVoteRequest(VoteRequest request, long nowMs) {
@@ -368,17 +398,14 @@
     if (role == ReplicaRole.JOINING) {
       return;
     }
-    boolean refusesAll = nowMs < refuseVotesUntilMs || role == ReplicaRole.LEADER;
+    boolean refusesAll = timer.refusesVotes(nowMs) || role == ReplicaRole.LEADER;
     if (from.term() < state.term || refusesAll) {
-      respondToVote(request, false);
+      voteMessages.respond(request, false);
       return;
     }
-    boolean upToDate =
-        request.lastTerm() > state.log.lastTerm()
-            || (request.lastTerm() == state.log.lastTerm()
-                && request.lastIndex() >= state.log.lastIndex());
+    boolean upToDate = voteMessages.isUpToDate(request);
     if (request.preVote()) {
-      respondToVote(request, upToDate && from.term() > state.term);
+      voteMessages.respond(request, upToDate && from.term() > state.term);
       return;
     }
     if (from.term() > state.term) {
@@ -389,23 +416,9 @@
     if (granted) {
       votedFor = from.from();
       state.records.add(new HardStateRecord(state.group, state.term, votedFor));
-      resetElectionDeadline(nowMs);
+      timer.reset(nowMs);
     }
-    respondToVote(request, granted);
-  }
-
-  private void respondToVote(VoteRequest request, boolean granted) {
-    RaftHeader from = request.header();
-    long responseTerm = request.preVote() && granted ? from.term() : state.term;
-    RaftHeader header =
-        new RaftHeader(
-            state.group,
-            state.id,
-            state.incarnation,
-            from.from(),
-            from.fromIncarnation(),
-            responseTerm);
-    state.messagesAfterSync.add(new VoteResponse(header, request.preVote(), granted));
+    voteMessages.respond(request, granted);
   }
 
   private void onVoteResponse(VoteResponse response, long nowMs) {
@@ -434,7 +447,8 @@
     role = ReplicaRole.LEADER;
     follower.setLeader(state.id);
     votes = null;
-    leader = new Replicator(state, nowMs);
+    leader = new Replicator(state, policy, nowMs);
+    leader.setLeaving(leaving);
     leader.append(new LogEntry(state.log.lastIndex() + 1, state.term, null, null), nowMs);
     leader.broadcastHeartbeat(nowMs);
   }
@@ -447,7 +461,7 @@
       follower.onNewTerm();
     }
     if (role == ReplicaRole.LEADER) {
-      resetElectionDeadline(nowMs);
+      timer.reset(nowMs);
     }
     if (role != ReplicaRole.JOINING) {
       role = ReplicaRole.FOLLOWER;
@@ -457,25 +471,19 @@
     votes = null;
   }
 
-  private void resetElectionDeadline(long nowMs) {
-    long spread = state.settings.electionTimeoutMaxMs() - state.settings.electionTimeoutMinMs();
-    electionDeadlineMs =
-        nowMs + state.settings.electionTimeoutMinMs() + random.nextLong(Math.max(1, spread));
-  }
-
   // ---- leader
 
   private void pollLeader(long nowMs) {
     long silenceMs = leader.quorumSilenceMs(nowMs);
-    if (silenceMs > state.settings.electionTimeoutMaxMs()) {
+    boolean handsOver =
+        leaving.contains(state.id) && state.log.configuration().voterCount() > policy.minVoters();
+    if (silenceMs > state.settings.electionTimeoutMaxMs() || handsOver) {
       becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
       return;
     }
     leader.poll(nowMs);
   }
 
-  // ---- follower
-
   private boolean acceptLeader(RaftHeader header, long nowMs) {
     if (header.term() < state.term) {
       return false;
@@ -485,9 +493,7 @@
       becomeFollower(header.term(), header.from(), nowMs);
     }
     follower.setLeaderIncarnation(header.fromIncarnation());
-    refuseVotesUntilMs =
-        Math.max(refuseVotesUntilMs, nowMs + state.settings.electionTimeoutMinMs());
-    resetElectionDeadline(nowMs);
+    timer.onLeaderHeard(nowMs);
     return true;
   }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -3,12 +3,14 @@
 import io.pathdeck.protocol.raft.AppendRequest;
 import io.pathdeck.protocol.raft.AppendResponse;
 import io.pathdeck.protocol.raft.EntryRecord;
+import io.pathdeck.protocol.raft.JoinRequest;
 import io.pathdeck.protocol.raft.LogEntry;
 import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.raft.RaftHeader;
 import io.pathdeck.protocol.raft.SnapshotChunk;
 import io.pathdeck.protocol.raft.SnapshotChunkResponse;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The work of a leader: appends entries, sends them to the members, decides what is committed and
@@ -18,10 +20,10 @@
   private final ReplicaState state;
   private final LeaderState progressTable;
 
-  Replicator(ReplicaState state, long nowMs) {
+  Replicator(ReplicaState state, MembershipPolicy policy, long nowMs) {
     this.state = state;
     this.progressTable =
-        new LeaderState(state.id, state.incarnation, state.settings, state.log.lastIndex(), nowMs);
+        new LeaderState(state.id, state.incarnation, state.settings, policy, nowMs);
     progressTable.adopt(state.log.configuration(), state.log.lastIndex(), nowMs);
   }
 
@@ -34,8 +36,12 @@
     return nowMs - progressTable.quorumAcknowledgedMs(nowMs);
   }
 
-  void onJoinRequest(int memberId, long incarnation, long nowMs) {
-    progressTable.onJoinRequest(memberId, incarnation, nowMs);
+  void onJoinRequest(JoinRequest join, long nowMs) {
+    progressTable.onJoinRequest(join, nowMs);
+  }
+
+  void setLeaving(Set<Integer> ids) {
+    progressTable.setLeaving(ids);
   }
 
   /** Sends heartbeats, and proposes a change of membership that has become possible. */
@@ -132,12 +138,21 @@
         continue;
       }
       progressTable.expireInFlight(progress, nowMs);
-      long previous = Math.max(progress.matchIndex, state.log.snapshotIndex());
+      long previous = Math.max(lastCommonIndex(progress), state.log.snapshotIndex());
       sendAppend(member, previous, List.of(), nowMs);
       replicateTo(member, nowMs);
     }
   }
 
+  /**
+   * Where the member's log is thought to agree. While nothing is known of a member, its heartbeats
+   * ask at the end of the log: one that asked at the beginning would always succeed, and a member
+   * with an empty log would get nothing until the next command.
+   */
+  private static long lastCommonIndex(FollowerProgress progress) {
+    return progress.matchIndex > 0 ? progress.matchIndex : progress.nextIndex - 1;
+  }
+
   private void sendAppend(Member member, long previous, List<LogEntry> entries, long nowMs) {
     state.messages.add(
         new AppendRequest(
--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/VoteMessages.java
@@ -0,0 +1,58 @@
+package io.pathdeck.consensus;
+
+import io.pathdeck.protocol.raft.Member;
+import io.pathdeck.protocol.raft.RaftHeader;
+import io.pathdeck.protocol.raft.VoteRequest;
+import io.pathdeck.protocol.raft.VoteResponse;
+
+/** Writes the messages of elections; a vote leaves only after it is durable. */
+final class VoteMessages {
+  private final ReplicaState state;
+
+  VoteMessages(ReplicaState state) {
+    this.state = state;
+  }
+
+  /** Asks all other voters for a vote, or, with {@code preVote}, whether they would give it. */
+  void request(boolean preVote) {
+    long campaignTerm = preVote ? state.term + 1 : state.term;
+    for (Member member : state.log.configuration().members()) {
+      if (!member.voter() || member.id() == state.id) {
+        continue;
+      }
+      RaftHeader header =
+          new RaftHeader(
+              state.group,
+              state.id,
+              state.incarnation,
+              member.id(),
+              member.incarnation(),
+              campaignTerm);
+      VoteRequest request =
+          new VoteRequest(header, preVote, state.log.lastIndex(), state.log.lastTerm());
+      (preVote ? state.messages : state.messagesAfterSync).add(request);
+    }
+  }
+
+  /** Answers a candidate. */
+  void respond(VoteRequest request, boolean granted) {
+    RaftHeader from = request.header();
+    long responseTerm = request.preVote() && granted ? from.term() : state.term;
+    RaftHeader header =
+        new RaftHeader(
+            state.group,
+            state.id,
+            state.incarnation,
+            from.from(),
+            from.fromIncarnation(),
+            responseTerm);
+    state.messagesAfterSync.add(new VoteResponse(header, request.preVote(), granted));
+  }
+
+  /** Whether the candidate's log is at least as new as this one. */
+  boolean isUpToDate(VoteRequest request) {
+    boolean sameTerm = request.lastTerm() == state.log.lastTerm();
+    return request.lastTerm() > state.log.lastTerm()
+        || (sameTerm && request.lastIndex() >= state.log.lastIndex());
+  }
+}
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
@@ -10,6 +10,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
+import java.util.Optional;
 
 /**
  * The folder that holds a process's durable state, and its incarnation: a random number written
@@ -52,6 +53,26 @@
     return incarnation;
   }
 
+  /** Writes a small file of the folder durably. */
+  public Result<Void, StorageError> writeFile(String name, String content) {
+    try {
+      writeDurably(path.resolve(name), content.getBytes(StandardCharsets.UTF_8));
+      return Result.ok(null);
+    } catch (IOException e) {
+      return Result.err(new StorageError.Io("write " + name, e.toString()));
+    }
+  }
+
+  /** Reads a small file of the folder; empty when it does not exist. */
+  public Optional<String> readFile(String name) {
+    Path file = path.resolve(name);
+    try {
+      return Files.exists(file) ? Optional.of(Files.readString(file)) : Optional.empty();
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
   /** Writes a file so that after a crash it is either absent (or old) or whole. */
   static void writeDurably(Path target, byte[] content) throws IOException {
     Path temporary = target.resolveSibling(target.getFileName() + ".tmp");
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
@@ -38,6 +38,7 @@
   private static final String PREFIX = "log-";
 
   private final Path folder;
+  private final long maxSegmentLength;
 
   /** The highest entry index of each group in each segment, oldest segment first. */
   private final LinkedHashMap<Path, Map<Integer, Long>> segments = new LinkedHashMap<>();
@@ -48,13 +49,20 @@
   private Path current;
   private long nextSequence = 1;
 
-  private SegmentedLog(Path folder) {
+  private SegmentedLog(Path folder, long maxSegmentLength) {
     this.folder = folder;
+    this.maxSegmentLength = maxSegmentLength;
   }
 
   /** Opens the log, handing every recovered record to {@code replay} in order. */
   public static Result<SegmentedLog, StorageError> open(Path folder, Consumer<LogRecord> replay) {
-    SegmentedLog log = new SegmentedLog(folder);
+    return open(folder, MAX_SEGMENT_LENGTH, replay);
+  }
+
+  /** Opens a log whose segments end after {@code maxSegmentLength} bytes. */
+  public static Result<SegmentedLog, StorageError> open(
+      Path folder, long maxSegmentLength, Consumer<LogRecord> replay) {
+    SegmentedLog log = new SegmentedLog(folder, maxSegmentLength);
     try {
       List<Path> files = log.existingSegments();
       for (int i = 0; i < files.size(); i++) {
@@ -123,7 +131,7 @@
 
   /** Writes and syncs records as one batch. When it returns, they are durable. */
   public void append(List<LogRecord> batch) throws IOException {
-    if (channel.position() >= MAX_SEGMENT_LENGTH) {
+    if (channel.position() >= maxSegmentLength) {
       roll();
     }
     write(batch);
--- /dev/null
+++ b/consensus/src/test/java/io/pathdeck/consensus/TestOpenMembership.java
@@ -0,0 +1,106 @@
+package io.pathdeck.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Groups that form from seeds and whose members come and go. */
+class TestOpenMembership {
+  private static final Set<Integer> SEEDS = Set.of(1, 2, 3);
+  private static final Set<Integer> NOBODY = Set.of();
+
+  private static MemoryGroup founded() {
+    MemoryGroup group = new MemoryGroup(MembershipPolicy.openFor(1));
+    SEEDS.forEach(id -> group.start(id, id, SEEDS, SEEDS));
+    group.runFor(3_000);
+    return group;
+  }
+
+  @Test
+  void seedsFoundOneGroup() {
+    assertThat(founded().voters()).isEqualTo(SEEDS);
+  }
+
+  @Test
+  void oneSeedAloneFoundsNothing() {
+    MemoryGroup group = new MemoryGroup(MembershipPolicy.openFor(1));
+    group.start(1, 1, SEEDS, SEEDS);
+    group.runFor(5_000);
+    assertThat(group.leader()).isEmpty();
+  }
+
+  @Test
+  void newcomerBecomesVoterWithinTwoSeconds() {
+    MemoryGroup group = founded();
+    group.start(4, 4, NOBODY, SEEDS);
+    group.runFor(2_000);
+    assertThat(group.voters()).containsExactlyInAnyOrder(1, 2, 3, 4);
+  }
+
+  @Test
+  void newcomerReplacesLostMemberWithinTheCatchUpTime() {
+    MemoryGroup group = founded();
+    group.silence(1);
+    group.runFor(1_000);
+    group.start(4, 4, NOBODY, SEEDS);
+    group.runFor(4_500);
+    assertThat(group.voters()).containsExactlyInAnyOrder(2, 3, 4);
+  }
+
+  @Test
+  void groupIsNotShrunkBelowItsMinimum() {
+    MemoryGroup group = founded();
+    group.silence(1);
+    group.runFor(20_000);
+    assertThat(group.voters()).isEqualTo(SEEDS);
+  }
+
+  @Test
+  void removedMemberIsReadmittedAfterItsCut() {
+    MemoryGroup group = founded();
+    group.start(4, 4, NOBODY, SEEDS);
+    group.runFor(2_000);
+    group.silence(4);
+    group.runFor(6_000);
+    assertThat(group.voters()).isEqualTo(SEEDS);
+    group.heal(4);
+    group.runFor(4_000);
+    assertThat(group.voters()).containsExactlyInAnyOrder(1, 2, 3, 4);
+  }
+
+  @Test
+  void memberWithLostDiskVotesAgainUnderItsNewIncarnation() {
+    MemoryGroup group = founded();
+    assertThat(group.propose(new byte[] {1})).isTrue();
+    group.runFor(500);
+    int lost = group.leader().orElseThrow().leaderId() == 1 ? 2 : 1;
+    group.start(lost, 77, NOBODY, SEEDS);
+    group.runFor(4_000);
+    assertThat(group.voters()).isEqualTo(SEEDS);
+    assertThat(
+            group.leader().orElseThrow().committedConfiguration().orElseThrow().isVoter(lost, 77))
+        .isTrue();
+  }
+
+  @Test
+  void leavingMemberIsRemovedAlsoWhenItLeads() {
+    MemoryGroup group = founded();
+    group.start(4, 4, NOBODY, SEEDS);
+    group.runFor(2_000);
+    int leaving = group.leader().orElseThrow().leaderId();
+    for (int id = 1; id <= 4; id++) {
+      group.replica(id).setLeaving(Set.of(leaving));
+    }
+    group.runFor(6_000);
+    assertThat(group.voters()).hasSize(3).doesNotContain(leaving);
+  }
+
+  @Test
+  void leavingMemberStaysWhileTooFewWouldRemain() {
+    MemoryGroup group = founded();
+    SEEDS.forEach(id -> group.replica(id).setLeaving(Set.of(1)));
+    group.runFor(6_000);
+    assertThat(group.voters()).isEqualTo(SEEDS);
+  }
+}
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -11,6 +11,7 @@
 import io.pathdeck.protocol.message.RaftBatch;
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.raft.EntryRecord;
+import io.pathdeck.protocol.raft.JoinRequest;
 import io.pathdeck.protocol.raft.LogEntry;
 import io.pathdeck.protocol.raft.LogRecord;
 import io.pathdeck.protocol.raft.RaftMessage;
@@ -34,7 +35,8 @@
   private static final long STATUS_INTERVAL_MS = 200;
 
   private final Map<Integer, GroupRuntime> groups;
-  private final Map<Integer, PeerLink> peers;
+  private final PeerLinks peers;
+  private ConsensusExtension extension = ConsensusExtension.NONE;
   private final BoundedRing<ControllerEvent> events;
   private final BoundedRing<ControllerEvent> completions;
   private final BoundedRing<StorageBatch> storage;
@@ -49,7 +51,7 @@
   /** Creates the duty of a recovered controller. */
   public ConsensusDuty(
       Map<Integer, GroupRuntime> groups,
-      Map<Integer, PeerLink> peers,
+      PeerLinks peers,
       ControllerRings rings,
       GroupStorage groupStorage,
       ConfigurationLeases configurationLeases,
@@ -67,6 +69,11 @@
     this.clock = clock;
   }
 
+  /** Adds the process's own work; to be called before the duty starts. */
+  public void extend(ConsensusExtension added) {
+    extension = added;
+  }
+
   @Override
   public String name() {
     return "consensus";
@@ -82,6 +89,7 @@
       group.followRole();
       group.advanceTimeIfIdle(clock);
     }
+    extension.onStep(nowMs);
     work += carryOutReadies();
     publishStatus(nowMs);
     return work;
@@ -97,6 +105,8 @@
       handlePropose(propose);
     } else if (event instanceof ControllerEvent.Read read) {
       handleRead(read, nowMs);
+    } else if (event instanceof ControllerEvent.Task task) {
+      task.action().run();
     } else if (event instanceof ControllerEvent.Heartbeat heartbeat) {
       GroupRuntime meta = groups.get(ControllerProcess.META_GROUP);
       configurationLeases.answer(heartbeat, meta, nowMs);
@@ -107,6 +117,9 @@
 
   private void receive(RaftMessage message, long nowMs) {
     GroupRuntime group = groups.get(message.header().group());
+    if (message instanceof JoinRequest join && !join.address().isEmpty()) {
+      peers.learn(join.header().from(), join.address());
+    }
     if (group != null) {
       group.replica().receive(message, nowMs);
     }
@@ -246,7 +259,7 @@
   private void send(Map<Integer, List<RaftMessage>> outgoing) {
     outgoing.forEach(
         (peer, messages) -> {
-          PeerLink link = peers.get(peer);
+          PeerLink link = peers.to(peer);
           if (link != null) {
             link.send(new RaftBatch(messages));
           }
@@ -256,10 +269,22 @@
   private void publishStatus(long nowMs) {
     if (nowMs >= nextStatusMs) {
       nextStatusMs = nowMs + STATUS_INTERVAL_MS;
+      groups.values().forEach(this::learnAddresses);
       status.publish(ControllerStatus.of(groups.values()));
     }
   }
 
+  private void learnAddresses(GroupRuntime group) {
+    group
+        .replica()
+        .configuration()
+        .ifPresent(
+            configuration ->
+                configuration.members().stream()
+                    .filter(member -> !member.address().isEmpty())
+                    .forEach(member -> peers.learn(member.id(), member.address())));
+  }
+
   @Override
   public long maxIdleNs() {
     return MAX_IDLE_NS;
--- a/control/src/main/java/io/pathdeck/control/ControllerEvent.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerEvent.java
@@ -48,6 +48,9 @@
   /** A process asks for its configuration lease. */
   record Heartbeat(ConfigurationHeartbeat heartbeat, ReplySink reply) implements ControllerEvent {}
 
+  /** Something to be done on the consensus duty's thread. */
+  record Task(Runnable action) implements ControllerEvent {}
+
   /** Records of a batch are durable. */
   record Synced(List<SyncedGroup> groups) implements ControllerEvent {}
 
--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -110,7 +110,7 @@
     ConsensusDuty consensusDuty =
         new ConsensusDuty(
             groups,
-            peers,
+            PeerLinks.fixed(peers),
             rings,
             groupStorage,
             new ConfigurationLeases(settings.partitions(), settings.configurationLeaseMs()),
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -16,6 +16,7 @@
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.query.Query;
 import io.pathdeck.protocol.raft.LogEntry;
+import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.state.StateMachine;
 import java.util.ArrayDeque;
@@ -70,7 +71,8 @@
     this.snapshotIndex = appliedIndex;
   }
 
-  int group() {
+  /** The number of the group. */
+  public int group() {
     return group;
   }
 
@@ -92,10 +94,11 @@
 
   // ---- proposals and reads
 
-  void propose(
+  /** Replicates a command and answers with its result. */
+  public void propose(
       String clientId, long requestId, Command command, ReplySink reply, ControllerClock clock) {
     if (replica.role() != ReplicaRole.LEADER) {
-      reply.reply(new NotLeader(replica.leaderId()));
+      reply.reply(notLeader());
       return;
     }
     if (appliedIndex < firstIndexAsLeader) {
@@ -115,6 +118,22 @@
     proposals.put(index.getAsLong(), new PendingProposal(replica.term(), reply));
   }
 
+  private NotLeader notLeader() {
+    int leader = replica.leaderId();
+    String address =
+        replica
+            .configuration()
+            .flatMap(configuration -> configuration.find(leader))
+            .map(Member::address)
+            .orElse("");
+    return new NotLeader(leader, address);
+  }
+
+  /** Whether this replica leads and has applied what earlier leaders committed. */
+  public boolean isLeading() {
+    return replica.role() == ReplicaRole.LEADER && appliedIndex >= firstIndexAsLeader;
+  }
+
   /** Lets time pass in the state when commands do not. */
   void advanceTimeIfIdle(ControllerClock clock) {
     long nowMs = clock.monotonicMs();
@@ -125,12 +144,13 @@
     }
   }
 
-  void read(Query query, ReplySink reply, long nowMs) {
+  /** Answers a linearizable read. */
+  public void read(Query query, ReplySink reply, long nowMs) {
     readLinearizably(() -> reply.reply(new QueryReply(stateMachine.query(query))), reply, nowMs);
   }
 
   /** Runs {@code answer} once the state is at least as new as this moment. */
-  void readLinearizably(Runnable answer, ReplySink refusal, long nowMs) {
+  public void readLinearizably(Runnable answer, ReplySink refusal, long nowMs) {
     OptionalLong index = replica.readIndex(nowMs);
     if (index.isPresent() && index.getAsLong() <= appliedIndex) {
       answer.run();
@@ -139,7 +159,7 @@
     } else if (replica.role() == ReplicaRole.LEADER) {
       refusal.reply(new Unavailable("the leader has no lease yet", false));
     } else {
-      refusal.reply(new NotLeader(replica.leaderId()));
+      refusal.reply(notLeader());
     }
   }
 
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
@@ -0,0 +1,59 @@
+package io.pathdeck.fleet;
+
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.common.settings.SettingsReader;
+import io.pathdeck.common.settings.TlsSettings;
+import java.util.List;
+
+/**
+ * What every process of a fleet is told.
+ *
+ * @param name the machine's name, one of its own for each
+ * @param listen where other processes reach this one
+ * @param seeds coordinators as they stood when the settings were written
+ * @param toleratedLosses how many machines with data may be lost at once
+ */
+public record FleetSettings(
+    String name,
+    String zone,
+    HostPort listen,
+    List<HostPort> seeds,
+    int toleratedLosses,
+    TlsSettings tls) {
+  private static final int MAX_TOLERATED = 4;
+  private static final int MAX_PORT = 65_535;
+
+  /** Reads the common part of a role's settings. */
+  public static FleetSettings read(SettingsReader reader) {
+    int seedPort = reader.integer("seed_port", 0, 0, MAX_PORT);
+    List<HostPort> seeds =
+        reader.addresses("seeds").stream()
+            .map(seed -> seedPort == 0 ? seed : new HostPort(seed.host(), seedPort))
+            .toList();
+    FleetSettings settings =
+        new FleetSettings(
+            reader.string("name"),
+            reader.string("zone"),
+            reader.address("listen"),
+            seeds,
+            reader.integer("tolerated_losses", 1, 0, MAX_TOLERATED),
+            TlsSettings.read(reader));
+    boolean trusted = reader.bool("trusted_network", false);
+    boolean loopback = settings.listen().isLoopback();
+    if (!loopback && !trusted && !settings.tls().isEnabled()) {
+      reader.problem(
+          "trusted_network", "must be true, or TLS must be set, for addresses beyond loopback");
+    }
+    return settings;
+  }
+
+  /** The addresses of the seeds. */
+  public List<String> seedAddresses() {
+    return seeds.stream().map(HostPort::toString).toList();
+  }
+
+  /** The number of members at which a group still has a quorum after the tolerated losses. */
+  public int minMembers() {
+    return 2 * toleratedLosses + 1;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/CallerCall.java
@@ -0,0 +1,46 @@
+package io.pathdeck.fleet.adapter;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/** What a caller asks a gateway for. */
+public sealed interface CallerCall {
+
+  /**
+   * A request to be matched against the routes.
+   *
+   * @param requestId the caller's id of this attempt; empty when it gave none
+   * @param path the path without the query, as routes see it
+   * @param deadlineMs how long the caller waits; 0 when it did not say
+   * @param resumeAfter the last event the caller has; -1 when it starts from the beginning
+   * @param promptTokens the tokens of the prompt; 0 when not stated
+   * @param outputTokens the most tokens out; 0 when not stated
+   * @param headers what is passed on to an engine
+   */
+  record Request(
+      String requestId,
+      String host,
+      String path,
+      long deadlineMs,
+      long resumeAfter,
+      long promptTokens,
+      long outputTokens,
+      List<PromptPart> promptParts,
+      HttpHeaders headers)
+      implements CallerCall {}
+
+  /** A part of a prompt that other requests may share. */
+  record PromptPart(String id, long tokens) {}
+
+  /** Reads results of a batch job. */
+  record ReadResults(String jobId, int from, long waitMs) implements CallerCall {}
+
+  /** Reads the body of an item that waits. */
+  record ReadItem(String jobId, String itemId) implements CallerCall {}
+
+  /** Ends a batch job. */
+  record EndJob(String jobId) implements CallerCall {}
+
+  /** Not a call of this protocol. */
+  record Malformed(String reason) implements CallerCall {}
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/OperatorProtocol.java
@@ -0,0 +1,12 @@
+package io.pathdeck.fleet.adapter;
+
+import io.pathdeck.serving.http.HttpExchange;
+
+/** Reads operators' calls and writes answers for them. */
+public interface OperatorProtocol {
+  /** What the exchange asks for. */
+  OperatorCall read(HttpExchange exchange);
+
+  /** The answer to how far a store is emptied. */
+  byte[] writeEmptying(boolean done);
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -0,0 +1,223 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.pathdeck.common.duty.ResourceStack;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.http.EventLoops;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.consensus.JoinSettings;
+import io.pathdeck.consensus.MembershipPolicy;
+import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.consensus.storage.StorageError;
+import io.pathdeck.control.ReplicaHost;
+import io.pathdeck.fleet.FleetMemberProcess;
+import io.pathdeck.fleet.FleetSettings;
+import io.pathdeck.fleet.adapter.FleetAdapter;
+import io.pathdeck.fleet.member.CoordinatorContacts;
+import io.pathdeck.fleet.member.FleetFollower;
+import io.pathdeck.fleet.member.MemberIds;
+import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.message.FleetHeartbeat;
+import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
+import io.pathdeck.protocol.transport.PeerServer;
+import io.pathdeck.protocol.transport.TransportTls;
+import io.pathdeck.serving.http.HttpExchange;
+import io.pathdeck.serving.http.HttpLimits;
+import io.pathdeck.serving.http.HttpServer;
+import io.pathdeck.state.FleetStateMachine;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+/** A coordinator: keeps configuration and membership, serves operators and the directory. */
+public final class CoordinatorProcess implements FleetMemberProcess {
+  /** The number of the group that keeps the fleet's configuration. */
+  public static final int FLEET_GROUP = 0;
+
+  private static final EventLog EVENTS = EventLog.of(CoordinatorProcess.class);
+  private static final long SNAPSHOT_THRESHOLD_BYTES = 4L * 1024 * 1024;
+  private static final long MAX_SEGMENT_BYTES = 8L * 1024 * 1024;
+  private static final String FOUNDERS_FILE = "founders";
+  private static final HttpLimits HTTP_LIMITS =
+      new HttpLimits(16 * 1024, 8 * 1024 * 1024, 8 * 1024 * 1024, 2_000, 20_000);
+
+  private final CoordinatorSettings settings;
+  private final ResourceStack resources = new ResourceStack();
+  private CoordinatorContacts contacts;
+
+  private CoordinatorProcess(CoordinatorSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Recovers the data folder and starts. */
+  public static Result<CoordinatorProcess, StorageError> start(
+      CoordinatorSettings settings, TransportTls tls, FleetAdapter adapter) {
+    Result<DataFolder, StorageError> folder = DataFolder.open(settings.dataFolder());
+    if (!folder.isOk()) {
+      return Result.err(folder.error());
+    }
+    CoordinatorProcess process = new CoordinatorProcess(settings);
+    return process.run(folder.value(), tls, adapter).map(started -> process);
+  }
+
+  private Result<Void, StorageError> run(
+      DataFolder folder, TransportTls tls, FleetAdapter adapter) {
+    FleetSettings fleet = settings.fleet();
+    Result<Set<String>, StorageError> founders = founders(folder);
+    if (!founders.isOk()) {
+      return Result.err(founders.error());
+    }
+    EventLoopGroup eventLoops = EventLoops.create(1);
+    resources.push(eventLoops::shutdownGracefully);
+    EventLoop eventLoop = eventLoops.next();
+    PeerPool pool = resources.push(new PeerPool(eventLoops, tls));
+    Set<String> contacts = new HashSet<>(founders.value());
+    contacts.addAll(fleet.seedAddresses());
+    contacts.forEach(address -> pool.learn(MemberIds.of(address), address));
+    FleetStateMachine state = new FleetStateMachine();
+    Result<ReplicaHost, StorageError> host =
+        ReplicaHost.open(options(state, founders.value(), contacts), folder, pool);
+    if (!host.isOk()) {
+      return Result.err(host.error());
+    }
+    startServices(host.value(), state, folder, eventLoops, eventLoop, pool, tls, adapter);
+    return Result.ok(null);
+  }
+
+  /** The first members of the group, for a process of the first start; kept for a restart. */
+  private Result<Set<String>, StorageError> founders(DataFolder folder) {
+    Optional<String> stored = folder.readFile(FOUNDERS_FILE);
+    if (stored.isEmpty() && settings.firstStart()) {
+      String list = String.join(",", settings.fleet().seedAddresses());
+      Result<Void, StorageError> written = folder.writeFile(FOUNDERS_FILE, list);
+      if (!written.isOk()) {
+        return Result.err(written.error());
+      }
+      stored = Optional.of(list);
+    }
+    return Result.ok(
+        stored.map(list -> Set.copyOf(Arrays.asList(list.split(",")))).orElse(Set.of()));
+  }
+
+  private ReplicaHost.Options options(
+      FleetStateMachine state, Set<String> founders, Set<String> contacts) {
+    FleetSettings fleet = settings.fleet();
+    String address = fleet.listen().toString();
+    JoinSettings join =
+        new JoinSettings(
+            founders.contains(address) ? ids(founders) : Set.of(),
+            ids(contacts),
+            address,
+            MembershipPolicy.openFor(fleet.toleratedLosses()));
+    return new ReplicaHost.Options(
+        FLEET_GROUP,
+        MemberIds.of(address),
+        join,
+        state,
+        SNAPSHOT_THRESHOLD_BYTES,
+        MAX_SEGMENT_BYTES);
+  }
+
+  private static Set<Integer> ids(Set<String> addresses) {
+    return addresses.stream().map(MemberIds::of).collect(Collectors.toSet());
+  }
+
+  private void startServices(
+      ReplicaHost host,
+      FleetStateMachine state,
+      DataFolder folder,
+      EventLoopGroup eventLoops,
+      EventLoop eventLoop,
+      PeerPool pool,
+      TransportTls tls,
+      FleetAdapter adapter) {
+    FleetSettings fleet = settings.fleet();
+    FleetMembership[] membership = new FleetMembership[1];
+    EngineListPoller poller =
+        new EngineListPoller(
+            eventLoop,
+            adapter.engineList(),
+            settings.engineList(),
+            settings.engineListIntervalMs(),
+            listed -> host.execute(() -> membership[0].onEngineList(listed)));
+    membership[0] =
+        new FleetMembership(
+            host.group(), state, host.clock(), fleet.minMembers(), poller::setPolling);
+    contacts = new CoordinatorContacts(fleet, pool, eventLoops);
+    FleetProcess self =
+        new FleetProcess(
+            fleet.name(),
+            FleetRole.COORDINATOR,
+            fleet.zone(),
+            MemberIds.of(fleet.listen().toString()),
+            folder.incarnation(),
+            fleet.listen().toString(),
+            settings.operatorsListen().toString(),
+            true);
+    FleetFollower follower =
+        contacts.follower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
+    resources.push(
+        new PeerServer(
+            fleet.listen(),
+            eventLoops,
+            tls,
+            (message, reply) -> route(message, reply, host, membership[0])));
+    OperatorEndpoint operators =
+        new OperatorEndpoint(
+            adapter.operators(), contacts.client(), follower::view, fleet.minMembers());
+    DirectoryEndpoint directory = new DirectoryEndpoint(adapter.directory(), follower::view);
+    serve(settings.operatorsListen(), eventLoops, operators::handle);
+    serve(settings.directoryListen(), eventLoops, directory::handle);
+    resources.push(host);
+    host.start(membership[0]);
+    resources.push(follower);
+    follower.start();
+    EVENTS.log(
+        EventCode.PROCESS_STARTED,
+        "role",
+        "coordinator",
+        "id",
+        fleet.name(),
+        "listen",
+        fleet.listen(),
+        "member",
+        self.memberId(),
+        "incarnation",
+        folder.incarnation());
+  }
+
+  private static void route(
+      Message message, ReplySink reply, ReplicaHost host, FleetMembership membership) {
+    if (message instanceof FleetHeartbeat heartbeat) {
+      host.execute(() -> membership.onHeartbeat(heartbeat, reply));
+    } else {
+      host.handle(message, reply);
+    }
+  }
+
+  private void serve(HostPort address, EventLoopGroup eventLoops, Consumer<HttpExchange> handler) {
+    resources.push(new HttpServer(address, eventLoops, HTTP_LIMITS, Optional.empty(), handler));
+  }
+
+  @Override
+  public void reload(FleetSettings changed) {
+    contacts.setSeeds(changed.seedAddresses());
+    EVENTS.log(EventCode.SETTINGS_RELOADED, "seeds", changed.seedAddresses());
+  }
+
+  @Override
+  public void close() {
+    EVENTS.log(EventCode.PROCESS_STOPPING, "role", "coordinator", "id", settings.fleet().name());
+    resources.closeAll();
+    EVENTS.log(EventCode.PROCESS_STOPPED, "role", "coordinator", "id", settings.fleet().name());
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorSettings.java
@@ -0,0 +1,41 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.pathdeck.common.result.Result;
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.common.settings.SettingsError;
+import io.pathdeck.common.settings.SettingsReader;
+import io.pathdeck.fleet.FleetSettings;
+import java.nio.file.Path;
+
+/**
+ * The settings of a coordinator.
+ *
+ * @param operatorsListen where operators connect
+ * @param directoryListen where callers ask where to go
+ * @param firstStart whether this is the first start of the whole system, on empty disks
+ * @param engineList where the list of engines is read
+ */
+public record CoordinatorSettings(
+    FleetSettings fleet,
+    HostPort operatorsListen,
+    HostPort directoryListen,
+    Path dataFolder,
+    boolean firstStart,
+    HostPort engineList,
+    int engineListIntervalMs) {
+  private static final int DEFAULT_INTERVAL_MS = 800;
+
+  /** Reads and checks the settings. */
+  public static Result<CoordinatorSettings, SettingsError> read(SettingsReader reader) {
+    CoordinatorSettings settings =
+        new CoordinatorSettings(
+            FleetSettings.read(reader),
+            reader.address("operators_listen"),
+            reader.address("directory_listen"),
+            reader.path("data_folder"),
+            reader.bool("first_start", false),
+            reader.address("engine_list"),
+            reader.integer("engine_list_interval_ms", DEFAULT_INTERVAL_MS, 100, 10_000));
+    return reader.finish(settings);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -0,0 +1,240 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.control.ConsensusExtension;
+import io.pathdeck.control.ControllerClock;
+import io.pathdeck.control.GroupRuntime;
+import io.pathdeck.protocol.command.FoundJobsGroup;
+import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.JobsGroupReport;
+import io.pathdeck.protocol.fleet.ProcessListDelta;
+import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.message.FleetHeartbeat;
+import io.pathdeck.protocol.message.FleetUpdate;
+import io.pathdeck.protocol.raft.GroupConfiguration;
+import io.pathdeck.protocol.raft.Member;
+import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
+import io.pathdeck.state.FleetStateMachine;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+/**
+ * What the leader of the coordinators knows of the processes and engines; runs on the thread of the
+ * consensus duty.
+ *
+ * <p>This knowledge is not replicated: a new leader collects it anew under its own term, and sends
+ * no list before it had the time to hear of everybody.
+ */
+final class FleetMembership implements ConsensusExtension {
+  /** How long a process may be silent before the others are told that it is gone. */
+  private static final long PROCESS_TIMEOUT_MS = 1_500;
+
+  /** How long a new leader listens before it tells who is there. */
+  private static final long COLLECTION_MS = 1_000;
+
+  /** How long no further store may have come before the jobs group is founded. */
+  private static final long FOUNDING_SETTLE_MS = 700;
+
+  private static final EventLog EVENTS = EventLog.of(FleetMembership.class);
+
+  private final GroupRuntime group;
+  private final FleetStateMachine state;
+  private final ControllerClock clock;
+  private final int minStores;
+  private final Consumer<Boolean> leadershipListener;
+  private final VersionedList<FleetProcess> processes = new VersionedList<>();
+  private final VersionedList<EngineInstance> engines = new VersionedList<>();
+  private final Map<String, Long> lastHeardMs = new HashMap<>();
+  private final TreeMap<Integer, Member> founders = new TreeMap<>();
+  private boolean leading;
+  private long epoch;
+  private long leadsSinceMs;
+  private boolean enginesKnown;
+  private JobsGroupReport jobsGroup;
+  private long newestFounderMs;
+  private boolean foundingProposed;
+
+  /**
+   * Creates the membership of a coordinator.
+   *
+   * @param minStores how many stores the jobs group needs at least
+   * @param leadershipListener hears when this coordinator begins or ends to lead
+   */
+  FleetMembership(
+      GroupRuntime group,
+      FleetStateMachine state,
+      ControllerClock clock,
+      int minStores,
+      Consumer<Boolean> leadershipListener) {
+    this.group = group;
+    this.state = state;
+    this.clock = clock;
+    this.minStores = minStores;
+    this.leadershipListener = leadershipListener;
+  }
+
+  @Override
+  public void onStep(long nowMs) {
+    boolean leads = group.isLeading();
+    boolean newTerm = leads && group.replica().term() != epoch;
+    if (leads != leading || newTerm) {
+      onLeadershipChanged(leads, nowMs);
+    }
+    if (leading) {
+      expireProcesses(nowMs);
+      foundJobsGroupIfReady(nowMs);
+    }
+  }
+
+  private void onLeadershipChanged(boolean leads, long nowMs) {
+    leading = leads;
+    epoch = group.replica().term();
+    leadsSinceMs = nowMs;
+    processes.clear();
+    engines.clear();
+    lastHeardMs.clear();
+    founders.clear();
+    enginesKnown = false;
+    foundingProposed = false;
+    jobsGroup = null;
+    leadershipListener.accept(leads);
+  }
+
+  private void expireProcesses(long nowMs) {
+    for (String name : processes.keys()) {
+      long silentMs = nowMs - lastHeardMs.getOrDefault(name, nowMs);
+      if (silentMs > PROCESS_TIMEOUT_MS) {
+        processes.remove(name);
+        EVENTS.log(EventCode.PROCESS_LOST, "process", name, "silent_ms", silentMs);
+      }
+    }
+  }
+
+  // ---- heartbeats
+
+  /** Answers a heartbeat when this coordinator can tell that it leads. */
+  void onHeartbeat(FleetHeartbeat heartbeat, ReplySink reply) {
+    long nowMs = clock.monotonicMs();
+    group.readLinearizably(() -> answer(heartbeat, reply), reply, nowMs);
+  }
+
+  private void answer(FleetHeartbeat heartbeat, ReplySink reply) {
+    long nowMs = clock.monotonicMs();
+    if (!leading) {
+      onLeadershipChanged(true, nowMs);
+    }
+    note(heartbeat, nowMs);
+    reply.reply(
+        new FleetUpdate(
+            routesFor(heartbeat),
+            enginesFor(heartbeat),
+            processesFor(heartbeat, nowMs),
+            state.jobsFounders().orElse(null),
+            jobsGroup,
+            state.leaving().stream().map(SetStoreLeaving::memberId).toList()));
+  }
+
+  private void note(FleetHeartbeat heartbeat, long nowMs) {
+    FleetProcess sender = heartbeat.sender();
+    if (processes.get(sender.name()) == null) {
+      EVENTS.log(
+          EventCode.PROCESS_JOINED,
+          "process",
+          sender.name(),
+          "role",
+          sender.role(),
+          "address",
+          sender.peerAddress());
+    }
+    processes.put(sender.name(), sender);
+    lastHeardMs.put(sender.name(), nowMs);
+    JobsGroupReport report = heartbeat.jobsGroup();
+    if (report != null && (jobsGroup == null || report.term() >= jobsGroup.term())) {
+      jobsGroup = report;
+    }
+    if (sender.role() == FleetRole.STORE && heartbeat.mayFound()) {
+      noteFounder(sender, nowMs);
+    }
+  }
+
+  private void noteFounder(FleetProcess sender, long nowMs) {
+    Member member = new Member(sender.memberId(), sender.incarnation(), true, sender.peerAddress());
+    if (!member.equals(founders.put(sender.memberId(), member))) {
+      newestFounderMs = nowMs;
+    }
+  }
+
+  private void foundJobsGroupIfReady(long nowMs) {
+    boolean ready = founders.size() >= minStores && nowMs - newestFounderMs >= FOUNDING_SETTLE_MS;
+    if (foundingProposed || !ready || state.jobsFounders().isPresent()) {
+      return;
+    }
+    foundingProposed = true;
+    GroupConfiguration first = new GroupConfiguration(new ArrayList<>(founders.values()));
+    EVENTS.log(EventCode.JOBS_GROUP_FOUNDED, "members", first.members());
+    group.propose("", 0, new FoundJobsGroup(first), reply -> {}, clock);
+  }
+
+  private RouteTable routesFor(FleetHeartbeat heartbeat) {
+    RouteTable held = state.table().orElse(null);
+    if (held == null || held.version() <= heartbeat.routeVersion()) {
+      return null;
+    }
+    return new RouteTable(held.version(), held.routes(), held.services(), new byte[0]);
+  }
+
+  private EngineListDelta enginesFor(FleetHeartbeat heartbeat) {
+    if (!enginesKnown) {
+      return null;
+    }
+    VersionedList.Delta<EngineInstance> delta =
+        engines.since(heartbeat.engineSequence(), heartbeat.engineEpoch() == epoch);
+    return new EngineListDelta(
+        epoch, delta.full(), delta.changed(), delta.removed(), delta.sequence());
+  }
+
+  private ProcessListDelta processesFor(FleetHeartbeat heartbeat, long nowMs) {
+    if (nowMs - leadsSinceMs < COLLECTION_MS) {
+      return null;
+    }
+    VersionedList.Delta<FleetProcess> delta =
+        processes.since(heartbeat.processSequence(), heartbeat.processEpoch() == epoch);
+    return new ProcessListDelta(
+        epoch, delta.full(), delta.changed(), delta.removed(), delta.sequence());
+  }
+
+  // ---- engines
+
+  /** Takes over the list of engines as it was just read; {@code readInEpoch} must still hold. */
+  void onEngineList(List<EngineInstance> listed) {
+    if (!leading) {
+      return;
+    }
+    Set<String> ids = listed.stream().map(EngineInstance::id).collect(Collectors.toSet());
+    int changes = 0;
+    for (EngineInstance engine : listed) {
+      changes += engines.put(engine.id(), engine) ? 1 : 0;
+    }
+    for (String id : engines.keys()) {
+      if (!ids.contains(id)) {
+        engines.remove(id);
+        changes++;
+      }
+    }
+    enginesKnown = true;
+    if (changes > 0) {
+      EVENTS.log(EventCode.ENGINE_LIST_CHANGED, "engines", listed.size(), "changes", changes);
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
@@ -0,0 +1,182 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.fleet.adapter.OperatorCall;
+import io.pathdeck.fleet.adapter.OperatorProtocol;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.member.GroupCallError;
+import io.pathdeck.fleet.member.GroupClient;
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.PutRouteTable;
+import io.pathdeck.protocol.command.RouteTableHeld;
+import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.ProposeReply;
+import io.pathdeck.protocol.message.ProposeRequest;
+import io.pathdeck.protocol.message.QueryReply;
+import io.pathdeck.protocol.message.QueryRequest;
+import io.pathdeck.protocol.query.ReadRouteTable;
+import io.pathdeck.protocol.query.RouteTableResult;
+import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.HttpExchange;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Serves operators on any coordinator, by way of the one that leads. */
+final class OperatorEndpoint {
+  private static final EventLog EVENTS = EventLog.of(OperatorEndpoint.class);
+  private static final long CALL_TIMEOUT_MS = 1_500;
+  private static final long ATTEMPT_TIMEOUT_MS = 700;
+  private static final String JSON = "application/json";
+
+  private final OperatorProtocol protocol;
+  private final GroupClient coordinators;
+  private final Supplier<FleetView> view;
+  private final int minStores;
+
+  OperatorEndpoint(
+      OperatorProtocol protocol,
+      GroupClient coordinators,
+      Supplier<FleetView> view,
+      int minStores) {
+    this.protocol = protocol;
+    this.coordinators = coordinators;
+    this.view = view;
+    this.minStores = minStores;
+  }
+
+  void handle(HttpExchange exchange) {
+    OperatorCall call = protocol.read(exchange);
+    if (call instanceof OperatorCall.PutRoutes put) {
+      putRoutes(exchange, put.table());
+    } else if (call instanceof OperatorCall.ReadRoutes) {
+      readRoutes(exchange);
+    } else if (call instanceof OperatorCall.EmptyStore empty) {
+      emptyStore(exchange, empty.name());
+    } else if (call instanceof OperatorCall.ReadEmptying read) {
+      readEmptying(exchange, read.name());
+    } else if (call instanceof OperatorCall.Invalid invalid) {
+      refuse(exchange, invalid.reason());
+    } else {
+      exchange.sendError(ApiError.notFound("not_found", "no such call"));
+    }
+  }
+
+  private static void refuse(HttpExchange exchange, String reason) {
+    EVENTS.log(EventCode.ROUTES_REFUSED, "reason", reason);
+    exchange.sendError(ApiError.invalid("invalid", reason));
+  }
+
+  private void putRoutes(HttpExchange exchange, RouteTable table) {
+    Optional<String> problem = RouteTableCheck.problem(table);
+    if (problem.isPresent()) {
+      refuse(exchange, problem.get());
+      return;
+    }
+    propose(
+        new PutRouteTable(table),
+        result -> {
+          boolean held =
+              result.isOk() && ((ProposeReply) result.value()).result() instanceof RouteTableHeld;
+          if (held) {
+            EVENTS.log(EventCode.ROUTES_ACCEPTED, "version", table.version());
+            exchange.sendJson(200, new byte[] {'{', '}'});
+          } else {
+            sendUnsure(exchange, result);
+          }
+        });
+  }
+
+  private void readRoutes(HttpExchange exchange) {
+    coordinators
+        .call(
+            new QueryRequest(CoordinatorProcess.FLEET_GROUP, new ReadRouteTable()),
+            CALL_TIMEOUT_MS,
+            ATTEMPT_TIMEOUT_MS)
+        .thenAccept(
+            result -> {
+              if (result.isOk()
+                  && result.value() instanceof QueryReply reply
+                  && reply.result() instanceof RouteTableResult read) {
+                sendRoutes(exchange, read.table());
+              } else {
+                sendUnsure(exchange, result);
+              }
+            });
+  }
+
+  private static void sendRoutes(HttpExchange exchange, RouteTable table) {
+    if (table == null) {
+      exchange.sendError(ApiError.unavailable("no_configuration", "none was sent yet", 1_000));
+    } else {
+      exchange.send(200, JSON, table.document());
+    }
+  }
+
+  private void emptyStore(HttpExchange exchange, String name) {
+    FleetView known = view.get();
+    Optional<FleetProcess> store = known.store(name);
+    if (store.isEmpty()) {
+      exchange.sendError(ApiError.notFound("no_such_store", "no store " + name));
+      return;
+    }
+    int memberId = store.get().memberId();
+    long remaining =
+        known.withRole(FleetRole.STORE).stream()
+            .filter(other -> other.memberId() != memberId)
+            .filter(other -> !known.leavingMembers().contains(other.memberId()))
+            .count();
+    boolean alreadyLeaving = known.leavingMembers().contains(memberId);
+    if (!alreadyLeaving && remaining < minStores) {
+      exchange.sendError(
+          ApiError.conflict(
+              "too_few_stores", remaining + " stores would remain of " + minStores, true));
+      return;
+    }
+    propose(
+        new SetStoreLeaving(name, memberId),
+        result -> {
+          if (result.isOk()) {
+            EVENTS.log(EventCode.STORE_LEAVING, "store", name, "remaining", remaining);
+            exchange.sendJson(200, protocol.writeEmptying(false));
+          } else {
+            sendUnsure(exchange, result);
+          }
+        });
+  }
+
+  private void readEmptying(HttpExchange exchange, String name) {
+    FleetView known = view.get();
+    Optional<FleetProcess> store = known.store(name);
+    if (store.isEmpty()) {
+      exchange.sendError(ApiError.notFound("no_such_store", "no store " + name));
+      return;
+    }
+    int memberId = store.get().memberId();
+    boolean done =
+        known.leavingMembers().contains(memberId)
+            && known.jobsGroup() != null
+            && known.jobsGroup().configuration().find(memberId).isEmpty();
+    exchange.sendJson(200, protocol.writeEmptying(done));
+  }
+
+  private void propose(Command command, Consumer<Result<Message, GroupCallError>> answer) {
+    coordinators
+        .call(
+            new ProposeRequest(CoordinatorProcess.FLEET_GROUP, "", 0, command),
+            CALL_TIMEOUT_MS,
+            ATTEMPT_TIMEOUT_MS)
+        .thenAccept(answer);
+  }
+
+  private static void sendUnsure(HttpExchange exchange, Result<Message, GroupCallError> result) {
+    String reason = result.isOk() ? "unexpected answer" : result.error().reason();
+    exchange.sendError(ApiError.failed(503, "no_leader", reason, true));
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/RouteTableCheck.java
@@ -0,0 +1,54 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.fleet.RouteTarget;
+import io.pathdeck.protocol.fleet.ServiceLimits;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Checks a configuration before it is taken. */
+final class RouteTableCheck {
+  private RouteTableCheck() {}
+
+  /** What is wrong with the configuration; empty when nothing is. */
+  static Optional<String> problem(RouteTable table) {
+    Set<String> services =
+        table.services().stream().map(ServiceLimits::name).collect(Collectors.toSet());
+    Set<String> places = new HashSet<>();
+    for (RouteSpec route : table.routes()) {
+      Optional<String> problem = problem(route, services);
+      if (problem.isPresent()) {
+        return problem.map(found -> "route " + route.name() + ": " + found);
+      }
+      if (!places.add(route.host() + ' ' + route.pathPrefix())) {
+        return Optional.of(
+            "route " + route.name() + ": another route has the same host and prefix");
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<String> problem(RouteSpec route, Set<String> services) {
+    long weights = 0;
+    for (RouteTarget target : route.targets()) {
+      if (!services.contains(target.service())) {
+        return Optional.of("unknown service " + target.service());
+      }
+      if (target.weight() < 0) {
+        return Optional.of("a weight below 0");
+      }
+      weights += target.weight();
+    }
+    if (weights == 0) {
+      return Optional.of("the weights sum to 0");
+    }
+    if (route.timeoutMs() <= 0) {
+      return Optional.of("the timeout must be above 0");
+    }
+    boolean framed = route.pathPrefix().startsWith("/") && route.pathPrefix().endsWith("/");
+    return framed ? Optional.empty() : Optional.of("a prefix begins and ends with a slash");
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/VersionedList.java
@@ -0,0 +1,91 @@
+package io.pathdeck.fleet.coordinator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * A list whose changes are counted, so that a reader is sent only what it lacks.
+ *
+ * @param <V> the entries; equal entries are no change
+ */
+final class VersionedList<V> {
+  private static final int MAX_REMOVALS = 1_024;
+
+  private record Entry<V>(V value, long sequence) {}
+
+  /** What a reader lacks. */
+  record Delta<V>(boolean full, List<V> changed, List<String> removed, long sequence) {}
+
+  private final Map<String, Entry<V>> entries = new HashMap<>();
+  private final Map<String, Long> removals = new HashMap<>();
+  private long sequence;
+  private long forgottenUpTo;
+
+  /** Adds or replaces an entry; returns whether that is a change. */
+  boolean put(String key, V value) {
+    Entry<V> known = entries.get(key);
+    if (known != null && Objects.equals(known.value(), value)) {
+      return false;
+    }
+    entries.put(key, new Entry<>(value, ++sequence));
+    removals.remove(key);
+    return true;
+  }
+
+  /** Removes an entry; returns whether there was one. */
+  boolean remove(String key) {
+    if (entries.remove(key) == null) {
+      return false;
+    }
+    removals.put(key, ++sequence);
+    if (removals.size() > MAX_REMOVALS) {
+      forgottenUpTo = sequence;
+      removals.clear();
+    }
+    return true;
+  }
+
+  V get(String key) {
+    Entry<V> entry = entries.get(key);
+    return entry == null ? null : entry.value();
+  }
+
+  List<String> keys() {
+    return new ArrayList<>(entries.keySet());
+  }
+
+  List<V> values() {
+    return entries.values().stream().map(Entry::value).toList();
+  }
+
+  void clear() {
+    entries.clear();
+    removals.clear();
+    sequence = 0;
+    forgottenUpTo = 0;
+  }
+
+  /** What a reader lacks that knows the list up to {@code known}; all when it knows nothing. */
+  Delta<V> since(long known, boolean knowsThisList) {
+    boolean full = !knowsThisList || known < forgottenUpTo || known > sequence;
+    List<V> changed = new ArrayList<>();
+    List<String> removed = new ArrayList<>();
+    for (Entry<V> entry : entries.values()) {
+      if (full || entry.sequence() > known) {
+        changed.add(entry.value());
+      }
+    }
+    if (!full) {
+      removals.forEach(
+          (key, at) -> {
+            if (at > known) {
+              removed.add(key);
+            }
+          });
+    }
+    return new Delta<>(full, changed, removed, sequence);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -0,0 +1,195 @@
+package io.pathdeck.fleet.engine;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.pathdeck.fleet.adapter.EngineAnswer;
+import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One connection to one life of an engine.
+ *
+ * <p>An answer belongs to the call only if it names the call's request. An answer that names
+ * another one came too late for its own call and is skipped. Whatever arrives while no call is
+ * under way belongs to nobody, and the connection is closed.
+ */
+final class EngineConnection extends SimpleChannelInboundHandler<HttpObject> {
+  /** How much sooner than the engine this side gives an idle connection up. */
+  private static final long IDLE_MARGIN_MS = 600;
+
+  private enum Reading {
+    HEAD,
+    BODY,
+    SKIPPED_BODY
+  }
+
+  private final NettyEngineTransport owner;
+  private final EngineProtocol protocol;
+  private final EngineInstance engine;
+  private ChannelHandlerContext context;
+  private PendingCall current;
+  private ChannelFuture requestWritten;
+  private Reading reading = Reading.HEAD;
+  private boolean keepAlive;
+  private boolean usedBefore;
+  private boolean anythingRead;
+  private boolean failed;
+  private long idleSinceNs;
+  private long engineIdleTimeoutMs;
+
+  EngineConnection(NettyEngineTransport owner, EngineProtocol protocol, EngineInstance engine) {
+    this.owner = owner;
+    this.protocol = protocol;
+    this.engine = engine;
+  }
+
+  String engineId() {
+    return engine.id();
+  }
+
+  String service() {
+    return engine.service();
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+  }
+
+  void send(PendingCall call) {
+    current = call;
+    call.sentOn(this);
+    reading = Reading.HEAD;
+    anythingRead = false;
+    requestWritten = context.channel().writeAndFlush(protocol.write(call.call()));
+  }
+
+  /** Whether an idle connection may carry another call. */
+  boolean isUsable(long nowNs, long limitMs) {
+    long idleMs = TimeUnit.NANOSECONDS.toMillis(nowNs - idleSinceNs);
+    long limit = limitMs;
+    if (engineIdleTimeoutMs > 0) {
+      limit = Math.min(limit, engineIdleTimeoutMs - IDLE_MARGIN_MS);
+    }
+    return context.channel().isActive() && idleMs < limit;
+  }
+
+  /** Keeps a connection that came up after its call was given up. */
+  void release() {
+    idleSinceNs = System.nanoTime();
+    owner.keep(this);
+  }
+
+  void close() {
+    current = null;
+    context.close();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+    if (message.decoderResult().isFailure()) {
+      breakOff("not an answer: " + message.decoderResult().cause());
+      return;
+    }
+    if (current == null) {
+      ctx.close();
+      return;
+    }
+    anythingRead = true;
+    if (message instanceof HttpResponse head) {
+      readHead(head);
+    }
+    if (message instanceof HttpContent content && current != null) {
+      readBody(content);
+    }
+  }
+
+  private void readHead(HttpResponse head) {
+    HttpResponseStatus status = head.status();
+    if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
+      reading = Reading.SKIPPED_BODY;
+      return;
+    }
+    EngineAnswer answer = protocol.read(head);
+    boolean success = status.codeClass() == HttpStatusClass.SUCCESS;
+    boolean unnamed = answer.requestId().isEmpty();
+    if (!answer.requestId().equals(current.call().requestId()) && (success || !unnamed)) {
+      reading = Reading.SKIPPED_BODY;
+      return;
+    }
+    if (success && !answer.signed()) {
+      breakOff("a success without a signature");
+      return;
+    }
+    reading = Reading.BODY;
+    keepAlive = HttpUtil.isKeepAlive(head) && !lacksLength(head);
+    engineIdleTimeoutMs = answer.idleTimeoutMs();
+    current.listener().onHead(answer);
+  }
+
+  private static boolean lacksLength(HttpResponse head) {
+    return !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
+  }
+
+  private void readBody(HttpContent content) {
+    if (reading == Reading.BODY && content.content().isReadable()) {
+      current.listener().onBody(ByteBufUtil.getBytes(content.content()));
+    }
+    if (content instanceof LastHttpContent && current != null) {
+      if (reading == Reading.BODY) {
+        endCall();
+      }
+      reading = Reading.HEAD;
+    }
+  }
+
+  private void endCall() {
+    PendingCall ended = current;
+    current = null;
+    boolean reusable = keepAlive && requestWritten.isDone() && context.channel().isActive();
+    if (reusable) {
+      usedBefore = true;
+      idleSinceNs = System.nanoTime();
+      owner.keep(this);
+    } else {
+      context.close();
+    }
+    ended.end();
+  }
+
+  private void breakOff(String reason) {
+    failed = true;
+    PendingCall broken = current;
+    current = null;
+    context.close();
+    if (broken != null) {
+      boolean silent = usedBefore && !anythingRead;
+      broken.fail(silent ? EngineFailure.CLOSED_BEFORE_ANSWER : EngineFailure.BROKEN, reason);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    if (current != null) {
+      breakOff("the connection ended");
+    } else if (!failed && usedBefore) {
+      long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNs);
+      owner.onIdleClosed(this, engine.service(), idleMs);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    breakOff(String.valueOf(cause));
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -0,0 +1,109 @@
+package io.pathdeck.fleet.engine;
+
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.protocol.fleet.EngineInstance;
+
+/** What this process knows of one life of an engine; confined to one thread. */
+public final class EngineState {
+  private static final long FIRST_EJECTION_MS = 500;
+  private static final long LONGEST_EJECTION_MS = 4_000;
+  private static final long REPORT_HALF_LIFE_MS = 500;
+
+  private EngineInstance instance;
+  private int inFlight;
+  private int othersAtReport;
+  private long reportedAtMs = Long.MIN_VALUE / 2;
+  private int failures;
+  private long ejectedUntilMs;
+  private boolean gone;
+  private long lastHeardMs;
+  private long lastStartMs;
+
+  EngineState(EngineInstance instance) {
+    this.instance = instance;
+  }
+
+  void update(EngineInstance newer) {
+    instance = newer;
+  }
+
+  /** The engine as the list shows it. */
+  public EngineInstance instance() {
+    return instance;
+  }
+
+  /** The calls of this process that are under way. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /** A call was sent. */
+  public void onStart(long nowMs) {
+    if (inFlight == 0) {
+      lastHeardMs = Math.max(lastHeardMs, nowMs);
+    }
+    inFlight++;
+    lastStartMs = nowMs;
+  }
+
+  /** A call has ended, however. */
+  public void onEnd() {
+    inFlight--;
+  }
+
+  /** The engine has sent something. */
+  public void onHeard(long nowMs) {
+    lastHeardMs = nowMs;
+    failures = 0;
+  }
+
+  /** For how long nothing was heard while calls are under way; 0 when none is. */
+  public long silenceMs(long nowMs) {
+    return inFlight == 0 ? 0 : nowMs - lastHeardMs;
+  }
+
+  /** The engine told its load. */
+  public void onLoad(EngineLoadReport report, long nowMs) {
+    othersAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
+    reportedAtMs = nowMs;
+  }
+
+  /** A call failed for a reason that speaks against the engine. */
+  public void onFailure(long nowMs) {
+    failures++;
+    long shift = Math.min(failures - 1, 3);
+    ejectedUntilMs = nowMs + Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS << shift);
+  }
+
+  /** The engine refused a call because it is full. */
+  public void onFull(long nowMs, long forMs) {
+    ejectedUntilMs = Math.max(ejectedUntilMs, nowMs + forMs);
+  }
+
+  /** Another engine has the address now. */
+  public void onGone() {
+    gone = true;
+  }
+
+  /** Whether new calls may be sent. */
+  public boolean isUsable(long nowMs) {
+    return !gone && !instance.draining() && nowMs >= ejectedUntilMs;
+  }
+
+  /** Whether calls must not be sent, however few other engines there are. */
+  public boolean isLeaving() {
+    return gone || instance.draining();
+  }
+
+  /** The requests on the engine: this process's own and, as far as known, those of others. */
+  public double estimatedLoad(long nowMs) {
+    double age = nowMs - reportedAtMs;
+    double weight = Math.pow(0.5, age / REPORT_HALF_LIFE_MS);
+    return inFlight + othersAtReport * weight;
+  }
+
+  /** When the newest call was sent. */
+  long lastStartMs() {
+    return lastStartMs;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -0,0 +1,67 @@
+package io.pathdeck.fleet.engine;
+
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The engines that this process knows, by id; confined to one thread. */
+public final class EngineTable {
+  private final Map<String, EngineState> engines = new HashMap<>();
+
+  /** Follows the list; an engine that is no longer listed gets nothing new. */
+  public void update(Map<String, EngineInstance> listed) {
+    engines
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean missing = !listed.containsKey(entry.getKey());
+              if (missing) {
+                entry.getValue().onGone();
+              }
+              return missing;
+            });
+    listed.forEach(
+        (id, instance) ->
+            engines.computeIfAbsent(id, key -> new EngineState(instance)).update(instance));
+  }
+
+  /** All engines. */
+  public Collection<EngineState> all() {
+    return engines.values();
+  }
+
+  /** The engine with this id, or null. */
+  public EngineState find(String id) {
+    return engines.get(id);
+  }
+
+  /** The engines of a service that may get a call and are not in {@code excluded}. */
+  public List<EngineState> usable(String service, Set<String> excluded, long nowMs) {
+    List<EngineState> usable = new ArrayList<>();
+    for (EngineState engine : engines.values()) {
+      EngineInstance instance = engine.instance();
+      boolean candidate = instance.service().equals(service) && !excluded.contains(instance.id());
+      if (candidate && engine.isUsable(nowMs)) {
+        usable.add(engine);
+      }
+    }
+    return usable;
+  }
+
+  /** The engines of a service that are not leaving, whether or not they failed of late. */
+  public List<EngineState> listed(String service, Set<String> excluded) {
+    List<EngineState> listed = new ArrayList<>();
+    for (EngineState engine : engines.values()) {
+      EngineInstance instance = engine.instance();
+      boolean candidate = instance.service().equals(service) && !excluded.contains(instance.id());
+      if (candidate && !engine.isLeaving()) {
+        listed.add(engine);
+      }
+    }
+    return listed;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EventScanner.java
@@ -0,0 +1,149 @@
+package io.pathdeck.fleet.engine;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * Splits a stream of server-sent events into whole events and checks their ids.
+ *
+ * <p>Ids must follow each other without a gap or repeat. The bytes of whole events are handed on
+ * unchanged; a part of an event is held until the rest arrives.
+ */
+public final class EventScanner {
+  private static final int MAX_EVENT_LENGTH = 1 << 20;
+  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
+  private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.UTF_8);
+
+  private byte[] held = new byte[512];
+  private int length;
+  private long lastId;
+  private boolean anyId;
+  private String problem;
+
+  /** Starts after event {@code resumeAfter}; -1 when the first id is not known. */
+  public EventScanner(long resumeAfter) {
+    this.lastId = resumeAfter;
+    this.anyId = resumeAfter >= 0;
+  }
+
+  /** Takes bytes and returns the whole events that they complete. */
+  public byte[] feed(byte[] bytes) {
+    append(bytes);
+    int start = 0;
+    int lineStart = 0;
+    for (int i = 0; i < length && problem == null; i++) {
+      if (held[i] != '\n') {
+        continue;
+      }
+      boolean blank = i == lineStart || (i == lineStart + 1 && held[lineStart] == '\r');
+      if (blank) {
+        checkEvent(start, i + 1);
+        if (problem == null) {
+          start = i + 1;
+        }
+      }
+      lineStart = i + 1;
+    }
+    byte[] whole = Arrays.copyOf(held, start);
+    System.arraycopy(held, start, held, 0, length - start);
+    length -= start;
+    if (length > MAX_EVENT_LENGTH) {
+      problem = "an event is too long";
+    }
+    return whole;
+  }
+
+  private void append(byte[] bytes) {
+    if (length + bytes.length > held.length) {
+      held = Arrays.copyOf(held, Math.max(held.length * 2, length + bytes.length));
+    }
+    System.arraycopy(bytes, 0, held, length, bytes.length);
+    length += bytes.length;
+  }
+
+  private void checkEvent(int from, int to) {
+    int lineStart = from;
+    for (int i = from; i < to; i++) {
+      if (held[i] == '\n') {
+        if (startsWith(ID_FIELD, lineStart, i)) {
+          checkId(field(lineStart + ID_FIELD.length, i));
+        }
+        lineStart = i + 1;
+      }
+    }
+  }
+
+  private void checkId(String text) {
+    long id;
+    try {
+      id = Long.parseLong(text);
+    } catch (NumberFormatException e) {
+      problem = "an event id that is no number";
+      return;
+    }
+    if (anyId && id != lastId + 1) {
+      problem = "event " + id + " after event " + lastId;
+      return;
+    }
+    anyId = true;
+    lastId = id;
+  }
+
+  private boolean startsWith(byte[] prefix, int from, int to) {
+    return to - from >= prefix.length
+        && Arrays.equals(held, from, from + prefix.length, prefix, 0, prefix.length);
+  }
+
+  private String field(int from, int to) {
+    return new String(held, from, to - from, StandardCharsets.UTF_8).trim();
+  }
+
+  /** The id of the last whole event; -1 before the first one. */
+  public long lastId() {
+    return anyId ? lastId : -1;
+  }
+
+  /** Why the stream cannot be trusted any more, or null. */
+  public String problem() {
+    return problem;
+  }
+
+  /** Whether a part of an event is held. */
+  public boolean isInsideEvent() {
+    return length > 0;
+  }
+
+  /** The values of the data fields in {@code events}, one line each, as text. */
+  public static String dataOf(byte[] events) {
+    ByteArrayOutputStream data = new ByteArrayOutputStream();
+    int lineStart = 0;
+    for (int i = 0; i < events.length; i++) {
+      if (events[i] != '\n') {
+        continue;
+      }
+      int end = i > lineStart && events[i - 1] == '\r' ? i - 1 : i;
+      boolean isData =
+          end - lineStart >= DATA_FIELD.length
+              && Arrays.equals(
+                  events,
+                  lineStart,
+                  lineStart + DATA_FIELD.length,
+                  DATA_FIELD,
+                  0,
+                  DATA_FIELD.length);
+      if (isData) {
+        int from = lineStart + DATA_FIELD.length;
+        if (from < end && events[from] == ' ') {
+          from++;
+        }
+        if (data.size() > 0) {
+          data.write('\n');
+        }
+        data.write(events, from, end - from);
+      }
+      lineStart = i + 1;
+    }
+    return data.toString(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -0,0 +1,148 @@
+package io.pathdeck.fleet.engine;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.adapter.EngineProtocol;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Calls engines over kept HTTP/1.1 connections; confined to one event loop.
+ *
+ * <p>A connection belongs to one life of an engine and carries one call at a time. It is kept only
+ * after a whole answer, and used again only well within the time for which the engine keeps it.
+ */
+public final class NettyEngineTransport implements EngineTransport {
+  private static final int CONNECT_TIMEOUT_MS = 400;
+  private static final long SWEEP_INTERVAL_MS = 1_000;
+
+  private final EventLoop eventLoop;
+  private final EngineProtocol protocol;
+  private final Bootstrap bootstrap;
+  private final Map<String, Deque<EngineConnection>> idle = new HashMap<>();
+  private final IdleTimeouts idleTimeouts = new IdleTimeouts();
+  private long connectionsOpened;
+
+  /** Creates a transport on {@code eventLoop}. */
+  public NettyEngineTransport(EventLoop eventLoop, EngineProtocol protocol) {
+    this.eventLoop = eventLoop;
+    this.protocol = protocol;
+    this.bootstrap =
+        new Bootstrap()
+            .group(eventLoop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+    eventLoop.scheduleWithFixedDelay(
+        this::closeExpired, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** How many connections were opened so far. */
+  public long connectionsOpened() {
+    return connectionsOpened;
+  }
+
+  @Override
+  public Handle start(EngineCall call, EngineListener listener) {
+    PendingCall pending = new PendingCall(call, listener);
+    EngineConnection kept = takeIdle(call.engine().id(), call.engine().service());
+    if (kept != null) {
+      kept.send(pending);
+    } else {
+      connect(pending);
+    }
+    return pending;
+  }
+
+  private EngineConnection takeIdle(String engineId, String service) {
+    Deque<EngineConnection> connections = idle.get(engineId);
+    long nowNs = System.nanoTime();
+    while (connections != null && !connections.isEmpty()) {
+      EngineConnection newest = connections.pollFirst();
+      if (newest.isUsable(nowNs, idleTimeouts.limitMs(service))) {
+        return newest;
+      }
+      newest.close();
+    }
+    return null;
+  }
+
+  private void connect(PendingCall pending) {
+    Optional<HostPort> address = HostPort.parse(pending.call().engine().address());
+    if (address.isEmpty()) {
+      eventLoop.execute(() -> pending.fail(EngineFailure.NOT_SENT, "not an address"));
+      return;
+    }
+    connectionsOpened++;
+    EngineConnection connection = new EngineConnection(this, protocol, pending.call().engine());
+    bootstrap
+        .clone()
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpRequestEncoder());
+                channel.pipeline().addLast(new HttpResponseDecoder());
+                channel.pipeline().addLast(connection);
+              }
+            })
+        .connect(address.get().toSocketAddress())
+        .addListener((ChannelFuture future) -> onConnected(future, connection, pending));
+  }
+
+  private static void onConnected(
+      ChannelFuture future, EngineConnection connection, PendingCall pending) {
+    if (!future.isSuccess()) {
+      pending.fail(EngineFailure.NOT_SENT, String.valueOf(future.cause().getMessage()));
+    } else if (pending.isOver()) {
+      connection.release();
+    } else {
+      connection.send(pending);
+    }
+  }
+
+  /** Keeps a connection whose last answer was whole. */
+  void keep(EngineConnection connection) {
+    idle.computeIfAbsent(connection.engineId(), key -> new ArrayDeque<>()).addFirst(connection);
+  }
+
+  /** A kept connection was closed by the engine after {@code idleMs} without use. */
+  void onIdleClosed(EngineConnection connection, String service, long idleMs) {
+    Deque<EngineConnection> connections = idle.get(connection.engineId());
+    if (connections != null && connections.remove(connection)) {
+      idleTimeouts.observeClose(service, idleMs);
+      if (connections.isEmpty()) {
+        idle.remove(connection.engineId());
+      }
+    }
+  }
+
+  private void closeExpired() {
+    long nowNs = System.nanoTime();
+    for (Deque<EngineConnection> connections : idle.values()) {
+      connections.removeIf(
+          connection -> {
+            boolean expired =
+                !connection.isUsable(nowNs, idleTimeouts.limitMs(connection.service()));
+            if (expired) {
+              connection.close();
+            }
+            return expired;
+          });
+    }
+    idle.values().removeIf(Deque::isEmpty);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
@@ -0,0 +1,179 @@
+package io.pathdeck.fleet.gateway;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.fleet.adapter.CallerCall;
+import io.pathdeck.fleet.adapter.CallerProtocol;
+import io.pathdeck.fleet.member.GroupCallError;
+import io.pathdeck.fleet.member.GroupClient;
+import io.pathdeck.fleet.store.StoreProcess;
+import io.pathdeck.protocol.command.BatchAccepted;
+import io.pathdeck.protocol.command.BatchCommand;
+import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.Done;
+import io.pathdeck.protocol.command.EndBatch;
+import io.pathdeck.protocol.command.QuotaExceeded;
+import io.pathdeck.protocol.command.Rejected;
+import io.pathdeck.protocol.command.SubmitBatch;
+import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.ProposeReply;
+import io.pathdeck.protocol.message.ProposeRequest;
+import io.pathdeck.protocol.message.QueryReply;
+import io.pathdeck.protocol.message.QueryRequest;
+import io.pathdeck.protocol.query.BatchItemBody;
+import io.pathdeck.protocol.query.BatchMissing;
+import io.pathdeck.protocol.query.BatchResults;
+import io.pathdeck.protocol.query.Query;
+import io.pathdeck.protocol.query.QueryResult;
+import io.pathdeck.protocol.query.ReadBatchItem;
+import io.pathdeck.protocol.query.ReadBatchResults;
+import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.HttpExchange;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Callers' calls about batch jobs, passed on to the group that keeps them.
+ *
+ * <p>"There is no such job" is said only after a linearizable read. A submission whose outcome is
+ * not known is answered as failed, never as refused: a refusal would promise that nothing runs.
+ */
+final class BatchCalls {
+  private static final EventLog EVENTS = EventLog.of(BatchCalls.class);
+  private static final long SUBMIT_TIMEOUT_MS = 2_500;
+  private static final long READ_TIMEOUT_MS = 1_000;
+  private static final long ATTEMPT_TIMEOUT_MS = 600;
+  private static final long MAX_WAIT_MS = 1_000;
+  private static final long QUOTA_RETRY_AFTER_MS = 1_000;
+  private static final long RETRY_AFTER_MS = 300;
+  private static final int MAX_PAGE_BYTES = 900_000;
+  private static final int MAX_ITEMS = 200;
+  private static final String JSON = "application/json";
+
+  private final GroupClient jobs;
+  private final CallerProtocol protocol;
+
+  BatchCalls(GroupClient jobs, CallerProtocol protocol) {
+    this.jobs = jobs;
+    this.protocol = protocol;
+  }
+
+  void submit(HttpExchange exchange, CallerCall.Request request, RouteSpec route) {
+    Result<List<BatchItem>, String> items = protocol.readItems(exchange.body());
+    if (!items.isOk() || items.value().isEmpty() || items.value().size() > MAX_ITEMS) {
+      String reason = items.isOk() ? "a job has 1 to " + MAX_ITEMS + " items" : items.error();
+      exchange.sendError(ApiError.invalid("invalid_job", reason));
+      return;
+    }
+    SubmitBatch command =
+        new SubmitBatch(
+            request.requestId(),
+            route.name(),
+            route.host(),
+            items.value(),
+            route.maxAttempts(),
+            route.runTargetMs(),
+            route.retainMs(),
+            route.maxQueuedTokens());
+    propose(
+        command,
+        result -> {
+          if (!result.isOk()) {
+            onSubmitFailed(exchange, request, result.error());
+          } else if (result.value() instanceof BatchAccepted) {
+            exchange.send(202, JSON, new byte[0]);
+          } else if (result.value() instanceof QuotaExceeded exceeded) {
+            String reason = exceeded.queuedTokens() + " tokens wait on the route";
+            Refusals.overQuota(exchange, reason, QUOTA_RETRY_AFTER_MS);
+          } else {
+            Refusals.unavailable(exchange, String.valueOf(result.value()), RETRY_AFTER_MS);
+          }
+        });
+  }
+
+  private void onSubmitFailed(
+      HttpExchange exchange, CallerCall.Request request, GroupCallError error) {
+    EVENTS.log(
+        EventCode.REQUEST_FAILED,
+        "request",
+        request.requestId(),
+        "reason",
+        error.reason(),
+        "may_have_run",
+        error.mayHaveRun());
+    if (error.mayHaveRun()) {
+      exchange.sendError(ApiError.failed(504, "outcome_unknown", error.reason(), true));
+    } else {
+      Refusals.unavailable(exchange, error.reason(), RETRY_AFTER_MS);
+    }
+  }
+
+  void end(HttpExchange exchange, CallerCall.EndJob call) {
+    propose(
+        new EndBatch(call.jobId()),
+        result -> {
+          if (!result.isOk()) {
+            exchange.sendError(ApiError.failed(504, "outcome_unknown", "try again", true));
+          } else if (result.value() instanceof Done) {
+            exchange.send(200, JSON, new byte[0]);
+          } else if (result.value() instanceof Rejected) {
+            exchange.sendError(ApiError.notFound("no_such_job", "there is no such job"));
+          } else {
+            Refusals.unavailable(exchange, String.valueOf(result.value()), RETRY_AFTER_MS);
+          }
+        });
+  }
+
+  void readResults(HttpExchange exchange, CallerCall.ReadResults call) {
+    long waitMs = Math.max(0, Math.min(MAX_WAIT_MS, call.waitMs()));
+    query(
+        new ReadBatchResults(call.jobId(), call.from(), MAX_PAGE_BYTES, waitMs),
+        waitMs,
+        result -> {
+          if (result.isOk() && result.value() instanceof BatchResults results) {
+            exchange.sendJson(200, protocol.writeResults(results));
+          } else {
+            sendMissingOrUnsure(exchange, result);
+          }
+        });
+  }
+
+  void readItem(HttpExchange exchange, CallerCall.ReadItem call) {
+    query(
+        new ReadBatchItem(call.jobId(), call.itemId()),
+        0,
+        result -> {
+          if (result.isOk() && result.value() instanceof BatchItemBody item) {
+            exchange.send(200, "application/octet-stream", item.body());
+          } else {
+            sendMissingOrUnsure(exchange, result);
+          }
+        });
+  }
+
+  private static void sendMissingOrUnsure(
+      HttpExchange exchange, Result<QueryResult, GroupCallError> result) {
+    if (result.isOk() && result.value() instanceof BatchMissing) {
+      exchange.sendError(ApiError.notFound("not_found", "there is no such job or item"));
+    } else {
+      Refusals.unavailable(exchange, "the jobs cannot be read now", RETRY_AFTER_MS);
+    }
+  }
+
+  private void propose(
+      BatchCommand command, Consumer<Result<CommandResult, GroupCallError>> answer) {
+    Message message = new ProposeRequest(StoreProcess.JOBS_GROUP, "", 0, command);
+    jobs.call(message, SUBMIT_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
+        .thenAccept(result -> answer.accept(result.map(reply -> ((ProposeReply) reply).result())));
+  }
+
+  private void query(
+      Query query, long waitMs, Consumer<Result<QueryResult, GroupCallError>> answer) {
+    Message message = new QueryRequest(StoreProcess.JOBS_GROUP, query);
+    jobs.call(message, READ_TIMEOUT_MS + waitMs, ATTEMPT_TIMEOUT_MS + waitMs)
+        .thenAccept(result -> answer.accept(result.map(reply -> ((QueryReply) reply).result())));
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -0,0 +1,106 @@
+package io.pathdeck.fleet.gateway;
+
+import io.netty.channel.EventLoop;
+import io.pathdeck.fleet.adapter.CallerCall;
+import io.pathdeck.fleet.adapter.CallerProtocol;
+import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.fleet.engine.EngineTransport;
+import io.pathdeck.fleet.engine.TrafficSplit;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.fleet.RouteKind;
+import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.HttpExchange;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** Matches callers' requests against the routes and serves them; confined to the event loop. */
+final class Gateway {
+  private static final long SILENCE_CHECK_INTERVAL_MS = 100;
+  private static final long NO_CONFIGURATION_RETRY_AFTER_MS = 500;
+
+  private final CallerProtocol protocol;
+  private final Supplier<FleetView> view;
+  private final BatchCalls batch;
+  private final RequestForwarder.Shared shared;
+  private final TrafficSplit split = new TrafficSplit();
+
+  Gateway(
+      EventLoop eventLoop,
+      CallerProtocol protocol,
+      Supplier<FleetView> view,
+      BatchCalls batch,
+      EngineTransport transport,
+      EngineChoice choice) {
+    this.protocol = protocol;
+    this.view = view;
+    this.batch = batch;
+    this.shared =
+        new RequestForwarder.Shared(
+            eventLoop,
+            transport,
+            new EngineTable(),
+            choice,
+            ForwardingSettings.DEFAULT,
+            new HashSet<>());
+    eventLoop.scheduleWithFixedDelay(
+        this::checkSilence,
+        SILENCE_CHECK_INTERVAL_MS,
+        SILENCE_CHECK_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Follows what is known of the fleet. */
+  void onChange(FleetView changed) {
+    if (changed.engines() != null) {
+      shared.engines().update(changed.engines());
+    }
+  }
+
+  private void checkSilence() {
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    for (RequestForwarder forwarder : new ArrayList<>(shared.active())) {
+      forwarder.checkSilence(nowMs);
+    }
+  }
+
+  /** Serves one request. */
+  void handle(HttpExchange exchange) {
+    CallerCall call = protocol.read(exchange);
+    if (call instanceof CallerCall.Request request) {
+      handleRequest(exchange, request);
+    } else if (call instanceof CallerCall.ReadResults read) {
+      batch.readResults(exchange, read);
+    } else if (call instanceof CallerCall.ReadItem read) {
+      batch.readItem(exchange, read);
+    } else if (call instanceof CallerCall.EndJob end) {
+      batch.end(exchange, end);
+    } else if (call instanceof CallerCall.Malformed malformed) {
+      exchange.sendError(ApiError.invalid("bad_request", malformed.reason()));
+    }
+  }
+
+  private void handleRequest(HttpExchange exchange, CallerCall.Request request) {
+    FleetView known = view.get();
+    if (!known.isComplete()) {
+      Refusals.unavailable(exchange, "no configuration yet", NO_CONFIGURATION_RETRY_AFTER_MS);
+      return;
+    }
+    Optional<RouteSpec> route = known.routes().match(request.host(), request.path());
+    if (route.isEmpty()) {
+      exchange.sendError(ApiError.notFound("no_route", "no route for this host and path"));
+    } else if (request.requestId().isEmpty()) {
+      exchange.sendError(ApiError.invalid("no_request_id", "the request has no id"));
+    } else if (route.get().kind() == RouteKind.BATCH) {
+      batch.submit(exchange, request, route.get());
+    } else {
+      long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+      String service = split.next(route.get());
+      new RequestForwarder(shared, exchange, request, route.get(), service, nowMs).start();
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -0,0 +1,190 @@
+package io.pathdeck.fleet.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.pathdeck.common.duty.ResourceStack;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.http.EventLoops;
+import io.pathdeck.fleet.FleetMemberProcess;
+import io.pathdeck.fleet.FleetSettings;
+import io.pathdeck.fleet.adapter.FleetAdapter;
+import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.NettyEngineTransport;
+import io.pathdeck.fleet.member.CoordinatorContacts;
+import io.pathdeck.fleet.member.FleetFollower;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.member.GroupClient;
+import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.protocol.client.RetryTimer;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.raft.Member;
+import io.pathdeck.protocol.transport.TransportTls;
+import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.HttpExchange;
+import io.pathdeck.serving.http.HttpServer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** A gateway: forwards callers' requests to engines; keeps no durable state. */
+public final class GatewayProcess implements FleetMemberProcess {
+  private static final EventLog EVENTS = EventLog.of(GatewayProcess.class);
+  private static final long DRAIN_POLL_MS = 50;
+
+  private final GatewaySettings settings;
+  private final FleetAdapter adapter;
+  private final ResourceStack resources = new ResourceStack();
+  private final CoordinatorContacts contacts;
+  private final FleetFollower follower;
+  private final HttpServer callers;
+  private volatile boolean stopping;
+
+  private GatewayProcess(GatewaySettings settings, TransportTls tls, FleetAdapter adapter) {
+    this.settings = settings;
+    this.adapter = adapter;
+    FleetSettings fleet = settings.fleet();
+    EventLoopGroup eventLoops = EventLoops.create(1);
+    resources.push(eventLoops::shutdownGracefully);
+    EventLoop eventLoop = eventLoops.next();
+    PeerPool pool = resources.push(new PeerPool(eventLoops, tls));
+    long life = System.nanoTime();
+    contacts = new CoordinatorContacts(fleet, pool, eventLoops);
+    follower =
+        contacts.follower(
+            eventLoop, () -> new FleetFollower.SelfReport(describe(life), false, null));
+    GroupClient jobs =
+        new GroupClient(pool, RetryTimer.on(eventLoops), () -> jobsMembers(follower.view()));
+    Gateway gateway =
+        new Gateway(
+            eventLoop,
+            adapter.callers(),
+            follower::view,
+            new BatchCalls(jobs, adapter.callers()),
+            new NettyEngineTransport(eventLoop, adapter.engines()),
+            new EngineChoice(fleet.zone(), life));
+    follower.onChange(gateway::onChange);
+    callers =
+        resources.push(
+            new HttpServer(
+                settings.callersListen(),
+                eventLoops,
+                settings.limits(),
+                Optional.empty(),
+                gateway::handle));
+    resources.push(
+        new HttpServer(
+            settings.readinessListen(),
+            eventLoops,
+            settings.limits(),
+            Optional.empty(),
+            this::answerReadiness));
+    resources.push(follower);
+  }
+
+  /** Starts a gateway. */
+  public static GatewayProcess start(
+      GatewaySettings settings, TransportTls tls, FleetAdapter adapter) {
+    GatewayProcess process = new GatewayProcess(settings, tls, adapter);
+    process.follower.start();
+    EVENTS.log(
+        EventCode.PROCESS_STARTED,
+        "role",
+        "gateway",
+        "id",
+        settings.fleet().name(),
+        "listen",
+        settings.callersListen());
+    return process;
+  }
+
+  private FleetProcess describe(long life) {
+    return new FleetProcess(
+        settings.fleet().name(),
+        FleetRole.GATEWAY,
+        settings.fleet().zone(),
+        0,
+        life,
+        "",
+        settings.callersListen().toString(),
+        isReady());
+  }
+
+  private boolean isReady() {
+    return !stopping && follower.view().isComplete();
+  }
+
+  private void answerReadiness(HttpExchange exchange) {
+    if (!exchange.path().equals(adapter.callers().readinessPath())) {
+      exchange.sendError(ApiError.notFound("not_found", "no such call"));
+    } else if (isReady()) {
+      exchange.sendJson(200, new byte[] {'{', '}'});
+    } else {
+      Refusals.unavailable(exchange, stopping ? "stopping" : "starting", 1_000);
+    }
+  }
+
+  private static List<String> jobsMembers(FleetView view) {
+    List<String> addresses = new ArrayList<>();
+    if (view.jobsGroup() != null) {
+      view.jobsGroup().configuration().members().stream()
+          .map(Member::address)
+          .forEach(addresses::add);
+    }
+    for (FleetProcess store : view.withRole(FleetRole.STORE)) {
+      if (!addresses.contains(store.peerAddress())) {
+        addresses.add(store.peerAddress());
+      }
+    }
+    return addresses;
+  }
+
+  @Override
+  public void reload(FleetSettings changed) {
+    contacts.setSeeds(changed.seedAddresses());
+    EVENTS.log(EventCode.SETTINGS_RELOADED, "seeds", changed.seedAddresses());
+  }
+
+  /**
+   * Stops as planned: no longer ready at once, and serving on until callers have gone elsewhere.
+   */
+  @Override
+  public void close() {
+    EVENTS.log(EventCode.PROCESS_STOPPING, "role", "gateway", "id", settings.fleet().name());
+    stopping = true;
+    follower.reportNow();
+    callers.closeConnectionsAfterResponses();
+    boolean drained = awaitDrained();
+    resources.closeAll();
+    EVENTS.log(
+        EventCode.PROCESS_STOPPED,
+        "role",
+        "gateway",
+        "id",
+        settings.fleet().name(),
+        "drained",
+        drained);
+  }
+
+  private boolean awaitDrained() {
+    long startNs = System.nanoTime();
+    while (true) {
+      long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+      boolean idle = callers.activeExchanges() == 0;
+      if (idle && elapsedMs >= settings.minDrainMs()) {
+        return true;
+      }
+      if (elapsedMs >= settings.drainMs()) {
+        return idle;
+      }
+      try {
+        Thread.sleep(DRAIN_POLL_MS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return false;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
@@ -0,0 +1,46 @@
+package io.pathdeck.fleet.gateway;
+
+import io.pathdeck.common.result.Result;
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.common.settings.SettingsError;
+import io.pathdeck.common.settings.SettingsReader;
+import io.pathdeck.fleet.FleetSettings;
+import io.pathdeck.serving.http.HttpLimits;
+
+/**
+ * The settings of a gateway.
+ *
+ * @param callersListen where callers connect
+ * @param readinessListen where its readiness is asked
+ * @param drainMs how long a planned stop may take
+ * @param minDrainMs how long a planned stop serves on at least, until callers have heard of it
+ */
+public record GatewaySettings(
+    FleetSettings fleet,
+    HostPort callersListen,
+    HostPort readinessListen,
+    HttpLimits limits,
+    int drainMs,
+    int minDrainMs) {
+
+  /** Reads and checks the settings. */
+  public static Result<GatewaySettings, SettingsError> read(SettingsReader reader) {
+    int maxBody = reader.integer("max_body_bytes", 4 << 20, 1 << 10, 1 << 28);
+    HttpLimits limits =
+        new HttpLimits(
+            reader.integer("max_header_bytes", 16 << 10, 1 << 10, 1 << 20),
+            maxBody,
+            maxBody,
+            reader.integer("max_connections", 3_000, 10, 100_000),
+            reader.integer("read_timeout_ms", 20_000, 100, 600_000));
+    GatewaySettings settings =
+        new GatewaySettings(
+            FleetSettings.read(reader),
+            reader.address("callers_listen"),
+            reader.address("readiness_listen"),
+            limits,
+            reader.integer("drain_timeout_ms", 7_400, 100, 600_000),
+            reader.integer("drain_min_ms", 3_000, 0, 600_000));
+    return reader.finish(settings);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -0,0 +1,424 @@
+package io.pathdeck.fleet.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.fleet.adapter.CallerCall;
+import io.pathdeck.fleet.adapter.EngineAnswer;
+import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.EngineFailure;
+import io.pathdeck.fleet.engine.EngineListener;
+import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.fleet.engine.EngineTransport;
+import io.pathdeck.fleet.engine.EventScanner;
+import io.pathdeck.protocol.fleet.RouteKind;
+import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.HttpExchange;
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Brings one request to an engine and its answer back; confined to the event loop.
+ *
+ * <p>The answer keeps the head of the first engine that began it. A stream that breaks off goes on
+ * at another engine after the last whole event, when its route allows that.
+ */
+final class RequestForwarder {
+  private static final EventLog EVENTS = EventLog.of(RequestForwarder.class);
+  private static final int SUCCESS_FROM = 200;
+  private static final int SUCCESS_TO = 300;
+  private static final int SERVER_ERROR = 500;
+
+  /** What forwarders of a gateway share. */
+  record Shared(
+      EventLoop eventLoop,
+      EngineTransport transport,
+      EngineTable engines,
+      EngineChoice choice,
+      ForwardingSettings settings,
+      Set<RequestForwarder> active) {}
+
+  private final Shared shared;
+  private final HttpExchange exchange;
+  private final CallerCall.Request request;
+  private final RouteSpec route;
+  private final String service;
+  private final long deadlineMs;
+  private final AttemptBudget budget;
+  private final String affinityKey;
+  private final Set<String> tried = new HashSet<>();
+  private ScheduledFuture<?> timeout;
+  private Attempt attempt;
+  private boolean headSent;
+  private long lastEventId;
+  private boolean finished;
+
+  RequestForwarder(
+      Shared shared,
+      HttpExchange exchange,
+      CallerCall.Request request,
+      RouteSpec route,
+      String service,
+      long nowMs) {
+    this.shared = shared;
+    this.exchange = exchange;
+    this.request = request;
+    this.route = route;
+    this.service = service;
+    this.lastEventId = request.resumeAfter();
+    this.budget = new AttemptBudget(route, shared.settings().maxSends());
+    this.affinityKey = affinityKey(request, route, shared.settings().affinityTokens());
+    long waitMs = route.timeoutMs();
+    if (request.deadlineMs() > 0) {
+      waitMs = Math.min(waitMs, request.deadlineMs());
+    }
+    this.deadlineMs = nowMs + Math.max(1, waitMs - shared.settings().answerMarginMs());
+  }
+
+  /** The last part of the prompt that others share, when the shared part is long. */
+  private static String affinityKey(CallerCall.Request request, RouteSpec route, long minTokens) {
+    List<CallerCall.PromptPart> parts = request.promptParts();
+    if (!route.sticky() || parts.size() < 2) {
+      return "";
+    }
+    long sharedTokens = 0;
+    for (CallerCall.PromptPart part : parts.subList(0, parts.size() - 1)) {
+      sharedTokens += part.tokens();
+    }
+    return sharedTokens >= minTokens ? parts.get(parts.size() - 2).id() : "";
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  void start() {
+    shared.active().add(this);
+    exchange.onVanished(this::onCallerLeft);
+    long waitMs = Math.max(0, deadlineMs - nowMs());
+    timeout = shared.eventLoop().schedule(this::onDeadline, waitMs, TimeUnit.MILLISECONDS);
+    sendToNextEngine();
+  }
+
+  // ---- attempts
+
+  private void sendToNextEngine() {
+    long now = nowMs();
+    List<EngineState> candidates = shared.engines().usable(service, tried, now);
+    if (candidates.isEmpty()) {
+      candidates = shared.engines().listed(service, tried);
+    }
+    Optional<EngineState> engine = shared.choice().choose(candidates, affinityKey, now);
+    if (engine.isEmpty()) {
+      finishWithoutEngine("no engine left");
+      return;
+    }
+    budget.onSend();
+    attempt = new Attempt(engine.get(), now);
+    attempt.begin();
+  }
+
+  private void afterFailure(boolean didNotRun, String reason) {
+    attempt = null;
+    if (didNotRun) {
+      budget.onNotRun();
+    }
+    boolean timeLeft = deadlineMs - nowMs() > 0;
+    if (timeLeft && budget.mayTryAgain()) {
+      sendToNextEngine();
+    } else {
+      finishWithoutEngine(reason);
+    }
+  }
+
+  /** Called regularly: an engine that is silent for too long is given up where that is allowed. */
+  void checkSilence(long nowMs) {
+    if (finished || attempt == null) {
+      return;
+    }
+    long promptAllowance =
+        request.promptTokens() * shared.settings().silencePerThousandTokensMs() / 1_000;
+    long limit = shared.settings().silenceMs() + promptAllowance;
+    boolean silent =
+        attempt.engine.silenceMs(nowMs) > limit && nowMs - attempt.lastProgressMs > limit;
+    if (!silent) {
+      return;
+    }
+    attempt.engine.onFailure(nowMs);
+    if (budget.mayTryAgain()) {
+      attempt.giveUp("silent for " + limit + " ms");
+    }
+  }
+
+  // ---- ends
+
+  private void finishWithoutEngine(String reason) {
+    if (headSent) {
+      EVENTS.log(
+          EventCode.REQUEST_FAILED,
+          "request",
+          request.requestId(),
+          "route",
+          route.name(),
+          "reason",
+          reason,
+          "after_event",
+          lastEventId,
+          "sends",
+          budget.sends());
+      finish();
+      exchange.abort();
+    } else if (budget.mayHaveRun()) {
+      fail(502, "engine_failed", reason);
+    } else {
+      refuse(reason);
+    }
+  }
+
+  private void fail(int status, String code, String reason) {
+    EVENTS.log(
+        EventCode.REQUEST_FAILED,
+        "request",
+        request.requestId(),
+        "route",
+        route.name(),
+        "reason",
+        reason,
+        "status",
+        status,
+        "sends",
+        budget.sends());
+    finish();
+    exchange.sendError(ApiError.failed(status, code, reason, true));
+  }
+
+  private void refuse(String reason) {
+    EVENTS.log(
+        EventCode.REQUEST_REFUSED,
+        "request",
+        request.requestId(),
+        "route",
+        route.name(),
+        "reason",
+        reason,
+        "sends",
+        budget.sends());
+    finish();
+    Refusals.unavailable(exchange, reason, shared.settings().refusedRetryAfterMs());
+  }
+
+  private void onDeadline() {
+    if (finished) {
+      return;
+    }
+    boolean mayHaveRun = budget.mayHaveRun();
+    cancelAttempt();
+    if (headSent || !mayHaveRun) {
+      finishWithoutEngine("the time is over");
+    } else {
+      fail(504, "timeout", "the time is over");
+    }
+  }
+
+  private void onCallerLeft() {
+    if (!finished) {
+      cancelAttempt();
+      finish();
+    }
+  }
+
+  private void cancelAttempt() {
+    if (attempt != null) {
+      attempt.cancel();
+      attempt = null;
+    }
+  }
+
+  private void finish() {
+    finished = true;
+    timeout.cancel(false);
+    shared.active().remove(this);
+  }
+
+  /** One send of the request to one engine. */
+  private final class Attempt implements EngineListener {
+    private final EngineState engine;
+    private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
+    private EngineTransport.Handle handle;
+    private EngineAnswer answer;
+    private EventScanner scanner;
+    private long lastProgressMs;
+    private boolean over;
+
+    Attempt(EngineState engine, long nowMs) {
+      this.engine = engine;
+      this.lastProgressMs = nowMs;
+    }
+
+    void begin() {
+      tried.add(engine.instance().id());
+      engine.onStart(lastProgressMs);
+      scanner = new EventScanner(lastEventId);
+      EngineCall call =
+          new EngineCall(
+              engine.instance(),
+              exchange.method(),
+              exchange.uri(),
+              request.host(),
+              request.requestId(),
+              request.headers(),
+              exchange.body(),
+              Math.max(1, deadlineMs - lastProgressMs),
+              lastEventId);
+      handle = shared.transport().start(call, this);
+    }
+
+    private boolean isStream() {
+      return route.kind() == RouteKind.STREAM;
+    }
+
+    private boolean isSuccess() {
+      return answer.status() >= SUCCESS_FROM && answer.status() < SUCCESS_TO;
+    }
+
+    private void heard() {
+      lastProgressMs = nowMs();
+      engine.onHeard(lastProgressMs);
+    }
+
+    @Override
+    public void onHead(EngineAnswer head) {
+      if (over) {
+        return;
+      }
+      heard();
+      answer = head;
+      if (head.load() != null) {
+        engine.onLoad(head.load(), lastProgressMs);
+      }
+      if (isSuccess() && isStream() && !headSent) {
+        headSent = true;
+        exchange.startStream(head.status(), head.headers());
+      }
+    }
+
+    @Override
+    public void onBody(byte[] part) {
+      if (over) {
+        return;
+      }
+      heard();
+      if (!isSuccess() || !isStream()) {
+        collected.writeBytes(part);
+        return;
+      }
+      byte[] events = scanner.feed(part);
+      if (events.length > 0) {
+        lastEventId = scanner.lastId();
+        if (!exchange.write(events)) {
+          EVENTS.log(EventCode.CALLER_TOO_SLOW, "request", request.requestId());
+          cancelAttempt();
+          finishWithoutEngine("the caller reads too slowly");
+          return;
+        }
+      }
+      if (scanner.problem() != null) {
+        giveUp(scanner.problem());
+      }
+    }
+
+    @Override
+    public void onEnd() {
+      if (over) {
+        return;
+      }
+      end();
+      if (isSuccess()) {
+        onSuccessEnd();
+      } else {
+        onRefusalOrError();
+      }
+    }
+
+    private void onSuccessEnd() {
+      if (!isStream()) {
+        finish();
+        exchange.send(answer.status(), answer.headers(), collected.toByteArray());
+      } else if (scanner.isInsideEvent()) {
+        engine.onFailure(nowMs());
+        afterFailure(false, "the stream ended inside an event");
+      } else {
+        finish();
+        exchange.endStream();
+      }
+    }
+
+    private void onRefusalOrError() {
+      long now = nowMs();
+      if (answer.otherInstance()) {
+        engine.onGone();
+        afterFailure(true, "another engine has the address");
+      } else if (answer.notRun()) {
+        engine.onFull(now, Math.max(answer.retryAfterMs(), 50));
+        afterFailure(true, "the engine refused with " + answer.status());
+      } else if (answer.status() >= SERVER_ERROR && budget.mayTryAgain()) {
+        afterFailure(false, "the engine answered " + answer.status());
+      } else if (headSent) {
+        finishWithoutEngine("the engine answered " + answer.status());
+      } else {
+        finish();
+        exchange.send(answer.status(), answer.headers(), collected.toByteArray());
+      }
+    }
+
+    @Override
+    public void onFailure(EngineFailure failure, String reason) {
+      if (over) {
+        return;
+      }
+      end();
+      if (failure != EngineFailure.CLOSED_BEFORE_ANSWER) {
+        engine.onFailure(nowMs());
+      }
+      EVENTS.log(
+          EventCode.ATTEMPT_FAILED,
+          "request",
+          request.requestId(),
+          "engine",
+          engine.instance().id(),
+          "failure",
+          failure.name().toLowerCase(Locale.ROOT),
+          "reason",
+          reason,
+          "after_event",
+          lastEventId);
+      afterFailure(failure == EngineFailure.NOT_SENT, reason);
+    }
+
+    void giveUp(String reason) {
+      handle.cancel();
+      onFailure(EngineFailure.BROKEN, reason);
+    }
+
+    void cancel() {
+      if (!over) {
+        handle.cancel();
+        end();
+      }
+    }
+
+    private void end() {
+      over = true;
+      engine.onEnd();
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -0,0 +1,194 @@
+package io.pathdeck.fleet.member;
+
+import io.netty.channel.EventLoop;
+import io.pathdeck.common.duty.Section;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.JobsGroupReport;
+import io.pathdeck.protocol.fleet.ProcessListDelta;
+import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.message.FleetHeartbeat;
+import io.pathdeck.protocol.message.FleetUpdate;
+import io.pathdeck.protocol.message.Message;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Reports this process to the coordinators and follows what they know.
+ *
+ * <p>A process that cannot reach the coordinators keeps what it knows and goes on with it. It never
+ * goes back to an older configuration. All state belongs to one event loop; the {@link Section} may
+ * be read anywhere.
+ */
+public final class FleetFollower implements AutoCloseable {
+  /** How often a process reports itself. */
+  public static final long INTERVAL_MS = 300;
+
+  private static final EventLog EVENTS = EventLog.of(FleetFollower.class);
+  private static final long CALL_TIMEOUT_MS = 900;
+  private static final long ATTEMPT_TIMEOUT_MS = 500;
+  private static final long NO_EPOCH = -1;
+
+  /** What the process says of itself, made anew for each heartbeat. */
+  public record SelfReport(FleetProcess process, boolean mayFound, JobsGroupReport jobsGroup) {}
+
+  private final EventLoop eventLoop;
+  private final GroupClient coordinators;
+  private final Supplier<SelfReport> self;
+  private final Section<FleetView> view = new Section<>(FleetView.UNKNOWN);
+  private final Map<String, EngineInstance> engines = new HashMap<>();
+  private final Map<String, FleetProcess> processes = new HashMap<>();
+  private Consumer<FleetView> listener = changed -> {};
+  private boolean enginesKnown;
+  private long engineEpoch = NO_EPOCH;
+  private long engineSequence;
+  private long processEpoch = NO_EPOCH;
+  private long processSequence;
+  private boolean connected;
+  private boolean closed;
+
+  /** Creates a follower; {@link #start} begins the reports. */
+  public FleetFollower(EventLoop eventLoop, GroupClient coordinators, Supplier<SelfReport> self) {
+    this.eventLoop = eventLoop;
+    this.coordinators = coordinators;
+    this.self = self;
+  }
+
+  /** What is known; may be read from any thread. */
+  public FleetView view() {
+    return view.read();
+  }
+
+  /** Calls {@code listener} on the event loop after each change; to be set before the start. */
+  public void onChange(Consumer<FleetView> changeListener) {
+    listener = changeListener;
+  }
+
+  /** Begins to report. */
+  public void start() {
+    eventLoop.execute(this::report);
+  }
+
+  /** Reports at once, for a change that others should know soon. */
+  public void reportNow() {
+    eventLoop.execute(this::send);
+  }
+
+  private void report() {
+    if (closed) {
+      return;
+    }
+    send()
+        .whenComplete(
+            (done, failure) ->
+                eventLoop.schedule(this::report, INTERVAL_MS, TimeUnit.MILLISECONDS));
+  }
+
+  private java.util.concurrent.CompletableFuture<Void> send() {
+    SelfReport report = self.get();
+    RouteTable routes = view().routes();
+    FleetHeartbeat heartbeat =
+        new FleetHeartbeat(
+            report.process(),
+            report.mayFound(),
+            routes == null ? RouteTable.NO_VERSION : routes.version(),
+            engineEpoch,
+            engineSequence,
+            processEpoch,
+            processSequence,
+            report.jobsGroup());
+    return coordinators
+        .call(heartbeat, CALL_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
+        .thenAcceptAsync(this::onAnswer, eventLoop);
+  }
+
+  private void onAnswer(Result<Message, GroupCallError> result) {
+    boolean answered = result.isOk() && result.value() instanceof FleetUpdate;
+    if (answered != connected) {
+      connected = answered;
+      EventCode code = answered ? EventCode.COORDINATORS_REACHED : EventCode.COORDINATORS_LOST;
+      String detail = answered ? coordinators.leaderAddress() : String.valueOf(reason(result));
+      EVENTS.log(code, "detail", detail);
+    }
+    if (answered) {
+      accept((FleetUpdate) result.value());
+    }
+  }
+
+  private static String reason(Result<Message, GroupCallError> result) {
+    return result.isOk() ? "unexpected answer" : result.error().reason();
+  }
+
+  private void accept(FleetUpdate update) {
+    boolean newRoutes = update.routes() != null && isNewer(update.routes());
+    RouteTable routes = newRoutes ? update.routes() : view().routes();
+    boolean changed = newRoutes;
+    changed |= acceptEngines(update.engines());
+    changed |= acceptProcesses(update.processes());
+    FleetView before = view();
+    FleetView next =
+        new FleetView(
+            routes,
+            enginesKnown ? Map.copyOf(engines) : null,
+            Map.copyOf(processes),
+            update.jobsFounders(),
+            update.jobsGroup(),
+            update.leavingMembers());
+    if (!changed && next.equals(before)) {
+      return;
+    }
+    if (newRoutes) {
+      EVENTS.log(EventCode.ROUTES_UPDATED, "version", routes.version());
+    }
+    view.publish(next);
+    listener.accept(next);
+  }
+
+  private boolean isNewer(RouteTable routes) {
+    RouteTable held = view().routes();
+    return held == null || routes.version() > held.version();
+  }
+
+  private boolean acceptEngines(EngineListDelta delta) {
+    if (delta == null) {
+      return false;
+    }
+    boolean changed = delta.full() || !delta.changed().isEmpty() || !delta.removed().isEmpty();
+    if (delta.full()) {
+      engines.clear();
+    }
+    delta.changed().forEach(engine -> engines.put(engine.id(), engine));
+    delta.removed().forEach(engines::remove);
+    engineEpoch = delta.epoch();
+    engineSequence = delta.sequence();
+    enginesKnown = true;
+    return changed;
+  }
+
+  private boolean acceptProcesses(ProcessListDelta delta) {
+    if (delta == null) {
+      return false;
+    }
+    boolean changed = delta.full() || !delta.changed().isEmpty() || !delta.removed().isEmpty();
+    if (delta.full()) {
+      processes.clear();
+    }
+    delta.changed().forEach(process -> processes.put(process.name(), process));
+    delta.removed().forEach(processes::remove);
+    processEpoch = delta.epoch();
+    processSequence = delta.sequence();
+    return changed;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
@@ -0,0 +1,150 @@
+package io.pathdeck.fleet.member;
+
+import io.pathdeck.common.result.Result;
+import io.pathdeck.protocol.client.RetryTimer;
+import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.NotLeader;
+import io.pathdeck.protocol.message.Unavailable;
+import io.pathdeck.protocol.transport.PeerClient;
+import io.pathdeck.protocol.transport.TransportError;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+
+/**
+ * Sends messages to the leader of one group, whichever member that is.
+ *
+ * <p>A message is sent again until its deadline, one attempt at a time; the group's commands are
+ * idempotent. Thread-safe.
+ */
+public final class GroupClient {
+  private static final long RETRY_DELAY_MS = 60;
+
+  private final PeerPool pool;
+  private final RetryTimer timer;
+  private final Supplier<List<String>> candidates;
+  private volatile String leaderAddress = "";
+  private final AtomicInteger nextCandidate = new AtomicInteger();
+
+  /**
+   * Creates a client.
+   *
+   * @param candidates addresses of processes that may know the leader
+   */
+  public GroupClient(PeerPool pool, RetryTimer timer, Supplier<List<String>> candidates) {
+    this.pool = pool;
+    this.timer = timer;
+    this.candidates = candidates;
+  }
+
+  /** Sends {@code message}; the future completes within {@code timeoutMs} or a little later. */
+  public CompletableFuture<Result<Message, GroupCallError>> call(
+      Message message, long timeoutMs, long attemptTimeoutMs) {
+    CompletableFuture<Result<Message, GroupCallError>> outcome = new CompletableFuture<>();
+    long deadlineNs = timer.nowNs() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    new Call(message, deadlineNs, attemptTimeoutMs, outcome).attempt();
+    return outcome;
+  }
+
+  /** Where the leader was last; empty when unknown. */
+  public String leaderAddress() {
+    return leaderAddress;
+  }
+
+  private String target() {
+    String leader = leaderAddress;
+    if (!leader.isEmpty()) {
+      return leader;
+    }
+    List<String> known = new ArrayList<>(candidates.get());
+    return known.isEmpty() ? "" : known.get(Math.floorMod(nextCandidate.get(), known.size()));
+  }
+
+  private void abandon(String target) {
+    if (target.equals(leaderAddress)) {
+      leaderAddress = "";
+    }
+    nextCandidate.incrementAndGet();
+  }
+
+  /** One call and its attempts, which follow each other and never overlap. */
+  private final class Call {
+    private final Message message;
+    private final long deadlineNs;
+    private final long attemptTimeoutMs;
+    private final CompletableFuture<Result<Message, GroupCallError>> outcome;
+    private boolean mayHaveRun;
+    private String lastReason = "no member is known";
+
+    Call(
+        Message message,
+        long deadlineNs,
+        long attemptTimeoutMs,
+        CompletableFuture<Result<Message, GroupCallError>> outcome) {
+      this.message = message;
+      this.deadlineNs = deadlineNs;
+      this.attemptTimeoutMs = attemptTimeoutMs;
+      this.outcome = outcome;
+    }
+
+    void attempt() {
+      long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - timer.nowNs());
+      if (remainingMs <= 0) {
+        outcome.complete(Result.err(new GroupCallError(lastReason, mayHaveRun)));
+        return;
+      }
+      String target = target();
+      Optional<PeerClient> client = pool.client(target);
+      if (client.isEmpty()) {
+        abandon(target);
+        retry();
+        return;
+      }
+      client
+          .get()
+          .request(message, Math.min(remainingMs, attemptTimeoutMs))
+          .thenAccept(result -> onResult(target, result));
+    }
+
+    private void onResult(String target, Result<Message, TransportError> result) {
+      if (!result.isOk()) {
+        lastReason = target + ": " + result.error();
+        mayHaveRun |= result.error().mayHaveRun();
+        abandon(target);
+        retry();
+        return;
+      }
+      Message reply = result.value();
+      if (reply instanceof NotLeader notLeader) {
+        lastReason = target + ": not the leader";
+        follow(target, notLeader);
+      } else if (reply instanceof Unavailable unavailable) {
+        lastReason = target + ": " + unavailable.reason();
+        mayHaveRun |= unavailable.mayHaveRun();
+        retry();
+      } else {
+        leaderAddress = target;
+        outcome.complete(Result.ok(reply));
+      }
+    }
+
+    private void follow(String target, NotLeader notLeader) {
+      String leader = notLeader.leaderAddress();
+      if (leader.isEmpty() || leader.equals(target)) {
+        abandon(target);
+        retry();
+        return;
+      }
+      leaderAddress = leader;
+      timer.schedule(this::attempt, 1);
+    }
+
+    private void retry() {
+      timer.schedule(this::attempt, RETRY_DELAY_MS);
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/PeerPool.java
@@ -0,0 +1,63 @@
+package io.pathdeck.fleet.member;
+
+import io.netty.channel.EventLoopGroup;
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.control.PeerLink;
+import io.pathdeck.control.PeerLinks;
+import io.pathdeck.protocol.transport.PeerClient;
+import io.pathdeck.protocol.transport.TransportTls;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Connections to other processes by address, and the addresses of members. Thread-safe. */
+public final class PeerPool implements PeerLinks, AutoCloseable {
+  private final EventLoopGroup eventLoops;
+  private final TransportTls tls;
+  private final Map<String, PeerClient> clients = new ConcurrentHashMap<>();
+  private final Map<Integer, String> addresses = new ConcurrentHashMap<>();
+
+  /** An empty pool. */
+  public PeerPool(EventLoopGroup eventLoops, TransportTls tls) {
+    this.eventLoops = eventLoops;
+    this.tls = tls;
+  }
+
+  @Override
+  public PeerLink to(int memberId) {
+    String address = addresses.get(memberId);
+    if (address == null) {
+      return null;
+    }
+    return client(address).<PeerLink>map(client -> client::send).orElse(null);
+  }
+
+  @Override
+  public void learn(int memberId, String address) {
+    if (!address.equals(addresses.get(memberId))) {
+      addresses.put(memberId, address);
+    }
+  }
+
+  /** Where a member is reached, when that is known. */
+  public Optional<String> addressOf(int memberId) {
+    return Optional.ofNullable(addresses.get(memberId));
+  }
+
+  /** The connection to {@code address}; empty when that is no address. */
+  public Optional<PeerClient> client(String address) {
+    PeerClient known = clients.get(address);
+    if (known != null) {
+      return Optional.of(known);
+    }
+    return HostPort.parse(address)
+        .map(
+            parsed ->
+                clients.computeIfAbsent(address, key -> new PeerClient(parsed, eventLoops, tls)));
+  }
+
+  @Override
+  public void close() {
+    clients.values().forEach(PeerClient::close);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
@@ -0,0 +1,37 @@
+package io.pathdeck.fleet.store;
+
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+
+/**
+ * How one send of an item to an engine ended.
+ *
+ * @param kind what happened
+ * @param text the data of the events that this send brought
+ * @param lastEventId the last whole event held; -1 when none is
+ * @param load the engine's load as its answer told it; null when it did not
+ * @param retryAfterMs when the engine may be asked again
+ */
+record ItemOutcome(
+    Kind kind,
+    String text,
+    long lastEventId,
+    EngineLoadReport load,
+    long retryAfterMs,
+    String reason) {
+
+  /** What happened. */
+  enum Kind {
+    /** The stream is whole. */
+    DONE,
+    /** The engine did not run the item. */
+    REFUSED,
+    /** Another engine has the address. */
+    OTHER_INSTANCE,
+    /** The engine tried and failed. */
+    FAILED,
+    /** The item can never be done. */
+    IMPOSSIBLE,
+    /** The stream broke off. */
+    BROKEN
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -0,0 +1,130 @@
+package io.pathdeck.fleet.store;
+
+import io.pathdeck.fleet.adapter.EngineAnswer;
+import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.engine.EngineFailure;
+import io.pathdeck.fleet.engine.EngineListener;
+import io.pathdeck.fleet.engine.EngineTransport;
+import io.pathdeck.fleet.engine.EventScanner;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Collects the answer to one send of an item; confined to the event loop but for the heard time.
+ */
+final class ItemStream implements EngineListener {
+  private static final int SUCCESS_FROM = 200;
+  private static final int SUCCESS_TO = 300;
+  private static final int UNPROCESSABLE = 422;
+  private static final long DEFAULT_RETRY_AFTER_MS = 100;
+
+  private final Consumer<ItemOutcome> listener;
+  private final EventScanner scanner;
+  private final ByteArrayOutputStream events = new ByteArrayOutputStream();
+  private EngineTransport.Handle handle;
+  private EngineAnswer answer;
+  private EngineLoadReport load;
+  private boolean over;
+  private volatile long lastHeardMs;
+
+  ItemStream(long resumeAfter, Consumer<ItemOutcome> listener) {
+    this.scanner = new EventScanner(resumeAfter);
+    this.listener = listener;
+    this.lastHeardMs = nowMs();
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  void start(EngineTransport transport, EngineCall call) {
+    if (!over) {
+      handle = transport.start(call, this);
+    }
+  }
+
+  /** Gives the send up without an outcome. */
+  void cancel() {
+    over = true;
+    if (handle != null) {
+      handle.cancel();
+    }
+  }
+
+  /** Gives the send up as broken, so that the item goes on elsewhere. */
+  void breakOff(String reason) {
+    if (!over) {
+      if (handle != null) {
+        handle.cancel();
+      }
+      finish(ItemOutcome.Kind.BROKEN, reason);
+    }
+  }
+
+  /** When something was last heard of the send; may be read from any thread. */
+  long lastHeardMs() {
+    return lastHeardMs;
+  }
+
+  @Override
+  public void onHead(EngineAnswer head) {
+    lastHeardMs = nowMs();
+    answer = head;
+    load = head.load();
+  }
+
+  private boolean isSuccess() {
+    return answer.status() >= SUCCESS_FROM && answer.status() < SUCCESS_TO;
+  }
+
+  @Override
+  public void onBody(byte[] part) {
+    lastHeardMs = nowMs();
+    if (over || !isSuccess()) {
+      return;
+    }
+    events.writeBytes(scanner.feed(part));
+    if (scanner.problem() != null) {
+      breakOff(scanner.problem());
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (over) {
+      return;
+    }
+    if (isSuccess()) {
+      boolean whole = !scanner.isInsideEvent();
+      finish(whole ? ItemOutcome.Kind.DONE : ItemOutcome.Kind.BROKEN, "ended");
+    } else if (answer.otherInstance()) {
+      finish(ItemOutcome.Kind.OTHER_INSTANCE, "another engine");
+    } else if (answer.notRun()) {
+      finish(ItemOutcome.Kind.REFUSED, "refused with " + answer.status());
+    } else if (answer.status() == UNPROCESSABLE) {
+      finish(ItemOutcome.Kind.IMPOSSIBLE, "impossible");
+    } else {
+      finish(ItemOutcome.Kind.FAILED, "status " + answer.status());
+    }
+  }
+
+  @Override
+  public void onFailure(EngineFailure failure, String reason) {
+    if (!over) {
+      boolean notSent = failure == EngineFailure.NOT_SENT;
+      finish(notSent ? ItemOutcome.Kind.REFUSED : ItemOutcome.Kind.BROKEN, reason);
+    }
+  }
+
+  private void finish(ItemOutcome.Kind kind, String reason) {
+    over = true;
+    long retryAfterMs =
+        answer == null || answer.retryAfterMs() == 0
+            ? DEFAULT_RETRY_AFTER_MS
+            : answer.retryAfterMs();
+    String text = EventScanner.dataOf(events.toByteArray());
+    listener.accept(new ItemOutcome(kind, text, scanner.lastId(), load, retryAfterMs, reason));
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestRouteTableCheck.java
@@ -0,0 +1,61 @@
+package io.pathdeck.fleet.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.protocol.fleet.RouteKind;
+import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.fleet.RouteTarget;
+import io.pathdeck.protocol.fleet.ServiceLimits;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TestRouteTableCheck {
+  private static RouteSpec route(String name, String prefix, long timeoutMs, RouteTarget target) {
+    return new RouteSpec(
+        name,
+        "h",
+        prefix,
+        RouteKind.SAFE,
+        timeoutMs,
+        100,
+        0,
+        List.of(target),
+        1,
+        false,
+        false,
+        0,
+        0,
+        0,
+        0);
+  }
+
+  private static RouteTable table(RouteSpec... routes) {
+    ServiceLimits service = new ServiceLimits("s", 10, 4, 1_000);
+    return new RouteTable(1, List.of(routes), List.of(service), new byte[0]);
+  }
+
+  private static final RouteTarget GOOD = new RouteTarget("s", 1);
+
+  @Test
+  void validTableHasNoProblem() {
+    assertThat(
+            RouteTableCheck.problem(table(route("a", "/a/", 1, GOOD), route("b", "/b/", 1, GOOD))))
+        .isEmpty();
+  }
+
+  @Test
+  void eachMistakeIsNamed() {
+    RouteSpec unknownService = route("a", "/a/", 1, new RouteTarget("other", 1));
+    assertThat(RouteTableCheck.problem(table(unknownService)))
+        .hasValueSatisfying(problem -> assertThat(problem).contains("unknown service other"));
+    RouteSpec noWeight = route("a", "/a/", 1, new RouteTarget("s", 0));
+    assertThat(RouteTableCheck.problem(table(noWeight))).isPresent();
+    RouteSpec noTimeout = route("a", "/a/", 0, GOOD);
+    assertThat(RouteTableCheck.problem(table(noTimeout))).isPresent();
+    RouteSpec first = route("a", "/a/", 1, GOOD);
+    RouteSpec samePlace = route("b", "/a/", 1, GOOD);
+    assertThat(RouteTableCheck.problem(table(first, samePlace))).isPresent();
+    assertThat(RouteTableCheck.problem(table(route("a", "/a", 1, GOOD)))).isPresent();
+  }
+}
--- a/protocol/src/main/java/io/pathdeck/protocol/command/CommandResult.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/CommandResult.java
@@ -2,7 +2,8 @@
 
 /** What a state machine answers to a command. */
 public sealed interface CommandResult
-    permits ClaimExists,
+    permits BatchAccepted,
+        ClaimExists,
         ClaimGranted,
         DeclarationApplied,
         Done,
@@ -10,6 +11,8 @@
         ItemsLeased,
         JobAccepted,
         KeyReserved,
+        QuotaExceeded,
+        RouteTableHeld,
         LeasesRenewed,
         Rejected,
         ResultsCommitted,
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
@@ -0,0 +1,5 @@
+package io.pathdeck.protocol.command;
+
+/** A command of the group that keeps the fleet's configuration. */
+public sealed interface FleetCommand extends Command
+    permits PutRouteTable, FoundJobsGroup, SetStoreLeaving {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/RouteTableHeld.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.command;
+
+/** The version that is held after a {@link PutRouteTable}. */
+public record RouteTableHeld(long version) implements CommandResult {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/BatchItem.java
@@ -0,0 +1,17 @@
+package io.pathdeck.protocol.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * One item of a batch job.
+ *
+ * @param headers what is sent to the engine beside the body
+ * @param tokens the tokens of the prompt and the most of the output
+ */
+public record BatchItem(
+    String id, String path, Map<String, String> headers, byte[] body, long tokens) {
+  public BatchItem {
+    headers = new HashMap<>(headers);
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteTable.java
@@ -0,0 +1,39 @@
+package io.pathdeck.protocol.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A whole configuration of routes and services under its version.
+ *
+ * @param document the configuration as the operator sent it
+ */
+public record RouteTable(
+    long version, List<RouteSpec> routes, List<ServiceLimits> services, byte[] document) {
+  /** The version below every version that an operator can send. */
+  public static final long NO_VERSION = Long.MIN_VALUE;
+
+  public RouteTable {
+    routes = new ArrayList<>(routes);
+    services = new ArrayList<>(services);
+  }
+
+  /** The route of the longest prefix that begins {@code path} on {@code host}. */
+  public Optional<RouteSpec> match(String host, String path) {
+    RouteSpec best = null;
+    for (RouteSpec route : routes) {
+      boolean matches = route.host().equals(host) && path.startsWith(route.pathPrefix());
+      boolean longer = best == null || route.pathPrefix().length() > best.pathPrefix().length();
+      if (matches && longer) {
+        best = route;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** The limits of a service, when the configuration names it. */
+  public Optional<ServiceLimits> service(String name) {
+    return services.stream().filter(service -> service.name().equals(name)).findFirst();
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
@@ -0,0 +1,26 @@
+package io.pathdeck.protocol.message;
+
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.JobsGroupReport;
+
+/**
+ * A process reports itself and what it knows; the answer brings what it lacks.
+ *
+ * @param mayFound whether the process was part of the first start of the whole system
+ * @param routeVersion the version of the configuration that it has
+ * @param engineEpoch the leadership that {@code engineSequence} belongs to
+ * @param engineSequence up to where it knows the list of engines
+ * @param processEpoch the leadership that {@code processSequence} belongs to
+ * @param processSequence up to where it knows the list of processes
+ * @param jobsGroup set by the leader of the jobs group
+ */
+public record FleetHeartbeat(
+    FleetProcess sender,
+    boolean mayFound,
+    long routeVersion,
+    long engineEpoch,
+    long engineSequence,
+    long processEpoch,
+    long processSequence,
+    JobsGroupReport jobsGroup)
+    implements Message {}
--- a/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
@@ -4,7 +4,10 @@
 public sealed interface Message
     permits ConfigurationHeartbeat,
         ConfigurationUpdate,
+        FleetHeartbeat,
+        FleetUpdate,
         NotLeader,
+        Ping,
         ProposeReply,
         ProposeRequest,
         QueryReply,
--- a/protocol/src/main/java/io/pathdeck/protocol/query/Query.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/Query.java
@@ -2,4 +2,13 @@
 
 /** A linearizable read of a replicated state machine. */
 public sealed interface Query
-    permits ReadBacklog, ListJobs, ReadDeclaration, ReadFile, ReadFileLines, ReadJob, ReadResults {}
+    permits ListJobs,
+        ReadBacklog,
+        ReadBatchItem,
+        ReadBatchResults,
+        ReadDeclaration,
+        ReadFile,
+        ReadFileLines,
+        ReadJob,
+        ReadResults,
+        ReadRouteTable {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/ReadBatchItem.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.query;
+
+/** Reads the body of an item that has no result yet. */
+public record ReadBatchItem(String jobId, String itemId) implements Query {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/ReadBatchResults.java
@@ -0,0 +1,11 @@
+package io.pathdeck.protocol.query;
+
+/**
+ * Reads results of a batch job.
+ *
+ * @param from the first position
+ * @param maxBytes how much text is returned at most, beside the first result
+ * @param waitMs how long to wait when there is no result yet
+ */
+public record ReadBatchResults(String jobId, int from, int maxBytes, long waitMs)
+    implements Query {}
--- /dev/null
+++ b/protocol/src/main/java/io/pathdeck/protocol/query/ReadRouteTable.java
@@ -0,0 +1,4 @@
+package io.pathdeck.protocol.query;
+
+/** Reads the configuration that is held. */
+public record ReadRouteTable() implements Query {}
--- a/protocol/src/main/java/io/pathdeck/protocol/raft/GroupConfiguration.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/raft/GroupConfiguration.java
@@ -24,7 +24,7 @@
 
   /** The number of voters that must agree. */
   public int quorum() {
-    return (int) members.stream().filter(Member::voter).count() / 2 + 1;
+    return voterCount() / 2 + 1;
   }
 
   /** This configuration with {@code member} in place of the one with the same id. */
@@ -35,4 +35,16 @@
     changed.sort(Comparator.comparingInt(Member::id));
     return new GroupConfiguration(changed);
   }
+
+  /** This configuration without the member with this id. */
+  public GroupConfiguration without(int id) {
+    List<Member> changed = new ArrayList<>(members);
+    changed.removeIf(member -> member.id() == id);
+    return new GroupConfiguration(changed);
+  }
+
+  /** The number of voters. */
+  public int voterCount() {
+    return (int) members.stream().filter(Member::voter).count();
+  }
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
@@ -18,6 +18,7 @@
 import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.protocol.client.ControllerEndpoint;
 import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.Ping;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -35,6 +36,8 @@
   private static final EventLog EVENTS = EventLog.of(PeerClient.class);
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final long RECONNECT_DELAY_NS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final long PROBE_AFTER_NS = TimeUnit.MILLISECONDS.toNanos(600);
+  private static final long PROBE_TIMEOUT_MS = 1_000;
   private static final int MAX_PENDING_REQUESTS = 4_096;
 
   private final HostPort address;
@@ -48,6 +51,8 @@
   private boolean attemptedBefore;
   private long lastAttemptNs;
   private long nextCorrelationId = 1;
+  private long lastReadNs;
+  private boolean pingOutstanding;
 
   private record Pending(CompletableFuture<Result<Message, TransportError>> reply) {}
 
@@ -93,6 +98,7 @@
                 () -> {
                   if (isConnected() && channel.isWritable()) {
                     channel.writeAndFlush(new Frame(Frame.Kind.ONE_WAY, 0, message));
+                    probeIfSilent();
                   }
                 }));
   }
@@ -118,6 +124,7 @@
     long correlationId = nextCorrelationId++;
     pending.put(correlationId, new Pending(reply));
     channel.writeAndFlush(new Frame(Frame.Kind.REQUEST, correlationId, message));
+    probeIfSilent();
     var timeout =
         eventLoop.schedule(
             () -> complete(correlationId, Result.err(TransportError.TIMED_OUT)),
@@ -126,6 +133,28 @@
     reply.whenComplete((result, failure) -> timeout.cancel(false));
   }
 
+  /**
+   * Asks a peer that has said nothing for a while for a sign of life, and closes the connection
+   * when none comes: a connection through a cut or to a machine without power would hang otherwise.
+   */
+  private void probeIfSilent() {
+    if (pingOutstanding || System.nanoTime() - lastReadNs < PROBE_AFTER_NS) {
+      return;
+    }
+    pingOutstanding = true;
+    Channel probed = channel;
+    probed.writeAndFlush(new Frame(Frame.Kind.REQUEST, 0, new Ping()));
+    eventLoop.schedule(
+        () -> {
+          if (pingOutstanding && probed == channel) {
+            EVENTS.log(EventCode.CONNECTION_FAILED, "peer", address, "reason", "silent");
+            probed.close();
+          }
+        },
+        PROBE_TIMEOUT_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
   private void complete(long correlationId, Result<Message, TransportError> result) {
     Pending request = pending.remove(correlationId);
     if (request != null) {
@@ -170,6 +199,8 @@
     connecting = false;
     if (future.isSuccess()) {
       channel = future.channel();
+      lastReadNs = System.nanoTime();
+      pingOutstanding = false;
       if (closed) {
         channel.close();
       }
@@ -197,6 +228,8 @@
   private final class ReplyHandler extends SimpleChannelInboundHandler<Frame> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+      lastReadNs = System.nanoTime();
+      pingOutstanding = false;
       if (frame.kind() == Frame.Kind.REPLY) {
         complete(frame.correlationId(), Result.ok(frame.message()));
       }
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerServer.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerServer.java
@@ -16,6 +16,7 @@
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.protocol.message.Ping;
 
 /** Accepts connections from other processes of the system. */
 public final class PeerServer implements AutoCloseable {
@@ -67,6 +68,10 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
       long correlationId = frame.correlationId();
+      if (frame.message() instanceof Ping ping) {
+        context.writeAndFlush(new Frame(Frame.Kind.REPLY, correlationId, ping));
+        return;
+      }
       handler.onMessage(
           frame.message(),
           reply -> {
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -60,6 +60,11 @@
     return request.method();
   }
 
+  /** The path with the query, as the caller sent it. */
+  public String uri() {
+    return request.uri();
+  }
+
   /** The path without the query. */
   public String path() {
     return uri.path();
@@ -169,8 +174,33 @@
     finish(response);
   }
 
+  /** Sends a whole response with exactly these headers and the body's length. */
+  public void send(int status, HttpHeaders headers, byte[] content) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(content));
+    response.headers().set(headers);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+    sendFull(response);
+  }
+
   // ---- streamed responses
 
+  /** Sends the head of a chunked response with exactly these headers. */
+  public void startStream(int status, HttpHeaders headers) {
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    response.headers().set(headers);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    if (closeAfter) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    streaming = true;
+    channel.write(response, channel.voidPromise());
+  }
+
   /** Sends the head of a chunked response. */
   public void startStream(String contentType) {
     startStream(contentType, Map.of());
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
@@ -33,6 +33,7 @@
   private final AtomicInteger activeExchanges = new AtomicInteger();
   private final Channel channel;
   private volatile boolean draining;
+  private volatile boolean closingConnections;
 
   /** Binds {@code address}. */
   public HttpServer(
@@ -67,6 +68,11 @@
     return draining;
   }
 
+  /** Still serves, but closes each connection after its next response. */
+  public void closeConnectionsAfterResponses() {
+    closingConnections = true;
+  }
+
   /**
    * Takes no new connections, refuses new requests as not run and waits for those in progress.
    *
@@ -115,6 +121,9 @@
   private void dispatch(HttpExchange exchange) {
     activeExchanges.incrementAndGet();
     exchange.onEnded(activeExchanges::decrementAndGet);
+    if (closingConnections) {
+      exchange.closeAfterResponse();
+    }
     if (draining) {
       exchange.closeAfterResponse();
       exchange.sendError(
--- /dev/null
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -0,0 +1,191 @@
+package io.pathdeck.state;
+
+import io.pathdeck.protocol.command.AdvanceTime;
+import io.pathdeck.protocol.command.BatchAccepted;
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.Done;
+import io.pathdeck.protocol.command.EndBatch;
+import io.pathdeck.protocol.command.ListBatchResults;
+import io.pathdeck.protocol.command.QuotaExceeded;
+import io.pathdeck.protocol.command.Rejected;
+import io.pathdeck.protocol.command.RejectionCode;
+import io.pathdeck.protocol.command.SubmitBatch;
+import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.query.BatchItemBody;
+import io.pathdeck.protocol.query.BatchMissing;
+import io.pathdeck.protocol.query.BatchResults;
+import io.pathdeck.protocol.query.NotFound;
+import io.pathdeck.protocol.query.Query;
+import io.pathdeck.protocol.query.QueryResult;
+import io.pathdeck.protocol.query.ReadBatchItem;
+import io.pathdeck.protocol.query.ReadBatchResults;
+import io.pathdeck.protocol.snapshot.BatchJobRecord;
+import io.pathdeck.protocol.snapshot.MetaRecord;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Batch jobs with their items and results.
+ *
+ * <p>An item has one result at one position for as long as its job is kept: a second outcome of the
+ * same item changes nothing. Commands are idempotent by the job's id, so resends need no stored
+ * answers.
+ */
+public final class BatchStateMachine implements StateMachine {
+  /** How long a job that has nothing left to do is kept after its submission, in log time. */
+  static final long MIN_RETENTION_MS = 180_000;
+
+  private final LogicalClock clock = new LogicalClock();
+  private final Map<String, BatchJob> jobs = new LinkedHashMap<>();
+
+  /** The job with this id. */
+  public Optional<BatchJob> job(String jobId) {
+    return Optional.ofNullable(jobs.get(jobId));
+  }
+
+  /** All jobs, oldest first. */
+  public Collection<BatchJob> jobs() {
+    return jobs.values();
+  }
+
+  @Override
+  public long timeMs() {
+    return clock.nowMs();
+  }
+
+  @Override
+  public boolean waitsForTime() {
+    return !jobs.isEmpty();
+  }
+
+  @Override
+  public CommandResult apply(CommandEnvelope envelope) {
+    long nowMs = clock.advance(envelope.proposedAtMs());
+    expire(nowMs);
+    Command command = envelope.command();
+    if (command instanceof SubmitBatch submit) {
+      return submit(submit, nowMs);
+    }
+    if (command instanceof ListBatchResults list) {
+      return list(list);
+    }
+    if (command instanceof EndBatch end) {
+      return end(end);
+    }
+    if (command instanceof AdvanceTime) {
+      return new Done();
+    }
+    return new Rejected(RejectionCode.INVALID, "not a command of a batch group");
+  }
+
+  private void expire(long nowMs) {
+    jobs.values()
+        .removeIf(job -> !job.isActive() && nowMs - job.submittedAtMs() > MIN_RETENTION_MS);
+  }
+
+  private CommandResult submit(SubmitBatch submit, long nowMs) {
+    if (jobs.containsKey(submit.jobId())) {
+      return new BatchAccepted(submit.jobId());
+    }
+    long waiting = queuedTokens(submit.route());
+    long added = submit.items().stream().mapToLong(BatchItem::tokens).sum();
+    boolean limited = submit.maxQueuedTokens() > 0;
+    if (limited && waiting + added > submit.maxQueuedTokens()) {
+      return new QuotaExceeded(waiting, submit.maxQueuedTokens());
+    }
+    jobs.put(submit.jobId(), new BatchJob(submit, nowMs));
+    return new BatchAccepted(submit.jobId());
+  }
+
+  private long queuedTokens(String route) {
+    long tokens = 0;
+    for (BatchJob job : jobs.values()) {
+      if (job.submission().route().equals(route)) {
+        tokens += job.queuedTokens();
+      }
+    }
+    return tokens;
+  }
+
+  private CommandResult list(ListBatchResults list) {
+    BatchJob job = jobs.get(list.jobId());
+    if (job == null) {
+      return new Rejected(RejectionCode.NOT_FOUND, "no job " + list.jobId());
+    }
+    list.results().forEach(job::list);
+    return new Done();
+  }
+
+  private CommandResult end(EndBatch end) {
+    BatchJob job = jobs.get(end.jobId());
+    if (job == null) {
+      return new Rejected(RejectionCode.NOT_FOUND, "no job " + end.jobId());
+    }
+    job.end();
+    return new Done();
+  }
+
+  @Override
+  public QueryResult query(Query query) {
+    if (query instanceof ReadBatchResults read) {
+      return readResults(read);
+    }
+    if (query instanceof ReadBatchItem read) {
+      return readItem(read);
+    }
+    return new NotFound("not a query of a batch group");
+  }
+
+  private QueryResult readResults(ReadBatchResults read) {
+    BatchJob job = jobs.get(read.jobId());
+    if (job == null) {
+      return new BatchMissing();
+    }
+    int from = Math.max(0, Math.min(read.from(), job.results().size()));
+    List<BatchResult> page = new ArrayList<>();
+    int bytes = 0;
+    for (BatchResult result : job.results().subList(from, job.results().size())) {
+      bytes += result.text().length();
+      if (!page.isEmpty() && bytes > read.maxBytes()) {
+        break;
+      }
+      page.add(result);
+    }
+    return new BatchResults(job.total(), from + page.size(), page);
+  }
+
+  private QueryResult readItem(ReadBatchItem read) {
+    BatchJob job = jobs.get(read.jobId());
+    BatchItem item = job == null ? null : job.open().get(read.itemId());
+    return item == null ? new BatchMissing() : new BatchItemBody(item.body());
+  }
+
+  @Override
+  public Iterator<Object> captureSnapshot() {
+    List<Object> records = new ArrayList<>();
+    records.add(new MetaRecord(clock.nowMs(), 0, null));
+    jobs.values().forEach(job -> records.add(job.capture()));
+    return records.iterator();
+  }
+
+  @Override
+  public void restoreSnapshot(Iterator<Object> records) {
+    jobs.clear();
+    while (records.hasNext()) {
+      Object next = records.next();
+      if (next instanceof MetaRecord header) {
+        clock.restore(header.clockMs());
+      } else if (next instanceof BatchJobRecord saved) {
+        jobs.put(saved.submission().jobId(), BatchJob.restore(saved));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
@@ -0,0 +1,152 @@
+package io.pathdeck.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.protocol.codec.ObjectCodec;
+import io.pathdeck.protocol.command.BatchAccepted;
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.Done;
+import io.pathdeck.protocol.command.EndBatch;
+import io.pathdeck.protocol.command.ListBatchResults;
+import io.pathdeck.protocol.command.QuotaExceeded;
+import io.pathdeck.protocol.command.Rejected;
+import io.pathdeck.protocol.command.SubmitBatch;
+import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.query.BatchItemBody;
+import io.pathdeck.protocol.query.BatchMissing;
+import io.pathdeck.protocol.query.BatchResults;
+import io.pathdeck.protocol.query.ReadBatchItem;
+import io.pathdeck.protocol.query.ReadBatchResults;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class TestBatchStateMachine {
+  private static final int PAGE_BYTES = 10;
+
+  private final BatchStateMachine machine = new BatchStateMachine();
+  private long timeMs = 1_000;
+
+  private CommandResult apply(Command command) {
+    timeMs += 1;
+    return machine.apply(new CommandEnvelope("", 0, timeMs, command));
+  }
+
+  private static SubmitBatch job(String id, int items, long maxQueuedTokens) {
+    List<BatchItem> list = new ArrayList<>();
+    for (int i = 0; i < items; i++) {
+      byte[] body = {(byte) i};
+      list.add(new BatchItem(id + "-" + i, "/p/" + i, Map.of("Model", "m"), body, 100));
+    }
+    return new SubmitBatch(id, "route", "host", list, 3, 20_000, 60_000, maxQueuedTokens);
+  }
+
+  private static ListBatchResults list(String job, String item, boolean done, String text) {
+    return new ListBatchResults(job, List.of(new BatchResult(item, done, text)));
+  }
+
+  private BatchResults read(String job, int from) {
+    return (BatchResults) machine.query(new ReadBatchResults(job, from, PAGE_BYTES, 0));
+  }
+
+  @Test
+  void resentJobIsAcceptedOnce() {
+    assertThat(apply(job("a", 2, 0))).isEqualTo(new BatchAccepted("a"));
+    assertThat(apply(list("a", "a-0", true, "x"))).isInstanceOf(Done.class);
+    assertThat(apply(job("a", 2, 0))).isEqualTo(new BatchAccepted("a"));
+    assertThat(read("a", 0).results()).hasSize(1);
+  }
+
+  @Test
+  void itemKeepsItsFirstOutcomeAndPosition() {
+    apply(job("a", 2, 0));
+    apply(list("a", "a-1", true, "first"));
+    apply(list("a", "a-1", false, ""));
+    apply(list("a", "a-0", true, "other"));
+    BatchResults results = read("a", 0);
+    assertThat(results.results().get(0)).isEqualTo(new BatchResult("a-1", true, "first"));
+    assertThat(read("a", 1).results()).containsExactly(new BatchResult("a-0", true, "other"));
+    assertThat(results.total()).isEqualTo(2);
+  }
+
+  @Test
+  void pageHoldsAtLeastOneResult() {
+    apply(job("a", 2, 0));
+    apply(list("a", "a-0", true, "longer than a page"));
+    apply(list("a", "a-1", true, "longer than a page"));
+    assertThat(read("a", 0).results()).hasSize(1);
+    assertThat(read("a", 0).next()).isEqualTo(1);
+  }
+
+  @Test
+  void quotaCountsOnlyWhatWaits() {
+    assertThat(apply(job("a", 3, 500))).isInstanceOf(BatchAccepted.class);
+    assertThat(apply(job("b", 3, 500))).isEqualTo(new QuotaExceeded(300, 500));
+    apply(list("a", "a-0", true, ""));
+    assertThat(apply(job("b", 3, 500))).isInstanceOf(BatchAccepted.class);
+  }
+
+  @Test
+  void endedJobFreesItsQuotaAndKeepsItsResults() {
+    apply(job("a", 3, 500));
+    apply(list("a", "a-0", true, "x"));
+    assertThat(apply(new EndBatch("a"))).isInstanceOf(Done.class);
+    assertThat(apply(new EndBatch("a"))).isInstanceOf(Done.class);
+    assertThat(apply(job("b", 5, 500))).isInstanceOf(BatchAccepted.class);
+    assertThat(read("a", 0).results()).hasSize(1);
+    assertThat(machine.job("a").orElseThrow().isActive()).isFalse();
+  }
+
+  @Test
+  void unknownJobIsMissing() {
+    assertThat(apply(new EndBatch("nobody"))).isInstanceOf(Rejected.class);
+    assertThat(machine.query(new ReadBatchResults("nobody", 0, PAGE_BYTES, 0)))
+        .isInstanceOf(BatchMissing.class);
+  }
+
+  @Test
+  void bodyIsReadWhileTheItemWaits() {
+    apply(job("a", 2, 0));
+    BatchItemBody body = (BatchItemBody) machine.query(new ReadBatchItem("a", "a-1"));
+    assertThat(body.body()).containsExactly(1);
+    apply(list("a", "a-1", true, ""));
+    assertThat(machine.query(new ReadBatchItem("a", "a-1"))).isInstanceOf(BatchMissing.class);
+  }
+
+  @Test
+  void openJobIsKeptHoweverOld() {
+    apply(job("open", 1, 0));
+    apply(job("ended", 1, 0));
+    apply(new EndBatch("ended"));
+    timeMs += 2 * BatchStateMachine.MIN_RETENTION_MS;
+    apply(job("new", 1, 0));
+    assertThat(machine.job("open")).isPresent();
+    assertThat(machine.job("ended")).isEmpty();
+  }
+
+  @Test
+  void snapshotRestoresEverything() {
+    apply(job("a", 3, 500));
+    apply(list("a", "a-2", true, "two"));
+    apply(list("a", "a-0", false, ""));
+    apply(job("b", 1, 0));
+    apply(new EndBatch("b"));
+    List<Object> decoded = new ArrayList<>();
+    Iterator<Object> records = machine.captureSnapshot();
+    while (records.hasNext()) {
+      decoded.add(ObjectCodec.decode(ObjectCodec.encode(records.next()), Object.class).value());
+    }
+    BatchStateMachine restored = new BatchStateMachine();
+    restored.restoreSnapshot(decoded.iterator());
+    assertThat(restored.timeMs()).isEqualTo(machine.timeMs());
+    assertThat(restored.query(new ReadBatchResults("a", 0, 1_000, 0)))
+        .isEqualTo(machine.query(new ReadBatchResults("a", 0, 1_000, 0)));
+    assertThat(restored.job("a").orElseThrow().open()).containsOnlyKeys("a-1");
+    assertThat(restored.job("b").orElseThrow().isEnded()).isTrue();
+  }
+}
--- /dev/null
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -0,0 +1,71 @@
+package io.pathdeck.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.FoundJobsGroup;
+import io.pathdeck.protocol.command.PutRouteTable;
+import io.pathdeck.protocol.command.RouteTableHeld;
+import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.raft.GroupConfiguration;
+import io.pathdeck.protocol.raft.Member;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TestFleetStateMachine {
+  private final FleetStateMachine machine = new FleetStateMachine();
+
+  private CommandResult apply(Command command) {
+    return machine.apply(new CommandEnvelope("", 0, 1, command));
+  }
+
+  private static PutRouteTable put(long version, String document) {
+    return new PutRouteTable(
+        new RouteTable(version, List.of(), List.of(), document.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private String held() {
+    return new String(machine.table().orElseThrow().document(), StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void highestVersionHolds() {
+    assertThat(apply(put(5, "five"))).isEqualTo(new RouteTableHeld(5));
+    assertThat(apply(put(3, "three"))).isEqualTo(new RouteTableHeld(5));
+    assertThat(held()).isEqualTo("five");
+    assertThat(apply(put(9, "nine"))).isEqualTo(new RouteTableHeld(9));
+    assertThat(held()).isEqualTo("nine");
+  }
+
+  @Test
+  void otherContentUnderTheVersionHeldChangesNothing() {
+    apply(put(5, "five"));
+    assertThat(apply(put(5, "another"))).isEqualTo(new RouteTableHeld(5));
+    assertThat(held()).isEqualTo("five");
+  }
+
+  @Test
+  void jobsGroupIsFoundedOnce() {
+    GroupConfiguration first = new GroupConfiguration(List.of(new Member(1, 1, true, "a:1")));
+    GroupConfiguration second = new GroupConfiguration(List.of(new Member(2, 2, true, "b:1")));
+    apply(new FoundJobsGroup(first));
+    apply(new FoundJobsGroup(second));
+    assertThat(machine.jobsFounders()).contains(first);
+  }
+
+  @Test
+  void snapshotRestoresEverything() {
+    apply(put(5, "five"));
+    apply(new FoundJobsGroup(new GroupConfiguration(List.of(new Member(1, 1, true, "a:1")))));
+    apply(new SetStoreLeaving("store-1", 1));
+    FleetStateMachine restored = new FleetStateMachine();
+    restored.restoreSnapshot(machine.captureSnapshot());
+    assertThat(restored.table().orElseThrow().version()).isEqualTo(5);
+    assertThat(restored.jobsFounders()).isEqualTo(machine.jobsFounders());
+    assertThat(restored.leaving()).containsExactly(new SetStoreLeaving("store-1", 1));
+  }
+}
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimController.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimController.java
@@ -13,6 +13,7 @@
 import io.pathdeck.control.GroupRecovery;
 import io.pathdeck.control.GroupRuntime;
 import io.pathdeck.control.PeerLink;
+import io.pathdeck.control.PeerLinks;
 import io.pathdeck.control.SnapshotTask;
 import io.pathdeck.control.StorageBatch;
 import io.pathdeck.protocol.message.Message;
@@ -120,7 +121,7 @@
     ConsensusDuty duty =
         new ConsensusDuty(
             groups,
-            peerLinks(),
+            PeerLinks.fixed(peerLinks()),
             rings,
             disk,
             new ConfigurationLeases(SimFleet.PARTITIONS, SimFleet.CONFIGURATION_LEASE_MS),
