Placement: long prompts meet on one engine of a zone; batch asks engines for their load

Batch items were placed without knowing the online load.

Ruled out: prefix affinity by the shared part over all engines of a zone, as before: it spreads long prompts over all engines.

Change: one engine of a zone, the same for all its gateways, takes long prompts; unread prompt tokens count as load; the batch runner reads load reports while items wait; a starting gateway says when it will probably be ready.

--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -471,9 +471,10 @@
     votes = null;
   }
 
-  // ---- leader
-
   private void pollLeader(long nowMs) {
+    if (!leader.isHeartbeatDue(nowMs)) {
+      return;
+    }
     long silenceMs = leader.quorumSilenceMs(nowMs);
     boolean handsOver =
         leaving.contains(state.id) && state.log.configuration().voterCount() > policy.minVoters();
@@ -481,7 +482,7 @@
       becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
       return;
     }
-    leader.poll(nowMs);
+    leader.heartbeat(nowMs);
   }
 
   private boolean acceptLeader(RaftHeader header, long nowMs) {
--- a/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -44,12 +44,14 @@
     progressTable.setLeaving(ids);
   }
 
+  boolean isHeartbeatDue(long nowMs) {
+    return progressTable.isHeartbeatDue(nowMs);
+  }
+
   /** Sends heartbeats, and proposes a change of membership that has become possible. */
-  void poll(long nowMs) {
-    if (progressTable.isHeartbeatDue(nowMs)) {
-      changeMembershipIfNeeded(nowMs);
-      broadcastHeartbeat(nowMs);
-    }
+  void heartbeat(long nowMs) {
+    changeMembershipIfNeeded(nowMs);
+    broadcastHeartbeat(nowMs);
   }
 
   /** Sends a part of the newest snapshot. */
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -31,7 +31,7 @@
   private static final EventLog EVENTS = EventLog.of(ConsensusDuty.class);
   private static final int MAX_EVENTS_PER_STEP = 512;
   private static final int MAX_OUTSTANDING_BATCHES = 256;
-  private static final long MAX_IDLE_NS = TimeUnit.MILLISECONDS.toNanos(10);
+  private static final long MAX_IDLE_NS = TimeUnit.MILLISECONDS.toNanos(20);
   private static final long STATUS_INTERVAL_MS = 200;
 
   private final Map<Integer, GroupRuntime> groups;
--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineCall.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineCall.java
@@ -21,4 +21,7 @@
     HttpHeaders headers,
     byte[] body,
     long deadlineMs,
-    long resumeAfter) {}
+    long resumeAfter) {
+  /** The id of a call that is no caller's request. */
+  public static final String NO_REQUEST = "";
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineChoice.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineChoice.java
@@ -7,18 +7,32 @@
 import net.openhft.hashing.LongHashFunction;
 
 /**
- * Chooses an engine for a request: the least loaded one, the own zone first, and for requests that
- * share a long part of their prompt the engine that has probably read it already.
+ * Chooses an engine for a request.
+ *
+ * <p>A long prompt keeps the requests that arrive behind it from their first token. So long prompts
+ * of a zone meet on one of its engines, the same for all processes of the zone, and short ones keep
+ * away from it while others have room. Among the rest the least loaded engine is taken, those of
+ * the own zone first.
  */
 public final class EngineChoice {
+  /** From this many prompt tokens on a prompt is long. */
+  private static final long LONG_PROMPT_TOKENS = 2_500;
+
   /** How much load, as a share of an engine's slots, a way to another zone is worth. */
   private static final double OTHER_ZONE_PENALTY = 0.3;
 
-  /** Up to this load an engine is preferred for what its cache holds. */
-  private static final double AFFINITY_LOAD_LIMIT = 0.7;
+  /** How much load the engine for long prompts is worth to a short one. */
+  private static final double LONG_PROMPT_ENGINE_PENALTY = 0.25;
+
+  /** How many unread prompt tokens are worth an engine's whole load. */
+  private static final double TOKENS_PER_LOAD = 12_000;
+
+  /** Up to this cost the engine for long prompts takes another one. */
+  private static final double LONG_PROMPT_COST_LIMIT = 1.2;
 
   private static final double JITTER = 0.02;
   private static final int DEFAULT_SLOTS = 8;
+  private static final String LONG_PROMPTS = "long-prompts";
 
   private final String zone;
   private final SplittableRandom random;
@@ -32,20 +46,25 @@
   /**
    * Chooses among {@code candidates}.
    *
-   * @param affinityKey the long shared part of the prompt; empty when there is none
+   * @param promptTokens the tokens of the prompt; 0 when not known
    */
-  public Optional<EngineState> choose(
-      List<EngineState> candidates, String affinityKey, long nowMs) {
-    if (!affinityKey.isEmpty()) {
-      Optional<EngineState> preferred = preferred(candidates, affinityKey);
-      if (preferred.isPresent() && load(preferred.get(), nowMs) < AFFINITY_LOAD_LIMIT) {
-        return preferred;
-      }
+  public Optional<EngineState> choose(List<EngineState> candidates, long promptTokens, long nowMs) {
+    boolean longPrompt = promptTokens >= LONG_PROMPT_TOKENS;
+    Optional<EngineState> forLongPrompts = engineForLongPrompts(candidates);
+    if (longPrompt
+        && forLongPrompts.isPresent()
+        && cost(forLongPrompts.get(), nowMs) < LONG_PROMPT_COST_LIMIT) {
+      return forLongPrompts;
     }
     EngineState best = null;
     double bestCost = Double.MAX_VALUE;
     for (EngineState engine : candidates) {
-      double cost = load(engine, nowMs) + zonePenalty(engine) + random.nextDouble() * JITTER;
+      boolean avoided = !longPrompt && forLongPrompts.filter(engine::equals).isPresent();
+      double cost =
+          cost(engine, nowMs)
+              + zonePenalty(engine)
+              + (avoided ? LONG_PROMPT_ENGINE_PENALTY : 0)
+              + random.nextDouble() * JITTER;
       if (cost < bestCost) {
         best = engine;
         bestCost = cost;
@@ -54,6 +73,10 @@
     return Optional.ofNullable(best);
   }
 
+  private static double cost(EngineState engine, long nowMs) {
+    return load(engine, nowMs) + engine.unreadPromptTokens() / TOKENS_PER_LOAD;
+  }
+
   private double zonePenalty(EngineState engine) {
     return engine.instance().zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY;
   }
@@ -65,13 +88,13 @@
   }
 
   /** Rendezvous hashing among the engines of the own zone, or among all when it has none. */
-  private Optional<EngineState> preferred(List<EngineState> candidates, String key) {
+  private Optional<EngineState> engineForLongPrompts(List<EngineState> candidates) {
     List<EngineState> near =
         candidates.stream().filter(engine -> engine.instance().zone().equals(zone)).toList();
     EngineState best = null;
     long bestHash = Long.MIN_VALUE;
     for (EngineState engine : near.isEmpty() ? candidates : near) {
-      String text = key + '|' + engine.instance().id();
+      String text = LONG_PROMPTS + '|' + engine.instance().id();
       long hash = LongHashFunction.xx3().hashBytes(text.getBytes(StandardCharsets.UTF_8));
       if (best == null || hash > bestHash) {
         best = engine;
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.pathdeck.fleet.adapter.EngineAnswer;
+import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.concurrent.TimeUnit;
@@ -127,7 +128,8 @@
       reading = Reading.SKIPPED_BODY;
       return;
     }
-    if (success && !answer.signed()) {
+    boolean ofCaller = !current.call().requestId().equals(EngineCall.NO_REQUEST);
+    if (success && ofCaller && !answer.signed()) {
       breakOff("a success without a signature");
       return;
     }
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineReports.java
@@ -0,0 +1,81 @@
+package io.pathdeck.fleet.engine;
+
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.pathdeck.fleet.adapter.EngineAnswer;
+import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.io.ByteArrayOutputStream;
+import java.util.function.BiConsumer;
+
+/** Asks engines for their load; confined to the event loop. */
+public final class EngineReports {
+  private static final int OK = 200;
+  private static final long DEADLINE_MS = 500;
+
+  private final EngineTransport transport;
+  private final EngineProtocol protocol;
+  private final BiConsumer<String, EngineLoadReport> listener;
+
+  /** Tells {@code listener} each load that an engine reports, with the engine's id. */
+  public EngineReports(
+      EngineTransport transport,
+      EngineProtocol protocol,
+      BiConsumer<String, EngineLoadReport> listener) {
+    this.transport = transport;
+    this.protocol = protocol;
+    this.listener = listener;
+  }
+
+  /** Asks one engine; nothing is told when it does not answer. */
+  public void ask(EngineInstance engine) {
+    EngineCall call =
+        new EngineCall(
+            engine,
+            HttpMethod.GET,
+            protocol.reportPath(),
+            engine.address(),
+            EngineCall.NO_REQUEST,
+            EmptyHttpHeaders.INSTANCE,
+            new byte[0],
+            DEADLINE_MS,
+            -1);
+    transport.start(call, new ReportListener(engine.id()));
+  }
+
+  private final class ReportListener implements EngineListener {
+    private final String engineId;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+
+    ReportListener(String engineId) {
+      this.engineId = engineId;
+    }
+
+    @Override
+    public void onHead(EngineAnswer answer) {
+      status = answer.status();
+    }
+
+    @Override
+    public void onBody(byte[] part) {
+      body.writeBytes(part);
+    }
+
+    @Override
+    public void onEnd() {
+      if (status == OK) {
+        protocol
+            .readReport(body.toByteArray())
+            .ifPresent(report -> listener.accept(engineId, report));
+      }
+    }
+
+    @Override
+    public void onFailure(EngineFailure failure, String reason) {
+      // A report that does not come changes nothing that is known.
+    }
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -11,6 +11,7 @@
 
   private EngineInstance instance;
   private int inFlight;
+  private long unreadPromptTokens;
   private int othersAtReport;
   private long reportedAtMs = Long.MIN_VALUE / 2;
   private int failures;
@@ -51,6 +52,21 @@
     inFlight--;
   }
 
+  /** A call with this prompt was sent and has brought nothing yet. */
+  public void onPromptSent(long promptTokens) {
+    unreadPromptTokens += promptTokens;
+  }
+
+  /** A call with this prompt has brought its first bytes, or has ended without. */
+  public void onPromptRead(long promptTokens) {
+    unreadPromptTokens -= promptTokens;
+  }
+
+  /** The tokens of this process's prompts that the engine has probably not read yet. */
+  public long unreadPromptTokens() {
+    return unreadPromptTokens;
+  }
+
   /** The engine has sent something. */
   public void onHeard(long nowMs) {
     lastHeardMs = nowMs;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingSettings.java
@@ -8,14 +8,12 @@
  * @param refusedRetryAfterMs when a refused caller is told to come back
  * @param answerMarginMs how long before its deadline a request gets its final answer
  * @param maxSends the most engines that one request is offered to, whether or not they run it
- * @param affinityTokens from how many shared prompt tokens on requests should meet on one engine
  */
 record ForwardingSettings(
     long silenceMs,
     long silencePerThousandTokensMs,
     long refusedRetryAfterMs,
     long answerMarginMs,
-    int maxSends,
-    long affinityTokens) {
-  static final ForwardingSettings DEFAULT = new ForwardingSettings(450, 25, 200, 15, 5, 1_000);
+    int maxSends) {
+  static final ForwardingSettings DEFAULT = new ForwardingSettings(450, 25, 200, 15, 5);
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -21,12 +21,17 @@
 /** Matches callers' requests against the routes and serves them; confined to the event loop. */
 final class Gateway {
   private static final long SILENCE_CHECK_INTERVAL_MS = 100;
-  private static final long NO_CONFIGURATION_RETRY_AFTER_MS = 500;
+
+  /** How long after its start a gateway has usually heard from the coordinators. */
+  private static final long USUAL_START_MS = 2_000;
+
+  private static final long MIN_START_RETRY_AFTER_MS = 300;
 
   private final CallerProtocol protocol;
   private final Supplier<FleetView> view;
   private final BatchCalls batch;
   private final RequestForwarder.Shared shared;
+  private final long startNs = System.nanoTime();
   private final TrafficSplit split = new TrafficSplit();
 
   Gateway(
@@ -87,7 +92,9 @@
   private void handleRequest(HttpExchange exchange, CallerCall.Request request) {
     FleetView known = view.get();
     if (!known.isComplete()) {
-      Refusals.unavailable(exchange, "no configuration yet", NO_CONFIGURATION_RETRY_AFTER_MS);
+      long upMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+      long retryAfterMs = Math.max(MIN_START_RETRY_AFTER_MS, USUAL_START_MS - upMs);
+      Refusals.unavailable(exchange, "no configuration yet", retryAfterMs);
       return;
     }
     Optional<RouteSpec> route = known.routes().match(request.host(), request.path());
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -54,7 +54,6 @@
   private final String service;
   private final long deadlineMs;
   private final AttemptBudget budget;
-  private final String affinityKey;
   private final Set<String> tried = new HashSet<>();
   private ScheduledFuture<?> timeout;
   private Attempt attempt;
@@ -76,7 +75,6 @@
     this.service = service;
     this.lastEventId = request.resumeAfter();
     this.budget = new AttemptBudget(route, shared.settings().maxSends());
-    this.affinityKey = affinityKey(request, route, shared.settings().affinityTokens());
     long waitMs = route.timeoutMs();
     if (request.deadlineMs() > 0) {
       waitMs = Math.min(waitMs, request.deadlineMs());
@@ -84,19 +82,6 @@
     this.deadlineMs = nowMs + Math.max(1, waitMs - shared.settings().answerMarginMs());
   }
 
-  /** The last part of the prompt that others share, when the shared part is long. */
-  private static String affinityKey(CallerCall.Request request, RouteSpec route, long minTokens) {
-    List<CallerCall.PromptPart> parts = request.promptParts();
-    if (!route.sticky() || parts.size() < 2) {
-      return "";
-    }
-    long sharedTokens = 0;
-    for (CallerCall.PromptPart part : parts.subList(0, parts.size() - 1)) {
-      sharedTokens += part.tokens();
-    }
-    return sharedTokens >= minTokens ? parts.get(parts.size() - 2).id() : "";
-  }
-
   private static long nowMs() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
@@ -117,7 +102,7 @@
     if (candidates.isEmpty()) {
       candidates = shared.engines().listed(service, tried);
     }
-    Optional<EngineState> engine = shared.choice().choose(candidates, affinityKey, now);
+    Optional<EngineState> engine = shared.choice().choose(candidates, request.promptTokens(), now);
     if (engine.isEmpty()) {
       finishWithoutEngine("no engine left");
       return;
@@ -258,6 +243,7 @@
     private EventScanner scanner;
     private long lastProgressMs;
     private boolean over;
+    private boolean promptRead;
 
     Attempt(EngineState engine, long nowMs) {
       this.engine = engine;
@@ -267,6 +253,7 @@
     void begin() {
       tried.add(engine.instance().id());
       engine.onStart(lastProgressMs);
+      engine.onPromptSent(request.promptTokens());
       scanner = new EventScanner(lastEventId);
       EngineCall call =
           new EngineCall(
@@ -290,7 +277,15 @@
       return answer.status() >= SUCCESS_FROM && answer.status() < SUCCESS_TO;
     }
 
+    private void notePromptRead() {
+      if (!promptRead) {
+        promptRead = true;
+        engine.onPromptRead(request.promptTokens());
+      }
+    }
+
     private void heard() {
+      notePromptRead();
       lastProgressMs = nowMs();
       engine.onHeard(lastProgressMs);
     }
@@ -418,6 +413,7 @@
 
     private void end() {
       over = true;
+      notePromptRead();
       engine.onEnd();
     }
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -9,7 +9,10 @@
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
 import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.EngineReports;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
@@ -18,6 +21,7 @@
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.message.ProposeReply;
 import io.pathdeck.state.BatchJob;
@@ -42,6 +46,7 @@
 final class BatchRunner {
   private static final EventLog EVENTS = EventLog.of(BatchRunner.class);
   private static final long SCHEDULE_INTERVAL_MS = 20;
+  private static final long REPORT_INTERVAL_MS = 300;
   private static final long SILENCE_MS = 1_500;
   private static final long FAILURE_PAUSE_MS = 150;
   private static final long GIVE_UP_MARGIN_MS = 500;
@@ -55,6 +60,7 @@
   private final EngineTransport transport;
   private final EngineChoice choice;
   private final Executor consensus;
+  private final EngineReports reports;
   private final BatchWindow window = new BatchWindow();
   private final EngineTable engines = new EngineTable();
   private final TrafficSplit split = new TrafficSplit();
@@ -62,6 +68,7 @@
   private FleetView view = FleetView.UNKNOWN;
   private long term;
   private long nextScheduleMs;
+  private long nextReportsMs;
 
   /** Creates a runner; {@code consensus} runs actions on the consensus duty's thread. */
   BatchRunner(
@@ -70,6 +77,7 @@
       ControllerClock clock,
       EventLoop eventLoop,
       EngineTransport transport,
+      EngineProtocol protocol,
       EngineChoice choice,
       Executor consensus) {
     this.group = group;
@@ -79,6 +87,11 @@
     this.transport = transport;
     this.choice = choice;
     this.consensus = consensus;
+    this.reports =
+        new EngineReports(
+            transport,
+            protocol,
+            (engineId, load) -> consensus.execute(() -> onReport(engineId, load)));
   }
 
   /** Follows what is known of the fleet. */
@@ -103,10 +116,33 @@
     checkSilence(nowMs);
     giveUpExpired();
     if (view.isComplete()) {
+      askForReports(nowMs);
       startItems(nowMs);
     }
   }
 
+  /** While items wait, what online requests take of the engines must be known. */
+  private void askForReports(long nowMs) {
+    boolean waiting = runs.values().stream().anyMatch(run -> run.mayStart(nowMs));
+    if (!waiting || nowMs < nextReportsMs) {
+      return;
+    }
+    nextReportsMs = nowMs + REPORT_INTERVAL_MS;
+    for (EngineState engine : engines.all()) {
+      if (!engine.isLeaving()) {
+        EngineInstance instance = engine.instance();
+        eventLoop.execute(() -> reports.ask(instance));
+      }
+    }
+  }
+
+  private void onReport(String engineId, EngineLoadReport load) {
+    EngineState engine = engines.find(engineId);
+    if (engine != null) {
+      engine.onLoad(load, clock.monotonicMs());
+    }
+  }
+
   private void stopAll() {
     runs.values().forEach(this::stop);
     runs.clear();
@@ -194,7 +230,7 @@
         engines.usable(service, Set.of(), nowMs).stream()
             .filter(engine -> window.hasRoom(engine, nowMs))
             .toList();
-    Optional<EngineState> chosen = choice.choose(open, "", nowMs);
+    Optional<EngineState> chosen = choice.choose(open, 0, nowMs);
     if (chosen.isEmpty()) {
       return false;
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -155,6 +155,7 @@
             host.clock(),
             eventLoop,
             new NettyEngineTransport(eventLoop, adapter.engines()),
+            adapter.engines(),
             choice,
             host::execute);
     follower.onChange(
