Structured logs, batch items that yield, waits of late calls count in the choice of an engine

Cause: (1) a failed request could not be followed from its id: events were free text and only failures were written.

The abort is not explained; the process now ends by halt once all is closed and the log flushed.

Batch items take half of the slots, three quarters when soon due, and yield on engines where requests wait; they go on where they stopped. Engines whose calls waited of late are avoided for a while.

--- a/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
+++ b/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
@@ -45,8 +45,11 @@
       }
       case "ctl" -> new OperatorCommand(System.out, System.err).run(rest);
       case "check-config" -> new CheckConfigCommand(System.out, System.err).run(rest);
-      case "node", "controller", "dispatcher", "gateway", "coordinator", "store" ->
-          new RoleCommand(arguments.get(0)).run(rest);
+      case "gateway", "coordinator", "store" -> {
+        System.setProperty("pathdeck.log.target", "SYSTEM_OUT");
+        yield new RoleCommand(arguments.get(0)).run(rest);
+      }
+      case "node", "controller", "dispatcher" -> new RoleCommand(arguments.get(0)).run(rest);
       default -> {
         System.err.println("unknown role: " + arguments.get(0));
         System.err.print(USAGE);
--- a/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
@@ -222,6 +222,8 @@
                 EVENTS.log(EventCode.DUTY_FAILED, e, "duty", "stop");
               }
               LogManager.shutdown();
+              // Everything is closed. Threads that only wait must not hold the end up.
+              Runtime.getRuntime().halt(ExitCode.OK.value());
             },
             "stop");
     Runtime.getRuntime().addShutdownHook(stop);
--- a/common/src/main/java/io/pathdeck/common/events/EventCode.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventCode.java
@@ -11,6 +11,7 @@
   RING_FULL(1005, Level.WARN),
   SETTINGS_REJECTED(1006, Level.ERROR),
   SETTINGS_RELOADED(1007, Level.INFO),
+  LINES_LEFT_OUT(1008, Level.INFO),
   CONNECTION_FAILED(1101, Level.DEBUG),
   FRAME_REJECTED(1102, Level.WARN),
   ROLE_CHANGED(2001, Level.INFO),
@@ -41,22 +42,37 @@
   CONFIGURATION_LEASE_RENEWED(3003, Level.INFO),
   ENGINE_EJECTED(3101, Level.WARN),
   ENGINE_READMITTED(3102, Level.INFO),
-  ATTEMPT_FAILED(3103, Level.WARN),
-  STREAM_RESUMED(3104, Level.INFO),
-  REQUEST_REFUSED(3105, Level.DEBUG),
-  REQUEST_FAILED(3106, Level.WARN),
-  CALLER_TOO_SLOW(3107, Level.WARN),
-  ITEM_RETRIED(4001, Level.WARN),
+  ATTEMPT_FAILED(3103, Level.WARN, true),
+  STREAM_RESUMED(3104, Level.INFO, true),
+  REQUEST_REFUSED(3105, Level.INFO, true),
+  REQUEST_FAILED(3106, Level.WARN, true),
+  CALLER_TOO_SLOW(3107, Level.WARN, true),
+  REQUEST_SERVED(3108, Level.INFO, true),
+  BATCH_CALL(3109, Level.INFO, true),
+  ITEM_RETRIED(4001, Level.WARN, true),
+  ITEM_STARTED(4004, Level.INFO, true),
+  ITEM_LISTED(4005, Level.INFO, true),
   LEASE_REVOKED(4002, Level.INFO),
   PARTITION_UNREACHABLE(4003, Level.WARN),
   STAND_IN_FAULT(9001, Level.INFO);
 
   private final int number;
   private final Level level;
+  private final boolean ofRequests;
 
   EventCode(int number, Level level) {
+    this(number, level, false);
+  }
+
+  EventCode(int number, Level level, boolean ofRequests) {
     this.number = number;
     this.level = level;
+    this.ofRequests = ofRequests;
+  }
+
+  /** Whether the event touches single requests, so that its lines are limited. */
+  boolean isOfRequests() {
+    return ofRequests;
   }
 
   /** The stable identifier, for example {@code PD-1001}. */
--- a/common/src/main/java/io/pathdeck/common/events/EventLog.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventLog.java
@@ -1,11 +1,21 @@
 package io.pathdeck.common.events;
 
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-/** Writes numbered events with {@code key=value} fields. */
+/**
+ * Writes numbered events, each as one line with one JSON object.
+ *
+ * <p>Events that touch single requests are limited in lines a second; what was left out is counted
+ * and told. Changes of what a process believes are always written.
+ */
 public final class EventLog {
+  private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
+
   private final Logger logger;
 
   private EventLog(Logger logger) {
@@ -28,15 +38,45 @@
     if (!logger.isEnabled(level)) {
       return;
     }
-    StringBuilder line = new StringBuilder(code.id()).append(' ').append(code.label());
+    LineBudget.Decision decision = LineBudget.SHARED.ask(code, System.nanoTime());
+    if (decision.leftOutBefore() > 0) {
+      Object[] summary = {"of", code.label(), "count", decision.leftOutBefore()};
+      logger.log(Level.INFO, line(EventCode.LINES_LEFT_OUT, null, summary));
+    }
+    if (decision.mayWrite()) {
+      logger.log(level, line(code, cause, fields));
+    }
+  }
+
+  /** The line of an event, as it is written. */
+  static String line(EventCode code, Throwable cause, Object... fields) {
+    StringBuilder line = new StringBuilder(160);
+    line.append("{\"time\":\"").append(Instant.now().truncatedTo(ChronoUnit.MILLIS));
+    line.append("\",\"level\":\"").append(code.level());
+    line.append("\",\"code\":\"").append(code.id());
+    line.append("\",\"event\":\"").append(code.label()).append('"');
     for (int i = 0; i + 1 < fields.length; i += 2) {
-      line.append(' ').append(fields[i]).append('=').append(quote(String.valueOf(fields[i + 1])));
+      field(line, String.valueOf(fields[i]), fields[i + 1]);
+    }
+    if (cause != null) {
+      field(line, "cause", cause);
     }
-    logger.log(level, line, cause);
+    return line.append('}').toString();
   }
 
-  private static String quote(String value) {
-    boolean plain = !value.isEmpty() && value.chars().noneMatch(c -> c <= ' ' || c == '"');
-    return plain ? value : '"' + value.replace("\"", "'").replace("\n", "\\n") + '"';
+  private static void field(StringBuilder line, String key, Object value) {
+    line.append(",\"").append(key).append("\":");
+    boolean plain =
+        value == null
+            || value instanceof Long
+            || value instanceof Integer
+            || value instanceof Boolean;
+    if (plain) {
+      line.append(value);
+      return;
+    }
+    line.append('"');
+    ENCODER.quoteAsString(String.valueOf(value), line);
+    line.append('"');
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineChoice.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineChoice.java
@@ -27,6 +27,9 @@
   /** How many unread prompt tokens are worth an engine's whole load. */
   private static final double TOKENS_PER_LOAD = 12_000;
 
+  /** How long calls of late waited for their first bytes when that is worth a whole load. */
+  private static final double WAIT_MS_PER_LOAD = 600;
+
   /** Up to this cost the engine for long prompts takes another one. */
   private static final double LONG_PROMPT_COST_LIMIT = 1.2;
 
@@ -74,7 +77,9 @@
   }
 
   private static double cost(EngineState engine, long nowMs) {
-    return load(engine, nowMs) + engine.unreadPromptTokens() / TOKENS_PER_LOAD;
+    return load(engine, nowMs)
+        + engine.unreadPromptTokens() / TOKENS_PER_LOAD
+        + engine.recentWaitMs(nowMs) / WAIT_MS_PER_LOAD;
   }
 
   private double zonePenalty(EngineState engine) {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -7,10 +7,14 @@
 public final class EngineState {
   private static final long FIRST_EJECTION_MS = 500;
   private static final long LONGEST_EJECTION_MS = 4_000;
+  private static final double NEW_WAIT_WEIGHT = 0.4;
+  private static final double WAIT_HALF_LIFE_MS = 400;
   private static final long REPORT_HALF_LIFE_MS = 500;
 
   private EngineInstance instance;
   private int inFlight;
+  private double recentWaitMs;
+  private long waitNotedAtMs;
   private long unreadPromptTokens;
   private int othersAtReport;
   private long reportedAtMs = Long.MIN_VALUE / 2;
@@ -78,6 +82,18 @@
     return inFlight == 0 ? 0 : nowMs - lastHeardMs;
   }
 
+  /** A call brought its first bytes after {@code waitMs} beyond the reading of its prompt. */
+  public void onFirstBytes(long waitMs, long nowMs) {
+    double recent = recentWaitMs(nowMs);
+    recentWaitMs = recent + (waitMs - recent) * NEW_WAIT_WEIGHT;
+    waitNotedAtMs = nowMs;
+  }
+
+  /** How long calls of late waited for their first bytes; it fades with time. */
+  public double recentWaitMs(long nowMs) {
+    return recentWaitMs * Math.pow(0.5, (nowMs - waitNotedAtMs) / WAIT_HALF_LIFE_MS);
+  }
+
   /** The engine told its load. */
   public void onLoad(EngineLoadReport report, long nowMs) {
     othersAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
@@ -118,6 +134,11 @@
     return inFlight + othersAtReport * weight;
   }
 
+  /** How old the engine's newest report of its load is; -1 when there is none. */
+  public long loadAgeMs(long nowMs) {
+    return reportedAtMs < 0 ? -1 : nowMs - reportedAtMs;
+  }
+
   /** When the newest call was sent. */
   long lastStartMs() {
     return lastStartMs;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
@@ -33,6 +33,7 @@
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -78,9 +79,11 @@
             route.runTargetMs(),
             route.retainMs(),
             route.maxQueuedTokens());
+    long startNs = System.nanoTime();
     propose(
         command,
         result -> {
+          log("submit", request.requestId(), result, startNs);
           if (!result.isOk()) {
             onSubmitFailed(exchange, request, result.error());
           } else if (result.value() instanceof BatchAccepted) {
@@ -94,6 +97,20 @@
         });
   }
 
+  private static void log(
+      String call, String job, Result<CommandResult, GroupCallError> result, long startNs) {
+    EVENTS.log(
+        EventCode.BATCH_CALL,
+        "call",
+        call,
+        "job",
+        job,
+        "outcome",
+        result.isOk() ? result.value().getClass().getSimpleName() : result.error().reason(),
+        "took_ms",
+        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
+  }
+
   private void onSubmitFailed(
       HttpExchange exchange, CallerCall.Request request, GroupCallError error) {
     EVENTS.log(
@@ -112,9 +129,11 @@
   }
 
   void end(HttpExchange exchange, CallerCall.EndJob call) {
+    long startNs = System.nanoTime();
     propose(
         new EndBatch(call.jobId()),
         result -> {
+          log("end", call.jobId(), result, startNs);
           if (!result.isOk()) {
             exchange.sendError(ApiError.failed(504, "outcome_unknown", "try again", true));
           } else if (result.value() instanceof Done) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingSettings.java
@@ -8,12 +8,14 @@
  * @param refusedRetryAfterMs when a refused caller is told to come back
  * @param answerMarginMs how long before its deadline a request gets its final answer
  * @param maxSends the most engines that one request is offered to, whether or not they run it
+ * @param tokensReadPerMs about how many prompt tokens an engine reads in a millisecond
  */
 record ForwardingSettings(
     long silenceMs,
     long silencePerThousandTokensMs,
     long refusedRetryAfterMs,
     long answerMarginMs,
-    int maxSends) {
-  static final ForwardingSettings DEFAULT = new ForwardingSettings(450, 25, 200, 15, 5);
+    int maxSends,
+    long tokensReadPerMs) {
+  static final ForwardingSettings DEFAULT = new ForwardingSettings(450, 25, 200, 15, 5, 40);
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -107,7 +107,8 @@
     } else {
       long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
       String service = split.next(route.get());
-      new RequestForwarder(shared, exchange, request, route.get(), service, nowMs).start();
+      long version = known.routes().version();
+      new RequestForwarder(shared, exchange, request, route.get(), service, version, nowMs).start();
     }
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -52,12 +52,15 @@
   private final CallerCall.Request request;
   private final RouteSpec route;
   private final String service;
+  private final long routesVersion;
+  private final long startMs;
   private final long deadlineMs;
   private final AttemptBudget budget;
   private final Set<String> tried = new HashSet<>();
   private ScheduledFuture<?> timeout;
   private Attempt attempt;
   private boolean headSent;
+  private long firstMs;
   private long lastEventId;
   private boolean finished;
 
@@ -67,7 +70,10 @@
       CallerCall.Request request,
       RouteSpec route,
       String service,
+      long routesVersion,
       long nowMs) {
+    this.routesVersion = routesVersion;
+    this.startMs = nowMs;
     this.shared = shared;
     this.exchange = exchange;
     this.request = request;
@@ -237,6 +243,8 @@
   /** One send of the request to one engine. */
   private final class Attempt implements EngineListener {
     private final EngineState engine;
+    private final String believedLoad;
+    private final long loadAgeMs;
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
     private EngineTransport.Handle handle;
     private EngineAnswer answer;
@@ -244,10 +252,14 @@
     private long lastProgressMs;
     private boolean over;
     private boolean promptRead;
+    private final long sentMs;
 
     Attempt(EngineState engine, long nowMs) {
       this.engine = engine;
+      this.believedLoad = String.format(Locale.ROOT, "%.1f", engine.estimatedLoad(nowMs));
+      this.loadAgeMs = engine.loadAgeMs(nowMs);
       this.lastProgressMs = nowMs;
+      this.sentMs = nowMs;
     }
 
     void begin() {
@@ -296,12 +308,15 @@
         return;
       }
       heard();
+      long readingMs = request.promptTokens() / shared.settings().tokensReadPerMs();
+      engine.onFirstBytes(Math.max(0, lastProgressMs - sentMs - readingMs), lastProgressMs);
       answer = head;
       if (head.load() != null) {
         engine.onLoad(head.load(), lastProgressMs);
       }
       if (isSuccess() && isStream() && !headSent) {
         headSent = true;
+        firstMs = lastProgressMs - startMs;
         exchange.startStream(head.status(), head.headers());
       }
     }
@@ -346,17 +361,44 @@
 
     private void onSuccessEnd() {
       if (!isStream()) {
+        logServed();
         finish();
         exchange.send(answer.status(), answer.headers(), collected.toByteArray());
       } else if (scanner.isInsideEvent()) {
         engine.onFailure(nowMs());
         afterFailure(false, "the stream ended inside an event");
       } else {
+        logServed();
         finish();
         exchange.endStream();
       }
     }
 
+    private void logServed() {
+      EVENTS.log(
+          EventCode.REQUEST_SERVED,
+          "request",
+          request.requestId(),
+          "route",
+          route.name(),
+          "routes_version",
+          routesVersion,
+          "engine",
+          engine.instance().id(),
+          "load",
+          believedLoad,
+          "load_age_ms",
+          loadAgeMs,
+          "sends",
+          budget.sends(),
+          "first_ms",
+          firstMs,
+          "total_ms",
+          nowMs() - startMs,
+          "last_event",
+          lastEventId);
+    }
+
     private void onRefusalOrError() {
       long now = nowMs();
       if (answer.otherInstance()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -31,6 +31,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -47,6 +48,7 @@
   private static final EventLog EVENTS = EventLog.of(BatchRunner.class);
   private static final long SCHEDULE_INTERVAL_MS = 20;
   private static final long REPORT_INTERVAL_MS = 300;
+  private static final long YIELD_PAUSE_MS = 400;
   private static final long SILENCE_MS = 1_500;
   private static final long FAILURE_PAUSE_MS = 150;
   private static final long GIVE_UP_MARGIN_MS = 500;
@@ -121,15 +123,16 @@
     }
   }
 
-  /** While items wait, what online requests take of the engines must be known. */
+  /** While there are items, what online requests take of the engines must be known. */
   private void askForReports(long nowMs) {
-    boolean waiting = runs.values().stream().anyMatch(run -> run.mayStart(nowMs));
-    if (!waiting || nowMs < nextReportsMs) {
+    if (nowMs < nextReportsMs) {
       return;
     }
     nextReportsMs = nowMs + REPORT_INTERVAL_MS;
+    boolean waiting = runs.values().stream().anyMatch(run -> run.mayStart(nowMs));
     for (EngineState engine : engines.all()) {
-      if (!engine.isLeaving()) {
+      boolean concerned = waiting || engine.inFlight() > 0;
+      if (concerned && !engine.isLeaving()) {
         EngineInstance instance = engine.instance();
         eventLoop.execute(() -> reports.ask(instance));
       }
@@ -138,9 +141,25 @@
 
   private void onReport(String engineId, EngineLoadReport load) {
     EngineState engine = engines.find(engineId);
-    if (engine != null) {
-      engine.onLoad(load, clock.monotonicMs());
+    if (engine == null) {
+      return;
     }
+    engine.onLoad(load, clock.monotonicMs());
+    int yields = window.yields(load);
+    if (yields > 0) {
+      yieldItems(engine, yields);
+    }
+  }
+
+  /** Stops items of an engine on which requests wait, those that are due last first. */
+  private void yieldItems(EngineState engine, int count) {
+    runs.values().stream()
+        .filter(run -> run.isRunning() && run.engine() == engine)
+        .sorted(Comparator.comparingLong(ItemRun::dueMs).reversed())
+        .limit(count)
+        .map(ItemRun::stream)
+        .toList()
+        .forEach(stream -> eventLoop.execute(stream::yieldSlot));
   }
 
   private void stopAll() {
@@ -197,7 +216,7 @@
       long retainMs = run.job.submission().retainMs();
       if (!run.isDecided() && retainMs > 0 && ageMs > retainMs + GIVE_UP_MARGIN_MS) {
         stop(run);
-        list(run, false, "");
+        list(run, false, "", "given up after " + ageMs + " ms");
       }
     }
   }
@@ -226,9 +245,10 @@
   }
 
   private boolean startItem(ItemRun run, String service, long nowMs) {
+    long dueInMs = run.dueMs() - state.timeMs();
     List<EngineState> open =
         engines.usable(service, Set.of(), nowMs).stream()
-            .filter(engine -> window.hasRoom(engine, nowMs))
+            .filter(engine -> window.hasRoom(engine, dueInMs, nowMs))
             .toList();
     Optional<EngineState> chosen = choice.choose(open, 0, nowMs);
     if (chosen.isEmpty()) {
@@ -242,6 +262,22 @@
             run.lastEventId(),
             outcome -> consensus.execute(() -> onOutcome(run, started[0], ofTerm, outcome)));
     started[0] = stream;
+    EVENTS.log(
+        EventCode.ITEM_STARTED,
+        "job",
+        run.job.submission().jobId(),
+        "item",
+        run.item.id(),
+        "engine",
+        engine.instance().id(),
+        "load",
+        String.format(Locale.ROOT, "%.1f", engine.estimatedLoad(nowMs)),
+        "load_age_ms",
+        engine.loadAgeMs(nowMs),
+        "after_event",
+        run.lastEventId(),
+        "due_in_ms",
+        dueInMs);
     run.onStart(stream, engine);
     engine.onStart(nowMs);
     EngineCall call = call(run, engine);
@@ -279,10 +315,14 @@
       engine.onLoad(outcome.load(), nowMs);
     }
     switch (outcome.kind()) {
-      case DONE -> list(run, true, run.text());
-      case IMPOSSIBLE -> list(run, false, "");
+      case DONE -> list(run, true, run.text(), "whole");
+      case IMPOSSIBLE -> list(run, false, "", "impossible");
       case FAILED -> onItemFailed(run, outcome, nowMs);
       case OTHER_INSTANCE -> engine.onGone();
+      case YIELDED -> {
+        run.waitUntil(nowMs + YIELD_PAUSE_MS);
+        logRetry(run, outcome);
+      }
       case REFUSED -> {
         engine.onFull(nowMs, outcome.retryAfterMs());
         run.waitUntil(nowMs + outcome.retryAfterMs());
@@ -297,7 +337,7 @@
   private void onItemFailed(ItemRun run, ItemOutcome outcome, long nowMs) {
     logRetry(run, outcome);
     if (run.countFailure() >= Math.max(1, run.job.submission().maxAttempts())) {
-      list(run, false, "");
+      list(run, false, "", "failed on every attempt");
     } else {
       run.waitUntil(nowMs + FAILURE_PAUSE_MS);
     }
@@ -318,8 +358,20 @@
         outcome.lastEventId());
   }
 
-  private void list(ItemRun run, boolean done, String text) {
+  private void list(ItemRun run, boolean done, String text, String reason) {
     run.decide();
+    EVENTS.log(
+        EventCode.ITEM_LISTED,
+        "job",
+        run.job.submission().jobId(),
+        "item",
+        run.item.id(),
+        "done",
+        done,
+        "reason",
+        reason,
+        "age_ms",
+        state.timeMs() - run.job.submittedAtMs());
     BatchResult result = new BatchResult(run.item.id(), done, text);
     ListBatchResults command = new ListBatchResults(run.job.submission().jobId(), List.of(result));
     group.propose(
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
@@ -32,6 +32,8 @@
     /** The item can never be done. */
     IMPOSSIBLE,
     /** The stream broke off. */
-    BROKEN
+    BROKEN,
+    /** The send was given up to make room for online requests. */
+    YIELDED
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -55,11 +55,20 @@
 
   /** Gives the send up as broken, so that the item goes on elsewhere. */
   void breakOff(String reason) {
+    giveUp(ItemOutcome.Kind.BROKEN, reason);
+  }
+
+  /** Gives the send up to make room; the item goes on later where it stopped. */
+  void yieldSlot() {
+    giveUp(ItemOutcome.Kind.YIELDED, "room for online requests");
+  }
+
+  private void giveUp(ItemOutcome.Kind kind, String reason) {
     if (!over) {
       if (handle != null) {
         handle.cancel();
       }
-      finish(ItemOutcome.Kind.BROKEN, reason);
+      finish(kind, reason);
     }
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
@@ -93,4 +93,14 @@
     assertThat(kept.isUsable(NOW_MS)).isFalse();
     assertThat(table.all()).isEmpty();
   }
+
+  @Test
+  void engineWhoseCallsWaitedIsAvoidedForAWhile() {
+    EngineState slow = choose(SHORT_PROMPT);
+    for (int i = 0; i < 5; i++) {
+      slow.onFirstBytes(500, NOW_MS);
+    }
+    assertThat(choose(SHORT_PROMPT)).isNotEqualTo(slow);
+    assertThat(slow.recentWaitMs(NOW_MS + 4_000)).isLessThan(5);
+  }
 }
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
@@ -0,0 +1,56 @@
+package io.pathdeck.fleet.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class TestBatchWindow {
+  private static final long NOW_MS = 1_000;
+  private static final long LATER_MS = 20_000;
+  private static final long SOON_MS = 1_000;
+
+  private final BatchWindow window = new BatchWindow();
+  private final EngineState engine = engine();
+
+  private static EngineState engine() {
+    EngineTable table = new EngineTable();
+    table.update(Map.of("e", new EngineInstance("e", "s", "h:1", "z", 12, false)));
+    return table.find("e");
+  }
+
+  private int itemsThatFit(long dueInMs) {
+    int items = 0;
+    while (window.hasRoom(engine, dueInMs, NOW_MS)) {
+      engine.onStart(NOW_MS);
+      items++;
+    }
+    for (int i = 0; i < items; i++) {
+      engine.onEnd();
+    }
+    return items;
+  }
+
+  @Test
+  void itemsTakeHalfOfTheSlotsAndMoreWhenTheyAreSoonDue() {
+    assertThat(itemsThatFit(LATER_MS)).isEqualTo(6);
+    assertThat(itemsThatFit(SOON_MS)).isEqualTo(9);
+  }
+
+  @Test
+  void noItemStartsWhereOnlineRequestsNeedTheSlots() {
+    engine.onLoad(new EngineLoadReport(10, 0, 12), NOW_MS);
+    assertThat(itemsThatFit(LATER_MS)).isZero();
+  }
+
+  @Test
+  void itemsYieldWhereRequestsWait() {
+    assertThat(window.yields(new EngineLoadReport(12, 0, 12))).isZero();
+    assertThat(window.yields(new EngineLoadReport(12, 2, 12))).isEqualTo(2);
+    assertThat(window.yields(new EngineLoadReport(12, 50, 12))).isEqualTo(3);
+  }
+}
