--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -155,6 +155,7 @@
   private void yieldItems(EngineState engine, int count) {
     runs.values().stream()
         .filter(run -> run.isRunning() && run.engine() == engine)
+        .filter(run -> window.mayYield(run.dueMs() - state.timeMs()))
         .sorted(Comparator.comparingLong(ItemRun::dueMs).reversed())
         .limit(count)
         .map(ItemRun::stream)
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
@@ -27,6 +27,11 @@
     return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - FREE_SHARE);
   }
 
+  /** Whether an item may be stopped for online requests: one that is soon due may not. */
+  boolean mayYield(long dueInMs) {
+    return dueInMs >= URGENT_MS;
+  }
+
   /** How many items on an engine with this load should make room for online requests. */
   int yields(EngineLoadReport load) {
     return load.waiting() < CROWDED ? 0 : Math.min(MOST_YIELDS, load.waiting());
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
@@ -52,5 +52,7 @@
     assertThat(window.yields(new EngineLoadReport(12, 0, 12))).isZero();
     assertThat(window.yields(new EngineLoadReport(12, 2, 12))).isEqualTo(2);
     assertThat(window.yields(new EngineLoadReport(12, 50, 12))).isEqualTo(3);
+    assertThat(window.mayYield(LATER_MS)).isTrue();
+    assertThat(window.mayYield(SOON_MS)).isFalse();
   }
 }
