--- a/cli/src/main/java/io/pathdeck/cli/CheckConfigCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/CheckConfigCommand.java
@@ -5,6 +5,9 @@
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.control.ControllerSettings;
 import io.pathdeck.dispatch.DispatcherSettings;
+import io.pathdeck.fleet.coordinator.CoordinatorSettings;
+import io.pathdeck.fleet.gateway.GatewaySettings;
+import io.pathdeck.fleet.store.StoreSettings;
 import io.pathdeck.serving.NodeSettings;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -36,6 +39,15 @@
     if (reader.value().has("tenants") || reader.value().has("services")) {
       return checkDeclaration(file);
     }
+    if (reader.value().has("callers_listen")) {
+      return check("gateway", file, reader.value(), GatewaySettings::read);
+    }
+    if (reader.value().has("operators_listen")) {
+      return check("coordinator", file, reader.value(), CoordinatorSettings::read);
+    }
+    if (reader.value().has("seeds")) {
+      return check("store", file, reader.value(), StoreSettings::read);
+    }
     if (reader.value().has("peers")) {
       return check("controller", file, reader.value(), ControllerSettings::read);
     }
--- a/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
+++ b/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
@@ -18,6 +18,7 @@
         store         keeps a fleet's batch jobs     --config FILE [--set KEY=VALUE ...]
         ctl           drives a fleet as an operator  COMMAND [options]
         check-config  checks a settings file         FILE
+        explain       shows the story of a request   --logs FILE|DIR ... --request ID
 
       pathdeck ROLE --help describes a role.
       """;
@@ -44,6 +45,7 @@
         yield ExitCode.OK;
       }
       case "ctl" -> new OperatorCommand(System.out, System.err).run(rest);
+      case "explain" -> new ExplainCommand(System.out, System.err).run(rest);
       case "check-config" -> new CheckConfigCommand(System.out, System.err).run(rest);
       case "gateway", "coordinator", "store" -> {
         System.setProperty("pathdeck.log.target", "SYSTEM_OUT");
