SIGHUP reaches every role, also before it has started

Ruled out: the handler itself (TestHangupSignal passes, stores lived on).

Change: the handler is set when a role's command begins, before its settings are read; what it does is set once the process has started.

--- a/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
@@ -41,6 +41,10 @@
   private static final EventLog EVENTS = EventLog.of(RoleCommand.class);
 
   private final String role;
+
+  /** What SIGHUP does; nothing until the process has started. */
+  private volatile Runnable onHangup = () -> {};
+
   private Path settingsFile;
   private Map<String, String> settingsOverrides = Map.of();
 
@@ -82,6 +86,7 @@
   private ExitCode start(Path file, Map<String, String> overrides) {
     settingsFile = file;
     settingsOverrides = overrides;
+    HangupSignal.onHangup(() -> onHangup.run());
     Result<SettingsReader, SettingsError> reader = SettingsReader.open(file, overrides);
     if (!reader.isOk()) {
       return rejectSettings(reader.error());
@@ -153,7 +158,14 @@
       return rejectSettings(settings.error());
     }
     TlsSettings tls = warnIfPlain(settings.value().fleet());
-    return runOrExplain(CoordinatorProcess.start(settings.value(), tls(tls), FleetAdapter.load()));
+    Result<CoordinatorProcess, StorageError> process =
+        CoordinatorProcess.start(settings.value(), tls(tls), FleetAdapter.load());
+    if (process.isOk()) {
+      reloadOnHangup(
+          process.value(),
+          reread -> CoordinatorSettings.read(reread).map(CoordinatorSettings::fleet));
+    }
+    return runOrExplain(process);
   }
 
   private ExitCode startStore(SettingsReader reader) throws SSLException {
@@ -175,7 +187,7 @@
   private void reloadOnHangup(
       FleetMemberProcess process,
       Function<SettingsReader, Result<FleetSettings, SettingsError>> read) {
-    HangupSignal.onHangup(
+    onHangup =
         () -> {
           Result<SettingsReader, SettingsError> reader =
               SettingsReader.open(settingsFile, settingsOverrides);
@@ -186,7 +198,7 @@
           } else {
             rejectSettings(settings.error());
           }
-        });
+        };
   }
 
   private static TlsSettings warnIfPlain(FleetSettings fleet) {
