--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -1,6 +1,8 @@
 package io.pathdeck.fleet.gateway;
 
 import io.netty.channel.EventLoop;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
 import io.pathdeck.fleet.adapter.CallerCall;
 import io.pathdeck.fleet.adapter.CallerProtocol;
 import io.pathdeck.fleet.engine.EngineChoice;
@@ -20,6 +22,7 @@
 
 /** Matches callers' requests against the routes and serves them; confined to the event loop. */
 final class Gateway {
+  private static final EventLog EVENTS = EventLog.of(Gateway.class);
   private static final long SILENCE_CHECK_INTERVAL_MS = 100;
 
   /** How long after its start a gateway has usually heard from the coordinators. */
@@ -89,9 +92,25 @@
     }
   }
 
+  private static void logRefusal(CallerCall.Request request, String reason, FleetView known) {
+    EVENTS.log(
+        EventCode.REQUEST_REFUSED,
+        "request",
+        request.requestId(),
+        "host",
+        request.host(),
+        "path",
+        request.path(),
+        "reason",
+        reason,
+        "routes_version",
+        known.routes() == null ? "none" : known.routes().version());
+  }
+
   private void handleRequest(HttpExchange exchange, CallerCall.Request request) {
     FleetView known = view.get();
     if (!known.isComplete()) {
+      logRefusal(request, "no configuration yet", known);
       long upMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
       long retryAfterMs = Math.max(MIN_START_RETRY_AFTER_MS, USUAL_START_MS - upMs);
       Refusals.unavailable(exchange, "no configuration yet", retryAfterMs);
@@ -99,8 +118,10 @@
     }
     Optional<RouteSpec> route = known.routes().match(request.host(), request.path());
     if (route.isEmpty()) {
+      logRefusal(request, "no route", known);
       exchange.sendError(ApiError.notFound("no_route", "no route for this host and path"));
     } else if (request.requestId().isEmpty()) {
+      logRefusal(request, "no request id", known);
       exchange.sendError(ApiError.invalid("no_request_id", "the request has no id"));
     } else if (route.get().kind() == RouteKind.BATCH) {
       batch.submit(exchange, request, route.get());
