Fleets serve again sooner after all coordinators were lost

A coordinator took 1.8 s on 0.45 cores to start, waited 0.6 to 1.2 s more before it campaigned, and a gateway needs routes and engines from a leader. More than half of a process's processor time at start went into Log4j's configuration: 1.2 s against 0.6 s of user time for a program that logs one line, with class data archives, on the busy machine; a stack sampler showed YAML, XML and plugin look-ups.

Ruled out: stores telling gateways (a gateway knows only seeds); uncommitted entries of a recovered log as configuration (one that is never committed would stay in force).

Change: the log configuration is built in code. A replica counts the time since its process began as waited, since no promise to a leader was made after it. Coordinators keep what they know of the fleet on disk and tell it to processes that know nothing while no leader is known.

--- a/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
+++ b/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
@@ -1,5 +1,7 @@
 package io.pathdeck.cli;
 
+import io.pathdeck.common.duty.ProcessStart;
+import io.pathdeck.common.events.EventLogConfiguration;
 import java.util.Arrays;
 import java.util.List;
 
@@ -27,6 +29,7 @@
 
   /** Runs the command line and exits with its code unless a role keeps running. */
   public static void main(String[] arguments) {
+    ProcessStart.mark();
     ExitCode code = run(Arrays.asList(arguments));
     if (code != ExitCode.OK) {
       System.exit(code.value());
@@ -48,10 +51,10 @@
       case "explain" -> new ExplainCommand(System.out, System.err).run(rest);
       case "check-config" -> new CheckConfigCommand(System.out, System.err).run(rest);
       case "gateway", "coordinator", "store" -> {
-        System.setProperty("pathdeck.log.target", "SYSTEM_OUT");
-        yield new RoleCommand(arguments.get(0)).run(rest);
+        System.setProperty(EventLogConfiguration.TARGET_PROPERTY, "SYSTEM_OUT");
+        yield runRole(arguments.get(0), rest);
       }
-      case "node", "controller", "dispatcher" -> new RoleCommand(arguments.get(0)).run(rest);
+      case "node", "controller", "dispatcher" -> runRole(arguments.get(0), rest);
       default -> {
         System.err.println("unknown role: " + arguments.get(0));
         System.err.print(USAGE);
@@ -59,4 +62,9 @@
       }
     };
   }
+
+  private static ExitCode runRole(String role, List<String> arguments) {
+    EventLogConfiguration.install();
+    return new RoleCommand(role).run(arguments);
+  }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/ElectionTimer.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/ElectionTimer.java
@@ -13,11 +13,22 @@
   private long deadlineMs;
   private long refuseVotesUntilMs;
 
-  ElectionTimer(RaftSettings settings, long seed, long nowMs) {
+  /**
+   * Begins to wait.
+   *
+   * @param processStartMs when the process began, or a later time. No promise of an earlier process
+   *     to a leader was made after it, so the time that passed since counts as waited
+   */
+  ElectionTimer(RaftSettings settings, long seed, long processStartMs, long nowMs) {
     this.settings = settings;
     this.random = new SplittableRandom(seed);
-    this.refuseVotesUntilMs = nowMs + settings.electionTimeoutMinMs();
-    reset(nowMs);
+    this.refuseVotesUntilMs = processStartMs + settings.electionTimeoutMinMs();
+    this.deadlineMs = Math.max(nowMs, refuseVotesUntilMs) + randomDelayMs();
+  }
+
+  private long randomDelayMs() {
+    long spread = settings.electionTimeoutMaxMs() - settings.electionTimeoutMinMs();
+    return random.nextLong(Math.max(1, spread));
   }
 
   /** A member that is to leave lets the others lead. */
@@ -27,8 +38,7 @@
 
   /** Begins to wait anew. */
   void reset(long nowMs) {
-    long spread = settings.electionTimeoutMaxMs() - settings.electionTimeoutMinMs();
-    long waitMs = settings.electionTimeoutMinMs() + random.nextLong(Math.max(1, spread));
+    long waitMs = settings.electionTimeoutMinMs() + randomDelayMs();
     deadlineMs = nowMs + waitMs + (leaving ? LEAVING_DELAY_MS : 0);
   }
 
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -54,23 +54,10 @@
   private Replicator leader;
 
   /**
-   * Restores a replica.
+   * Restores a replica that finds its group as {@code joinSettings} say.
    *
-   * @param initialIds the controllers that may take part in the group
+   * @param processStartMs when the process began, in the time of {@code nowMs}
    */
-  public RaftReplica(
-      int group,
-      int id,
-      long incarnation,
-      Set<Integer> initialIds,
-      RaftSettings settings,
-      RecoveredState recovered,
-      long seed,
-      long nowMs) {
-    this(group, id, incarnation, JoinSettings.fixed(initialIds), settings, recovered, seed, nowMs);
-  }
-
-  /** Restores a replica that finds its group as {@code joinSettings} say. */
   public RaftReplica(
       int group,
       int id,
@@ -79,13 +66,14 @@
       RaftSettings settings,
       RecoveredState recovered,
       long seed,
+      long processStartMs,
       long nowMs) {
     this.policy = joinSettings.policy();
     this.state = new ReplicaState(group, id, incarnation, settings);
     this.follower = new FollowerLog(state);
     this.joining = new JoinProtocol(state, joinSettings, recovered.bootstrap());
     this.voteMessages = new VoteMessages(state);
-    this.timer = new ElectionTimer(settings, seed, nowMs);
+    this.timer = new ElectionTimer(settings, seed, processStartMs, nowMs);
     state.term = recovered.term();
     this.votedFor = recovered.votedFor();
     state.restoreLog(recovered);
--- a/consensus/src/test/java/io/pathdeck/consensus/MemoryGroup.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/MemoryGroup.java
@@ -41,6 +41,7 @@
             RaftSettings.DEFAULT,
             RecoveredState.empty(),
             id * 31L + incarnation,
+            nowMs,
             nowMs);
     replicas.put(id, replica);
     silent.remove(id);
--- /dev/null
+++ b/consensus/src/test/java/io/pathdeck/consensus/TestElectionTimer.java
@@ -0,0 +1,54 @@
+package io.pathdeck.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class TestElectionTimer {
+  private static final RaftSettings SETTINGS = RaftSettings.DEFAULT;
+  private static final long START_MS = 1_000;
+  private static final long MIN_MS = SETTINGS.electionTimeoutMinMs();
+  private static final long MAX_MS = SETTINGS.electionTimeoutMaxMs();
+
+  @Test
+  void processThatHasJustBegunRefusesVotesForTheShortestTimeout() {
+    ElectionTimer timer = new ElectionTimer(SETTINGS, 1, START_MS, START_MS);
+    assertThat(timer.refusesVotes(START_MS + MIN_MS - 1)).isTrue();
+    assertThat(timer.isExpired(START_MS + MIN_MS - 1)).isFalse();
+    assertThat(timer.refusesVotes(START_MS + MIN_MS)).isFalse();
+    assertThat(timer.isExpired(START_MS + MAX_MS)).isTrue();
+  }
+
+  @Test
+  void timeThatTheStartOfTheProcessTookCountsAsWaited() {
+    long nowMs = START_MS + 2 * MAX_MS;
+    ElectionTimer timer = new ElectionTimer(SETTINGS, 1, START_MS, nowMs);
+    assertThat(timer.refusesVotes(nowMs)).isFalse();
+    assertThat(timer.isExpired(nowMs + MAX_MS - MIN_MS)).isTrue();
+  }
+
+  @Test
+  void replicasThatStartTogetherCampaignAtDifferentTimes() {
+    long nowMs = START_MS + 2 * MAX_MS;
+    Set<Long> firstCampaigns = new HashSet<>();
+    for (int seed = 0; seed < 10; seed++) {
+      ElectionTimer timer = new ElectionTimer(SETTINGS, seed, START_MS, nowMs);
+      long atMs = nowMs;
+      while (!timer.isExpired(atMs)) {
+        atMs++;
+      }
+      firstCampaigns.add(atMs);
+    }
+    assertThat(firstCampaigns).hasSizeGreaterThan(7);
+  }
+
+  @Test
+  void leaderHeardBeforeTheEndOfTheWaitIsWaitedFor() {
+    ElectionTimer timer = new ElectionTimer(SETTINGS, 1, START_MS, START_MS + MAX_MS);
+    timer.onLeaderHeard(START_MS + MAX_MS);
+    assertThat(timer.refusesVotes(START_MS + MAX_MS + MIN_MS - 1)).isTrue();
+    assertThat(timer.isExpired(START_MS + MAX_MS + MIN_MS - 1)).isFalse();
+  }
+}
--- a/control/src/main/java/io/pathdeck/control/GroupRecovery.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRecovery.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
+import io.pathdeck.consensus.JoinSettings;
 import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.RaftSettings;
 import io.pathdeck.consensus.RecoveredState;
@@ -55,7 +56,15 @@
     Set<Integer> ids = IntStream.rangeClosed(1, controllers).boxed().collect(Collectors.toSet());
     RaftReplica replica =
         new RaftReplica(
-            group, controllerId, incarnation, ids, raftSettings, state, incarnation + group, nowMs);
+            group,
+            controllerId,
+            incarnation,
+            JoinSettings.fixed(ids),
+            raftSettings,
+            state,
+            incarnation + group,
+            nowMs,
+            nowMs);
     long applied = snapshot.map(SnapshotMetadata::index).orElse(0L);
     EVENTS.log(
         EventCode.STATE_RECOVERED,
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -1,6 +1,7 @@
 package io.pathdeck.control;
 
 import io.pathdeck.common.duty.DutyThread;
+import io.pathdeck.common.duty.ProcessStart;
 import io.pathdeck.common.duty.ResourceStack;
 import io.pathdeck.common.duty.Section;
 import io.pathdeck.common.events.EventCode;
@@ -126,6 +127,7 @@
             RaftSettings.DEFAULT,
             state,
             seed,
+            ProcessStart.monotonicMs(nowMs),
             nowMs);
     long applied = snapshot.map(SnapshotMetadata::index).orElse(0L);
     EVENTS.log(
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -141,6 +141,7 @@
       TransportTls tls,
       FleetAdapter adapter) {
     FleetSettings fleet = settings.fleet();
+    LastKnownFleet lastKnown = resources.push(new LastKnownFleet(folder));
     FleetMembership[] membership = new FleetMembership[1];
     EngineListPoller poller =
         new EngineListPoller(
@@ -151,7 +152,12 @@
             listed -> host.execute(() -> membership[0].onEngineList(listed)));
     membership[0] =
         new FleetMembership(
-            host.group(), state, host.clock(), fleet.minMembers(), poller::setPolling);
+            host.group(),
+            state,
+            host.clock(),
+            fleet.minMembers(),
+            poller::setPolling,
+            lastKnown.atStart());
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
     FleetProcess self =
         new FleetProcess(
@@ -165,6 +171,8 @@
             true);
     FleetFollower follower =
         contacts.follower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
+    follower.onChange(lastKnown::offer);
+    lastKnown.start();
     resources.push(
         new PeerServer(
             fleet.listen(),
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
+import io.pathdeck.consensus.RecoveredState;
 import io.pathdeck.control.ConsensusExtension;
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
@@ -24,6 +25,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -53,6 +55,7 @@
   private final ControllerClock clock;
   private final int minStores;
   private final Consumer<Boolean> leadershipListener;
+  private final Optional<FleetUpdate> lastKnown;
   private final VersionedList<FleetProcess> processes = new VersionedList<>();
   private final VersionedList<EngineInstance> engines = new VersionedList<>();
   private final Map<String, Long> lastHeardMs = new HashMap<>();
@@ -70,13 +73,16 @@
    *
    * @param minStores how many stores the jobs group needs at least
    * @param leadershipListener hears when this coordinator begins or ends to lead
+   * @param lastKnown what this coordinator knew before its restart
    */
   FleetMembership(
       GroupRuntime group,
       FleetStateMachine state,
       ControllerClock clock,
       int minStores,
-      Consumer<Boolean> leadershipListener) {
+      Consumer<Boolean> leadershipListener,
+      Optional<FleetUpdate> lastKnown) {
+    this.lastKnown = lastKnown;
     this.group = group;
     this.state = state;
     this.clock = clock;
@@ -123,12 +129,30 @@
 
   // ---- heartbeats
 
-  /** Answers a heartbeat when this coordinator can tell that it leads. */
+  /**
+   * Answers a heartbeat when this coordinator can tell that it leads. While no leader is known, a
+   * process that knows no configuration gets the last one that this coordinator knew.
+   */
   void onHeartbeat(FleetHeartbeat heartbeat, ReplySink reply) {
+    boolean knowsNothing = heartbeat.routeVersion() == RouteTable.NO_VERSION;
+    if (knowsNothing && lastKnown.isPresent() && isLeaderUnknown()) {
+      EVENTS.log(
+          EventCode.LAST_KNOWN_TOLD,
+          "process",
+          heartbeat.sender().name(),
+          "version",
+          lastKnown.get().routes().version());
+      reply.reply(lastKnown.get());
+      return;
+    }
     long nowMs = clock.monotonicMs();
     group.readLinearizably(() -> answer(heartbeat, reply), reply, nowMs);
   }
 
+  private boolean isLeaderUnknown() {
+    return group.replica().leaderId() == RecoveredState.NO_VOTE;
+  }
+
   private void answer(FleetHeartbeat heartbeat, ReplySink reply) {
     long nowMs = clock.monotonicMs();
     if (!leading) {
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -0,0 +1,118 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.consensus.storage.StorageError;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.codec.ObjectCodec;
+import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.ProcessListDelta;
+import io.pathdeck.protocol.message.FleetUpdate;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * What this coordinator knew of the fleet last, kept in its data folder.
+ *
+ * <p>After a restart of all coordinators it tells gateways that know nothing what was in force,
+ * until there is a leader to ask. It holds committed configurations only, so a process that begins
+ * with it never has to go back; it may be out of date, and therefore goes only to processes that
+ * know no configuration, and only while no leader is known.
+ *
+ * <p>A thread of its own writes it, at most once every {@value #WRITE_INTERVAL_MS} ms, for the disk
+ * may hang.
+ */
+final class LastKnownFleet implements AutoCloseable {
+  private static final EventLog EVENTS = EventLog.of(LastKnownFleet.class);
+  private static final String FILE = "last-known-fleet";
+  private static final long WRITE_INTERVAL_MS = 1_000;
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private final DataFolder folder;
+  private final Optional<FleetUpdate> atStart;
+  private final AtomicReference<FleetView> newest = new AtomicReference<>();
+  private final Thread writer = new Thread(this::writeChanges, "last-known-fleet");
+  private volatile boolean closed;
+
+  /** Reads what an earlier process wrote; {@link #start} begins to write. */
+  LastKnownFleet(DataFolder folder) {
+    this.folder = folder;
+    this.atStart = folder.readFile(FILE).flatMap(LastKnownFleet::decode);
+    writer.setDaemon(true);
+  }
+
+  void start() {
+    writer.start();
+  }
+
+  /** What an earlier process knew; empty when there was none, or its file is damaged. */
+  Optional<FleetUpdate> atStart() {
+    return atStart;
+  }
+
+  /** Keeps a view that came from a leader; returns at once. */
+  void offer(FleetView view) {
+    if (view.isComplete()) {
+      newest.set(view);
+    }
+  }
+
+  private void writeChanges() {
+    FleetView written = null;
+    while (!closed) {
+      FleetView view = newest.get();
+      if (view != null && !view.equals(written)) {
+        Result<Void, StorageError> result = folder.writeFile(FILE, encode(view));
+        if (!result.isOk()) {
+          EVENTS.log(EventCode.LAST_KNOWN_NOT_WRITTEN, "reason", result.error());
+        }
+        written = view;
+      }
+      LockSupport.parkNanos(WRITE_INTERVAL_MS * NANOS_PER_MS);
+    }
+  }
+
+  private static String encode(FleetView view) {
+    FleetUpdate update =
+        new FleetUpdate(
+            view.routes(),
+            new EngineListDelta(
+                FleetUpdate.NO_LEADERS_EPOCH,
+                true,
+                new ArrayList<>(view.engines().values()),
+                new ArrayList<>(),
+                0),
+            new ProcessListDelta(
+                FleetUpdate.NO_LEADERS_EPOCH,
+                true,
+                new ArrayList<>(view.processes().values()),
+                new ArrayList<>(),
+                0),
+            view.jobsFounders(),
+            view.jobsGroup(),
+            view.leavingMembers());
+    return Base64.getEncoder().encodeToString(ObjectCodec.encode(update));
+  }
+
+  private static Optional<FleetUpdate> decode(String text) {
+    try {
+      byte[] bytes = Base64.getDecoder().decode(text);
+      Result<FleetUpdate, ObjectCodec.CodecError> decoded =
+          ObjectCodec.decode(bytes, FleetUpdate.class);
+      return decoded.isOk() ? Optional.of(decoded.value()) : Optional.empty();
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    LockSupport.unpark(writer);
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /** Matches callers' requests against the routes and serves them; confined to the event loop. */
@@ -29,23 +30,33 @@
   private static final long USUAL_START_MS = 2_000;
 
   private static final long MIN_START_RETRY_AFTER_MS = 300;
+  private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
 
   private final CallerProtocol protocol;
   private final Supplier<FleetView> view;
+  private final BooleanSupplier routesConfirmed;
   private final BatchCalls batch;
   private final RequestForwarder.Shared shared;
   private final long startNs = System.nanoTime();
   private final TrafficSplit split = new TrafficSplit();
 
+  /**
+   * Creates a gateway.
+   *
+   * @param routesConfirmed whether the routes are surely the newest ones; while they are not, a
+   *     request without a route is not told that there is none
+   */
   Gateway(
       EventLoop eventLoop,
       CallerProtocol protocol,
       Supplier<FleetView> view,
+      BooleanSupplier routesConfirmed,
       BatchCalls batch,
       EngineTransport transport,
       EngineChoice choice) {
     this.protocol = protocol;
     this.view = view;
+    this.routesConfirmed = routesConfirmed;
     this.batch = batch;
     this.shared =
         new RequestForwarder.Shared(
@@ -117,7 +128,10 @@
       return;
     }
     Optional<RouteSpec> route = known.routes().match(request.host(), request.path());
-    if (route.isEmpty()) {
+    if (route.isEmpty() && !routesConfirmed.getAsBoolean()) {
+      logRefusal(request, "no route, but the routes may be out of date", known);
+      Refusals.unavailable(exchange, "the routes may be out of date", UNCONFIRMED_RETRY_AFTER_MS);
+    } else if (route.isEmpty()) {
       logRefusal(request, "no route", known);
       exchange.sendError(ApiError.notFound("no_route", "no route for this host and path"));
     } else if (request.requestId().isEmpty()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -62,6 +62,7 @@
             eventLoop,
             adapter.callers(),
             follower::view,
+            follower::isConfirmed,
             new BatchCalls(jobs, adapter.callers()),
             new NettyEngineTransport(eventLoop, adapter.engines()),
             new EngineChoice(fleet.zone(), life));
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -34,7 +34,12 @@
   private static final EventLog EVENTS = EventLog.of(FleetFollower.class);
   private static final long CALL_TIMEOUT_MS = 900;
   private static final long ATTEMPT_TIMEOUT_MS = 500;
-  private static final long NO_EPOCH = -1;
+
+  /** The interval while only what a coordinator knew before its restart is known. */
+  private static final long UNCONFIRMED_INTERVAL_MS = 80;
+
+  /** How long an answer of the leading coordinator counts as news. */
+  private static final long CONFIRMED_MS = 1_500;
 
   /** What the process says of itself, made anew for each heartbeat. */
   public record SelfReport(FleetProcess process, boolean mayFound, JobsGroupReport jobsGroup) {}
@@ -47,10 +52,12 @@
   private final Map<String, FleetProcess> processes = new HashMap<>();
   private Consumer<FleetView> listener = changed -> {};
   private boolean enginesKnown;
-  private long engineEpoch = NO_EPOCH;
+  private long engineEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long engineSequence;
-  private long processEpoch = NO_EPOCH;
+  private long processEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long processSequence;
+  private volatile long confirmedNs;
+  private volatile boolean everConfirmed;
   private boolean connected;
   private boolean closed;
 
@@ -66,6 +73,15 @@
     return view.read();
   }
 
+  /**
+   * Whether the leading coordinator has told or confirmed the view of late. Otherwise routes may
+   * have been added or removed in the meantime. Thread-safe.
+   */
+  public boolean isConfirmed() {
+    long ageNs = System.nanoTime() - confirmedNs;
+    return everConfirmed && ageNs < TimeUnit.MILLISECONDS.toNanos(CONFIRMED_MS);
+  }
+
   /** Calls {@code listener} on the event loop after each change; to be set before the start. */
   public void onChange(Consumer<FleetView> changeListener) {
     listener = changeListener;
@@ -88,7 +104,12 @@
     send()
         .whenComplete(
             (done, failure) ->
-                eventLoop.schedule(this::report, INTERVAL_MS, TimeUnit.MILLISECONDS));
+                eventLoop.schedule(this::report, intervalMs(), TimeUnit.MILLISECONDS));
+  }
+
+  private long intervalMs() {
+    boolean unconfirmed = enginesKnown && engineEpoch == FleetUpdate.NO_LEADERS_EPOCH;
+    return unconfirmed ? UNCONFIRMED_INTERVAL_MS : INTERVAL_MS;
   }
 
   private java.util.concurrent.CompletableFuture<Void> send() {
@@ -104,12 +125,13 @@
             processEpoch,
             processSequence,
             report.jobsGroup());
+    long sentNs = System.nanoTime();
     return coordinators
         .call(heartbeat, CALL_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
-        .thenAcceptAsync(this::onAnswer, eventLoop);
+        .thenAcceptAsync(result -> onAnswer(result, sentNs), eventLoop);
   }
 
-  private void onAnswer(Result<Message, GroupCallError> result) {
+  private void onAnswer(Result<Message, GroupCallError> result, long sentNs) {
     boolean answered = result.isOk() && result.value() instanceof FleetUpdate;
     if (answered != connected) {
       connected = answered;
@@ -118,7 +140,12 @@
       EVENTS.log(code, "detail", detail);
     }
     if (answered) {
-      accept((FleetUpdate) result.value());
+      FleetUpdate update = (FleetUpdate) result.value();
+      accept(update);
+      if (!update.isLastKnown()) {
+        confirmedNs = sentNs;
+        everConfirmed = true;
+      }
     }
   }
 
@@ -145,7 +172,8 @@
       return;
     }
     if (newRoutes) {
-      EVENTS.log(EventCode.ROUTES_UPDATED, "version", routes.version());
+      boolean fromLeader = engineEpoch != FleetUpdate.NO_LEADERS_EPOCH;
+      EVENTS.log(EventCode.ROUTES_UPDATED, "version", routes.version(), "from_leader", fromLeader);
     }
     view.publish(next);
     listener.accept(next);
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -0,0 +1,82 @@
+package io.pathdeck.fleet.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.message.FleetUpdate;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class TestLastKnownFleet {
+  private static final String FILE = "last-known-fleet";
+  private static final long VERSION = 7;
+  private static final long LONGEST_WAIT_MS = 5_000;
+
+  @TempDir private Path path;
+
+  private DataFolder folder() {
+    return DataFolder.open(path).value();
+  }
+
+  private static FleetView view() {
+    EngineInstance engine = new EngineInstance("e", "s", "h:1", "a", 10, false);
+    FleetProcess gateway = new FleetProcess("g", FleetRole.GATEWAY, "a", 0, 1, "", "h:2", true);
+    RouteTable routes = new RouteTable(VERSION, List.of(), List.of(), new byte[0]);
+    return new FleetView(routes, Map.of("e", engine), Map.of("g", gateway), null, null, List.of(5));
+  }
+
+  private void write(FleetView view) throws InterruptedException {
+    try (LastKnownFleet known = new LastKnownFleet(folder())) {
+      known.start();
+      known.offer(view);
+      long deadline = System.currentTimeMillis() + LONGEST_WAIT_MS;
+      while (!Files.exists(path.resolve(FILE)) && System.currentTimeMillis() < deadline) {
+        Thread.sleep(10);
+      }
+    }
+  }
+
+  @Test
+  void nothingIsKnownOnAnEmptyDisk() {
+    assertThat(new LastKnownFleet(folder()).atStart()).isEmpty();
+  }
+
+  @Test
+  void viewIsKnownAfterRestart() throws InterruptedException {
+    write(view());
+    FleetUpdate update = new LastKnownFleet(folder()).atStart().orElseThrow();
+    assertThat(update.routes().version()).isEqualTo(VERSION);
+    assertThat(update.engines().changed()).extracting(EngineInstance::id).containsExactly("e");
+    assertThat(update.processes().changed()).extracting(FleetProcess::name).containsExactly("g");
+    assertThat(update.leavingMembers()).containsExactly(5);
+  }
+
+  @Test
+  void listsBelongToNoLeaderSoThatEveryLeaderSendsItsOwn() throws InterruptedException {
+    write(view());
+    FleetUpdate update = new LastKnownFleet(folder()).atStart().orElseThrow();
+    assertThat(update.engines().epoch()).isEqualTo(FleetUpdate.NO_LEADERS_EPOCH);
+    assertThat(update.engines().full()).isTrue();
+    assertThat(update.processes().epoch()).isEqualTo(FleetUpdate.NO_LEADERS_EPOCH);
+  }
+
+  @Test
+  void damagedFileCountsAsNone() throws IOException, InterruptedException {
+    write(view());
+    String whole = Files.readString(path.resolve(FILE));
+    for (String damaged : List.of("", "%%%", whole.substring(0, whole.length() / 2))) {
+      Files.writeString(path.resolve(FILE), damaged);
+      assertThat(new LastKnownFleet(folder()).atStart()).isEmpty();
+    }
+  }
+}
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -26,7 +26,15 @@
     JobsGroupReport jobsGroup,
     List<Integer> leavingMembers)
     implements Message {
+  /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
+  public static final long NO_LEADERS_EPOCH = -1;
+
   public FleetUpdate {
     leavingMembers = new ArrayList<>(leavingMembers);
   }
+
+  /** Whether this is what a coordinator knew before its restart, and not a leader's answer. */
+  public boolean isLastKnown() {
+    return engines != null && engines.epoch() == NO_LEADERS_EPOCH;
+  }
 }
