A new leader of the stores goes on where items stood; prompts have home engines

Change: every 0.7 s the leader records the events that came since in the replicated state; a result carries only the rest. Each proposal names the event it follows and is taken only if that is the recorded one, so a late proposal of an earlier leader can neither double nor skip a piece. A refused proposal restarts its item from what is recorded (before, it stayed undecided for good). Items are chosen by slack (time until due less the learnt rest of the run) and no longer by their due time, so large ones start first.

Change: a prompt with 1,500 shared tokens or more has a home engine by rendezvous hashing of its last shared part over all zones; elsewhere its prefix counts as unread.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -14,6 +14,8 @@
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.EventScanner;
+import io.pathdeck.fleet.engine.Placement;
+import io.pathdeck.fleet.engine.Prompt;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.serving.http.ApiError;
@@ -50,6 +52,7 @@
   private final Shared shared;
   private final HttpExchange exchange;
   private final CallerCall.Request request;
+  private final Prompt prompt;
   private final RouteSpec route;
   private final String service;
   private final long routesVersion;
@@ -77,6 +80,7 @@
     this.shared = shared;
     this.exchange = exchange;
     this.request = request;
+    this.prompt = Prompt.of(request.promptTokens(), request.promptParts());
     this.route = route;
     this.service = service;
     this.lastEventId = request.resumeAfter();
@@ -108,13 +112,13 @@
     if (candidates.isEmpty()) {
       candidates = shared.engines().listed(service, tried);
     }
-    Optional<EngineState> engine = shared.choice().choose(candidates, request.promptTokens(), now);
-    if (engine.isEmpty()) {
+    Optional<Placement> placement = shared.choice().choose(candidates, prompt, now);
+    if (placement.isEmpty()) {
       finishWithoutEngine("no engine left");
       return;
     }
     budget.onSend();
-    attempt = new Attempt(engine.get(), now);
+    attempt = new Attempt(placement.get(), now);
     attempt.begin();
   }
 
@@ -243,6 +247,7 @@
   /** One send of the request to one engine. */
   private final class Attempt implements EngineListener {
     private final EngineState engine;
+    private final long tokensToRead;
     private final String believedLoad;
     private final long loadAgeMs;
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
@@ -254,8 +259,9 @@
     private boolean promptRead;
     private final long sentMs;
 
-    Attempt(EngineState engine, long nowMs) {
-      this.engine = engine;
+    Attempt(Placement placement, long nowMs) {
+      this.engine = placement.engine();
+      this.tokensToRead = placement.tokensToRead();
       this.believedLoad = String.format(Locale.ROOT, "%.1f", engine.estimatedLoad(nowMs));
       this.loadAgeMs = engine.loadAgeMs(nowMs);
       this.lastProgressMs = nowMs;
@@ -265,7 +271,7 @@
     void begin() {
       tried.add(engine.instance().id());
       engine.onStart(lastProgressMs);
-      engine.onPromptSent(request.promptTokens());
+      engine.onPromptSent(tokensToRead);
       scanner = new EventScanner(lastEventId);
       EngineCall call =
           new EngineCall(
@@ -292,7 +298,7 @@
     private void notePromptRead() {
       if (!promptRead) {
         promptRead = true;
-        engine.onPromptRead(request.promptTokens());
+        engine.onPromptRead(tokensToRead);
       }
     }
 
@@ -308,7 +314,7 @@
         return;
       }
       heard();
-      long readingMs = request.promptTokens() / shared.settings().tokensReadPerMs();
+      long readingMs = tokensToRead / shared.settings().tokensReadPerMs();
       engine.onFirstBytes(Math.max(0, lastProgressMs - sentMs - readingMs), lastProgressMs);
       answer = head;
       if (head.load() != null) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -16,11 +16,17 @@
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
+import io.pathdeck.fleet.engine.Placement;
+import io.pathdeck.fleet.engine.Prompt;
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.ListBatchResults;
+import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.fleet.BatchItem;
-import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.BatchOutcome;
+import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.message.ProposeReply;
@@ -41,8 +47,11 @@
  * Runs the items of batch jobs on engines while this store leads the group; on the thread of the
  * consensus duty.
  *
- * <p>Only a committed result makes an item done. What runs and how far it came is not replicated: a
- * new leader starts the open items anew.
+ * <p>Only a committed result makes an item done. The events that running items bring are recorded
+ * in the replicated state every {@value #RECORD_INTERVAL_MS} ms, so that a new leader goes on after
+ * them. What runs where is known to the leader alone. Every proposal names the event that it
+ * follows, and the state machine takes it only if that is the last recorded one; an item whose
+ * proposal was not taken begins again from what is recorded.
  */
 final class BatchRunner {
   private static final EventLog EVENTS = EventLog.of(BatchRunner.class);
@@ -52,6 +61,7 @@
   private static final long SILENCE_MS = 1_500;
   private static final long FAILURE_PAUSE_MS = 150;
   private static final long GIVE_UP_MARGIN_MS = 500;
+  private static final long RECORD_INTERVAL_MS = 700;
 
   private record ItemKey(String jobId, String itemId) {}
 
@@ -66,11 +76,13 @@
   private final BatchWindow window = new BatchWindow();
   private final EngineTable engines = new EngineTable();
   private final TrafficSplit split = new TrafficSplit();
+  private final RunTimeEstimate runTimes = new RunTimeEstimate();
   private final Map<ItemKey, ItemRun> runs = new HashMap<>();
   private FleetView view = FleetView.UNKNOWN;
   private long term;
   private long nextScheduleMs;
   private long nextReportsMs;
+  private long nextRecordMs;
 
   /** Creates a runner; {@code consensus} runs actions on the consensus duty's thread. */
   BatchRunner(
@@ -117,6 +129,7 @@
     follow();
     checkSilence(nowMs);
     giveUpExpired();
+    recordProgress(nowMs);
     if (view.isComplete()) {
       askForReports(nowMs);
       startItems(nowMs);
@@ -151,12 +164,18 @@
     }
   }
 
-  /** Stops items of an engine on which requests wait, those that are due last first. */
+  /** For how long an item can wait and still be done when it is due. */
+  private long slackMs(ItemRun run) {
+    long ranMs = run.ranMs(clock.monotonicMs());
+    return run.dueMs() - state.timeMs() - runTimes.remainingMs(run.item.outputTokens(), ranMs);
+  }
+
+  /** Stops items of an engine on which requests wait, those that can wait longest first. */
   private void yieldItems(EngineState engine, int count) {
     runs.values().stream()
         .filter(run -> run.isRunning() && run.engine() == engine)
-        .filter(run -> window.mayYield(run.dueMs() - state.timeMs()))
-        .sorted(Comparator.comparingLong(ItemRun::dueMs).reversed())
+        .filter(run -> window.mayYield(slackMs(run)))
+        .sorted(Comparator.comparingLong(this::slackMs).reversed())
         .limit(count)
         .map(ItemRun::stream)
         .toList()
@@ -172,7 +191,7 @@
     if (run.isRunning()) {
       ItemStream stream = run.stream();
       run.engine().onEnd();
-      run.onStop();
+      run.onStop(clock.monotonicMs());
       eventLoop.execute(stream::cancel);
     }
   }
@@ -206,18 +225,100 @@
       if (run.isRunning() && nowMs - run.stream().lastHeardMs() > SILENCE_MS) {
         ItemStream stream = run.stream();
         run.engine().onFailure(nowMs);
+        if (stream.isOver()) {
+          // Its outcome was lost on the way to this thread.
+          stop(run);
+          continue;
+        }
         eventLoop.execute(() -> stream.breakOff("silent for " + SILENCE_MS + " ms"));
       }
     }
   }
 
-  private void giveUpExpired() {
+  // ---- progress
+
+  /** Proposes what the items brought since the last time, and asks their sends for more. */
+  private void recordProgress(long nowMs) {
+    if (nowMs < nextRecordMs) {
+      return;
+    }
+    nextRecordMs = nowMs + RECORD_INTERVAL_MS;
+    List<BatchProgress> progress = new ArrayList<>();
+    List<ItemRun> concerned = new ArrayList<>();
     for (ItemRun run : runs.values()) {
+      run.takeUnrecorded()
+          .ifPresent(
+              events -> {
+                progress.add(events);
+                concerned.add(run);
+              });
+      if (run.isRunning()) {
+        askForEvents(run);
+      }
+    }
+    if (!progress.isEmpty()) {
+      propose(new RecordBatchProgress(progress), concerned);
+    }
+  }
+
+  private void askForEvents(ItemRun run) {
+    ItemStream stream = run.stream();
+    long ofTerm = term;
+    eventLoop.execute(
+        () -> stream.handOver(events -> consensus.execute(() -> onEvents(run, ofTerm, events))));
+  }
+
+  private void onEvents(ItemRun run, long ofTerm, ItemEvents events) {
+    if (ofTerm == term && !run.keep(events)) {
+      restart(run);
+    }
+  }
+
+  /** Begins an item again from what is recorded. */
+  private void restart(ItemRun run) {
+    stop(run);
+    runs.remove(key(run), run);
+    EVENTS.log(
+        EventCode.ITEM_RETRIED,
+        "job",
+        run.job.submission().jobId(),
+        "item",
+        run.item.id(),
+        "outcome",
+        "RESTARTED",
+        "reason",
+        "what it brought was not recorded",
+        "after_event",
+        run.job.progress(run.item.id()).lastEvent());
+  }
+
+  private static ItemKey key(ItemRun run) {
+    return new ItemKey(run.job.submission().jobId(), run.item.id());
+  }
+
+  /** Proposes a command about items; those of a command that is not taken begin again. */
+  private void propose(Command command, List<ItemRun> concerned) {
+    long ofTerm = term;
+    group.propose(
+        "",
+        0,
+        command,
+        reply -> {
+          boolean taken = reply instanceof ProposeReply done && done.result() instanceof Done;
+          if (!taken && ofTerm == term) {
+            concerned.forEach(this::restart);
+          }
+        },
+        clock);
+  }
+
+  private void giveUpExpired() {
+    for (ItemRun run : List.copyOf(runs.values())) {
       long ageMs = state.timeMs() - run.job.submittedAtMs();
       long retainMs = run.job.submission().retainMs();
       if (!run.isDecided() && retainMs > 0 && ageMs > retainMs + GIVE_UP_MARGIN_MS) {
         stop(run);
-        list(run, false, "", "given up after " + ageMs + " ms");
+        giveUp(run, "given up after " + ageMs + " ms");
       }
     }
   }
@@ -231,7 +332,7 @@
         waiting.add(run);
       }
     }
-    waiting.sort(Comparator.comparingLong(ItemRun::dueMs));
+    waiting.sort(Comparator.comparingLong(this::slackMs));
     Set<String> fullServices = new HashSet<>();
     for (ItemRun run : waiting) {
       Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
@@ -246,21 +347,21 @@
   }
 
   private boolean startItem(ItemRun run, String service, long nowMs) {
-    long dueInMs = run.dueMs() - state.timeMs();
+    long slackMs = slackMs(run);
     List<EngineState> open =
         engines.usable(service, Set.of(), nowMs).stream()
-            .filter(engine -> window.hasRoom(engine, dueInMs, nowMs))
+            .filter(engine -> window.hasRoom(engine, slackMs, nowMs))
             .toList();
-    Optional<EngineState> chosen = choice.choose(open, 0, nowMs);
+    Optional<Placement> chosen = choice.choose(open, Prompt.UNKNOWN, nowMs);
     if (chosen.isEmpty()) {
       return false;
     }
-    EngineState engine = chosen.get();
+    EngineState engine = chosen.get().engine();
     long ofTerm = term;
     ItemStream[] started = new ItemStream[1];
     ItemStream stream =
         new ItemStream(
-            run.lastEventId(),
+            run.lastEvent(),
             outcome -> consensus.execute(() -> onOutcome(run, started[0], ofTerm, outcome)));
     started[0] = stream;
     EVENTS.log(
@@ -276,10 +377,12 @@
         "load_age_ms",
         engine.loadAgeMs(nowMs),
         "after_event",
-        run.lastEventId(),
+        run.lastEvent(),
         "due_in_ms",
-        dueInMs);
-    run.onStart(stream, engine);
+        run.dueMs() - state.timeMs(),
+        "slack_ms",
+        slackMs);
+    run.onStart(stream, engine, nowMs);
     engine.onStart(nowMs);
     EngineCall call = call(run, engine);
     eventLoop.execute(() -> stream.start(transport, call));
@@ -298,7 +401,7 @@
         headers,
         run.item.body(),
         0,
-        run.lastEventId());
+        run.lastEvent());
   }
 
   // ---- outcomes
@@ -310,14 +413,17 @@
     long nowMs = clock.monotonicMs();
     EngineState engine = run.engine();
     engine.onEnd();
-    run.onStop();
-    run.keep(outcome);
+    run.onStop(nowMs);
+    if (!run.keep(outcome.events())) {
+      restart(run);
+      return;
+    }
     if (outcome.load() != null) {
       engine.onLoad(outcome.load(), nowMs);
     }
     switch (outcome.kind()) {
-      case DONE -> list(run, true, run.text(), "whole");
-      case IMPOSSIBLE -> list(run, false, "", "impossible");
+      case DONE -> onWhole(run, nowMs);
+      case IMPOSSIBLE -> giveUp(run, "impossible");
       case FAILED -> onItemFailed(run, outcome, nowMs);
       case OTHER_INSTANCE -> engine.onGone();
       case YIELDED -> {
@@ -338,7 +444,7 @@
   private void onItemFailed(ItemRun run, ItemOutcome outcome, long nowMs) {
     logRetry(run, outcome);
     if (run.countFailure() >= Math.max(1, run.job.submission().maxAttempts())) {
-      list(run, false, "", "failed on every attempt");
+      giveUp(run, "failed on every attempt");
     } else {
       run.waitUntil(nowMs + FAILURE_PAUSE_MS);
     }
@@ -356,11 +462,19 @@
         "reason",
         outcome.reason(),
         "after_event",
-        outcome.lastEventId());
+        outcome.events().lastEvent());
+  }
+
+  private void onWhole(ItemRun run, long nowMs) {
+    runTimes.onWhole(run.item.outputTokens(), run.ranMs(nowMs));
+    list(run, run.decideWhole(), "whole");
   }
 
-  private void list(ItemRun run, boolean done, String text, String reason) {
-    run.decide();
+  private void giveUp(ItemRun run, String reason) {
+    list(run, run.decideGivenUp(), reason);
+  }
+
+  private void list(ItemRun run, BatchOutcome outcome, String reason) {
     EVENTS.log(
         EventCode.ITEM_LISTED,
         "job",
@@ -368,22 +482,11 @@
         "item",
         run.item.id(),
         "done",
-        done,
+        outcome.done(),
         "reason",
         reason,
         "age_ms",
         state.timeMs() - run.job.submittedAtMs());
-    BatchResult result = new BatchResult(run.item.id(), done, text);
-    ListBatchResults command = new ListBatchResults(run.job.submission().jobId(), List.of(result));
-    group.propose(
-        "",
-        0,
-        command,
-        reply -> {
-          if (!(reply instanceof ProposeReply)) {
-            EVENTS.log(EventCode.PARTITION_UNREACHABLE, "item", run.item.id());
-          }
-        },
-        clock);
+    propose(new ListBatchResults(run.job.submission().jobId(), List.of(outcome)), List.of(run));
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
@@ -6,18 +6,12 @@
  * How one send of an item to an engine ended.
  *
  * @param kind what happened
- * @param text the data of the events that this send brought
- * @param lastEventId the last whole event held; -1 when none is
+ * @param events what the send brought and has not handed over before
  * @param load the engine's load as its answer told it; null when it did not
  * @param retryAfterMs when the engine may be asked again
  */
 record ItemOutcome(
-    Kind kind,
-    String text,
-    long lastEventId,
-    EngineLoadReport load,
-    long retryAfterMs,
-    String reason) {
+    Kind kind, ItemEvents events, EngineLoadReport load, long retryAfterMs, String reason) {
 
   /** What happened. */
   enum Kind {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -2,18 +2,28 @@
 
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchOutcome;
+import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.state.BatchJob;
-
-/** What the leader knows of an item that has no result yet; confined to the consensus thread. */
+import io.pathdeck.state.ItemProgress;
+import java.util.Optional;
+
+/**
+ * What the leader knows of an item that has no result yet; confined to the consensus thread.
+ *
+ * <p>It begins after the events that are recorded in the replicated state. What further sends bring
+ * is kept here until it is proposed, in the order in which it came.
+ */
 final class ItemRun {
-  private static final long NO_EVENT = -1;
-
   final BatchJob job;
   final BatchItem item;
-  private final StringBuilder text = new StringBuilder();
-  private long lastEventId = NO_EVENT;
+  private String unrecordedText = "";
+  private long recordedEvent;
+  private long lastEvent;
   private int failures;
   private long notBeforeMs;
+  private long ranMs;
+  private long startedMs;
   private boolean decided;
 
   /** The send under way and its engine; null when there is none. */
@@ -24,6 +34,8 @@
   ItemRun(BatchJob job, BatchItem item) {
     this.job = job;
     this.item = item;
+    this.recordedEvent = job.progress(item.id()).lastEvent();
+    this.lastEvent = recordedEvent;
   }
 
   /** When the item is due, in the time of the log. */
@@ -47,33 +59,63 @@
     return engine;
   }
 
-  void onStart(ItemStream started, EngineState on) {
+  void onStart(ItemStream started, EngineState on, long nowMs) {
     stream = started;
     engine = on;
+    startedMs = nowMs;
   }
 
-  void onStop() {
+  void onStop(long nowMs) {
+    ranMs = ranMs(nowMs);
     stream = null;
     engine = null;
   }
 
-  /** Keeps the events that a send brought. */
-  void keep(ItemOutcome outcome) {
-    if (!outcome.text().isEmpty()) {
-      if (text.length() > 0) {
-        text.append('\n');
-      }
-      text.append(outcome.text());
+  /** For how long sends of the item were under way since this store leads. */
+  long ranMs(long nowMs) {
+    return ranMs + (stream == null ? 0 : nowMs - startedMs);
+  }
+
+  /** Keeps events of a send; returns false when they do not follow those that are held. */
+  boolean keep(ItemEvents events) {
+    if (events.isEmpty()) {
+      return true;
     }
-    lastEventId = outcome.lastEventId();
+    if (events.afterEvent() != lastEvent) {
+      return false;
+    }
+    unrecordedText = ItemProgress.join(unrecordedText, events.text());
+    lastEvent = events.lastEvent();
+    return true;
   }
 
-  long lastEventId() {
-    return lastEventId;
+  long lastEvent() {
+    return lastEvent;
   }
 
-  String text() {
-    return text.toString();
+  /** The events that were not proposed yet; from now on they count as recorded. */
+  Optional<BatchProgress> takeUnrecorded() {
+    if (lastEvent == recordedEvent || decided) {
+      return Optional.empty();
+    }
+    String jobId = job.submission().jobId();
+    BatchProgress progress =
+        new BatchProgress(jobId, item.id(), recordedEvent, lastEvent, unrecordedText);
+    recordedEvent = lastEvent;
+    unrecordedText = "";
+    return Optional.of(progress);
+  }
+
+  /** The outcome of the whole item; nothing more is sent. */
+  BatchOutcome decideWhole() {
+    decided = true;
+    return new BatchOutcome(item.id(), true, recordedEvent, unrecordedText);
+  }
+
+  /** The outcome of an item that is given up; nothing more is sent. */
+  BatchOutcome decideGivenUp() {
+    decided = true;
+    return BatchOutcome.givenUp(item.id());
   }
 
   int countFailure() {
@@ -84,11 +126,6 @@
     notBeforeMs = nextMs;
   }
 
-  /** An outcome was proposed; nothing more is sent. */
-  void decide() {
-    decided = true;
-  }
-
   boolean isDecided() {
     return decided;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -22,15 +22,17 @@
 
   private final Consumer<ItemOutcome> listener;
   private final EventScanner scanner;
-  private final ByteArrayOutputStream events = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
   private EngineTransport.Handle handle;
   private EngineAnswer answer;
   private EngineLoadReport load;
-  private boolean over;
+  private long handedOverEvent;
+  private volatile boolean over;
   private volatile long lastHeardMs;
 
   ItemStream(long resumeAfter, Consumer<ItemOutcome> listener) {
     this.scanner = new EventScanner(resumeAfter);
+    this.handedOverEvent = resumeAfter;
     this.listener = listener;
     this.lastHeardMs = nowMs();
   }
@@ -72,6 +74,27 @@
     }
   }
 
+  /** Hands the whole events of a running send over that were not handed over before. */
+  void handOver(Consumer<ItemEvents> receiver) {
+    ItemEvents events = over ? null : takeEvents();
+    if (events != null && !events.isEmpty()) {
+      receiver.accept(events);
+    }
+  }
+
+  private ItemEvents takeEvents() {
+    String text = EventScanner.dataOf(collected.toByteArray());
+    collected.reset();
+    long afterEvent = handedOverEvent;
+    handedOverEvent = Math.max(afterEvent, scanner.lastId());
+    return new ItemEvents(afterEvent, handedOverEvent, text);
+  }
+
+  /** Whether the send has ended; may be read from any thread. */
+  boolean isOver() {
+    return over;
+  }
+
   /** When something was last heard of the send; may be read from any thread. */
   long lastHeardMs() {
     return lastHeardMs;
@@ -94,7 +117,7 @@
     if (over || !isSuccess()) {
       return;
     }
-    events.writeBytes(scanner.feed(part));
+    collected.writeBytes(scanner.feed(part));
     if (scanner.problem() != null) {
       breakOff(scanner.problem());
     }
@@ -133,7 +156,6 @@
         answer == null || answer.retryAfterMs() == 0
             ? DEFAULT_RETRY_AFTER_MS
             : answer.retryAfterMs();
-    String text = EventScanner.dataOf(events.toByteArray());
-    listener.accept(new ItemOutcome(kind, text, scanner.lastId(), load, retryAfterMs, reason));
+    listener.accept(new ItemOutcome(kind, takeEvents(), load, retryAfterMs, reason));
   }
 }
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RunTimeEstimate.java
@@ -0,0 +1,26 @@
+package io.pathdeck.fleet.store;
+
+/**
+ * How long items run: learnt from those that became whole, by the tokens of their output. Pure;
+ * times in milliseconds.
+ */
+final class RunTimeEstimate {
+  private static final double FIRST_MS_PER_TOKEN = 4.0;
+  private static final double NEW_WEIGHT = 0.05;
+  private static final long DEFAULT_MS = 5_000;
+
+  private double msPerToken = FIRST_MS_PER_TOKEN;
+
+  /** An item with this output became whole after it had run for {@code ranMs} in all. */
+  void onWhole(long outputTokens, long ranMs) {
+    if (outputTokens > 0 && ranMs > 0) {
+      msPerToken += (ranMs / (double) outputTokens - msPerToken) * NEW_WEIGHT;
+    }
+  }
+
+  /** How much longer an item with this output runs that has run for {@code ranMs}. */
+  long remainingMs(long outputTokens, long ranMs) {
+    long wholeMs = outputTokens > 0 ? Math.round(outputTokens * msPerToken) : DEFAULT_MS;
+    return Math.max(0, wholeMs - ranMs);
+  }
+}
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -25,6 +25,7 @@
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.QuotaExceeded;
+import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.ReleaseClaim;
@@ -40,6 +41,8 @@
 import io.pathdeck.protocol.command.SubmitJob;
 import io.pathdeck.protocol.command.VersionConflict;
 import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchOutcome;
+import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
@@ -269,7 +272,10 @@
           EngineListDelta.class,
           ProcessListDelta.class,
           FleetRecord.class,
-          BatchJobRecord.class);
+          BatchJobRecord.class,
+          BatchProgress.class,
+          BatchOutcome.class,
+          RecordBatchProgress.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/BatchCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/BatchCommand.java
@@ -2,4 +2,4 @@
 
 /** A command of a group that keeps batch jobs. */
 public sealed interface BatchCommand extends Command
-    permits SubmitBatch, ListBatchResults, EndBatch {}
+    permits SubmitBatch, RecordBatchProgress, ListBatchResults, EndBatch {}
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/BatchItem.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/BatchItem.java
@@ -8,9 +8,15 @@
  *
  * @param headers what is sent to the engine beside the body
  * @param tokens the tokens of the prompt and the most of the output
+ * @param outputTokens the most tokens of the output; 0 when not stated
  */
 public record BatchItem(
-    String id, String path, Map<String, String> headers, byte[] body, long tokens) {
+    String id,
+    String path,
+    Map<String, String> headers,
+    byte[] body,
+    long tokens,
+    long outputTokens) {
   public BatchItem {
     headers = new HashMap<>(headers);
   }
--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -2,9 +2,12 @@
 
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchOutcome;
+import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
 import io.pathdeck.protocol.snapshot.BatchJobRecord;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +17,7 @@
   private final SubmitBatch submission;
   private final long submittedAtMs;
   private final Map<String, BatchItem> open = new LinkedHashMap<>();
+  private final Map<String, ItemProgress> progress = new HashMap<>();
   private final List<BatchResult> results = new ArrayList<>();
   private long openTokens;
   private boolean ended;
@@ -29,20 +33,49 @@
 
   static BatchJob restore(BatchJobRecord saved) {
     BatchJob job = new BatchJob(saved.submission(), saved.submittedAtMs());
-    saved.results().forEach(job::list);
+    saved.results().forEach(job::add);
+    saved.progress().forEach(job::record);
     job.ended = saved.ended();
     return job;
   }
 
-  /** Lists an outcome; returns whether it is new. */
-  boolean list(BatchResult result) {
-    BatchItem item = open.remove(result.itemId());
-    if (item == null) {
+  /** Records events of an open item; returns whether they follow what is recorded. */
+  boolean record(BatchProgress events) {
+    ItemProgress before = progress(events.itemId());
+    boolean follows = events.afterEvent() == before.lastEvent();
+    if (!open.containsKey(events.itemId()) || !follows) {
       return false;
     }
+    progress.put(events.itemId(), before.plus(events.lastEvent(), events.text()));
+    return true;
+  }
+
+  /**
+   * Lists an outcome; returns whether the item has one afterwards. The text of a whole item must
+   * follow what is recorded.
+   */
+  boolean list(BatchOutcome outcome) {
+    if (!open.containsKey(outcome.itemId())) {
+      return true;
+    }
+    ItemProgress before = progress(outcome.itemId());
+    if (!outcome.done()) {
+      add(new BatchResult(outcome.itemId(), false, ""));
+      return true;
+    }
+    if (outcome.afterEvent() != before.lastEvent()) {
+      return false;
+    }
+    String text = ItemProgress.join(before.text(), outcome.text());
+    add(new BatchResult(outcome.itemId(), true, text));
+    return true;
+  }
+
+  private void add(BatchResult result) {
+    BatchItem item = open.remove(result.itemId());
+    progress.remove(result.itemId());
     openTokens -= item.tokens();
     results.add(result);
-    return true;
   }
 
   void end() {
@@ -50,7 +83,14 @@
   }
 
   BatchJobRecord capture() {
-    return new BatchJobRecord(submission, submittedAtMs, ended, new ArrayList<>(results));
+    List<BatchProgress> recorded = new ArrayList<>();
+    progress.forEach((item, events) -> recorded.add(capture(item, events)));
+    return new BatchJobRecord(submission, submittedAtMs, ended, new ArrayList<>(results), recorded);
+  }
+
+  private BatchProgress capture(String itemId, ItemProgress events) {
+    return new BatchProgress(
+        submission.jobId(), itemId, BatchProgress.NO_EVENT, events.lastEvent(), events.text());
   }
 
   /** The job as it was submitted. */
@@ -68,6 +108,11 @@
     return open;
   }
 
+  /** What is recorded of an open item. */
+  public ItemProgress progress(String itemId) {
+    return progress.getOrDefault(itemId, ItemProgress.NONE);
+  }
+
   /** The results by position. */
   public List<BatchResult> results() {
     return results;
--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -9,10 +9,13 @@
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.QuotaExceeded;
+import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchOutcome;
+import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
 import io.pathdeck.protocol.query.BatchItemBody;
 import io.pathdeck.protocol.query.BatchMissing;
@@ -74,6 +77,9 @@
     if (command instanceof SubmitBatch submit) {
       return submit(submit, nowMs);
     }
+    if (command instanceof RecordBatchProgress progress) {
+      return record(progress);
+    }
     if (command instanceof ListBatchResults list) {
       return list(list);
     }
@@ -115,13 +121,28 @@
     return tokens;
   }
 
+  private CommandResult record(RecordBatchProgress command) {
+    for (BatchProgress events : command.progress()) {
+      BatchJob job = jobs.get(events.jobId());
+      if (job != null) {
+        job.record(events);
+      }
+    }
+    return new Done();
+  }
+
   private CommandResult list(ListBatchResults list) {
     BatchJob job = jobs.get(list.jobId());
     if (job == null) {
       return new Rejected(RejectionCode.NOT_FOUND, "no job " + list.jobId());
     }
-    list.results().forEach(job::list);
-    return new Done();
+    boolean allListed = true;
+    for (BatchOutcome outcome : list.outcomes()) {
+      allListed &= job.list(outcome);
+    }
+    return allListed
+        ? new Done()
+        : new Rejected(RejectionCode.CONFLICT, "the text does not follow what is recorded");
   }
 
   private CommandResult end(EndBatch end) {
--- /dev/null
+++ b/state/src/main/java/io/pathdeck/state/ItemProgress.java
@@ -0,0 +1,40 @@
+package io.pathdeck.state;
+
+import io.pathdeck.protocol.fleet.BatchProgress;
+
+/** The events of an open item that are recorded. */
+public final class ItemProgress {
+  /** Nothing is recorded. */
+  public static final ItemProgress NONE = new ItemProgress(BatchProgress.NO_EVENT, "");
+
+  private final long lastEvent;
+  private final String text;
+
+  private ItemProgress(long lastEvent, String text) {
+    this.lastEvent = lastEvent;
+    this.text = text;
+  }
+
+  /** The last recorded event; -1 when there is none. */
+  public long lastEvent() {
+    return lastEvent;
+  }
+
+  /** The data of the recorded events, one line each. */
+  public String text() {
+    return text;
+  }
+
+  /** The progress after further events. */
+  ItemProgress plus(long newLastEvent, String moreText) {
+    return new ItemProgress(newLastEvent, join(text, moreText));
+  }
+
+  /** Joins the data of events with that of the events after them. */
+  public static String join(String text, String moreText) {
+    if (text.isEmpty() || moreText.isEmpty()) {
+      return text + moreText;
+    }
+    return text + '\n' + moreText;
+  }
+}
