Fleet processes serve metrics; dropped log lines are counted and told

Change: `metrics_listen` serves Prometheus text (docs/METRICS.md, checked by a test): events, requests by kind and outcome, first and total times in stated buckets, routes' version and whether it is confirmed, the state of the group. It begins 2.5 s after the process so that restarts are not held up. A blocked output does not hold an event up: a test blocks it, logs three times the queue, and finds the number of dropped lines in the log and the counter.

Ruled out: Micrometer timers from the first moment (building a registry is part of the start then).

Not measured yet: the cost of logging on and off.

--- a/common/src/main/java/io/pathdeck/common/events/EventLog.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventLog.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -11,10 +12,12 @@
  * Writes numbered events, each as one line with one JSON object.
  *
  * <p>Events that touch single requests are limited in lines a second; what was left out is counted
- * and told. Changes of what a process believes are always written.
+ * and told. Changes of what a process believes are always written, unless the queue before the
+ * output is full: then lines are dropped, and their number is told once there is room.
  */
 public final class EventLog {
   private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
+  private static final AtomicLong DROPPED_UNTOLD = new AtomicLong();
 
   private final Logger logger;
 
@@ -34,20 +37,33 @@
 
   /** Logs an event with the failure that caused it. */
   public void log(EventCode code, Throwable cause, Object... fields) {
+    EventCounts.SHARED.onHappened(code);
     Level level = code.level();
     if (!logger.isEnabled(level)) {
       return;
     }
     LineBudget.Decision decision = LineBudget.SHARED.ask(code, System.nanoTime());
     if (decision.leftOutBefore() > 0) {
-      Object[] summary = {"of", code.label(), "count", decision.leftOutBefore()};
-      logger.log(Level.INFO, line(EventCode.LINES_LEFT_OUT, null, summary));
+      tellLeftOut(code.label(), decision.leftOutBefore());
     }
-    if (decision.mayWrite()) {
+    if (!decision.mayWrite()) {
+      EventCounts.SHARED.onLeftOut();
+    } else if (EventLogConfiguration.isQueueFull()) {
+      EventCounts.SHARED.onDropped();
+      DROPPED_UNTOLD.incrementAndGet();
+    } else {
+      long droppedBefore = DROPPED_UNTOLD.getAndSet(0);
+      if (droppedBefore > 0) {
+        tellLeftOut("full-queue", droppedBefore);
+      }
       logger.log(level, line(code, cause, fields));
     }
   }
 
+  private void tellLeftOut(String of, long count) {
+    logger.log(Level.INFO, line(EventCode.LINES_LEFT_OUT, null, "of", of, "count", count));
+  }
+
   /** The line of an event, as it is written. */
   static String line(EventCode code, Throwable cause, Object... fields) {
     StringBuilder line = new StringBuilder(160);
--- a/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
@@ -4,6 +4,7 @@
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.common.settings.TlsSettings;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * What every process of a fleet is told.
@@ -12,6 +13,7 @@
  * @param listen where other processes reach this one
  * @param seeds coordinators as they stood when the settings were written
  * @param toleratedLosses how many machines with data may be lost at once
+ * @param metricsListen where the process serves its metrics; empty when it does not
  */
 public record FleetSettings(
     String name,
@@ -19,6 +21,7 @@
     HostPort listen,
     List<HostPort> seeds,
     int toleratedLosses,
+    Optional<HostPort> metricsListen,
     TlsSettings tls) {
   private static final int MAX_TOLERATED = 4;
   private static final int MAX_PORT = 65_535;
@@ -37,6 +40,9 @@
             reader.address("listen"),
             seeds,
             reader.integer("tolerated_losses", 1, 0, MAX_TOLERATED),
+            reader.has("metrics_listen")
+                ? Optional.of(reader.address("metrics_listen"))
+                : Optional.empty(),
             TlsSettings.read(reader));
     boolean trusted = reader.bool("trusted_network", false);
     boolean loopback = settings.listen().isLoopback();
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -20,6 +20,7 @@
 import io.pathdeck.fleet.member.FleetFollower;
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.fleet.metrics.MemberMetrics;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.message.FleetHeartbeat;
@@ -187,6 +188,7 @@
     serve(settings.directoryListen(), eventLoops, directory::handle);
     resources.push(host);
     host.start(membership[0]);
+    MemberMetrics.serve(fleet, eventLoops, follower, host, resources);
     resources.push(follower);
     follower.start();
     EVENTS.log(
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -53,7 +53,8 @@
       BooleanSupplier routesConfirmed,
       BatchCalls batch,
       EngineTransport transport,
-      EngineChoice choice) {
+      EngineChoice choice,
+      RequestMetrics metrics) {
     this.protocol = protocol;
     this.view = view;
     this.routesConfirmed = routesConfirmed;
@@ -65,6 +66,7 @@
             new EngineTable(),
             choice,
             ForwardingSettings.DEFAULT,
+            metrics,
             new HashSet<>());
     eventLoop.scheduleWithFixedDelay(
         this::checkSilence,
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.gateway;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.pathdeck.common.duty.ResourceStack;
@@ -16,6 +17,8 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.GroupClient;
 import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.fleet.metrics.FleetMetrics;
+import io.pathdeck.fleet.metrics.MetricsEndpoint;
 import io.pathdeck.protocol.client.RetryTimer;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
@@ -57,6 +60,7 @@
             eventLoop, () -> new FleetFollower.SelfReport(describe(life), false, null));
     GroupClient jobs =
         new GroupClient(pool, RetryTimer.on(eventLoops), () -> jobsMembers(follower.view()));
+    RequestMetrics metrics = new RequestMetrics();
     Gateway gateway =
         new Gateway(
             eventLoop,
@@ -65,7 +69,8 @@
             follower::isConfirmed,
             new BatchCalls(jobs, adapter.callers()),
             new NettyEngineTransport(eventLoop, adapter.engines()),
-            new EngineChoice(fleet.zone(), life));
+            new EngineChoice(fleet.zone(), life),
+            metrics);
     follower.onChange(gateway::onChange);
     callers =
         resources.push(
@@ -82,9 +87,21 @@
             settings.limits(),
             Optional.empty(),
             this::answerReadiness));
+    fleet
+        .metricsListen()
+        .ifPresent(
+            address ->
+                resources.push(
+                    new MetricsEndpoint(
+                        address, eventLoops, registry -> bind(registry, metrics), this::isReady)));
     resources.push(follower);
   }
 
+  private void bind(MeterRegistry registry, RequestMetrics metrics) {
+    metrics.bindTo(registry);
+    FleetMetrics.bindView(registry, follower);
+  }
+
   /** Starts a gateway. */
   public static GatewayProcess start(
       GatewaySettings settings, TransportTls tls, FleetAdapter adapter) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -47,6 +47,7 @@
       EngineTable engines,
       EngineChoice choice,
       ForwardingSettings settings,
+      RequestMetrics metrics,
       Set<RequestForwarder> active) {}
 
   private final Shared shared;
@@ -118,6 +119,7 @@
       return;
     }
     budget.onSend();
+    shared.metrics().onAttempt();
     attempt = new Attempt(placement.get(), now);
     attempt.begin();
   }
@@ -170,7 +172,7 @@
           lastEventId,
           "sends",
           budget.sends());
-      finish();
+      finish(RequestMetrics.Outcome.FAILED);
       exchange.abort();
     } else if (budget.mayHaveRun()) {
       fail(502, "engine_failed", reason);
@@ -192,7 +194,7 @@
         status,
         "sends",
         budget.sends());
-    finish();
+    finish(RequestMetrics.Outcome.FAILED);
     exchange.sendError(ApiError.failed(status, code, reason, true));
   }
 
@@ -207,7 +209,7 @@
         reason,
         "sends",
         budget.sends());
-    finish();
+    finish(RequestMetrics.Outcome.REFUSED);
     Refusals.unavailable(exchange, reason, shared.settings().refusedRetryAfterMs());
   }
 
@@ -227,7 +229,7 @@
   private void onCallerLeft() {
     if (!finished) {
       cancelAttempt();
-      finish();
+      finish(RequestMetrics.Outcome.CALLER_LEFT);
     }
   }
 
@@ -238,7 +240,17 @@
     }
   }
 
-  private void finish() {
+  private void finish(RequestMetrics.Outcome outcome) {
+    shared.metrics().onEnd(route.kind(), outcome);
+    finishQuietly();
+  }
+
+  private void finishServed() {
+    shared.metrics().onServed(route.kind(), firstMs, nowMs() - startMs);
+    finishQuietly();
+  }
+
+  private void finishQuietly() {
     finished = true;
     timeout.cancel(false);
     shared.active().remove(this);
@@ -367,15 +379,16 @@
 
     private void onSuccessEnd() {
       if (!isStream()) {
+        firstMs = nowMs() - startMs;
         logServed();
-        finish();
+        finishServed();
         exchange.send(answer.status(), answer.headers(), collected.toByteArray());
       } else if (scanner.isInsideEvent()) {
         engine.onFailure(nowMs());
         afterFailure(false, "the stream ended inside an event");
       } else {
         logServed();
-        finish();
+        finishServed();
         exchange.endStream();
       }
     }
@@ -418,7 +431,7 @@
       } else if (headSent) {
         finishWithoutEngine("the engine answered " + answer.status());
       } else {
-        finish();
+        finish(RequestMetrics.Outcome.FAILED);
         exchange.send(answer.status(), answer.headers(), collected.toByteArray());
       }
     }
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
@@ -0,0 +1,50 @@
+package io.pathdeck.fleet.metrics;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.pathdeck.consensus.ReplicaRole;
+import io.pathdeck.control.ControllerStatus.GroupView;
+import io.pathdeck.control.ReplicaHost;
+import io.pathdeck.fleet.member.FleetFollower;
+import java.util.function.ToDoubleFunction;
+
+/** The metrics that several roles of a fleet have. */
+public final class FleetMetrics {
+  private FleetMetrics() {}
+
+  /** Publishes what a process knows of the fleet and how old that is. */
+  public static void bindView(MeterRegistry registry, FleetFollower follower) {
+    Gauge.builder("pathdeck.routes.version", follower, FleetMetrics::routesVersion)
+        .register(registry);
+    Gauge.builder("pathdeck.routes.confirmed", follower, held -> held.isConfirmed() ? 1 : 0)
+        .register(registry);
+    Gauge.builder("pathdeck.engines.known", follower, FleetMetrics::enginesKnown)
+        .register(registry);
+    Gauge.builder("pathdeck.processes.known", follower, held -> held.view().processes().size())
+        .register(registry);
+  }
+
+  private static double routesVersion(FleetFollower follower) {
+    return follower.view().routes() == null ? Double.NaN : follower.view().routes().version();
+  }
+
+  private static double enginesKnown(FleetFollower follower) {
+    return follower.view().engines() == null ? 0 : follower.view().engines().size();
+  }
+
+  /** Publishes the state of a process's replicated group. */
+  public static void bindGroup(MeterRegistry registry, ReplicaHost host) {
+    group(
+        registry, host, "pathdeck.group.leads", view -> view.role() == ReplicaRole.LEADER ? 1 : 0);
+    group(registry, host, "pathdeck.group.term", GroupView::term);
+    group(registry, host, "pathdeck.group.commit.index", GroupView::commitIndex);
+    group(registry, host, "pathdeck.group.applied.index", GroupView::appliedIndex);
+    group(registry, host, "pathdeck.group.members", view -> view.members().size());
+  }
+
+  private static void group(
+      MeterRegistry registry, ReplicaHost host, String name, ToDoubleFunction<GroupView> value) {
+    Gauge.builder(name, host, held -> held.status().groups().stream().mapToDouble(value).sum())
+        .register(registry);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
@@ -0,0 +1,34 @@
+package io.pathdeck.fleet.metrics;
+
+import io.netty.channel.EventLoopGroup;
+import io.pathdeck.common.duty.ResourceStack;
+import io.pathdeck.control.ReplicaHost;
+import io.pathdeck.fleet.FleetSettings;
+import io.pathdeck.fleet.member.FleetFollower;
+
+/** Serves the metrics of a process that is a member of a replicated group. */
+public final class MemberMetrics {
+  private MemberMetrics() {}
+
+  /** Serves them when the settings name an address; {@code resources} closes the endpoint. */
+  public static void serve(
+      FleetSettings settings,
+      EventLoopGroup eventLoops,
+      FleetFollower follower,
+      ReplicaHost host,
+      ResourceStack resources) {
+    settings
+        .metricsListen()
+        .ifPresent(
+            address ->
+                resources.push(
+                    new MetricsEndpoint(
+                        address,
+                        eventLoops,
+                        registry -> {
+                          FleetMetrics.bindView(registry, follower);
+                          FleetMetrics.bindGroup(registry, host);
+                        },
+                        () -> host.status().isReady())));
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -24,21 +24,17 @@
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.RecordBatchProgress;
-import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.message.ProposeReply;
-import io.pathdeck.state.BatchJob;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -63,8 +59,6 @@
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
 
-  private record ItemKey(String jobId, String itemId) {}
-
   private final GroupRuntime group;
   private final BatchStateMachine state;
   private final ControllerClock clock;
@@ -77,7 +71,7 @@
   private final EngineTable engines = new EngineTable();
   private final TrafficSplit split = new TrafficSplit();
   private final RunTimeEstimate runTimes = new RunTimeEstimate();
-  private final Map<ItemKey, ItemRun> runs = new HashMap<>();
+  private final ItemRuns runs = new ItemRuns();
   private FleetView view = FleetView.UNKNOWN;
   private long term;
   private long nextScheduleMs;
@@ -126,7 +120,7 @@
       return;
     }
     nextScheduleMs = nowMs + SCHEDULE_INTERVAL_MS;
-    follow();
+    runs.follow(state.jobs(), this::stop);
     checkSilence(nowMs);
     giveUpExpired();
     recordProgress(nowMs);
@@ -142,7 +136,7 @@
       return;
     }
     nextReportsMs = nowMs + REPORT_INTERVAL_MS;
-    boolean waiting = runs.values().stream().anyMatch(run -> run.mayStart(nowMs));
+    boolean waiting = runs.all().stream().anyMatch(run -> run.mayStart(nowMs));
     for (EngineState engine : engines.all()) {
       boolean concerned = waiting || engine.inFlight() > 0;
       if (concerned && !engine.isLeaving()) {
@@ -172,7 +166,7 @@
 
   /** Stops items of an engine on which requests wait, those that can wait longest first. */
   private void yieldItems(EngineState engine, int count) {
-    runs.values().stream()
+    runs.all().stream()
         .filter(run -> run.isRunning() && run.engine() == engine)
         .filter(run -> window.mayYield(slackMs(run)))
         .sorted(Comparator.comparingLong(this::slackMs).reversed())
@@ -183,7 +177,7 @@
   }
 
   private void stopAll() {
-    runs.values().forEach(this::stop);
+    runs.all().forEach(this::stop);
     runs.clear();
   }
 
@@ -196,32 +190,8 @@
     }
   }
 
-  /** Follows the jobs: forgets items that have a result, stops those of ended jobs. */
-  private void follow() {
-    runs.entrySet()
-        .removeIf(
-            entry -> {
-              ItemRun run = entry.getValue();
-              boolean open = run.job.open().containsKey(entry.getKey().itemId());
-              boolean over = !open || run.job.isEnded();
-              if (over) {
-                stop(run);
-              }
-              return over;
-            });
-    for (BatchJob job : state.jobs()) {
-      if (!job.isActive()) {
-        continue;
-      }
-      for (BatchItem item : job.open().values()) {
-        ItemKey key = new ItemKey(job.submission().jobId(), item.id());
-        runs.computeIfAbsent(key, absent -> new ItemRun(job, item));
-      }
-    }
-  }
-
   private void checkSilence(long nowMs) {
-    for (ItemRun run : runs.values()) {
+    for (ItemRun run : runs.all()) {
       if (run.isRunning() && nowMs - run.stream().lastHeardMs() > SILENCE_MS) {
         ItemStream stream = run.stream();
         run.engine().onFailure(nowMs);
@@ -245,7 +215,7 @@
     nextRecordMs = nowMs + RECORD_INTERVAL_MS;
     List<BatchProgress> progress = new ArrayList<>();
     List<ItemRun> concerned = new ArrayList<>();
-    for (ItemRun run : runs.values()) {
+    for (ItemRun run : runs.all()) {
       run.takeUnrecorded()
           .ifPresent(
               events -> {
@@ -277,7 +247,7 @@
   /** Begins an item again from what is recorded. */
   private void restart(ItemRun run) {
     stop(run);
-    runs.remove(key(run), run);
+    runs.remove(run);
     EVENTS.log(
         EventCode.ITEM_RETRIED,
         "job",
@@ -292,10 +262,6 @@
         run.job.progress(run.item.id()).lastEvent());
   }
 
-  private static ItemKey key(ItemRun run) {
-    return new ItemKey(run.job.submission().jobId(), run.item.id());
-  }
-
   /** Proposes a command about items; those of a command that is not taken begin again. */
   private void propose(Command command, List<ItemRun> concerned) {
     long ofTerm = term;
@@ -313,7 +279,7 @@
   }
 
   private void giveUpExpired() {
-    for (ItemRun run : List.copyOf(runs.values())) {
+    for (ItemRun run : runs.copy()) {
       long ageMs = state.timeMs() - run.job.submittedAtMs();
       long retainMs = run.job.submission().retainMs();
       if (!run.isDecided() && retainMs > 0 && ageMs > retainMs + GIVE_UP_MARGIN_MS) {
@@ -327,7 +293,7 @@
 
   private void startItems(long nowMs) {
     List<ItemRun> waiting = new ArrayList<>();
-    for (ItemRun run : runs.values()) {
+    for (ItemRun run : runs.all()) {
       if (run.mayStart(nowMs)) {
         waiting.add(run);
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -23,6 +23,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.fleet.metrics.MemberMetrics;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
@@ -120,6 +121,7 @@
             eventLoops,
             tls,
             (message, reply) -> route(message, reply, host.value())));
+    MemberMetrics.serve(fleet, eventLoops, follower, host.value(), resources);
     follower.start();
     EVENTS.log(
         EventCode.PROCESS_STARTED,
