Gateways take over the limits of the configuration; a starting coordinator does not say that a store is unknown

Cause: the header, body and idle limits of a configuration were read by nobody, so a deployment with a longer idle time than 20 s would lose requests on kept connections (open since the last landing). A coordinator that had heard of no process yet answered 404 to an order about a store, which ends the operator's call.

Ruled out: the time for a head as a limit of its own: a connection that is slow in either way is closed after the idle time. Change: CallerLimits in the route table, in force for connections that come after it; 503 while no process is known.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -215,7 +215,7 @@
     if (held == null || held.version() <= heartbeat.routeVersion()) {
       return null;
     }
-    return new RouteTable(held.version(), held.routes(), held.services(), new byte[0]);
+    return held.withoutDocument();
   }
 
   private EngineListDelta enginesFor(FleetHeartbeat heartbeat) {
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
@@ -123,7 +123,7 @@
     FleetView known = view.get();
     Optional<FleetProcess> store = known.store(name);
     if (store.isEmpty()) {
-      exchange.sendError(ApiError.notFound("no_such_store", "no store " + name));
+      sendStoreMissing(exchange, known, name);
       return;
     }
     int memberId = store.get().memberId();
@@ -151,11 +151,20 @@
         });
   }
 
+  /** A coordinator that has heard of no process yet cannot say that there is no such store. */
+  private static void sendStoreMissing(HttpExchange exchange, FleetView known, String name) {
+    if (known.processes().isEmpty()) {
+      exchange.sendError(ApiError.failed(503, "starting", "no process is known yet", true));
+    } else {
+      exchange.sendError(ApiError.notFound("no_such_store", "no store " + name));
+    }
+  }
+
   private void readEmptying(HttpExchange exchange, String name) {
     FleetView known = view.get();
     Optional<FleetProcess> store = known.store(name);
     if (store.isEmpty()) {
-      exchange.sendError(ApiError.notFound("no_such_store", "no store " + name));
+      sendStoreMissing(exchange, known, name);
       return;
     }
     int memberId = store.get().memberId();
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -71,7 +71,7 @@
             new NettyEngineTransport(eventLoop, adapter.engines()),
             new EngineChoice(fleet.zone(), life),
             metrics);
-    follower.onChange(gateway::onChange);
+    follower.onChange(view -> onChange(view, gateway));
     callers =
         resources.push(
             new HttpServer(
@@ -97,6 +97,13 @@
     resources.push(follower);
   }
 
+  private void onChange(FleetView view, Gateway gateway) {
+    gateway.onChange(view);
+    if (view.routes() != null) {
+      callers.setLimits(settings.limitsUnder(view.routes().limits()));
+    }
+  }
+
   private void bind(MeterRegistry registry, RequestMetrics metrics) {
     metrics.bindTo(registry);
     FleetMetrics.bindView(registry, follower);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import io.pathdeck.common.settings.SettingsError;
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.fleet.FleetSettings;
+import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.serving.http.HttpLimits;
 
 /**
@@ -23,6 +24,17 @@
     int drainMs,
     int minDrainMs) {
 
+  /** The limits of the settings, each replaced where a configuration states one. */
+  HttpLimits limitsUnder(CallerLimits stated) {
+    int maxBodyBytes = stated.maxBodyBytes() > 0 ? stated.maxBodyBytes() : limits.maxBodyBytes();
+    return new HttpLimits(
+        stated.maxHeaderBytes() > 0 ? stated.maxHeaderBytes() : limits.maxHeaderBytes(),
+        maxBodyBytes,
+        maxBodyBytes,
+        limits.maxConnections(),
+        stated.idleTimeoutMs() > 0 ? stated.idleTimeoutMs() : limits.readTimeoutMs());
+  }
+
   /** Reads and checks the settings. */
   public static Result<GatewaySettings, SettingsError> read(SettingsReader reader) {
     int maxBody = reader.integer("max_body_bytes", 4 << 20, 1 << 10, 1 << 28);
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -4,6 +4,7 @@
 
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
@@ -31,7 +32,8 @@
   private static FleetView view() {
     EngineInstance engine = new EngineInstance("e", "s", "h:1", "a", 10, false);
     FleetProcess gateway = new FleetProcess("g", FleetRole.GATEWAY, "a", 0, 1, "", "h:2", true);
-    RouteTable routes = new RouteTable(VERSION, List.of(), List.of(), new byte[0]);
+    RouteTable routes =
+        new RouteTable(VERSION, List.of(), List.of(), CallerLimits.NONE, new byte[0]);
     return new FleetView(routes, Map.of("e", engine), Map.of("g", gateway), null, null, List.of(5));
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestRouteTableCheck.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestRouteTableCheck.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -32,7 +33,7 @@
 
   private static RouteTable table(RouteSpec... routes) {
     ServiceLimits service = new ServiceLimits("s", 10, 4, 1_000);
-    return new RouteTable(1, List.of(routes), List.of(service), new byte[0]);
+    return new RouteTable(1, List.of(routes), List.of(service), CallerLimits.NONE, new byte[0]);
   }
 
   private static final RouteTarget GOOD = new RouteTarget("s", 1);
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -44,6 +44,7 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
 import io.pathdeck.protocol.fleet.FleetProcess;
@@ -275,7 +276,8 @@
           BatchJobRecord.class,
           BatchProgress.class,
           BatchOutcome.class,
-          RecordBatchProgress.class);
+          RecordBatchProgress.class,
+          CallerLimits.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteTable.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteTable.java
@@ -7,10 +7,15 @@
 /**
  * A whole configuration of routes and services under its version.
  *
+ * @param limits what callers may send
  * @param document the configuration as the operator sent it
  */
 public record RouteTable(
-    long version, List<RouteSpec> routes, List<ServiceLimits> services, byte[] document) {
+    long version,
+    List<RouteSpec> routes,
+    List<ServiceLimits> services,
+    CallerLimits limits,
+    byte[] document) {
   /** The version below every version that an operator can send. */
   public static final long NO_VERSION = Long.MIN_VALUE;
 
@@ -19,6 +24,11 @@
     services = new ArrayList<>(services);
   }
 
+  /** The same table without its document, for processes that only act on it. */
+  public RouteTable withoutDocument() {
+    return new RouteTable(version, routes, services, limits, new byte[0]);
+  }
+
   /** The route of the longest prefix that begins {@code path} on {@code host}. */
   public Optional<RouteSpec> match(String host, String path) {
     RouteSpec best = null;
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
@@ -26,7 +26,7 @@
   private static final long DRAIN_POLL_MS = 20;
 
   private final BodyBudget bodyBudget;
-  private final HttpLimits limits;
+  private volatile HttpLimits limits;
   private final Optional<SslContext> tls;
   private final Consumer<HttpExchange> handler;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -58,6 +58,11 @@
             .channel();
   }
 
+  /** Sets the limits of connections that come from now on. */
+  public void setLimits(HttpLimits newLimits) {
+    limits = newLimits;
+  }
+
   /** The number of requests whose response has not ended. */
   public int activeExchanges() {
     return activeExchanges.get();
@@ -102,7 +107,8 @@
   private final class Initializer extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel child) {
-      if (connections.size() >= limits.maxConnections()) {
+      HttpLimits current = limits;
+      if (connections.size() >= current.maxConnections()) {
         child.close();
         return;
       }
@@ -111,10 +117,10 @@
       HttpDecoderConfig decoder =
           new HttpDecoderConfig()
               .setMaxInitialLineLength(MAX_INITIAL_LINE_LENGTH)
-              .setMaxHeaderSize(limits.maxHeaderBytes());
+              .setMaxHeaderSize(current.maxHeaderBytes());
       child.pipeline().addLast(new FlushConsolidationHandler(64, true));
       child.pipeline().addLast(new HttpServerCodec(decoder));
-      child.pipeline().addLast(new ExchangeHandler(limits, bodyBudget, HttpServer.this::dispatch));
+      child.pipeline().addLast(new ExchangeHandler(current, bodyBudget, HttpServer.this::dispatch));
     }
   }
 
--- a/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -9,6 +9,7 @@
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.RouteTableHeld;
 import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.Member;
@@ -25,7 +26,12 @@
 
   private static PutRouteTable put(long version, String document) {
     return new PutRouteTable(
-        new RouteTable(version, List.of(), List.of(), document.getBytes(StandardCharsets.UTF_8)));
+        new RouteTable(
+            version,
+            List.of(),
+            List.of(),
+            CallerLimits.NONE,
+            document.getBytes(StandardCharsets.UTF_8)));
   }
 
   private String held() {
