--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -27,7 +28,10 @@
   private static final long SILENCE_CHECK_INTERVAL_MS = 100;
 
   /** How long after its start a gateway has usually heard from the coordinators. */
-  private static final long USUAL_START_MS = 2_000;
+  private static final long USUAL_START_MS = 1_400;
+
+  /** Over how long the callers refused at a start are spread when they come back. */
+  private static final long START_SPREAD_MS = 600;
 
   private static final long MIN_START_RETRY_AFTER_MS = 300;
   private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
@@ -125,7 +129,8 @@
     if (!known.isComplete()) {
       logRefusal(request, "no configuration yet", known);
       long upMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
-      long retryAfterMs = Math.max(MIN_START_RETRY_AFTER_MS, USUAL_START_MS - upMs);
+      long spreadMs = ThreadLocalRandom.current().nextLong(START_SPREAD_MS);
+      long retryAfterMs = Math.max(MIN_START_RETRY_AFTER_MS, USUAL_START_MS - upMs) + spreadMs;
       Refusals.unavailable(exchange, "no configuration yet", retryAfterMs);
       return;
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -248,18 +248,8 @@
   private void restart(ItemRun run) {
     stop(run);
     runs.remove(run);
-    EVENTS.log(
-        EventCode.ITEM_RETRIED,
-        "job",
-        run.job.submission().jobId(),
-        "item",
-        run.item.id(),
-        "outcome",
-        "RESTARTED",
-        "reason",
-        "what it brought was not recorded",
-        "after_event",
-        run.job.progress(run.item.id()).lastEvent());
+    long recorded = run.job.progress(run.item.id()).lastEvent();
+    logRetry(run, "RESTARTED", "what it brought was not recorded", recorded);
   }
 
   /** Proposes a command about items; those of a command that is not taken begin again. */
@@ -417,6 +407,10 @@
   }
 
   private static void logRetry(ItemRun run, ItemOutcome outcome) {
+    logRetry(run, outcome.kind().name(), outcome.reason(), outcome.events().lastEvent());
+  }
+
+  private static void logRetry(ItemRun run, String outcome, String reason, long afterEvent) {
     EVENTS.log(
         EventCode.ITEM_RETRIED,
         "job",
@@ -424,11 +418,11 @@
         "item",
         run.item.id(),
         "outcome",
-        outcome.kind(),
+        outcome,
         "reason",
-        outcome.reason(),
+        reason,
         "after_event",
-        outcome.events().lastEvent());
+        afterEvent);
   }
 
   private void onWhole(ItemRun run, long nowMs) {
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -0,0 +1,66 @@
+package io.pathdeck.fleet.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.RecordBatchProgress;
+import io.pathdeck.protocol.command.SubmitBatch;
+import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchOutcome;
+import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.state.BatchJob;
+import io.pathdeck.state.BatchStateMachine;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class TestItemRun {
+  private final BatchStateMachine machine = new BatchStateMachine();
+  private final BatchItem item = new BatchItem("i", "/p", Map.of(), new byte[0], 100, 40);
+
+  TestItemRun() {
+    SubmitBatch job = new SubmitBatch("j", "r", "h", List.of(item), 3, 20_000, 60_000, 0);
+    machine.apply(new CommandEnvelope("", 0, 1, job));
+  }
+
+  private ItemRun run() {
+    BatchJob job = machine.job("j").orElseThrow();
+    return new ItemRun(job, item);
+  }
+
+  private void record(BatchProgress progress) {
+    RecordBatchProgress command = new RecordBatchProgress(List.of(progress));
+    machine.apply(new CommandEnvelope("", 0, 2, command));
+  }
+
+  @Test
+  void eventsAreProposedOnceAndInOrder() {
+    ItemRun run = run();
+    assertThat(run.keep(new ItemEvents(-1, 3, "a\nb"))).isTrue();
+    assertThat(run.keep(new ItemEvents(3, 4, "c"))).isTrue();
+    assertThat(run.takeUnrecorded()).contains(new BatchProgress("j", "i", -1, 4, "a\nb\nc"));
+    assertThat(run.takeUnrecorded()).isEmpty();
+    run.keep(new ItemEvents(4, 5, "d"));
+    assertThat(run.decideWhole()).isEqualTo(new BatchOutcome("i", true, 4, "d"));
+    assertThat(run.takeUnrecorded()).isEmpty();
+  }
+
+  @Test
+  void eventsAfterAGapOrTwiceAreNotKept() {
+    ItemRun run = run();
+    run.keep(new ItemEvents(-1, 3, "a"));
+    assertThat(run.keep(new ItemEvents(4, 6, "gap"))).isFalse();
+    assertThat(run.keep(new ItemEvents(-1, 3, "a"))).isFalse();
+    assertThat(run.lastEvent()).isEqualTo(3);
+    assertThat(run.keep(new ItemEvents(9, 9, ""))).isTrue();
+  }
+
+  @Test
+  void runBeginsAfterWhatIsRecorded() {
+    record(new BatchProgress("j", "i", -1, 7, "recorded"));
+    ItemRun run = run();
+    assertThat(run.lastEvent()).isEqualTo(7);
+    run.keep(new ItemEvents(7, 8, "rest"));
+    assertThat(run.decideWhole()).isEqualTo(new BatchOutcome("i", true, 7, "rest"));
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestRunTimeEstimate.java
@@ -0,0 +1,37 @@
+package io.pathdeck.fleet.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class TestRunTimeEstimate {
+  private final RunTimeEstimate estimate = new RunTimeEstimate();
+
+  @Test
+  void longerOutputsRunLonger() {
+    assertThat(estimate.remainingMs(3_000, 0)).isGreaterThan(estimate.remainingMs(300, 0));
+  }
+
+  @Test
+  void timeThatAnItemRanCounts() {
+    long wholeMs = estimate.remainingMs(1_000, 0);
+    assertThat(estimate.remainingMs(1_000, 500)).isEqualTo(wholeMs - 500);
+    assertThat(estimate.remainingMs(1_000, wholeMs + 10_000)).isZero();
+  }
+
+  @Test
+  void estimateFollowsTheItemsThatBecameWhole() {
+    for (int i = 0; i < 200; i++) {
+      estimate.onWhole(1_000, 9_000);
+    }
+    assertThat(estimate.remainingMs(2_000, 0)).isBetween(17_500L, 18_000L);
+  }
+
+  @Test
+  void itemsWithoutStatedOutputHaveADefaultAndTeachNothing() {
+    long before = estimate.remainingMs(1_000, 0);
+    estimate.onWhole(0, 60_000);
+    assertThat(estimate.remainingMs(1_000, 0)).isEqualTo(before);
+    assertThat(estimate.remainingMs(0, 0)).isPositive();
+  }
+}
