--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
@@ -8,12 +8,10 @@
  * beyond the load stay free for online requests. An item that cannot wait any more may take more.
  */
 final class BatchWindow {
-  private static final double PATIENT_SHARE = 0.35;
   private static final double USUAL_SHARE = 0.5;
   private static final double URGENT_SHARE = 0.75;
   private static final double FREE_SHARE = 0.25;
   private static final long URGENT_SLACK_MS = 4_000;
-  private static final long PATIENT_SLACK_MS = 9_000;
   private static final int DEFAULT_SLOTS = 8;
 
   /** From this many waiting requests on an engine is too full for the batch items it runs. */
@@ -28,18 +26,11 @@
    */
   boolean hasRoom(EngineState engine, long slackMs, long nowMs) {
     int slots = engine.instance().slots() > 0 ? engine.instance().slots() : DEFAULT_SLOTS;
-    double share = share(slackMs);
+    double share = slackMs < URGENT_SLACK_MS ? URGENT_SHARE : USUAL_SHARE;
     boolean withinShare = engine.inFlight() < Math.max(1, slots * share);
     return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - FREE_SHARE);
   }
 
-  private static double share(long slackMs) {
-    if (slackMs < URGENT_SLACK_MS) {
-      return URGENT_SHARE;
-    }
-    return slackMs < PATIENT_SLACK_MS ? USUAL_SHARE : PATIENT_SHARE;
-  }
-
   /** Whether an item may be stopped for online requests: one that cannot wait may not. */
   boolean mayYield(long slackMs) {
     return slackMs >= URGENT_SLACK_MS;
