--- /dev/null
+++ b/state/src/test/java/io/pathdeck/state/TestBatchProgressProperties.java
@@ -0,0 +1,150 @@
+package io.pathdeck.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.ListBatchResults;
+import io.pathdeck.protocol.command.RecordBatchProgress;
+import io.pathdeck.protocol.command.SubmitBatch;
+import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchOutcome;
+import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.query.BatchResults;
+import io.pathdeck.protocol.query.ReadBatchResults;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/**
+ * Two leaders that do not know of each other run the same item. Whatever they propose, in whatever
+ * order it is taken and whatever is lost, the result is the whole text or none.
+ */
+class TestBatchProgressProperties {
+  private static final String JOB = "j";
+  private static final String ITEM = "i";
+  private static final long LAST_EVENT = 9;
+  private static final int ACTIONS_OF_A_LEADER = 5;
+
+  private BatchStateMachine machine;
+
+  /** A leader: where it stands, and what it has proposed and not yet seen taken or lost. */
+  private final class Leader {
+    private final Deque<Command> proposed = new ArrayDeque<>();
+    private long recorded;
+    private long held;
+    private boolean decided;
+
+    void begin() {
+      recorded = machine.job(JOB).orElseThrow().progress(ITEM).lastEvent();
+      held = recorded;
+      decided = false;
+    }
+
+    void receive() {
+      held = Math.min(LAST_EVENT, held + 2);
+    }
+
+    void propose() {
+      if (decided) {
+        return;
+      }
+      String text = text(recorded, held);
+      if (held == LAST_EVENT) {
+        decided = true;
+        BatchOutcome outcome = new BatchOutcome(ITEM, true, recorded, text);
+        proposed.add(new ListBatchResults(JOB, List.of(outcome)));
+      } else if (held > recorded) {
+        BatchProgress progress = new BatchProgress(JOB, ITEM, recorded, held, text);
+        proposed.add(new RecordBatchProgress(List.of(progress)));
+        recorded = held;
+      }
+    }
+
+    void take() {
+      if (!proposed.isEmpty()) {
+        apply(proposed.poll());
+      }
+    }
+
+    /** What was proposed is lost, and the leader begins again from what is recorded. */
+    void lose() {
+      proposed.clear();
+      begin();
+    }
+  }
+
+  private static String text(long afterEvent, long lastEvent) {
+    return LongStream.rangeClosed(afterEvent + 1, lastEvent)
+        .mapToObj(Long::toString)
+        .collect(Collectors.joining("\n"));
+  }
+
+  private void apply(Command command) {
+    machine.apply(new CommandEnvelope("", 0, 1, command));
+  }
+
+  private List<BatchResult> results() {
+    BatchResults read = (BatchResults) machine.query(new ReadBatchResults(JOB, 0, 1 << 20, 0));
+    return read.results();
+  }
+
+  /** A new state machine with one job of one item, for each try. */
+  private void submit() {
+    machine = new BatchStateMachine();
+    BatchItem item = new BatchItem(ITEM, "/p", Map.of(), new byte[0], 10, 5);
+    apply(new SubmitBatch(JOB, "r", "h", List.of(item), 3, 20_000, 60_000, 0));
+  }
+
+  @Property
+  void resultIsTheWholeTextOrNone(
+      @ForAll @Size(max = 120) List<@IntRange(max = 2 * ACTIONS_OF_A_LEADER - 1) Integer> actions) {
+    submit();
+    List<Leader> leaders = List.of(new Leader(), new Leader());
+    leaders.forEach(Leader::begin);
+    for (int action : actions) {
+      act(leaders.get(action / ACTIONS_OF_A_LEADER), action % ACTIONS_OF_A_LEADER);
+    }
+    ItemProgress progress = machine.job(JOB).orElseThrow().progress(ITEM);
+    assertThat(progress.text()).isEqualTo(text(-1, progress.lastEvent()));
+    String whole = text(-1, LAST_EVENT);
+    assertThat(results()).allSatisfy(result -> assertThat(result.text()).isEqualTo(whole));
+    assertThat(results()).hasSizeLessThan(2);
+  }
+
+  @Property
+  void oneLeaderAloneGetsTheItemListed(
+      @ForAll @Size(max = 40) List<@IntRange(max = ACTIONS_OF_A_LEADER - 1) Integer> actions) {
+    submit();
+    Leader leader = new Leader();
+    leader.begin();
+    actions.forEach(action -> act(leader, action));
+    if (results().isEmpty()) {
+      leader.lose();
+      for (long event = 0; event <= LAST_EVENT; event++) {
+        leader.receive();
+      }
+      leader.propose();
+      leader.take();
+    }
+    assertThat(results()).containsExactly(new BatchResult(ITEM, true, text(-1, LAST_EVENT)));
+  }
+
+  private static void act(Leader leader, int action) {
+    switch (action) {
+      case 0 -> leader.begin();
+      case 1 -> leader.receive();
+      case 2 -> leader.propose();
+      case 3 -> leader.take();
+      default -> leader.lose();
+    }
+  }
+}
