Items are ordered by their slack at one moment

Cause (reading the change): the comparator of yielding items read the clock in each comparison, so the slack of running items moved while they were sorted; on engines with 32 running items and more the sort may refuse that with an exception on the consensus thread. And a leader that took items over half-way learnt too short run times from them. Ruled out: a failure on today's sites (at most 13 items an engine, where the sort does not check). Change: one time for the whole sort; only items that this store ran from their first event teach the estimate. Tests: TestItemRun tells where an item began.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -38,6 +38,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.ToLongFunction;
 
 /**
  * Runs the items of batch jobs on engines while this store leads the group; on the thread of the
@@ -159,17 +160,19 @@
   }
 
   /** For how long an item can wait and still be done when it is due. */
-  private long slackMs(ItemRun run) {
-    long ranMs = run.ranMs(clock.monotonicMs());
-    return run.dueMs() - state.timeMs() - runTimes.remainingMs(run.item.outputTokens(), ranMs);
+  private long slackMs(ItemRun run, long nowMs) {
+    long remainingMs = runTimes.remainingMs(run.item.outputTokens(), run.ranMs(nowMs));
+    return run.dueMs() - state.timeMs() - remainingMs;
   }
 
   /** Stops items of an engine on which requests wait, those that can wait longest first. */
   private void yieldItems(EngineState engine, int count) {
+    long nowMs = clock.monotonicMs();
+    ToLongFunction<ItemRun> slack = run -> slackMs(run, nowMs);
     runs.all().stream()
         .filter(run -> run.isRunning() && run.engine() == engine)
-        .filter(run -> window.mayYield(slackMs(run)))
-        .sorted(Comparator.comparingLong(this::slackMs).reversed())
+        .filter(run -> window.mayYield(slack.applyAsLong(run)))
+        .sorted(Comparator.comparingLong(slack).reversed())
         .limit(count)
         .map(ItemRun::stream)
         .toList()
@@ -288,7 +291,7 @@
         waiting.add(run);
       }
     }
-    waiting.sort(Comparator.comparingLong(this::slackMs));
+    waiting.sort(Comparator.comparingLong(run -> slackMs(run, nowMs)));
     Set<String> fullServices = new HashSet<>();
     for (ItemRun run : waiting) {
       Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
@@ -303,7 +306,7 @@
   }
 
   private boolean startItem(ItemRun run, String service, long nowMs) {
-    long slackMs = slackMs(run);
+    long slackMs = slackMs(run, nowMs);
     List<EngineState> open =
         engines.usable(service, Set.of(), nowMs).stream()
             .filter(engine -> window.hasRoom(engine, slackMs, nowMs))
@@ -426,7 +429,9 @@
   }
 
   private void onWhole(ItemRun run, long nowMs) {
-    runTimes.onWhole(run.item.outputTokens(), run.ranMs(nowMs));
+    if (run.beganAtFirstEvent()) {
+      runTimes.onWhole(run.item.outputTokens(), run.ranMs(nowMs));
+    }
     list(run, run.decideWhole(), "whole");
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -17,6 +17,7 @@
 final class ItemRun {
   final BatchJob job;
   final BatchItem item;
+  private final boolean beganAtFirstEvent;
   private String unrecordedText = "";
   private long recordedEvent;
   private long lastEvent;
@@ -36,6 +37,7 @@
     this.item = item;
     this.recordedEvent = job.progress(item.id()).lastEvent();
     this.lastEvent = recordedEvent;
+    this.beganAtFirstEvent = recordedEvent == BatchProgress.NO_EVENT;
   }
 
   /** When the item is due, in the time of the log. */
@@ -76,6 +78,11 @@
     return ranMs + (stream == null ? 0 : nowMs - startedMs);
   }
 
+  /** Whether this store has run the item from its first event. */
+  boolean beganAtFirstEvent() {
+    return beganAtFirstEvent;
+  }
+
   /** Keeps events of a send; returns false when they do not follow those that are held. */
   boolean keep(ItemEvents events) {
     if (events.isEmpty()) {
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -36,6 +36,7 @@
   @Test
   void eventsAreProposedOnceAndInOrder() {
     ItemRun run = run();
+    assertThat(run.beganAtFirstEvent()).isTrue();
     assertThat(run.keep(new ItemEvents(-1, 3, "a\nb"))).isTrue();
     assertThat(run.keep(new ItemEvents(3, 4, "c"))).isTrue();
     assertThat(run.takeUnrecorded()).contains(new BatchProgress("j", "i", -1, 4, "a\nb\nc"));
@@ -58,6 +59,7 @@
   @Test
   void runBeginsAfterWhatIsRecorded() {
     record(new BatchProgress("j", "i", -1, 7, "recorded"));
+    assertThat(run().beganAtFirstEvent()).isFalse();
     ItemRun run = run();
     assertThat(run.lastEvent()).isEqualTo(7);
     run.keep(new ItemEvents(7, 8, "rest"));
