--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.coordinator;
 
+import io.pathdeck.common.duty.ProcessStart;
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.consensus.RecoveredState;
@@ -48,6 +49,9 @@
   /** How long no further store may have come before the jobs group is founded. */
   private static final long FOUNDING_SETTLE_MS = 700;
 
+  /** How long after the start of its process a coordinator tells what it knew before. */
+  private static final long LAST_KNOWN_TOLD_MS = 1_400;
+
   private static final EventLog EVENTS = EventLog.of(FleetMembership.class);
 
   private final GroupRuntime group;
@@ -135,7 +139,7 @@
    */
   void onHeartbeat(FleetHeartbeat heartbeat, ReplySink reply) {
     boolean knowsNothing = heartbeat.routeVersion() == RouteTable.NO_VERSION;
-    if (knowsNothing && lastKnown.isPresent() && isLeaderUnknown()) {
+    if (knowsNothing && lastKnown.isPresent() && isLeaderUnknown() && hasJustStarted()) {
       EVENTS.log(
           EventCode.LAST_KNOWN_TOLD,
           "process",
@@ -149,6 +153,12 @@
     group.readLinearizably(() -> answer(heartbeat, reply), reply, nowMs);
   }
 
+  /** Later after a restart there should be a leader, and a newer configuration may be in force. */
+  private boolean hasJustStarted() {
+    long nowMs = clock.monotonicMs();
+    return nowMs - ProcessStart.monotonicMs(nowMs) < LAST_KNOWN_TOLD_MS;
+  }
+
   private boolean isLeaderUnknown() {
     return group.replica().leaderId() == RecoveredState.NO_VOTE;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -38,6 +38,7 @@
 
   private final CallerProtocol protocol;
   private final Supplier<FleetView> view;
+  private final BooleanSupplier usable;
   private final BooleanSupplier routesConfirmed;
   private final BatchCalls batch;
   private final RequestForwarder.Shared shared;
@@ -47,6 +48,7 @@
   /**
    * Creates a gateway.
    *
+   * @param usable whether what is known may be acted on
    * @param routesConfirmed whether the routes are surely the newest ones; while they are not, a
    *     request without a route is not told that there is none
    */
@@ -54,6 +56,7 @@
       EventLoop eventLoop,
       CallerProtocol protocol,
       Supplier<FleetView> view,
+      BooleanSupplier usable,
       BooleanSupplier routesConfirmed,
       BatchCalls batch,
       EngineTransport transport,
@@ -61,6 +64,7 @@
       RequestMetrics metrics) {
     this.protocol = protocol;
     this.view = view;
+    this.usable = usable;
     this.routesConfirmed = routesConfirmed;
     this.batch = batch;
     this.shared =
@@ -126,7 +130,7 @@
 
   private void handleRequest(HttpExchange exchange, CallerCall.Request request) {
     FleetView known = view.get();
-    if (!known.isComplete()) {
+    if (!usable.getAsBoolean()) {
       logRefusal(request, "no configuration yet", known);
       long upMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
       long spreadMs = ThreadLocalRandom.current().nextLong(START_SPREAD_MS);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -66,6 +66,7 @@
             eventLoop,
             adapter.callers(),
             follower::view,
+            follower::isUsable,
             follower::isConfirmed,
             new BatchCalls(jobs, adapter.callers()),
             new NettyEngineTransport(eventLoop, adapter.engines()),
@@ -138,7 +139,7 @@
   }
 
   private boolean isReady() {
-    return !stopping && follower.view().isComplete();
+    return !stopping && follower.isUsable();
   }
 
   private void answerReadiness(HttpExchange exchange) {
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -38,9 +38,6 @@
   /** The interval while only what a coordinator knew before its restart is known. */
   private static final long UNCONFIRMED_INTERVAL_MS = 80;
 
-  /** How long an answer of the leading coordinator counts as news. */
-  private static final long CONFIRMED_MS = 1_500;
-
   /** What the process says of itself, made anew for each heartbeat. */
   public record SelfReport(FleetProcess process, boolean mayFound, JobsGroupReport jobsGroup) {}
 
@@ -56,8 +53,7 @@
   private long engineSequence;
   private long processEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long processSequence;
-  private volatile long confirmedNs;
-  private volatile boolean everConfirmed;
+  private final ViewFreshness freshness = new ViewFreshness();
   private boolean connected;
   private boolean closed;
 
@@ -78,8 +74,16 @@
    * have been added or removed in the meantime. Thread-safe.
    */
   public boolean isConfirmed() {
-    long ageNs = System.nanoTime() - confirmedNs;
-    return everConfirmed && ageNs < TimeUnit.MILLISECONDS.toNanos(CONFIRMED_MS);
+    return freshness.isConfirmed(System.nanoTime());
+  }
+
+  /**
+   * Whether the view may be acted on: a leader has told it, or a coordinator has told what it knew
+   * before its restart a moment ago. Later than that a newer configuration may be in force.
+   * Thread-safe.
+   */
+  public boolean isUsable() {
+    return view().isComplete() && freshness.isUsable(System.nanoTime());
   }
 
   /** Calls {@code listener} on the event loop after each change; to be set before the start. */
@@ -141,11 +145,12 @@
     }
     if (answered) {
       FleetUpdate update = (FleetUpdate) result.value();
-      accept(update);
-      if (!update.isLastKnown()) {
-        confirmedNs = sentNs;
-        everConfirmed = true;
+      if (update.isLastKnown()) {
+        freshness.onLastKnownTold(System.nanoTime());
+      } else {
+        freshness.onLeaderAnswered(sentNs);
       }
+      accept(update);
     }
   }
 
