Sight: what a leader sends and sends again, and messages dropped on the way

No change of logic. Tests: TestPlatformEndToEnd (every served metric is on its page), TestOpenMembership and the tests of events ran green; the whole suite was not run on this commit.

--- a/consensus/src/main/java/io/pathdeck/consensus/FollowerProgress.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/FollowerProgress.java
@@ -9,6 +9,9 @@
   /** From where to send again when sent entries are not acknowledged in time. */
   long resendFrom;
 
+  /** The highest index that was sent to the member in this term. */
+  long highestSentIndex;
+
   int inFlightAppends;
   long lastAppendSentMs;
 
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -130,6 +130,11 @@
     return leader == null ? 0 : leader.matchIndex(memberId);
   }
 
+  /** What this replica has sent as leader. */
+  public ReplicationStatistics statistics() {
+    return state.statistics;
+  }
+
   /** Adds replicas that may know the group, for a replica that seeks admission. */
   public void addContacts(Set<Integer> ids) {
     joining.addContacts(ids);
--- a/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
@@ -16,6 +16,7 @@
   final RaftLog log = new RaftLog();
   long term;
   long commitIndex;
+  ReplicationStatistics statistics = ReplicationStatistics.NONE;
   long syncedIndex;
 
   List<RaftMessage> messages = new ArrayList<>();
--- a/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -114,12 +114,24 @@
         && progress.inFlightAppends < state.settings.maxInFlightAppends()) {
       List<LogEntry> entries = state.log.slice(progress.nextIndex, state.settings.maxAppendBytes());
       sendAppend(member, progress.nextIndex - 1, entries, nowMs);
+      count(progress, entries);
       progress.nextIndex += entries.size();
       progress.inFlightAppends++;
       progress.lastAppendSentMs = nowMs;
     }
   }
 
+  private void count(FollowerProgress progress, List<LogEntry> entries) {
+    long sent = 0;
+    long sentAgain = 0;
+    for (LogEntry entry : entries) {
+      sent += entry.sizeBytes();
+      sentAgain += entry.index() <= progress.highestSentIndex ? entry.sizeBytes() : 0;
+      progress.highestSentIndex = Math.max(progress.highestSentIndex, entry.index());
+    }
+    state.statistics = state.statistics.plus(sent, sentAgain);
+  }
+
   private void requestSnapshot(Member member, FollowerProgress progress, long nowMs) {
     boolean waits =
         progress.isSendingSnapshot()
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -88,6 +88,7 @@
       group.replica().poll(nowMs);
       group.followRole();
       group.advanceTimeIfIdle(clock);
+      group.logReplication(nowMs);
     }
     extension.onStep(nowMs);
     work += carryOutReadies();
--- a/control/src/main/java/io/pathdeck/control/ControllerStatus.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerStatus.java
@@ -1,6 +1,7 @@
 package io.pathdeck.control;
 
 import io.pathdeck.consensus.ReplicaRole;
+import io.pathdeck.consensus.ReplicationStatistics;
 import io.pathdeck.protocol.raft.Member;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -17,7 +18,8 @@
       int leaderId,
       long commitIndex,
       long appliedIndex,
-      List<MemberView> members) {}
+      List<MemberView> members,
+      ReplicationStatistics replication) {}
 
   /** One member and how much of the log it has synced, as far as the leader knows. */
   public record MemberView(Member member, long matchIndex) {}
@@ -46,7 +48,8 @@
               group.replica().leaderId(),
               group.replica().commitIndex(),
               group.appliedIndex(),
-              members));
+              members,
+              group.replica().statistics()));
     }
     return new ControllerStatus(views);
   }
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -5,6 +5,7 @@
 import io.pathdeck.common.result.Result;
 import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.ReplicaRole;
+import io.pathdeck.consensus.ReplicationStatistics;
 import io.pathdeck.protocol.codec.ObjectCodec;
 import io.pathdeck.protocol.command.AdvanceTime;
 import io.pathdeck.protocol.command.Command;
@@ -29,6 +30,7 @@
   private static final EventLog EVENTS = EventLog.of(GroupRuntime.class);
   private static final int MAX_PENDING_PROPOSALS = 16_384;
   private static final long IDLE_TIME_STEP_MS = 1_000;
+  private static final long REPLICATION_LINE_INTERVAL_MS = 1_000;
 
   private record PendingProposal(long term, ReplySink reply) {}
 
@@ -51,6 +53,8 @@
   private long lastSnapshotBytes;
   private boolean snapshotRunning;
   private ReplicaRole lastRole = ReplicaRole.JOINING;
+  private ReplicationStatistics lastReplication = ReplicationStatistics.NONE;
+  private long nextReplicationLineMs;
 
   /**
    * Creates the runtime of a recovered group.
@@ -222,6 +226,39 @@
     lastRole = role;
   }
 
+  /** Tells, at most once a second, that entries had to be sent again and how far members lag. */
+  void logReplication(long nowMs) {
+    ReplicationStatistics now = replica.statistics();
+    long sentAgain = now.entryBytesSentAgain() - lastReplication.entryBytesSentAgain();
+    if (sentAgain == 0 || nowMs < nextReplicationLineMs) {
+      return;
+    }
+    nextReplicationLineMs = nowMs + REPLICATION_LINE_INTERVAL_MS;
+    EVENTS.log(
+        EventCode.ENTRIES_SENT_AGAIN,
+        "group",
+        group,
+        "sent_bytes",
+        now.entryBytesSent() - lastReplication.entryBytesSent(),
+        "sent_again_bytes",
+        sentAgain,
+        "last",
+        replica.lastIndex(),
+        "committed",
+        replica.commitIndex(),
+        "lowest_match",
+        lowestMatch());
+    lastReplication = now;
+  }
+
+  private long lowestMatch() {
+    return replica.configuration().stream()
+        .flatMap(configuration -> configuration.members().stream())
+        .mapToLong(member -> replica.matchIndex(member.id()))
+        .min()
+        .orElse(0);
+  }
+
   // ---- snapshots
 
   /** Whether the log has grown enough since the last snapshot to be worth another. */
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -188,7 +188,7 @@
     serve(settings.directoryListen(), eventLoops, directory::handle);
     resources.push(host);
     host.start(membership[0]);
-    MemberMetrics.serve(fleet, eventLoops, follower, host, resources);
+    MemberMetrics.serve(fleet, eventLoops, follower, host, pool, resources);
     resources.push(follower);
     follower.start();
     EVENTS.log(
--- a/fleet/src/main/java/io/pathdeck/fleet/member/PeerPool.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/PeerPool.java
@@ -56,6 +56,11 @@
                 clients.computeIfAbsent(address, key -> new PeerClient(parsed, eventLoops, tls)));
   }
 
+  /** How many one-way messages were dropped for want of a connection or of room in it. */
+  public long droppedMessages() {
+    return clients.values().stream().mapToLong(PeerClient::droppedMessages).sum();
+  }
+
   @Override
   public void close() {
     clients.values().forEach(PeerClient::close);
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
@@ -1,11 +1,13 @@
 package io.pathdeck.fleet.metrics;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.pathdeck.consensus.ReplicaRole;
 import io.pathdeck.control.ControllerStatus.GroupView;
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.member.FleetFollower;
+import io.pathdeck.fleet.member.PeerPool;
 import java.util.function.ToDoubleFunction;
 
 /** The metrics that several roles of a fleet have. */
@@ -40,6 +42,22 @@
     group(registry, host, "pathdeck.group.commit.index", GroupView::commitIndex);
     group(registry, host, "pathdeck.group.applied.index", GroupView::appliedIndex);
     group(registry, host, "pathdeck.group.members", view -> view.members().size());
+    group(
+        registry,
+        host,
+        "pathdeck.group.entries.sent.bytes",
+        view -> view.replication().entryBytesSent());
+    group(
+        registry,
+        host,
+        "pathdeck.group.entries.sent.again.bytes",
+        view -> view.replication().entryBytesSentAgain());
+  }
+
+  /** Publishes how many messages to other processes were dropped. */
+  public static void bindPeers(MeterRegistry registry, PeerPool pool) {
+    FunctionCounter.builder("pathdeck.peer.messages.dropped", pool, PeerPool::droppedMessages)
+        .register(registry);
   }
 
   private static void group(
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
@@ -5,6 +5,7 @@
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.member.FleetFollower;
+import io.pathdeck.fleet.member.PeerPool;
 
 /** Serves the metrics of a process that is a member of a replicated group. */
 public final class MemberMetrics {
@@ -16,6 +17,7 @@
       EventLoopGroup eventLoops,
       FleetFollower follower,
       ReplicaHost host,
+      PeerPool pool,
       ResourceStack resources) {
     settings
         .metricsListen()
@@ -28,6 +30,7 @@
                         registry -> {
                           FleetMetrics.bindView(registry, follower);
                           FleetMetrics.bindGroup(registry, host);
+                          FleetMetrics.bindPeers(registry, pool);
                         },
                         () -> host.status().isReady())));
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -121,7 +121,7 @@
             eventLoops,
             tls,
             (message, reply) -> route(message, reply, host.value())));
-    MemberMetrics.serve(fleet, eventLoops, follower, host.value(), resources);
+    MemberMetrics.serve(fleet, eventLoops, follower, host.value(), pool, resources);
     follower.start();
     EVENTS.log(
         EventCode.PROCESS_STARTED,
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * A connection to one other process, re-established on demand.
@@ -44,6 +45,7 @@
   private final EventLoop eventLoop;
   private final Bootstrap bootstrap;
   private final Map<Long, Pending> pending = new HashMap<>();
+  private final LongAdder dropped = new LongAdder();
   private final List<Runnable> waitingForConnection = new ArrayList<>();
   private Channel channel;
   private boolean connecting;
@@ -90,6 +92,11 @@
     return address;
   }
 
+  /** How many one-way messages were dropped; thread-safe. */
+  public long droppedMessages() {
+    return dropped.sum();
+  }
+
   /** Sends a one-way message; it is dropped when there is no connection or it is congested. */
   public void send(Message message) {
     eventLoop.execute(
@@ -99,6 +106,8 @@
                   if (isConnected() && channel.isWritable()) {
                     channel.writeAndFlush(new Frame(Frame.Kind.ONE_WAY, 0, message));
                     probeIfSilent();
+                  } else {
+                    dropped.increment();
                   }
                 }));
   }
