--- /dev/null
+++ b/consensus/src/test/java/io/pathdeck/consensus/MeteredNetwork.java
@@ -0,0 +1,112 @@
+package io.pathdeck.consensus;
+
+import io.pathdeck.protocol.raft.AppendRequest;
+import io.pathdeck.protocol.raft.LogEntry;
+import io.pathdeck.protocol.raft.RaftMessage;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * A network in memory on which every process has one outgoing and one incoming link of limited
+ * rate. Each link is a queue: a message waits behind all that was handed to the link before it. A
+ * message to a process for which too much is under way already is dropped, as the transport does.
+ */
+final class MeteredNetwork {
+  private static final int MESSAGE_OVERHEAD_BYTES = 200;
+  private static final double LATENCY_MS = 1;
+
+  private record Transit(double atMs, long order, RaftMessage message, boolean received) {}
+
+  private record Route(int from, int to) {}
+
+  private final double bytesPerMs;
+  private final long bufferBytes;
+  private final Map<Integer, Double> incomingBytesPerMs = new HashMap<>();
+  private final Map<Integer, Double> outgoingFreeAtMs = new HashMap<>();
+  private final Map<Integer, Double> incomingFreeAtMs = new HashMap<>();
+  private final Map<Route, Long> underWayBytes = new HashMap<>();
+  private final Map<Route, Long> sentBytes = new HashMap<>();
+  private final PriorityQueue<Transit> transits =
+      new PriorityQueue<>(Comparator.comparingDouble(Transit::atMs).thenComparing(Transit::order));
+  private long nextOrder;
+
+  /** Joins processes by links of {@code bytesPerMs} each. */
+  MeteredNetwork(double bytesPerMs, long bufferBytes) {
+    this.bytesPerMs = bytesPerMs;
+    this.bufferBytes = bufferBytes;
+  }
+
+  /** Limits what reaches {@code id}. */
+  void limitIncoming(int id, double limitBytesPerMs) {
+    incomingBytesPerMs.put(id, limitBytesPerMs);
+  }
+
+  /** Hands a message to its sender's link. */
+  void send(RaftMessage message, long nowMs) {
+    Route route = routeOf(message);
+    if (underWayBytes.getOrDefault(route, 0L) >= bufferBytes) {
+      return;
+    }
+    long bytes = sizeBytes(message);
+    underWayBytes.merge(route, bytes, Long::sum);
+    sentBytes.merge(route, bytes, Long::sum);
+    double startMs = Math.max((double) nowMs, outgoingFreeAtMs.getOrDefault(route.from(), 0.0));
+    double doneMs = startMs + bytes / bytesPerMs;
+    outgoingFreeAtMs.put(route.from(), doneMs);
+    transits.add(new Transit(doneMs + LATENCY_MS, nextOrder++, message, false));
+  }
+
+  /** Takes the messages that have arrived by now. */
+  List<RaftMessage> takeArrived(long nowMs) {
+    List<RaftMessage> arrived = new ArrayList<>();
+    while (!transits.isEmpty() && transits.peek().atMs() <= nowMs) {
+      Transit transit = transits.poll();
+      if (transit.received()) {
+        underWayBytes.merge(routeOf(transit.message()), -sizeBytes(transit.message()), Long::sum);
+        arrived.add(transit.message());
+      } else {
+        receive(transit);
+      }
+    }
+    return arrived;
+  }
+
+  private void receive(Transit transit) {
+    RaftMessage message = transit.message();
+    int to = message.header().to();
+    double startMs = Math.max(transit.atMs(), incomingFreeAtMs.getOrDefault(to, 0.0));
+    double rate = incomingBytesPerMs.getOrDefault(to, bytesPerMs);
+    double doneMs = startMs + sizeBytes(message) / rate;
+    incomingFreeAtMs.put(to, doneMs);
+    transits.add(new Transit(doneMs, nextOrder++, message, true));
+  }
+
+  /** The bytes that all processes have sent to {@code to}. */
+  long sentBytesTo(int to) {
+    return sentBytes.entrySet().stream()
+        .filter(entry -> entry.getKey().to() == to)
+        .mapToLong(Map.Entry::getValue)
+        .sum();
+  }
+
+  /** The bytes that all processes have sent. */
+  long sentBytes() {
+    return sentBytes.values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  private static Route routeOf(RaftMessage message) {
+    return new Route(message.header().from(), message.header().to());
+  }
+
+  private static long sizeBytes(RaftMessage message) {
+    long entryBytes = 0;
+    if (message instanceof AppendRequest append) {
+      entryBytes = append.entries().stream().mapToLong(LogEntry::sizeBytes).sum();
+    }
+    return MESSAGE_OVERHEAD_BYTES + entryBytes;
+  }
+}
