--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -169,7 +169,8 @@
             folder.incarnation(),
             fleet.listen().toString(),
             settings.operatorsListen().toString(),
-            true);
+            true,
+            FleetProcess.NO_GROUP);
     FleetFollower follower =
         contacts.follower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
     follower.onChange(lastKnown::offer);
@@ -188,7 +189,7 @@
     serve(settings.directoryListen(), eventLoops, directory::handle);
     resources.push(host);
     host.start(membership[0]);
-    MemberMetrics.serve(fleet, eventLoops, follower, host, pool, resources);
+    MemberMetrics.serve(fleet, eventLoops, follower, host::status, pool, resources);
     resources.push(follower);
     follower.start();
     EVENTS.log(
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -7,22 +7,20 @@
 import io.pathdeck.control.ConsensusExtension;
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
-import io.pathdeck.protocol.command.FoundJobsGroup;
+import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.SetStoreLeaving;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
-import io.pathdeck.protocol.raft.GroupConfiguration;
-import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.state.FleetStateMachine;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,7 +44,7 @@
   /** How long a new leader listens before it tells who is there. */
   private static final long COLLECTION_MS = 1_000;
 
-  /** How long no further store may have come before the jobs group is founded. */
+  /** How long no further store may have come before the groups of jobs are founded. */
   private static final long FOUNDING_SETTLE_MS = 700;
 
   /** How long after the start of its process a coordinator tells what it knew before. */
@@ -63,19 +61,19 @@
   private final VersionedList<FleetProcess> processes = new VersionedList<>();
   private final VersionedList<EngineInstance> engines = new VersionedList<>();
   private final Map<String, Long> lastHeardMs = new HashMap<>();
-  private final TreeMap<Integer, Member> founders = new TreeMap<>();
+  private final TreeMap<Integer, FleetProcess> founders = new TreeMap<>();
+  private final JobsGroupRegistry jobsGroups;
   private boolean leading;
   private long epoch;
   private long leadsSinceMs;
   private boolean enginesKnown;
-  private JobsGroupReport jobsGroup;
   private long newestFounderMs;
   private boolean foundingProposed;
 
   /**
    * Creates the membership of a coordinator.
    *
-   * @param minStores how many stores the jobs group needs at least
+   * @param minStores how many stores a group of jobs needs at least
    * @param leadershipListener hears when this coordinator begins or ends to lead
    * @param lastKnown what this coordinator knew before its restart
    */
@@ -91,6 +89,7 @@
     this.state = state;
     this.clock = clock;
     this.minStores = minStores;
+    this.jobsGroups = new JobsGroupRegistry(JobsGroupFounding.targetSize(minStores));
     this.leadershipListener = leadershipListener;
   }
 
@@ -103,7 +102,7 @@
     }
     if (leading) {
       expireProcesses(nowMs);
-      foundJobsGroupIfReady(nowMs);
+      foundJobsGroupsIfReady(nowMs);
     }
   }
 
@@ -117,7 +116,7 @@
     founders.clear();
     enginesKnown = false;
     foundingProposed = false;
-    jobsGroup = null;
+    jobsGroups.clear();
     leadershipListener.accept(leads);
   }
 
@@ -174,9 +173,10 @@
             routesFor(heartbeat),
             enginesFor(heartbeat),
             processesFor(heartbeat, nowMs),
-            state.jobsFounders().orElse(null),
-            jobsGroup,
-            state.leaving().stream().map(SetStoreLeaving::memberId).toList()));
+            state.jobsFounders(),
+            jobsGroups.reports(),
+            groupFor(heartbeat.sender(), nowMs),
+            leavingMembers()));
   }
 
   private void note(FleetHeartbeat heartbeat, long nowMs) {
@@ -194,8 +194,8 @@
     processes.put(sender.name(), sender);
     lastHeardMs.put(sender.name(), nowMs);
     JobsGroupReport report = heartbeat.jobsGroup();
-    if (report != null && (jobsGroup == null || report.term() >= jobsGroup.term())) {
-      jobsGroup = report;
+    if (report != null) {
+      jobsGroups.report(report);
     }
     if (sender.role() == FleetRole.STORE && heartbeat.mayFound()) {
       noteFounder(sender, nowMs);
@@ -203,21 +203,46 @@
   }
 
   private void noteFounder(FleetProcess sender, long nowMs) {
-    Member member = new Member(sender.memberId(), sender.incarnation(), true, sender.peerAddress());
-    if (!member.equals(founders.put(sender.memberId(), member))) {
+    FleetProcess known = founders.put(sender.memberId(), sender);
+    if (known == null || known.incarnation() != sender.incarnation()) {
       newestFounderMs = nowMs;
     }
   }
 
-  private void foundJobsGroupIfReady(long nowMs) {
+  private List<Integer> leavingMembers() {
+    return state.leaving().stream().map(SetStoreLeaving::memberId).toList();
+  }
+
+  /** The group that a store is to keep; a new leader waits until all could report theirs. */
+  private int groupFor(FleetProcess sender, long nowMs) {
+    if (sender.role() != FleetRole.STORE || nowMs - leadsSinceMs < COLLECTION_MS) {
+      return sender.jobsGroup();
+    }
+    int assigned =
+        jobsGroups.groupFor(
+            sender, state.jobsFounders(), processes.values(), Set.copyOf(leavingMembers()), nowMs);
+    if (assigned != sender.jobsGroup()) {
+      EVENTS.log(EventCode.STORE_ASSIGNED, "store", sender.name(), "group", assigned);
+    }
+    return assigned;
+  }
+
+  private void foundJobsGroupsIfReady(long nowMs) {
     boolean ready = founders.size() >= minStores && nowMs - newestFounderMs >= FOUNDING_SETTLE_MS;
-    if (foundingProposed || !ready || state.jobsFounders().isPresent()) {
+    if (foundingProposed || !ready || !state.jobsFounders().isEmpty()) {
       return;
     }
     foundingProposed = true;
-    GroupConfiguration first = new GroupConfiguration(new ArrayList<>(founders.values()));
-    EVENTS.log(EventCode.JOBS_GROUP_FOUNDED, "members", first.members());
-    group.propose("", 0, new FoundJobsGroup(first), reply -> {}, clock);
+    List<JobsGroupFounders> first = JobsGroupFounding.form(founders.values(), minStores);
+    for (JobsGroupFounders founded : first) {
+      EVENTS.log(
+          EventCode.JOBS_GROUP_FOUNDED,
+          "group",
+          founded.group(),
+          "members",
+          founded.configuration().members());
+    }
+    group.propose("", 0, new FoundJobsGroups(first), reply -> {}, clock);
   }
 
   private RouteTable routesFor(FleetHeartbeat heartbeat) {
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupFounding.java
@@ -0,0 +1,71 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.raft.GroupConfiguration;
+import io.pathdeck.protocol.raft.Member;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Forms the groups that keep batch jobs out of the first stores.
+ *
+ * <p>A group has one member more than it needs to bear the tolerated losses, so that one can be
+ * emptied at any time. It has no more than that, however many stores there are: its leader sends
+ * every byte to each other member, and every member's disk holds the whole of it. More stores make
+ * more groups instead. Stores beyond the groups wait as replacements.
+ */
+final class JobsGroupFounding {
+  private JobsGroupFounding() {}
+
+  /** How many stores a group should have. */
+  static int targetSize(int minMembers) {
+    return minMembers + 1;
+  }
+
+  /**
+   * Forms as many groups as there are stores for, each over as many zones as possible.
+   *
+   * @param minMembers the fewest members with which a group bears the tolerated losses
+   */
+  static List<JobsGroupFounders> form(Collection<FleetProcess> stores, int minMembers) {
+    int target = targetSize(minMembers);
+    int groups = Math.max(1, stores.size() / target);
+    List<List<Member>> members = new ArrayList<>();
+    for (int group = 0; group < groups; group++) {
+      members.add(new ArrayList<>());
+    }
+    int next = 0;
+    for (FleetProcess store : alternatingZones(stores)) {
+      List<Member> group = members.get(next++ % groups);
+      if (group.size() < target) {
+        group.add(new Member(store.memberId(), store.incarnation(), true, store.peerAddress()));
+      }
+    }
+    List<JobsGroupFounders> founded = new ArrayList<>();
+    for (List<Member> group : members) {
+      group.sort(Comparator.comparingInt(Member::id));
+      founded.add(new JobsGroupFounders(founded.size() + 1, new GroupConfiguration(group)));
+    }
+    return founded;
+  }
+
+  /** The first store of each zone, then the second of each, and so on. */
+  private static List<FleetProcess> alternatingZones(Collection<FleetProcess> stores) {
+    Map<String, Integer> seen = new HashMap<>();
+    Map<Integer, List<FleetProcess>> rounds = new TreeMap<>();
+    stores.stream()
+        .sorted(Comparator.comparing(FleetProcess::zone).thenComparing(FleetProcess::name))
+        .forEach(
+            store -> {
+              int round = seen.merge(store.zone(), 1, Integer::sum);
+              rounds.computeIfAbsent(round, key -> new ArrayList<>()).add(store);
+            });
+    return rounds.values().stream().flatMap(List::stream).toList();
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
@@ -0,0 +1,163 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.JobsGroupReport;
+import io.pathdeck.protocol.raft.Member;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Which stores keep which group of batch jobs, as the leading coordinator knows it.
+ *
+ * <p>Only the groups and their first members are replicated. A later store is told its group by the
+ * leader, keeps the number on its disk and reports it from then on, so that a new leader learns it
+ * from heartbeats. Two leaders that assign a store differently do no harm: the store keeps the
+ * number that it wrote first, and a group may have more members than it needs.
+ */
+final class JobsGroupRegistry {
+  /**
+   * How long a group must lack a member before a waiting store takes the place: longer than a
+   * restart of a store takes, which is 2 to 3 s on the users' machines.
+   */
+  static final long REPLACEMENT_DELAY_MS = 4_000;
+
+  private final int targetSize;
+  private final Map<Integer, JobsGroupReport> reports = new TreeMap<>();
+  private final Map<Integer, Integer> assigned = new HashMap<>();
+  private final Map<Integer, Long> incompleteSinceMs = new HashMap<>();
+  private final Set<Integer> waiting = new HashSet<>();
+
+  /**
+   * Creates an empty registry.
+   *
+   * @param targetSize how many members a group should have
+   */
+  JobsGroupRegistry(int targetSize) {
+    this.targetSize = targetSize;
+  }
+
+  /** Forgets what was learnt under an earlier leadership. */
+  void clear() {
+    reports.clear();
+    assigned.clear();
+    incompleteSinceMs.clear();
+    waiting.clear();
+  }
+
+  /** Takes over what the leader of a group says of it; an older leader's word does not count. */
+  void report(JobsGroupReport report) {
+    JobsGroupReport known = reports.get(report.group());
+    if (known == null || report.term() >= known.term()) {
+      reports.put(report.group(), report);
+    }
+  }
+
+  /** The newest report of each group. */
+  List<JobsGroupReport> reports() {
+    return List.copyOf(reports.values());
+  }
+
+  /**
+   * The group that a store is to keep, or {@link FleetProcess#NO_GROUP} when it has to wait.
+   *
+   * @param founded the groups and their first members
+   * @param processes all processes that are alive
+   * @param leaving the ids of stores that are being emptied
+   */
+  int groupFor(
+      FleetProcess store,
+      List<JobsGroupFounders> founded,
+      Collection<FleetProcess> processes,
+      Set<Integer> leaving,
+      long nowMs) {
+    if (store.jobsGroup() != FleetProcess.NO_GROUP) {
+      return store.jobsGroup();
+    }
+    if (leaving.contains(store.memberId())) {
+      return FleetProcess.NO_GROUP;
+    }
+    return knownGroupOf(store, founded)
+        .orElseGet(() -> assign(store, founded, processes, leaving, nowMs));
+  }
+
+  /** The group that a store reports, that counts it as a member or that it was told to keep. */
+  private Optional<Integer> knownGroupOf(FleetProcess store, List<JobsGroupFounders> founded) {
+    if (store.jobsGroup() != FleetProcess.NO_GROUP) {
+      return Optional.of(store.jobsGroup());
+    }
+    return membershipOf(store, founded)
+        .or(() -> Optional.ofNullable(assigned.get(store.memberId())));
+  }
+
+  /** The group that already counts the store as a member: it is new, or its disk was lost. */
+  private Optional<Integer> membershipOf(FleetProcess store, List<JobsGroupFounders> founded) {
+    for (JobsGroupFounders founders : founded) {
+      JobsGroupReport report = reports.get(founders.group());
+      Optional<Member> known =
+          report == null
+              ? founders.configuration().find(store.memberId())
+              : report.configuration().find(store.memberId());
+      if (known.isPresent()) {
+        return Optional.of(founders.group());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private int assign(
+      FleetProcess store,
+      List<JobsGroupFounders> founded,
+      Collection<FleetProcess> processes,
+      Set<Integer> leaving,
+      long nowMs) {
+    Map<Integer, Integer> sizes = sizes(founded, processes, leaving);
+    noteIncomplete(sizes, nowMs);
+    Optional<Integer> smallest = sizes.keySet().stream().min(Comparator.comparing(sizes::get));
+    if (smallest.isEmpty() || sizes.get(smallest.get()) >= targetSize) {
+      waiting.add(store.memberId());
+      return FleetProcess.NO_GROUP;
+    }
+    int group = smallest.get();
+    boolean mayReturn = nowMs - incompleteSinceMs.get(group) < REPLACEMENT_DELAY_MS;
+    if (waiting.contains(store.memberId()) && mayReturn) {
+      return FleetProcess.NO_GROUP;
+    }
+    waiting.remove(store.memberId());
+    assigned.put(store.memberId(), group);
+    return group;
+  }
+
+  /** How many living stores each group has or will have, those that leave not counted. */
+  private Map<Integer, Integer> sizes(
+      List<JobsGroupFounders> founded, Collection<FleetProcess> processes, Set<Integer> leaving) {
+    Map<Integer, Integer> sizes = new TreeMap<>();
+    founded.forEach(founders -> sizes.put(founders.group(), 0));
+    for (FleetProcess process : processes) {
+      boolean counts = process.role() == FleetRole.STORE && !leaving.contains(process.memberId());
+      if (counts) {
+        knownGroupOf(process, founded).ifPresent(group -> sizes.merge(group, 1, Integer::sum));
+      }
+    }
+    return sizes;
+  }
+
+  private void noteIncomplete(Map<Integer, Integer> sizes, long nowMs) {
+    sizes.forEach(
+        (group, size) -> {
+          if (size >= targetSize) {
+            incompleteSinceMs.remove(group);
+          } else {
+            incompleteSinceMs.putIfAbsent(group, nowMs);
+          }
+        });
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -8,6 +8,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.protocol.codec.ObjectCodec;
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.message.FleetUpdate;
 import java.util.ArrayList;
@@ -96,7 +97,8 @@
                 new ArrayList<>(),
                 0),
             view.jobsFounders(),
-            view.jobsGroup(),
+            view.jobsGroups(),
+            FleetProcess.NO_GROUP,
             view.leavingMembers());
     return Base64.getEncoder().encodeToString(ObjectCodec.encode(update));
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
@@ -127,13 +127,10 @@
       return;
     }
     int memberId = store.get().memberId();
-    long remaining =
-        known.withRole(FleetRole.STORE).stream()
-            .filter(other -> other.memberId() != memberId)
-            .filter(other -> !known.leavingMembers().contains(other.memberId()))
-            .count();
-    boolean alreadyLeaving = known.leavingMembers().contains(memberId);
-    if (!alreadyLeaving && remaining < minStores) {
+    long remaining = remainingWithout(store.get(), known);
+    boolean keepsNothing = store.get().jobsGroup() == FleetProcess.NO_GROUP;
+    boolean mayLeave = keepsNothing || known.leavingMembers().contains(memberId);
+    if (!mayLeave && remaining < minStores) {
       exchange.sendError(
           ApiError.conflict(
               "too_few_stores", remaining + " stores would remain of " + minStores, true));
@@ -151,6 +148,18 @@
         });
   }
 
+  /** The stores that keep the same group or wait to take a place in one, without {@code store}. */
+  private static long remainingWithout(FleetProcess store, FleetView known) {
+    return known.withRole(FleetRole.STORE).stream()
+        .filter(other -> other.memberId() != store.memberId())
+        .filter(
+            other ->
+                other.jobsGroup() == store.jobsGroup()
+                    || other.jobsGroup() == FleetProcess.NO_GROUP)
+        .filter(other -> !known.leavingMembers().contains(other.memberId()))
+        .count();
+  }
+
   /** A coordinator that has heard of no process yet cannot say that there is no such store. */
   private static void sendStoreMissing(HttpExchange exchange, FleetView known, String name) {
     if (known.processes().isEmpty()) {
@@ -170,8 +179,9 @@
     int memberId = store.get().memberId();
     boolean done =
         known.leavingMembers().contains(memberId)
-            && known.jobsGroup() != null
-            && known.jobsGroup().configuration().find(memberId).isEmpty();
+            && known.jobsGroups().size() == known.jobsFounders().size()
+            && known.jobsGroups().stream()
+                .allMatch(report -> report.configuration().find(memberId).isEmpty());
     exchange.sendJson(200, protocol.writeEmptying(done));
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
@@ -5,9 +5,8 @@
 import io.pathdeck.common.result.Result;
 import io.pathdeck.fleet.adapter.CallerCall;
 import io.pathdeck.fleet.adapter.CallerProtocol;
+import io.pathdeck.fleet.gateway.JobsGroups.JobsGroup;
 import io.pathdeck.fleet.member.GroupCallError;
-import io.pathdeck.fleet.member.GroupClient;
-import io.pathdeck.fleet.store.StoreProcess;
 import io.pathdeck.protocol.command.BatchAccepted;
 import io.pathdeck.protocol.command.BatchCommand;
 import io.pathdeck.protocol.command.CommandResult;
@@ -33,11 +32,12 @@
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * Callers' calls about batch jobs, passed on to the group that keeps them.
+ * Callers' calls about batch jobs, passed on to the groups that keep them.
  *
  * <p>"There is no such job" is said only after a linearizable read. A submission whose outcome is
  * not known is answered as failed, never as refused: a refusal would promise that nothing runs.
@@ -54,10 +54,10 @@
   private static final int MAX_ITEMS = 200;
   private static final String JSON = "application/json";
 
-  private final GroupClient jobs;
+  private final JobsGroups jobs;
   private final CallerProtocol protocol;
 
-  BatchCalls(GroupClient jobs, CallerProtocol protocol) {
+  BatchCalls(JobsGroups jobs, CallerProtocol protocol) {
     this.jobs = jobs;
     this.protocol = protocol;
   }
@@ -69,6 +69,11 @@
       exchange.sendError(ApiError.invalid("invalid_job", reason));
       return;
     }
+    Optional<JobsGroup> group = jobs.of(request.requestId());
+    if (group.isEmpty()) {
+      refuseWithoutGroup(exchange);
+      return;
+    }
     SubmitBatch command =
         new SubmitBatch(
             request.requestId(),
@@ -78,9 +83,10 @@
             route.maxAttempts(),
             route.runTargetMs(),
             route.retainMs(),
-            route.maxQueuedTokens());
+            group.get().shareOf(route.maxQueuedTokens()));
     long startNs = System.nanoTime();
     propose(
+        group.get(),
         command,
         result -> {
           log("submit", request.requestId(), result, startNs);
@@ -129,8 +135,14 @@
   }
 
   void end(HttpExchange exchange, CallerCall.EndJob call) {
+    Optional<JobsGroup> group = jobs.of(call.jobId());
+    if (group.isEmpty()) {
+      refuseWithoutGroup(exchange);
+      return;
+    }
     long startNs = System.nanoTime();
     propose(
+        group.get(),
         new EndBatch(call.jobId()),
         result -> {
           log("end", call.jobId(), result, startNs);
@@ -149,6 +161,8 @@
   void readResults(HttpExchange exchange, CallerCall.ReadResults call) {
     long waitMs = Math.max(0, Math.min(MAX_WAIT_MS, call.waitMs()));
     query(
+        exchange,
+        call.jobId(),
         new ReadBatchResults(call.jobId(), call.from(), MAX_PAGE_BYTES, waitMs),
         waitMs,
         result -> {
@@ -162,6 +176,8 @@
 
   void readItem(HttpExchange exchange, CallerCall.ReadItem call) {
     query(
+        exchange,
+        call.jobId(),
         new ReadBatchItem(call.jobId(), call.itemId()),
         0,
         result -> {
@@ -182,17 +198,37 @@
     }
   }
 
-  private void propose(
-      BatchCommand command, Consumer<Result<CommandResult, GroupCallError>> answer) {
-    Message message = new ProposeRequest(StoreProcess.JOBS_GROUP, "", 0, command);
-    jobs.call(message, SUBMIT_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
+  private static void refuseWithoutGroup(HttpExchange exchange) {
+    Refusals.unavailable(exchange, "the groups of batch jobs are not known yet", RETRY_AFTER_MS);
+  }
+
+  private static void propose(
+      JobsGroup group,
+      BatchCommand command,
+      Consumer<Result<CommandResult, GroupCallError>> answer) {
+    Message message = new ProposeRequest(group.group(), "", 0, command);
+    group
+        .client()
+        .call(message, SUBMIT_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
         .thenAccept(result -> answer.accept(result.map(reply -> ((ProposeReply) reply).result())));
   }
 
   private void query(
-      Query query, long waitMs, Consumer<Result<QueryResult, GroupCallError>> answer) {
-    Message message = new QueryRequest(StoreProcess.JOBS_GROUP, query);
-    jobs.call(message, READ_TIMEOUT_MS + waitMs, ATTEMPT_TIMEOUT_MS + waitMs)
+      HttpExchange exchange,
+      String jobId,
+      Query query,
+      long waitMs,
+      Consumer<Result<QueryResult, GroupCallError>> answer) {
+    Optional<JobsGroup> group = jobs.of(jobId);
+    if (group.isEmpty()) {
+      refuseWithoutGroup(exchange);
+      return;
+    }
+    Message message = new QueryRequest(group.get().group(), query);
+    group
+        .get()
+        .client()
+        .call(message, READ_TIMEOUT_MS + waitMs, ATTEMPT_TIMEOUT_MS + waitMs)
         .thenAccept(result -> answer.accept(result.map(reply -> ((QueryReply) reply).result())));
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -15,20 +15,16 @@
 import io.pathdeck.fleet.member.CoordinatorContacts;
 import io.pathdeck.fleet.member.FleetFollower;
 import io.pathdeck.fleet.member.FleetView;
-import io.pathdeck.fleet.member.GroupClient;
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.FleetMetrics;
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
 import io.pathdeck.protocol.client.RetryTimer;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
-import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.transport.TransportTls;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
 import io.pathdeck.serving.http.HttpServer;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -58,8 +54,7 @@
     follower =
         contacts.follower(
             eventLoop, () -> new FleetFollower.SelfReport(describe(life), false, null));
-    GroupClient jobs =
-        new GroupClient(pool, RetryTimer.on(eventLoops), () -> jobsMembers(follower.view()));
+    JobsGroups jobs = new JobsGroups(pool, RetryTimer.on(eventLoops), follower::view);
     RequestMetrics metrics = new RequestMetrics();
     Gateway gateway =
         new Gateway(
@@ -135,7 +130,8 @@
         life,
         "",
         settings.callersListen().toString(),
-        isReady());
+        isReady(),
+        FleetProcess.NO_GROUP);
   }
 
   private boolean isReady() {
@@ -152,21 +148,6 @@
     }
   }
 
-  private static List<String> jobsMembers(FleetView view) {
-    List<String> addresses = new ArrayList<>();
-    if (view.jobsGroup() != null) {
-      view.jobsGroup().configuration().members().stream()
-          .map(Member::address)
-          .forEach(addresses::add);
-    }
-    for (FleetProcess store : view.withRole(FleetRole.STORE)) {
-      if (!addresses.contains(store.peerAddress())) {
-        addresses.add(store.peerAddress());
-      }
-    }
-    return addresses;
-  }
-
   @Override
   public void reload(FleetSettings changed) {
     contacts.setSeeds(changed.seedAddresses());
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -171,7 +171,8 @@
             enginesKnown ? Map.copyOf(engines) : null,
             Map.copyOf(processes),
             update.jobsFounders(),
-            update.jobsGroup(),
+            update.jobsGroups(),
+            update.assignedGroup(),
             update.leavingMembers());
     if (!changed && next.equals(before)) {
       return;
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
@@ -4,10 +4,11 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.pathdeck.consensus.ReplicaRole;
+import io.pathdeck.control.ControllerStatus;
 import io.pathdeck.control.ControllerStatus.GroupView;
-import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.member.FleetFollower;
 import io.pathdeck.fleet.member.PeerPool;
+import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
 /** The metrics that several roles of a fleet have. */
@@ -35,21 +36,24 @@
   }
 
   /** Publishes the state of a process's replicated group. */
-  public static void bindGroup(MeterRegistry registry, ReplicaHost host) {
+  public static void bindGroup(MeterRegistry registry, Supplier<ControllerStatus> status) {
     group(
-        registry, host, "pathdeck.group.leads", view -> view.role() == ReplicaRole.LEADER ? 1 : 0);
-    group(registry, host, "pathdeck.group.term", GroupView::term);
-    group(registry, host, "pathdeck.group.commit.index", GroupView::commitIndex);
-    group(registry, host, "pathdeck.group.applied.index", GroupView::appliedIndex);
-    group(registry, host, "pathdeck.group.members", view -> view.members().size());
+        registry,
+        status,
+        "pathdeck.group.leads",
+        view -> view.role() == ReplicaRole.LEADER ? 1 : 0);
+    group(registry, status, "pathdeck.group.term", GroupView::term);
+    group(registry, status, "pathdeck.group.commit.index", GroupView::commitIndex);
+    group(registry, status, "pathdeck.group.applied.index", GroupView::appliedIndex);
+    group(registry, status, "pathdeck.group.members", view -> view.members().size());
     group(
         registry,
-        host,
+        status,
         "pathdeck.group.entries.sent.bytes",
         view -> view.replication().entryBytesSent());
     group(
         registry,
-        host,
+        status,
         "pathdeck.group.entries.sent.again.bytes",
         view -> view.replication().entryBytesSentAgain());
   }
@@ -61,8 +65,11 @@
   }
 
   private static void group(
-      MeterRegistry registry, ReplicaHost host, String name, ToDoubleFunction<GroupView> value) {
-    Gauge.builder(name, host, held -> held.status().groups().stream().mapToDouble(value).sum())
+      MeterRegistry registry,
+      Supplier<ControllerStatus> status,
+      String name,
+      ToDoubleFunction<GroupView> value) {
+    Gauge.builder(name, status, held -> held.get().groups().stream().mapToDouble(value).sum())
         .register(registry);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
@@ -2,10 +2,11 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.pathdeck.common.duty.ResourceStack;
-import io.pathdeck.control.ReplicaHost;
+import io.pathdeck.control.ControllerStatus;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.member.FleetFollower;
 import io.pathdeck.fleet.member.PeerPool;
+import java.util.function.Supplier;
 
 /** Serves the metrics of a process that is a member of a replicated group. */
 public final class MemberMetrics {
@@ -16,7 +17,7 @@
       FleetSettings settings,
       EventLoopGroup eventLoops,
       FleetFollower follower,
-      ReplicaHost host,
+      Supplier<ControllerStatus> status,
       PeerPool pool,
       ResourceStack resources) {
     settings
@@ -29,9 +30,9 @@
                         eventLoops,
                         registry -> {
                           FleetMetrics.bindView(registry, follower);
-                          FleetMetrics.bindGroup(registry, host);
+                          FleetMetrics.bindGroup(registry, status);
                           FleetMetrics.bindPeers(registry, pool);
                         },
-                        () -> host.status().isReady())));
+                        () -> status.get().isReady())));
   }
 }
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -0,0 +1,172 @@
+package io.pathdeck.fleet.store;
+
+import io.netty.channel.EventLoop;
+import io.pathdeck.common.duty.ResourceStack;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.consensus.JoinSettings;
+import io.pathdeck.consensus.MembershipPolicy;
+import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.consensus.storage.StorageError;
+import io.pathdeck.control.ControllerStatus;
+import io.pathdeck.control.GroupRuntime;
+import io.pathdeck.control.ReplicaHost;
+import io.pathdeck.fleet.FleetSettings;
+import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.NettyEngineTransport;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.member.MemberIds;
+import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.protocol.fleet.JobsGroupReport;
+import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.QueryRequest;
+import io.pathdeck.protocol.message.Unavailable;
+import io.pathdeck.protocol.query.ReadBatchResults;
+import io.pathdeck.protocol.raft.GroupConfiguration;
+import io.pathdeck.protocol.raft.Member;
+import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
+import io.pathdeck.state.BatchStateMachine;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** A store's replica of the one group of batch jobs that it keeps; runs items while it leads. */
+final class JobsReplica implements AutoCloseable {
+  private static final long SNAPSHOT_THRESHOLD_BYTES = 16L * 1024 * 1024;
+  private static final long MAX_SEGMENT_BYTES = 16L * 1024 * 1024;
+
+  private final int number;
+  private final ReplicaHost host;
+  private final PeerPool pool;
+  private final BatchReads reads;
+  private final BatchRunner runner;
+  private final ResourceStack resources = new ResourceStack();
+  private volatile JobsGroupReport report;
+
+  private JobsReplica(
+      int number,
+      ReplicaHost host,
+      BatchStateMachine state,
+      PeerPool pool,
+      EventLoop eventLoop,
+      String zone,
+      EngineProtocol engines) {
+    this.number = number;
+    this.host = host;
+    this.pool = pool;
+    this.reads = new BatchReads(host.group(), state);
+    this.runner =
+        new BatchRunner(
+            host.group(),
+            state,
+            host.clock(),
+            eventLoop,
+            new NettyEngineTransport(eventLoop, engines),
+            engines,
+            new EngineChoice(zone, System.nanoTime()),
+            host::execute);
+  }
+
+  /** Recovers the replica from {@code folder}. */
+  static Result<JobsReplica, StorageError> open(
+      int number,
+      FleetSettings fleet,
+      DataFolder folder,
+      PeerPool pool,
+      EventLoop eventLoop,
+      EngineProtocol engines) {
+    BatchStateMachine state = new BatchStateMachine();
+    return ReplicaHost.open(options(number, fleet, state), folder, pool)
+        .map(host -> new JobsReplica(number, host, state, pool, eventLoop, fleet.zone(), engines));
+  }
+
+  static ReplicaHost.Options options(int number, FleetSettings fleet, BatchStateMachine state) {
+    String address = fleet.listen().toString();
+    JoinSettings join =
+        new JoinSettings(
+            Set.of(), Set.of(), address, MembershipPolicy.openFor(fleet.toleratedLosses()));
+    return new ReplicaHost.Options(
+        number, MemberIds.of(address), join, state, SNAPSHOT_THRESHOLD_BYTES, MAX_SEGMENT_BYTES);
+  }
+
+  /** Starts to take part in the group. */
+  void start() {
+    resources.push(host);
+    host.start(
+        nowMs -> {
+          publishReport();
+          reads.onStep(nowMs);
+          runner.onStep(nowMs);
+        });
+  }
+
+  /** The number of the group. */
+  int number() {
+    return number;
+  }
+
+  /** A view of the replica for other threads. */
+  ControllerStatus status() {
+    return host.status();
+  }
+
+  /** What this store says of the group while it leads; null when it does not. */
+  JobsGroupReport report() {
+    return report;
+  }
+
+  private void publishReport() {
+    GroupRuntime group = host.group();
+    if (!group.isLeading()) {
+      report = null;
+      return;
+    }
+    GroupConfiguration committed = group.replica().committedConfiguration().orElse(null);
+    boolean changed =
+        report == null
+            || report.term() != group.replica().term()
+            || !report.configuration().equals(committed);
+    if (committed != null && changed) {
+      report = new JobsGroupReport(number, group.replica().term(), committed);
+    }
+  }
+
+  /** Follows what is known of the fleet; on any thread. */
+  void onChange(FleetView view) {
+    Set<Member> members = view.knownMembersOf(number);
+    members.forEach(member -> pool.learn(member.id(), member.address()));
+    host.execute(() -> follow(view, members));
+  }
+
+  private void follow(FleetView view, Set<Member> members) {
+    GroupRuntime group = host.group();
+    view.foundersOf(number)
+        .ifPresent(
+            founders -> group.replica().adoptBootstrap(founders, host.clock().monotonicMs()));
+    group.replica().addContacts(members.stream().map(Member::id).collect(Collectors.toSet()));
+    group.replica().setLeaving(Set.copyOf(view.leavingMembers()));
+    runner.onChange(view);
+  }
+
+  /** Handles a message of another process. */
+  void handle(Message message, ReplySink reply) {
+    if (message instanceof QueryRequest request
+        && request.query() instanceof ReadBatchResults read) {
+      handleRead(request.group(), read, reply);
+    } else {
+      host.handle(message, reply);
+    }
+  }
+
+  private void handleRead(int group, ReadBatchResults read, ReplySink reply) {
+    boolean accepted =
+        group == number && host.execute(() -> reads.read(read, reply, host.clock().monotonicMs()));
+    if (!accepted) {
+      reply.reply(new Unavailable("no read of group " + group + " here now", false));
+    }
+  }
+
+  @Override
+  public void close() {
+    resources.closeAll();
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -7,17 +7,12 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.common.result.Result;
-import io.pathdeck.consensus.JoinSettings;
-import io.pathdeck.consensus.MembershipPolicy;
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.consensus.storage.StorageError;
-import io.pathdeck.control.GroupRuntime;
-import io.pathdeck.control.ReplicaHost;
+import io.pathdeck.control.ControllerStatus;
 import io.pathdeck.fleet.FleetMemberProcess;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.FleetAdapter;
-import io.pathdeck.fleet.engine.EngineChoice;
-import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.member.CoordinatorContacts;
 import io.pathdeck.fleet.member.FleetFollower;
 import io.pathdeck.fleet.member.FleetView;
@@ -26,37 +21,42 @@
 import io.pathdeck.fleet.metrics.MemberMetrics;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
-import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.ProposeRequest;
 import io.pathdeck.protocol.message.QueryRequest;
-import io.pathdeck.protocol.query.ReadBatchResults;
-import io.pathdeck.protocol.raft.GroupConfiguration;
-import io.pathdeck.protocol.raft.Member;
+import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.protocol.transport.PeerServer;
 import io.pathdeck.protocol.transport.TransportTls;
-import io.pathdeck.state.BatchStateMachine;
-import java.util.HashSet;
-import java.util.Set;
-import java.util.stream.Collectors;
-
-/** A store: keeps batch jobs and, while it leads their group, runs their items. */
+import java.util.List;
+
+/**
+ * A store: keeps one group of batch jobs and, while it leads that group, runs its items.
+ *
+ * <p>The coordinators tell a new store which group that is. Its number is written to the disk
+ * before anything of the group, so that a disk never holds parts of two groups.
+ */
 public final class StoreProcess implements FleetMemberProcess {
-  /** The number of the group that keeps batch jobs. */
-  public static final int JOBS_GROUP = 1;
-
   private static final EventLog EVENTS = EventLog.of(StoreProcess.class);
-  private static final long SNAPSHOT_THRESHOLD_BYTES = 16L * 1024 * 1024;
-  private static final long MAX_SEGMENT_BYTES = 16L * 1024 * 1024;
   private static final String FIRST_START_FILE = "first-start";
+  private static final String JOBS_GROUP_FILE = "jobs-group";
 
   private final StoreSettings settings;
+  private final DataFolder folder;
+  private final FleetAdapter adapter;
   private final ResourceStack resources = new ResourceStack();
+  private EventLoop eventLoop;
+  private PeerPool pool;
   private CoordinatorContacts contacts;
-  private volatile JobsGroupReport report;
+  private FleetFollower follower;
+
+  /** The replica of this store's group; null while the store has none. */
+  private volatile JobsReplica replica;
 
-  private StoreProcess(StoreSettings settings) {
+  private StoreProcess(StoreSettings settings, DataFolder folder, FleetAdapter adapter) {
     this.settings = settings;
+    this.folder = folder;
+    this.adapter = adapter;
   }
 
   /** Recovers the data folder and starts. */
@@ -66,62 +66,33 @@
     if (!folder.isOk()) {
       return Result.err(folder.error());
     }
-    StoreProcess process = new StoreProcess(settings);
-    return process.run(folder.value(), tls, adapter).map(started -> process);
+    StoreProcess process = new StoreProcess(settings, folder.value(), adapter);
+    return process.run(tls).map(started -> process);
   }
 
-  private Result<Void, StorageError> run(
-      DataFolder folder, TransportTls tls, FleetAdapter adapter) {
+  private Result<Void, StorageError> run(TransportTls tls) {
     if (settings.firstStart() && folder.readFile(FIRST_START_FILE).isEmpty()) {
       Result<Void, StorageError> written = folder.writeFile(FIRST_START_FILE, "yes");
       if (!written.isOk()) {
-        return Result.err(written.error());
+        return written;
       }
     }
     boolean mayFound = folder.readFile(FIRST_START_FILE).isPresent();
     FleetSettings fleet = settings.fleet();
-    String address = fleet.listen().toString();
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
-    EventLoop eventLoop = eventLoops.next();
-    PeerPool pool = resources.push(new PeerPool(eventLoops, tls));
-    BatchStateMachine state = new BatchStateMachine();
-    JoinSettings join =
-        new JoinSettings(
-            Set.of(), Set.of(), address, MembershipPolicy.openFor(fleet.toleratedLosses()));
-    ReplicaHost.Options options =
-        new ReplicaHost.Options(
-            JOBS_GROUP,
-            MemberIds.of(address),
-            join,
-            state,
-            SNAPSHOT_THRESHOLD_BYTES,
-            MAX_SEGMENT_BYTES);
-    Result<ReplicaHost, StorageError> host = ReplicaHost.open(options, folder, pool);
-    if (!host.isOk()) {
-      return Result.err(host.error());
-    }
-    FleetProcess self =
-        new FleetProcess(
-            fleet.name(),
-            FleetRole.STORE,
-            fleet.zone(),
-            MemberIds.of(address),
-            folder.incarnation(),
-            address,
-            "",
-            true);
+    eventLoop = eventLoops.next();
+    pool = resources.push(new PeerPool(eventLoops, tls));
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
-    FleetFollower follower =
-        contacts.follower(eventLoop, () -> new FleetFollower.SelfReport(self, mayFound, report));
-    startDuties(host.value(), state, pool, eventLoop, follower, adapter);
-    resources.push(
-        new PeerServer(
-            fleet.listen(),
-            eventLoops,
-            tls,
-            (message, reply) -> route(message, reply, host.value())));
-    MemberMetrics.serve(fleet, eventLoops, follower, host.value(), pool, resources);
+    follower = contacts.follower(eventLoop, () -> describe(mayFound));
+    follower.onChange(this::onChange);
+    Result<Void, StorageError> recovered = recoverReplica();
+    if (!recovered.isOk()) {
+      return recovered;
+    }
+    resources.push(new PeerServer(fleet.listen(), eventLoops, tls, this::route));
+    MemberMetrics.serve(fleet, eventLoops, follower, this::status, pool, resources);
+    resources.push(follower);
     follower.start();
     EVENTS.log(
         EventCode.PROCESS_STARTED,
@@ -132,100 +103,96 @@
         "listen",
         fleet.listen(),
         "member",
-        self.memberId(),
+        MemberIds.of(fleet.listen().toString()),
         "incarnation",
-        folder.incarnation());
+        folder.incarnation(),
+        "jobs_group",
+        groupNumber());
     return Result.ok(null);
   }
 
-  private BatchReads reads;
-
-  private void startDuties(
-      ReplicaHost host,
-      BatchStateMachine state,
-      PeerPool pool,
-      EventLoop eventLoop,
-      FleetFollower follower,
-      FleetAdapter adapter) {
-    GroupRuntime group = host.group();
-    reads = new BatchReads(group, state);
-    EngineChoice choice = new EngineChoice(settings.fleet().zone(), System.nanoTime());
-    BatchRunner runner =
-        new BatchRunner(
-            group,
-            state,
-            host.clock(),
-            eventLoop,
-            new NettyEngineTransport(eventLoop, adapter.engines()),
-            adapter.engines(),
-            choice,
-            host::execute);
-    follower.onChange(
-        view -> {
-          learnMembers(view, pool);
-          host.execute(() -> onChange(view, group, runner, host));
-        });
-    resources.push(host);
-    host.start(
-        nowMs -> {
-          publishReport(group);
-          reads.onStep(nowMs);
-          runner.onStep(nowMs);
-        });
-    resources.push(follower);
+  private FleetFollower.SelfReport describe(boolean mayFound) {
+    FleetSettings fleet = settings.fleet();
+    String address = fleet.listen().toString();
+    JobsReplica own = replica;
+    FleetProcess self =
+        new FleetProcess(
+            fleet.name(),
+            FleetRole.STORE,
+            fleet.zone(),
+            MemberIds.of(address),
+            folder.incarnation(),
+            address,
+            "",
+            true,
+            groupNumber());
+    return new FleetFollower.SelfReport(self, mayFound, own == null ? null : own.report());
   }
 
-  private static void learnMembers(FleetView view, PeerPool pool) {
-    for (Member member : knownMembers(view)) {
-      pool.learn(member.id(), member.address());
-    }
+  private int groupNumber() {
+    JobsReplica own = replica;
+    return own == null ? FleetProcess.NO_GROUP : own.number();
+  }
+
+  private ControllerStatus status() {
+    JobsReplica own = replica;
+    return own == null ? new ControllerStatus(List.of()) : own.status();
   }
 
-  private static Set<Member> knownMembers(FleetView view) {
-    Set<Member> members = new HashSet<>();
-    if (view.jobsFounders() != null) {
-      members.addAll(view.jobsFounders().members());
+  // ---- the group
+
+  /** Opens the replica of the group that an earlier process of this disk kept. */
+  private Result<Void, StorageError> recoverReplica() {
+    String stored = folder.readFile(JOBS_GROUP_FILE).orElse("");
+    if (stored.isEmpty()) {
+      return Result.ok(null);
     }
-    if (view.jobsGroup() != null) {
-      members.addAll(view.jobsGroup().configuration().members());
+    try {
+      return openReplica(Integer.parseInt(stored));
+    } catch (NumberFormatException e) {
+      return Result.err(new StorageError.Io("read " + JOBS_GROUP_FILE, e.toString()));
     }
-    return members;
   }
 
-  private static void onChange(
-      FleetView view, GroupRuntime group, BatchRunner runner, ReplicaHost host) {
-    GroupConfiguration founders = view.jobsFounders();
-    if (founders != null) {
-      group.replica().adoptBootstrap(founders, host.clock().monotonicMs());
+  private Result<Void, StorageError> openReplica(int number) {
+    return JobsReplica.open(number, settings.fleet(), folder, pool, eventLoop, adapter.engines())
+        .map(
+            opened -> {
+              replica = resources.push(opened);
+              opened.start();
+              return null;
+            });
+  }
+
+  private void onChange(FleetView view) {
+    if (replica == null && view.assignedGroup() != FleetProcess.NO_GROUP) {
+      joinGroup(view.assignedGroup());
+    }
+    JobsReplica own = replica;
+    if (own != null) {
+      own.onChange(view);
     }
-    group
-        .replica()
-        .addContacts(knownMembers(view).stream().map(Member::id).collect(Collectors.toSet()));
-    group.replica().setLeaving(Set.copyOf(view.leavingMembers()));
-    runner.onChange(view);
   }
 
-  private void publishReport(GroupRuntime group) {
-    if (!group.isLeading()) {
-      report = null;
-      return;
+  private void joinGroup(int number) {
+    Result<Void, StorageError> joined = folder.writeFile(JOBS_GROUP_FILE, String.valueOf(number));
+    if (joined.isOk()) {
+      joined = openReplica(number);
     }
-    GroupConfiguration committed = group.replica().committedConfiguration().orElse(null);
-    boolean changed =
-        report == null
-            || report.term() != group.replica().term()
-            || !report.configuration().equals(committed);
-    if (committed != null && changed) {
-      report = new JobsGroupReport(JOBS_GROUP, group.replica().term(), committed);
+    if (!joined.isOk()) {
+      EVENTS.log(EventCode.STORAGE_FAILED, "group", number, "reason", joined.error());
+      return;
     }
+    EVENTS.log(EventCode.JOBS_GROUP_JOINED, "group", number);
+    follower.reportNow();
   }
 
-  private void route(Message message, ReplySink reply, ReplicaHost host) {
-    if (message instanceof QueryRequest request
-        && request.query() instanceof ReadBatchResults read) {
-      host.execute(() -> reads.read(read, reply, host.clock().monotonicMs()));
-    } else {
-      host.handle(message, reply);
+  private void route(Message message, ReplySink reply) {
+    JobsReplica own = replica;
+    if (own != null) {
+      own.handle(message, reply);
+    } else if (message instanceof ProposeRequest || message instanceof QueryRequest) {
+      reply.reply(new Unavailable("this store keeps no jobs yet", false));
     }
   }
 
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestJobsGroupFounding.java
@@ -0,0 +1,77 @@
+package io.pathdeck.fleet.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.raft.Member;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** More stores make more groups, not larger ones. */
+class TestJobsGroupFounding {
+  private static final int TWO_LOSSES = 5;
+  private static final int ONE_LOSS = 3;
+
+  private static List<FleetProcess> stores(int count, int zones) {
+    List<FleetProcess> stores = new ArrayList<>();
+    for (int id = 1; id <= count; id++) {
+      String zone = "z" + id % zones;
+      stores.add(
+          new FleetProcess("s" + id, FleetRole.STORE, zone, id, 70 + id, "h:" + id, "", true, 0));
+    }
+    return stores;
+  }
+
+  private static List<Integer> sizes(List<JobsGroupFounders> groups) {
+    return groups.stream().map(group -> group.configuration().members().size()).toList();
+  }
+
+  @Test
+  void groupHasOneMemberMoreThanItNeeds() {
+    assertThat(sizes(JobsGroupFounding.form(stores(12, 5), TWO_LOSSES))).containsExactly(6, 6);
+    assertThat(sizes(JobsGroupFounding.form(stores(45, 5), TWO_LOSSES)))
+        .containsExactly(6, 6, 6, 6, 6, 6, 6);
+  }
+
+  @Test
+  void storesBeyondTheGroupsWait() {
+    assertThat(sizes(JobsGroupFounding.form(stores(10, 3), TWO_LOSSES))).containsExactly(6);
+  }
+
+  @Test
+  void fewStoresMakeOneGroup() {
+    assertThat(sizes(JobsGroupFounding.form(stores(3, 3), ONE_LOSS))).containsExactly(3);
+    assertThat(sizes(JobsGroupFounding.form(stores(4, 4), ONE_LOSS))).containsExactly(4);
+  }
+
+  @Test
+  void groupsShareNoStoreAndAreNumberedFromOne() {
+    List<JobsGroupFounders> groups = JobsGroupFounding.form(stores(12, 5), TWO_LOSSES);
+    Set<Integer> seen = new HashSet<>();
+    for (JobsGroupFounders group : groups) {
+      for (Member member : group.configuration().members()) {
+        assertThat(seen.add(member.id())).isTrue();
+        assertThat(member.voter()).isTrue();
+      }
+    }
+    assertThat(groups).extracting(JobsGroupFounders::group).containsExactly(1, 2);
+  }
+
+  @Test
+  void groupIsSpreadOverZones() {
+    List<FleetProcess> stores = stores(12, 6);
+    for (JobsGroupFounders group : JobsGroupFounding.form(stores, TWO_LOSSES)) {
+      long zones =
+          group.configuration().members().stream()
+              .map(member -> stores.get(member.id() - 1).zone())
+              .distinct()
+              .count();
+      assertThat(zones).isGreaterThanOrEqualTo(3);
+    }
+  }
+}
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -31,10 +31,11 @@
 
   private static FleetView view() {
     EngineInstance engine = new EngineInstance("e", "s", "h:1", "a", 10, false);
-    FleetProcess gateway = new FleetProcess("g", FleetRole.GATEWAY, "a", 0, 1, "", "h:2", true);
+    FleetProcess gateway = new FleetProcess("g", FleetRole.GATEWAY, "a", 0, 1, "", "h:2", true, 0);
     RouteTable routes =
         new RouteTable(VERSION, List.of(), List.of(), CallerLimits.NONE, new byte[0]);
-    return new FleetView(routes, Map.of("e", engine), Map.of("g", gateway), null, null, List.of(5));
+    return new FleetView(
+        routes, Map.of("e", engine), Map.of("g", gateway), List.of(), List.of(), 0, List.of(5));
   }
 
   private void write(FleetView view) throws InterruptedException {
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -16,7 +16,7 @@
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.FileStored;
-import io.pathdeck.protocol.command.FoundJobsGroup;
+import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.ItemsLeased;
 import io.pathdeck.protocol.command.JobAccepted;
 import io.pathdeck.protocol.command.KeyReserved;
@@ -49,6 +49,7 @@
 import io.pathdeck.protocol.fleet.EngineListDelta;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.RouteKind;
@@ -248,13 +249,14 @@
           EngineInstance.class,
           FleetRole.class,
           FleetProcess.class,
+          JobsGroupFounders.class,
           JobsGroupReport.class,
           FleetHeartbeat.class,
           FleetUpdate.class,
           BatchItem.class,
           BatchResult.class,
           PutRouteTable.class,
-          FoundJobsGroup.class,
+          FoundJobsGroups.class,
           SetStoreLeaving.class,
           SubmitBatch.class,
           ListBatchResults.class,
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/FleetProcess.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/FleetProcess.java
@@ -9,6 +9,7 @@
  * @param peerAddress where other processes reach it; empty when nobody calls it
  * @param serviceAddress where callers reach it; empty when callers do not
  * @param ready whether it takes work
+ * @param jobsGroup the group of batch jobs that a store keeps; {@link #NO_GROUP} for none
  */
 public record FleetProcess(
     String name,
@@ -18,4 +19,8 @@
     long incarnation,
     String peerAddress,
     String serviceAddress,
-    boolean ready) {}
+    boolean ready,
+    int jobsGroup) {
+  /** The process keeps no batch jobs. */
+  public static final int NO_GROUP = 0;
+}
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
@@ -12,7 +12,7 @@
  * @param engineSequence up to where it knows the list of engines
  * @param processEpoch the leadership that {@code processSequence} belongs to
  * @param processSequence up to where it knows the list of processes
- * @param jobsGroup set by the leader of the jobs group
+ * @param jobsGroup set by the leader of a jobs group
  */
 public record FleetHeartbeat(
     FleetProcess sender,
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -1,10 +1,11 @@
 package io.pathdeck.protocol.message;
 
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.RouteTable;
-import io.pathdeck.protocol.raft.GroupConfiguration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -14,22 +15,28 @@
  * @param routes the newest configuration without its document, when the asker's is older
  * @param engines what changed in the list of engines; null while the leader does not know it
  * @param processes what changed in the list of processes; null while the leader collects it
- * @param jobsFounders the first configuration of the jobs group; null before it was founded
- * @param jobsGroup what the leader of the jobs group reported last; null when unknown
+ * @param jobsFounders the groups that keep batch jobs and their first members; none before they
+ *     were founded
+ * @param jobsGroups what the leaders of these groups reported last
+ * @param assignedGroup the group that the asking store is to keep; {@link FleetProcess#NO_GROUP}
+ *     when it has to wait or is no store
  * @param leavingMembers ids of store processes that are being emptied
  */
 public record FleetUpdate(
     RouteTable routes,
     EngineListDelta engines,
     ProcessListDelta processes,
-    GroupConfiguration jobsFounders,
-    JobsGroupReport jobsGroup,
+    List<JobsGroupFounders> jobsFounders,
+    List<JobsGroupReport> jobsGroups,
+    int assignedGroup,
     List<Integer> leavingMembers)
     implements Message {
   /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
   public static final long NO_LEADERS_EPOCH = -1;
 
   public FleetUpdate {
+    jobsFounders = new ArrayList<>(jobsFounders);
+    jobsGroups = new ArrayList<>(jobsGroups);
     leavingMembers = new ArrayList<>(leavingMembers);
   }
 
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -4,19 +4,19 @@
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.Done;
-import io.pathdeck.protocol.command.FoundJobsGroup;
+import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.RouteTableHeld;
 import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.query.NotFound;
 import io.pathdeck.protocol.query.Query;
 import io.pathdeck.protocol.query.QueryResult;
 import io.pathdeck.protocol.query.ReadRouteTable;
 import io.pathdeck.protocol.query.RouteTableResult;
-import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.snapshot.FleetRecord;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -27,14 +27,14 @@
 
 /**
  * The state of a fleet's configuration group: the routes under the highest version taken, the first
- * members of the jobs group, and the stores that are being emptied.
+ * members of the groups that keep batch jobs, and the stores that are being emptied.
  *
  * <p>Every command is idempotent, so that a resent one needs no stored answer.
  */
 public final class FleetStateMachine implements StateMachine {
   private final LogicalClock clock = new LogicalClock();
   private RouteTable table;
-  private GroupConfiguration jobsFounders;
+  private List<JobsGroupFounders> jobsFounders = List.of();
   private final Map<Integer, SetStoreLeaving> leaving = new LinkedHashMap<>();
 
   /** The configuration held; empty before the first one. */
@@ -42,9 +42,9 @@
     return Optional.ofNullable(table);
   }
 
-  /** The first members of the jobs group; empty before it was founded. */
-  public Optional<GroupConfiguration> jobsFounders() {
-    return Optional.ofNullable(jobsFounders);
+  /** The groups that keep batch jobs with their first members; none before they were founded. */
+  public List<JobsGroupFounders> jobsFounders() {
+    return jobsFounders;
   }
 
   /** The stores that are being emptied. */
@@ -69,9 +69,9 @@
     if (command instanceof PutRouteTable put) {
       return putRouteTable(put.table());
     }
-    if (command instanceof FoundJobsGroup found) {
-      if (jobsFounders == null) {
-        jobsFounders = found.configuration();
+    if (command instanceof FoundJobsGroups found) {
+      if (jobsFounders.isEmpty()) {
+        jobsFounders = List.copyOf(found.groups());
       }
       return new Done();
     }
@@ -101,7 +101,11 @@
   public Iterator<Object> captureSnapshot() {
     List<Object> records = new ArrayList<>();
     records.add(
-        new FleetRecord(clock.nowMs(), table, jobsFounders, new ArrayList<>(leaving.values())));
+        new FleetRecord(
+            clock.nowMs(),
+            table,
+            new ArrayList<>(jobsFounders),
+            new ArrayList<>(leaving.values())));
     return records.iterator();
   }
 
@@ -112,7 +116,7 @@
       if (records.next() instanceof FleetRecord fleet) {
         clock.restore(fleet.clockMs());
         table = fleet.table();
-        jobsFounders = fleet.jobsFounders();
+        jobsFounders = List.copyOf(fleet.jobsFounders());
         fleet.leaving().forEach(store -> leaving.put(store.memberId(), store));
       }
     }
--- a/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -5,11 +5,12 @@
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
-import io.pathdeck.protocol.command.FoundJobsGroup;
+import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.RouteTableHeld;
 import io.pathdeck.protocol.command.SetStoreLeaving;
 import io.pathdeck.protocol.fleet.CallerLimits;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.Member;
@@ -54,19 +55,23 @@
     assertThat(held()).isEqualTo("five");
   }
 
+  private static JobsGroupFounders founders(Member member) {
+    return new JobsGroupFounders(1, new GroupConfiguration(List.of(member)));
+  }
+
   @Test
-  void jobsGroupIsFoundedOnce() {
-    GroupConfiguration first = new GroupConfiguration(List.of(new Member(1, 1, true, "a:1")));
-    GroupConfiguration second = new GroupConfiguration(List.of(new Member(2, 2, true, "b:1")));
-    apply(new FoundJobsGroup(first));
-    apply(new FoundJobsGroup(second));
-    assertThat(machine.jobsFounders()).contains(first);
+  void jobsGroupsAreFoundedOnce() {
+    JobsGroupFounders first = founders(new Member(1, 1, true, "a:1"));
+    JobsGroupFounders second = founders(new Member(2, 2, true, "b:1"));
+    apply(new FoundJobsGroups(List.of(first)));
+    apply(new FoundJobsGroups(List.of(second)));
+    assertThat(machine.jobsFounders()).containsExactly(first);
   }
 
   @Test
   void snapshotRestoresEverything() {
     apply(put(5, "five"));
-    apply(new FoundJobsGroup(new GroupConfiguration(List.of(new Member(1, 1, true, "a:1")))));
+    apply(new FoundJobsGroups(List.of(founders(new Member(1, 1, true, "a:1")))));
     apply(new SetStoreLeaving("store-1", 1));
     FleetStateMachine restored = new FleetStateMachine();
     restored.restoreSnapshot(machine.captureSnapshot());
