Planned stops cut nothing: phases of a stop, and leadership handed over before it

Coordinators and stores closed all at once, and a leader among them left its group to an election of 0.6 to 1.2 s. Change: ServerPhase SERVING -> LEAVING -> DRAINING -> CLOSED in HttpServer, the same for gateways and the operators' and directory's servers of coordinators; idle connections are closed on the event loop that reads them; late requests get a true refusal with Retry-After 0. Leaders hand over by TimeoutNow after stepping down, also when they are to leave; reads that waited for a leader that is none any more are refused instead of forgotten. Votes and campaigns moved out of RaftReplica (Elections, Ballot).

--- /dev/null
+++ b/consensus/src/main/java/io/pathdeck/consensus/Ballot.java
@@ -0,0 +1,31 @@
+package io.pathdeck.consensus;
+
+import io.pathdeck.protocol.raft.HardStateRecord;
+
+/** The vote of a replica in its present term; each change is recorded before it takes effect. */
+final class Ballot {
+  private final ReplicaState state;
+  private int votedFor;
+
+  Ballot(ReplicaState state, int votedFor) {
+    this.state = state;
+    this.votedFor = votedFor;
+  }
+
+  /** Begins a term with a vote for {@code candidate}, or with {@link RecoveredState#NO_VOTE}. */
+  void beginTerm(long term, int candidate) {
+    state.term = term;
+    voteFor(candidate);
+  }
+
+  /** Votes for {@code candidate} in the present term. */
+  void voteFor(int candidate) {
+    votedFor = candidate;
+    state.records.add(new HardStateRecord(state.group, state.term, candidate));
+  }
+
+  /** Whether a vote for {@code candidate} contradicts none given in this term. */
+  boolean isFreeFor(int candidate) {
+    return votedFor == RecoveredState.NO_VOTE || votedFor == candidate;
+  }
+}
--- a/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
@@ -238,6 +238,16 @@
     return Optional.empty();
   }
 
+  /** The voter that answers, was sent the whole log and has acknowledged most of it. */
+  Optional<Member> successor(GroupConfiguration current, long lastIndex, long nowMs) {
+    return current.members().stream()
+        .filter(member -> member.voter() && member.id() != selfId)
+        .filter(member -> !leaving.contains(member.id()))
+        .filter(member -> progress.get(member.id()).nextIndex > lastIndex)
+        .filter(member -> silenceMs(member, nowMs) < settings.electionTimeoutMinMs())
+        .max(Comparator.comparingLong(member -> matchIndex(member.id())));
+  }
+
   private Optional<Member> removable(GroupConfiguration current, long nowMs) {
     boolean votersToSpare = current.voterCount() > policy.minVoters();
     return current.members().stream()
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -3,13 +3,14 @@
 import io.pathdeck.protocol.raft.AppendRequest;
 import io.pathdeck.protocol.raft.AppendResponse;
 import io.pathdeck.protocol.raft.GroupConfiguration;
-import io.pathdeck.protocol.raft.HardStateRecord;
 import io.pathdeck.protocol.raft.JoinRequest;
 import io.pathdeck.protocol.raft.LogEntry;
+import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.raft.RaftHeader;
 import io.pathdeck.protocol.raft.RaftMessage;
 import io.pathdeck.protocol.raft.SnapshotChunk;
 import io.pathdeck.protocol.raft.SnapshotChunkResponse;
+import io.pathdeck.protocol.raft.TimeoutNow;
 import io.pathdeck.protocol.raft.VoteRequest;
 import io.pathdeck.protocol.raft.VoteResponse;
 import java.util.ArrayList;
@@ -31,24 +32,23 @@
  *       a replica that lost its disk cannot help to elect a leader that misses what the lost disk
  *       acknowledged. It is replaced by a learner first and votes again after it has caught up.
  *   <li>A replica that heard from a leader, or has just started, refuses votes for the shortest
- *       election timeout. That is what makes the leader's lease valid.
+ *       election timeout. That is what makes the leader's lease valid. A leader that hands over has
+ *       ended its term before it names its successor, so votes for that one wait for no lease.
  * </ul>
  */
 public final class RaftReplica {
   private final ReplicaState state;
   private final FollowerLog follower;
   private final JoinProtocol joining;
-  private final VoteMessages voteMessages;
   private final ElectionTimer timer;
   private final MembershipPolicy policy;
+  private final Elections elections;
 
   /** The members that are to leave the group. */
   private Set<Integer> leaving = Set.of();
 
   private ReplicaRole role = ReplicaRole.JOINING;
-  private int votedFor;
   private long deliveredIndex;
-  private VoteTally votes;
 
   /** Not null exactly while this replica leads. */
   private Replicator leader;
@@ -72,10 +72,9 @@
     this.state = new ReplicaState(group, id, incarnation, settings);
     this.follower = new FollowerLog(state);
     this.joining = new JoinProtocol(state, joinSettings, recovered.bootstrap());
-    this.voteMessages = new VoteMessages(state);
     this.timer = new ElectionTimer(settings, seed, processStartMs, nowMs);
     state.term = recovered.term();
-    this.votedFor = recovered.votedFor();
+    this.elections = new Elections(state, timer, recovered.votedFor());
     state.restoreLog(recovered);
     deliveredIndex = state.commitIndex;
     state.syncedIndex = state.log.lastIndex();
@@ -160,6 +159,27 @@
     }
   }
 
+  /**
+   * Ends this replica's term and tells the voter that is closest to its log to campaign at once.
+   *
+   * <p>The leader steps down before the message leaves, so it answers no read under its lease any
+   * more. Entries that wait for a quorum were sent to the successor earlier on the same way.
+   *
+   * @return whether a successor was found; nothing changes otherwise
+   */
+  public boolean transferLeadership(long nowMs) {
+    if (role != ReplicaRole.LEADER) {
+      return false;
+    }
+    Optional<Member> successor = leader.successor(nowMs);
+    successor.ifPresent(
+        member -> {
+          state.messages.add(new TimeoutNow(state.header(member.id(), member.incarnation())));
+          becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
+        });
+    return successor.isPresent();
+  }
+
   /** What a snapshot taken after applying {@code index} must record. */
   public SnapshotMetadata snapshotMetadata(long index) {
     return new SnapshotMetadata(index, state.log.term(index), state.log.configurationAt(index));
@@ -178,7 +198,7 @@
 
   private void pollFollower(long nowMs) {
     boolean forgotten = policy.open() && timer.isLeaderLost(nowMs);
-    if (!isMember() || forgotten) {
+    if (!state.isMember() || forgotten) {
       joining.askToJoin(nowMs);
     }
     if (timer.isExpired(nowMs)) {
@@ -186,15 +206,6 @@
     }
   }
 
-  private boolean isMember() {
-    return state
-        .log
-        .configuration()
-        .find(state.id)
-        .filter(m -> m.incarnation() == state.incarnation)
-        .isPresent();
-  }
-
   /** Appends a command; empty when this replica does not lead. */
   public OptionalLong propose(byte[] command, long nowMs) {
     if (role != ReplicaRole.LEADER) {
@@ -235,24 +246,22 @@
     }
     if (message instanceof VoteResponse response) {
       onVoteResponse(response, nowMs);
+    } else if (message instanceof TimeoutNow handover) {
+      onTimeoutNow(handover, nowMs);
     } else if (message instanceof AppendRequest request) {
       if (acceptLeader(request.header(), nowMs)) {
         follower.onAppendRequest(request);
       } else {
         follower.respondToAppend(request.header(), false, 0, request.sentAtMs());
       }
-    } else if (message instanceof AppendResponse response) {
-      if (leadsTerm(response.header())) {
-        leader.onAppendResponse(response, nowMs);
-      }
+    } else if (message instanceof AppendResponse response && leadsTerm(header)) {
+      leader.onAppendResponse(response, nowMs);
     } else if (message instanceof SnapshotChunk chunk) {
       if (acceptLeader(chunk.header(), nowMs)) {
         follower.onSnapshotChunk(chunk);
       }
-    } else if (message instanceof SnapshotChunkResponse response) {
-      if (leadsTerm(response.header())) {
-        leader.onSnapshotChunkResponse(response, nowMs);
-      }
+    } else if (message instanceof SnapshotChunkResponse response && leadsTerm(header)) {
+      leader.onSnapshotChunkResponse(response, nowMs);
     }
   }
 
@@ -356,62 +365,52 @@
 
   // ---- elections
 
+  private boolean mayCampaign() {
+    return state.isVoter() && !follower.isInstalling();
+  }
+
   private void startPreVote(long nowMs) {
     timer.reset(nowMs);
-    if (!state.log.configuration().isVoter(state.id, state.incarnation)
-        || follower.isInstalling()) {
-      return;
+    if (mayCampaign()) {
+      follower.setLeader(RecoveredState.NO_VOTE);
+      campaign(Campaign.PRE_VOTE, nowMs);
     }
-    role = ReplicaRole.PRE_CANDIDATE;
-    follower.setLeader(RecoveredState.NO_VOTE);
-    campaign(true, nowMs);
   }
 
-  private void startElection(long nowMs) {
-    role = ReplicaRole.CANDIDATE;
-    state.term++;
-    votedFor = state.id;
-    state.records.add(new HardStateRecord(state.group, state.term, votedFor));
-    timer.reset(nowMs);
-    campaign(false, nowMs);
+  private void campaign(Campaign campaign, long nowMs) {
+    boolean preVote = campaign == Campaign.PRE_VOTE;
+    role = preVote ? ReplicaRole.PRE_CANDIDATE : ReplicaRole.CANDIDATE;
+    if (elections.campaign(campaign, nowMs)) {
+      onVotesWon(preVote, nowMs);
+    }
   }
 
-  private void campaign(boolean preVote, long nowMs) {
-    votes = new VoteTally(state.log.configuration());
-    votes.add(state.id, state.incarnation);
-    if (votes.isWon()) {
-      onVotesWon(preVote, nowMs);
-      return;
+  private void onTimeoutNow(TimeoutNow handover, long nowMs) {
+    RaftHeader header = handover.header();
+    boolean fromLeader =
+        role == ReplicaRole.FOLLOWER
+            && header.term() == state.term
+            && header.from() == follower.leaderId();
+    if (fromLeader && mayCampaign()) {
+      campaign(Campaign.LEADERSHIP_TRANSFER, nowMs);
     }
-    voteMessages.request(preVote);
   }
 
   private void onVoteRequest(VoteRequest request, long nowMs) {
-    RaftHeader from = request.header();
     if (role == ReplicaRole.JOINING) {
       return;
     }
-    boolean refusesAll = timer.refusesVotes(nowMs) || role == ReplicaRole.LEADER;
-    if (from.term() < state.term || refusesAll) {
-      voteMessages.respond(request, false);
-      return;
-    }
-    boolean upToDate = voteMessages.isUpToDate(request);
-    if (request.preVote()) {
-      voteMessages.respond(request, upToDate && from.term() > state.term);
-      return;
-    }
-    if (from.term() > state.term) {
-      becomeFollower(from.term(), RecoveredState.NO_VOTE, nowMs);
-    }
-    boolean free = votedFor == RecoveredState.NO_VOTE || votedFor == from.from();
-    boolean granted = upToDate && free && role == ReplicaRole.FOLLOWER;
-    if (granted) {
-      votedFor = from.from();
-      state.records.add(new HardStateRecord(state.group, state.term, votedFor));
-      timer.reset(nowMs);
+    long requestTerm = request.header().term();
+    if (elections.refuses(request, role == ReplicaRole.LEADER, nowMs)) {
+      elections.refuse(request);
+    } else if (request.preVote()) {
+      elections.answerPreVote(request);
+    } else {
+      if (requestTerm > state.term) {
+        becomeFollower(requestTerm, RecoveredState.NO_VOTE, nowMs);
+      }
+      elections.answerVote(request, role == ReplicaRole.FOLLOWER, nowMs);
     }
-    voteMessages.respond(request, granted);
   }
 
   private void onVoteResponse(VoteResponse response, long nowMs) {
@@ -422,15 +421,14 @@
     if (role != expectedRole || header.term() != expectedTerm || !response.granted()) {
       return;
     }
-    votes.add(header.from(), header.fromIncarnation());
-    if (votes.isWon()) {
+    if (elections.onGranted(header)) {
       onVotesWon(response.preVote(), nowMs);
     }
   }
 
   private void onVotesWon(boolean preVote, long nowMs) {
     if (preVote) {
-      startElection(nowMs);
+      campaign(Campaign.ELECTION, nowMs);
     } else {
       becomeLeader(nowMs);
     }
@@ -439,7 +437,7 @@
   private void becomeLeader(long nowMs) {
     role = ReplicaRole.LEADER;
     follower.setLeader(state.id);
-    votes = null;
+    elections.endCampaign();
     leader = new Replicator(state, policy, nowMs);
     leader.setLeaving(leaving);
     leader.append(new LogEntry(state.log.lastIndex() + 1, state.term, null, null), nowMs);
@@ -448,9 +446,7 @@
 
   private void becomeFollower(long newTerm, int newLeader, long nowMs) {
     if (newTerm > state.term) {
-      state.term = newTerm;
-      votedFor = RecoveredState.NO_VOTE;
-      state.records.add(new HardStateRecord(state.group, state.term, votedFor));
+      elections.beginTerm(newTerm);
       follower.onNewTerm();
     }
     if (role == ReplicaRole.LEADER) {
@@ -461,7 +457,7 @@
     }
     follower.setLeader(newLeader);
     leader = null;
-    votes = null;
+    elections.endCampaign();
   }
 
   private void pollLeader(long nowMs) {
@@ -471,6 +467,9 @@
     long silenceMs = leader.quorumSilenceMs(nowMs);
     boolean handsOver =
         leaving.contains(state.id) && state.log.configuration().voterCount() > policy.minVoters();
+    if (handsOver && transferLeadership(nowMs)) {
+      return;
+    }
     if (silenceMs > state.settings.electionTimeoutMaxMs() || handsOver) {
       becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
       return;
--- a/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
@@ -50,6 +50,16 @@
     }
   }
 
+  /** Whether the newest configuration names this incarnation of the replica. */
+  boolean isMember() {
+    return log.configuration().find(id).filter(m -> m.incarnation() == incarnation).isPresent();
+  }
+
+  /** Whether this incarnation of the replica votes by the newest configuration. */
+  boolean isVoter() {
+    return log.configuration().isVoter(id, incarnation);
+  }
+
   /** The header of a message of this term. */
   RaftHeader header(int to, long toIncarnation) {
     return new RaftHeader(group, id, incarnation, to, toIncarnation, term);
--- a/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -10,6 +10,7 @@
 import io.pathdeck.protocol.raft.SnapshotChunk;
 import io.pathdeck.protocol.raft.SnapshotChunkResponse;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -44,6 +45,11 @@
     progressTable.setLeaving(ids);
   }
 
+  /** The voter that can lead next; empty while none was sent the whole log. */
+  Optional<Member> successor(long nowMs) {
+    return progressTable.successor(state.log.configuration(), state.log.lastIndex(), nowMs);
+  }
+
   boolean isHeartbeatDue(long nowMs) {
     return progressTable.isHeartbeatDue(nowMs);
   }
--- a/consensus/src/main/java/io/pathdeck/consensus/VoteMessages.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/VoteMessages.java
@@ -13,8 +13,10 @@
     this.state = state;
   }
 
-  /** Asks all other voters for a vote, or, with {@code preVote}, whether they would give it. */
-  void request(boolean preVote) {
+  /** Asks all other voters for a vote, or, before an election, whether they would give it. */
+  void request(Campaign campaign) {
+    boolean preVote = campaign == Campaign.PRE_VOTE;
+    boolean transfer = campaign == Campaign.LEADERSHIP_TRANSFER;
     long campaignTerm = preVote ? state.term + 1 : state.term;
     for (Member member : state.log.configuration().members()) {
       if (!member.voter() || member.id() == state.id) {
@@ -29,7 +31,7 @@
               member.incarnation(),
               campaignTerm);
       VoteRequest request =
-          new VoteRequest(header, preVote, state.log.lastIndex(), state.log.lastTerm());
+          new VoteRequest(header, preVote, transfer, state.log.lastIndex(), state.log.lastTerm());
       (preVote ? state.messages : state.messagesAfterSync).add(request);
     }
   }
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -34,7 +34,7 @@
 
   private record PendingProposal(long term, ReplySink reply) {}
 
-  private record PendingRead(long index, Runnable answer) {}
+  private record PendingRead(long index, Runnable answer, ReplySink refusal) {}
 
   private final int group;
   private final RaftReplica replica;
@@ -159,7 +159,7 @@
     if (index.isPresent() && index.getAsLong() <= appliedIndex) {
       answer.run();
     } else if (index.isPresent()) {
-      reads.add(new PendingRead(index.getAsLong(), answer));
+      reads.add(new PendingRead(index.getAsLong(), answer, refusal));
     } else if (replica.role() == ReplicaRole.LEADER) {
       refusal.reply(new Unavailable("the leader has no lease yet", false));
     } else {
@@ -221,6 +221,7 @@
           .values()
           .forEach(pending -> pending.reply().reply(new Unavailable("leadership lost", true)));
       proposals.clear();
+      reads.forEach(read -> read.refusal().reply(new Unavailable("leadership lost", false)));
       reads.clear();
     }
     lastRole = role;
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -11,6 +11,7 @@
 import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.RaftSettings;
 import io.pathdeck.consensus.RecoveredState;
+import io.pathdeck.consensus.ReplicaRole;
 import io.pathdeck.consensus.SnapshotMetadata;
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.consensus.storage.RecoveredGroups;
@@ -26,6 +27,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /**
  * One replicated group of a process: its storage, its replica and the threads that drive them.
@@ -37,6 +42,10 @@
   private static final EventLog EVENTS = EventLog.of(ReplicaHost.class);
   private static final int STORAGE_FAILURE_EXIT_CODE = 3;
   private static final int NO_PARTITIONS = 0;
+
+  /** The pause between attempts; a member takes a few of the 1 to 3 ms between zones to follow. */
+  private static final long TRANSFER_RETRY_MS = 20;
+
   private static final long UNUSED_LEASE_MS = 1_000;
 
   /**
@@ -172,6 +181,48 @@
     return rings.events().offer(new ControllerEvent.Task(action));
   }
 
+  /**
+   * Hands leadership over before a planned stop, if this replica leads; blocks until it does not
+   * lead any more or the time is over.
+   *
+   * @return whether this replica does not lead, or leads a group of its own
+   */
+  public boolean transferLeadership(long timeoutMs) {
+    long deadlineMs = clock.monotonicMs() + timeoutMs;
+    while (clock.monotonicMs() < deadlineMs) {
+      CompletableFuture<Boolean> follows = new CompletableFuture<>();
+      boolean accepted = execute(() -> follows.complete(stopLeading()));
+      try {
+        if (accepted && follows.get(timeoutMs, TimeUnit.MILLISECONDS)) {
+          return true;
+        }
+        Thread.sleep(TRANSFER_RETRY_MS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return false;
+      } catch (ExecutionException | TimeoutException e) {
+        EVENTS.log(EventCode.LEADERSHIP_KEPT, "group", group.group(), "reason", e);
+        return false;
+      }
+    }
+    EVENTS.log(EventCode.LEADERSHIP_KEPT, "group", group.group(), "reason", "no successor");
+    return false;
+  }
+
+  private boolean stopLeading() {
+    RaftReplica replica = group.replica();
+    boolean leads = replica.role() == ReplicaRole.LEADER;
+    boolean alone = replica.configuration().map(members -> members.voterCount() == 1).orElse(false);
+    if (alone) {
+      return true;
+    }
+    if (leads && replica.transferLeadership(clock.monotonicMs())) {
+      EVENTS.log(EventCode.LEADERSHIP_TRANSFERRED, "group", group.group(), "term", replica.term());
+      return true;
+    }
+    return !leads;
+  }
+
   /** Hands a message of the group on; returns false when it is none of the group's. */
   public boolean handle(Message message, ReplySink reply) {
     ControllerEvent event = ControllerEvent.of(message, reply);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -32,8 +32,10 @@
 import io.pathdeck.serving.http.HttpLimits;
 import io.pathdeck.serving.http.HttpServer;
 import io.pathdeck.state.FleetStateMachine;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -48,12 +50,21 @@
   private static final long SNAPSHOT_THRESHOLD_BYTES = 4L * 1024 * 1024;
   private static final long MAX_SEGMENT_BYTES = 8L * 1024 * 1024;
   private static final String FOUNDERS_FILE = "founders";
+
+  /** How long a stop waits for a successor; an election instead takes up to 1,200 ms. */
+  private static final long LEADERSHIP_TRANSFER_MS = 500;
+
+  /** How long a stop waits for calls in progress; longer than an operator's call may take. */
+  private static final long CALLS_DRAIN_MS = OperatorEndpoint.CALL_TIMEOUT_MS + 100;
+
   private static final HttpLimits HTTP_LIMITS =
       new HttpLimits(16 * 1024, 8 * 1024 * 1024, 8 * 1024 * 1024, 2_000, 20_000);
 
   private final CoordinatorSettings settings;
   private final ResourceStack resources = new ResourceStack();
+  private final List<HttpServer> servers = new ArrayList<>();
   private CoordinatorContacts contacts;
+  private ReplicaHost host;
 
   private CoordinatorProcess(CoordinatorSettings settings) {
     this.settings = settings;
@@ -90,6 +101,7 @@
     if (!host.isOk()) {
       return Result.err(host.error());
     }
+    this.host = host.value();
     startServices(host.value(), state, folder, eventLoops, eventLoop, pool, tls, adapter);
     return Result.ok(null);
   }
@@ -216,7 +228,8 @@
   }
 
   private void serve(HostPort address, EventLoopGroup eventLoops, Consumer<HttpExchange> handler) {
-    resources.push(new HttpServer(address, eventLoops, HTTP_LIMITS, Optional.empty(), handler));
+    HttpServer server = new HttpServer(address, eventLoops, HTTP_LIMITS, Optional.empty(), handler);
+    servers.add(resources.push(server));
   }
 
   @Override
@@ -225,9 +238,13 @@
     EVENTS.log(EventCode.SETTINGS_RELOADED, "seeds", changed.seedAddresses());
   }
 
+  /** Stops as planned: another coordinator leads, and calls in progress are answered first. */
   @Override
   public void close() {
     EVENTS.log(EventCode.PROCESS_STOPPING, "role", "coordinator", "id", settings.fleet().name());
+    servers.forEach(HttpServer::closeConnectionsAfterResponses);
+    host.transferLeadership(LEADERSHIP_TRANSFER_MS);
+    servers.forEach(server -> server.drain(CALLS_DRAIN_MS));
     resources.closeAll();
     EVENTS.log(EventCode.PROCESS_STOPPED, "role", "coordinator", "id", settings.fleet().name());
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
@@ -31,7 +31,7 @@
 /** Serves operators on any coordinator, by way of the one that leads. */
 final class OperatorEndpoint {
   private static final EventLog EVENTS = EventLog.of(OperatorEndpoint.class);
-  private static final long CALL_TIMEOUT_MS = 1_500;
+  static final long CALL_TIMEOUT_MS = 1_500;
   private static final long ATTEMPT_TIMEOUT_MS = 700;
   private static final String JSON = "application/json";
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -26,12 +26,11 @@
 import io.pathdeck.serving.http.HttpExchange;
 import io.pathdeck.serving.http.HttpServer;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** A gateway: forwards callers' requests to engines; keeps no durable state. */
 public final class GatewayProcess implements FleetMemberProcess {
   private static final EventLog EVENTS = EventLog.of(GatewayProcess.class);
-  private static final long DRAIN_POLL_MS = 50;
 
   private final GatewaySettings settings;
   private final FleetAdapter adapter;
@@ -39,7 +38,7 @@
   private final CoordinatorContacts contacts;
   private final FleetFollower follower;
   private final HttpServer callers;
-  private volatile boolean stopping;
+  private final AtomicBoolean stopping = new AtomicBoolean();
 
   private GatewayProcess(GatewaySettings settings, TransportTls tls, FleetAdapter adapter) {
     this.settings = settings;
@@ -135,7 +134,7 @@
   }
 
   private boolean isReady() {
-    return !stopping && follower.isUsable();
+    return !stopping.get() && follower.isUsable();
   }
 
   private void answerReadiness(HttpExchange exchange) {
@@ -144,7 +143,7 @@
     } else if (isReady()) {
       exchange.sendJson(200, new byte[] {'{', '}'});
     } else {
-      Refusals.unavailable(exchange, stopping ? "stopping" : "starting", 1_000);
+      Refusals.unavailable(exchange, stopping.get() ? "stopping" : "starting", 1_000);
     }
   }
 
@@ -155,15 +154,19 @@
   }
 
   /**
-   * Stops as planned: no longer ready at once, and serving on until callers have gone elsewhere.
+   * Stops as planned: no longer ready at once, serving on until callers have heard of it, then
+   * answering what is in progress. Engines' answers are delivered until the time of the stop is
+   * over. A second stop changes nothing.
    */
   @Override
   public void close() {
+    if (!stopping.compareAndSet(false, true)) {
+      return;
+    }
     EVENTS.log(EventCode.PROCESS_STOPPING, "role", "gateway", "id", settings.fleet().name());
-    stopping = true;
     follower.reportNow();
     callers.closeConnectionsAfterResponses();
-    boolean drained = awaitDrained();
+    boolean drained = awaitCallersToldOfStop() && callers.drain(restOfStopMs());
     resources.closeAll();
     EVENTS.log(
         EventCode.PROCESS_STOPPED,
@@ -175,23 +178,18 @@
         drained);
   }
 
-  private boolean awaitDrained() {
-    long startNs = System.nanoTime();
-    while (true) {
-      long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
-      boolean idle = callers.activeExchanges() == 0;
-      if (idle && elapsedMs >= settings.minDrainMs()) {
-        return true;
-      }
-      if (elapsedMs >= settings.drainMs()) {
-        return idle;
-      }
-      try {
-        Thread.sleep(DRAIN_POLL_MS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        return false;
-      }
+  /** Serves on until the directory's and the platform's answers no longer name this gateway. */
+  private boolean awaitCallersToldOfStop() {
+    try {
+      Thread.sleep(settings.minDrainMs());
+      return true;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
     }
   }
+
+  private long restOfStopMs() {
+    return Math.max(0, settings.drainMs() - settings.minDrainMs());
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -201,9 +201,14 @@
     EVENTS.log(EventCode.SETTINGS_RELOADED, "seeds", changed.seedAddresses());
   }
 
+  /** Stops as planned: another store leads the group and goes on with its items. */
   @Override
   public void close() {
     EVENTS.log(EventCode.PROCESS_STOPPING, "role", "store", "id", settings.fleet().name());
+    JobsReplica own = replica;
+    if (own != null) {
+      own.transferLeadership();
+    }
     resources.closeAll();
     EVENTS.log(EventCode.PROCESS_STOPPED, "role", "store", "id", settings.fleet().name());
   }
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -117,6 +117,7 @@
 import io.pathdeck.protocol.raft.ResetRecord;
 import io.pathdeck.protocol.raft.SnapshotChunk;
 import io.pathdeck.protocol.raft.SnapshotChunkResponse;
+import io.pathdeck.protocol.raft.TimeoutNow;
 import io.pathdeck.protocol.raft.VoteRequest;
 import io.pathdeck.protocol.raft.VoteResponse;
 import io.pathdeck.protocol.snapshot.BatchJobRecord;
@@ -279,7 +280,8 @@
           BatchProgress.class,
           BatchOutcome.class,
           RecordBatchProgress.class,
-          CallerLimits.class);
+          CallerLimits.class,
+          TimeoutNow.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/raft/RaftMessage.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/raft/RaftMessage.java
@@ -7,6 +7,7 @@
         JoinRequest,
         SnapshotChunk,
         SnapshotChunkResponse,
+        TimeoutNow,
         VoteRequest,
         VoteResponse {
   /** Sender, receiver and term. */
--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -150,6 +150,20 @@
     releaseBudget();
   }
 
+  /** Asks the caller to close the connection after the response in progress, if it can be told. */
+  void closeAfterResponse() {
+    if (exchange != null && !exchange.isStreaming()) {
+      exchange.closeAfterResponse();
+    }
+  }
+
+  /** Closes the connection unless a request of it was read, in part or whole, and not answered. */
+  void closeIfIdle() {
+    if (exchange == null && request == null && pipelined.isEmpty()) {
+      context.close();
+    }
+  }
+
   private void onExchangeEnd() {
     context.executor().execute(this::nextExchange);
   }
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
@@ -10,19 +10,36 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.settings.HostPort;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 
-/** Serves HTTP/1.1 and hands each whole request to a handler. */
+/**
+ * Serves HTTP/1.1 and hands each whole request to a handler.
+ *
+ * <p>A planned stop goes through the phases of {@link ServerPhase}. Whether a connection is idle is
+ * decided on its event loop, where its requests are read, so none is closed between the reading of
+ * a request and its answer.
+ */
 public final class HttpServer implements AutoCloseable {
+  private static final EventLog EVENTS = EventLog.of(HttpServer.class);
   private static final int MAX_INITIAL_LINE_LENGTH = 8_192;
+
+  /** Other processes serve on, so a caller that is refused during a stop need not wait. */
+  private static final Map<String, String> RETRY_ELSEWHERE_NOW =
+      Map.of(HttpHeaderNames.RETRY_AFTER.toString(), "0");
+
   private static final long DRAIN_POLL_MS = 20;
 
   private final BodyBudget bodyBudget;
@@ -31,9 +48,8 @@
   private final Consumer<HttpExchange> handler;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicInteger activeExchanges = new AtomicInteger();
+  private final AtomicReference<ServerPhase> phase = new AtomicReference<>(ServerPhase.SERVING);
   private final Channel channel;
-  private volatile boolean draining;
-  private volatile boolean closingConnections;
 
   /** Binds {@code address}. */
   public HttpServer(
@@ -70,24 +86,31 @@
 
   /** Whether new requests are refused because the process stops. */
   public boolean isDraining() {
-    return draining;
+    return phase.get().compareTo(ServerPhase.DRAINING) >= 0;
+  }
+
+  private void enter(ServerPhase next) {
+    phase.accumulateAndGet(next, (now, later) -> now.compareTo(later) < 0 ? later : now);
   }
 
   /** Still serves, but closes each connection after its next response. */
   public void closeConnectionsAfterResponses() {
-    closingConnections = true;
+    enter(ServerPhase.LEAVING);
+    forEachConnection(ExchangeHandler::closeAfterResponse);
   }
 
   /**
-   * Takes no new connections, refuses new requests as not run and waits for those in progress.
+   * Takes no new connections, refuses new requests as not run and closes each connection once all
+   * that was read of it is answered.
    *
-   * @return whether all of them ended in time
+   * @return whether all connections were closed in time
    */
   public boolean drain(long timeoutMs) {
-    draining = true;
+    enter(ServerPhase.DRAINING);
     channel.close().syncUninterruptibly();
     long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-    while (activeExchanges.get() > 0 && System.nanoTime() < deadlineNs) {
+    while (!connections.isEmpty() && System.nanoTime() < deadlineNs) {
+      forEachConnection(ExchangeHandler::closeIfIdle);
       try {
         Thread.sleep(DRAIN_POLL_MS);
       } catch (InterruptedException e) {
@@ -95,11 +118,22 @@
         return false;
       }
     }
-    return activeExchanges.get() == 0;
+    return connections.isEmpty();
+  }
+
+  /** Runs an action for each connection, on the event loop that reads it. */
+  private void forEachConnection(Consumer<ExchangeHandler> action) {
+    for (Channel connection : connections) {
+      ExchangeHandler handler = connection.pipeline().get(ExchangeHandler.class);
+      if (handler != null) {
+        connection.eventLoop().execute(() -> action.accept(handler));
+      }
+    }
   }
 
   @Override
   public void close() {
+    enter(ServerPhase.CLOSED);
     channel.close().syncUninterruptibly();
     connections.close().awaitUninterruptibly();
   }
@@ -108,7 +142,8 @@
     @Override
     protected void initChannel(SocketChannel child) {
       HttpLimits current = limits;
-      if (connections.size() >= current.maxConnections()) {
+      boolean full = connections.size() >= current.maxConnections();
+      if (full || phase.get() == ServerPhase.CLOSED) {
         child.close();
         return;
       }
@@ -127,13 +162,14 @@
   private void dispatch(HttpExchange exchange) {
     activeExchanges.incrementAndGet();
     exchange.onEnded(activeExchanges::decrementAndGet);
-    if (closingConnections) {
+    if (phase.get() != ServerPhase.SERVING) {
       exchange.closeAfterResponse();
     }
-    if (draining) {
-      exchange.closeAfterResponse();
+    if (isDraining()) {
+      EVENTS.log(EventCode.REQUEST_REFUSED, "path", exchange.path(), "reason", "stopping");
       exchange.sendError(
-          ApiError.unavailable("stopping", "this node is stopping; use another one", 1_000));
+          ApiError.unavailable("stopping", "this process is stopping; use another one", 0),
+          RETRY_ELSEWHERE_NOW);
       return;
     }
     handler.accept(exchange);
