--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -1,7 +1,6 @@
 package io.pathdeck.consensus;
 
 import io.pathdeck.protocol.raft.AppendRequest;
-import io.pathdeck.protocol.raft.AppendResponse;
 import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.JoinRequest;
 import io.pathdeck.protocol.raft.LogEntry;
@@ -9,7 +8,6 @@
 import io.pathdeck.protocol.raft.RaftHeader;
 import io.pathdeck.protocol.raft.RaftMessage;
 import io.pathdeck.protocol.raft.SnapshotChunk;
-import io.pathdeck.protocol.raft.SnapshotChunkResponse;
 import io.pathdeck.protocol.raft.TimeoutNow;
 import io.pathdeck.protocol.raft.VoteRequest;
 import io.pathdeck.protocol.raft.VoteResponse;
@@ -248,20 +246,22 @@
       onVoteResponse(response, nowMs);
     } else if (message instanceof TimeoutNow handover) {
       onTimeoutNow(handover, nowMs);
-    } else if (message instanceof AppendRequest request) {
+    } else if (leadsTerm(header)) {
+      leader.receive(message, nowMs);
+    } else {
+      receiveOfLeader(message, nowMs);
+    }
+  }
+
+  private void receiveOfLeader(RaftMessage message, long nowMs) {
+    if (message instanceof AppendRequest request) {
       if (acceptLeader(request.header(), nowMs)) {
         follower.onAppendRequest(request);
       } else {
         follower.respondToAppend(request.header(), false, 0, request.sentAtMs());
       }
-    } else if (message instanceof AppendResponse response && leadsTerm(header)) {
-      leader.onAppendResponse(response, nowMs);
-    } else if (message instanceof SnapshotChunk chunk) {
-      if (acceptLeader(chunk.header(), nowMs)) {
-        follower.onSnapshotChunk(chunk);
-      }
-    } else if (message instanceof SnapshotChunkResponse response && leadsTerm(header)) {
-      leader.onSnapshotChunkResponse(response, nowMs);
+    } else if (message instanceof SnapshotChunk chunk && acceptLeader(chunk.header(), nowMs)) {
+      follower.onSnapshotChunk(chunk);
     }
   }
 
--- a/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -7,6 +7,7 @@
 import io.pathdeck.protocol.raft.LogEntry;
 import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.raft.RaftHeader;
+import io.pathdeck.protocol.raft.RaftMessage;
 import io.pathdeck.protocol.raft.SnapshotChunk;
 import io.pathdeck.protocol.raft.SnapshotChunkResponse;
 import java.util.List;
@@ -193,7 +194,16 @@
     return progress;
   }
 
-  void onAppendResponse(AppendResponse response, long nowMs) {
+  /** Handles an answer of a member; what is no answer is ignored. */
+  void receive(RaftMessage message, long nowMs) {
+    if (message instanceof AppendResponse response) {
+      onAppendResponse(response, nowMs);
+    } else if (message instanceof SnapshotChunkResponse response) {
+      onSnapshotChunkResponse(response, nowMs);
+    }
+  }
+
+  private void onAppendResponse(AppendResponse response, long nowMs) {
     RaftHeader header = response.header();
     FollowerProgress progress = heardFrom(header, response.sentAtMs());
     if (progress == null) {
@@ -209,7 +219,7 @@
     state.log.configuration().find(header.from()).ifPresent(member -> replicateTo(member, nowMs));
   }
 
-  void onSnapshotChunkResponse(SnapshotChunkResponse response, long nowMs) {
+  private void onSnapshotChunkResponse(SnapshotChunkResponse response, long nowMs) {
     RaftHeader header = response.header();
     FollowerProgress progress = heardFrom(header, response.sentAtMs());
     if (progress == null) {
