After a loss of power online requests come before late batch items

Items that could not be in time any more counted as the most urgent: they started first, took three quarters of the slots and never yielded, on engines that were still busy with what the lost processes had asked for; online requests waited over a second, longer than the fixed silence limit of 450 ms, and were sent again, which made the crowd larger. Change: ItemUrgency: overdue items start last, take the usual share and yield; urgent ones yield where the requests that wait are half of the slots or more; no item starts before the engine has told its load or 1.5 s have passed; SilenceLimit follows the waits of late.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingSettings.java
@@ -3,7 +3,8 @@
 /**
  * Times and limits of forwarding.
  *
- * @param silenceMs how long an engine with calls under way may send nothing before it is suspected
+ * @param silenceMs how long an engine with calls under way may send nothing, at least, before it is
+ *     suspected
  * @param silencePerThousandTokensMs how much longer for each thousand tokens of a prompt
  * @param refusedRetryAfterMs when a refused caller is told to come back
  * @param answerMarginMs how long before its deadline a request gets its final answer
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -74,6 +74,7 @@
             new EngineTable(),
             choice,
             ForwardingSettings.DEFAULT,
+            new SilenceLimit(ForwardingSettings.DEFAULT),
             metrics,
             new HashSet<>());
     eventLoop.scheduleWithFixedDelay(
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -47,6 +47,7 @@
       EngineTable engines,
       EngineChoice choice,
       ForwardingSettings settings,
+      SilenceLimit silenceLimit,
       RequestMetrics metrics,
       Set<RequestForwarder> active) {}
 
@@ -142,9 +143,7 @@
     if (finished || attempt == null) {
       return;
     }
-    long promptAllowance =
-        request.promptTokens() * shared.settings().silencePerThousandTokensMs() / 1_000;
-    long limit = shared.settings().silenceMs() + promptAllowance;
+    long limit = shared.silenceLimit().limitMs(request.promptTokens());
     boolean silent =
         attempt.engine.silenceMs(nowMs) > limit && nowMs - attempt.lastProgressMs > limit;
     if (!silent) {
@@ -152,6 +151,7 @@
     }
     attempt.engine.onFailure(nowMs);
     if (budget.mayTryAgain()) {
+      shared.silenceLimit().onGivenUp(limit);
       attempt.giveUp("silent for " + limit + " ms");
     }
   }
@@ -327,7 +327,9 @@
       }
       heard();
       long readingMs = tokensToRead / shared.settings().tokensReadPerMs();
-      engine.onFirstBytes(Math.max(0, lastProgressMs - sentMs - readingMs), lastProgressMs);
+      long waitMs = Math.max(0, lastProgressMs - sentMs - readingMs);
+      engine.onFirstBytes(waitMs, lastProgressMs);
+      shared.silenceLimit().onFirstBytes(waitMs);
       answer = head;
       if (head.load() != null) {
         engine.onLoad(head.load(), lastProgressMs);
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -75,6 +75,7 @@
   private final ItemRuns runs = new ItemRuns();
   private FleetView view = FleetView.UNKNOWN;
   private long term;
+  private long leadsSinceMs;
   private long nextScheduleMs;
   private long nextReportsMs;
   private long nextRecordMs;
@@ -116,6 +117,7 @@
     if (!sameTerm) {
       stopAll();
       term = group.replica().term();
+      leadsSinceMs = nowMs;
     }
     if (!group.isLeading() || nowMs < nextScheduleMs) {
       return;
@@ -155,7 +157,7 @@
     engine.onLoad(load, clock.monotonicMs());
     int yields = window.yields(load);
     if (yields > 0) {
-      yieldItems(engine, yields);
+      yieldItems(engine, load, yields);
     }
   }
 
@@ -165,14 +167,20 @@
     return run.dueMs() - state.timeMs() - remainingMs;
   }
 
-  /** Stops items of an engine on which requests wait, those that can wait longest first. */
-  private void yieldItems(EngineState engine, int count) {
+  /** Urgent items first, overdue ones last; among equals the one with the least slack. */
+  private static Comparator<ItemRun> startOrder(ToLongFunction<ItemRun> slack) {
+    return Comparator.<ItemRun, ItemUrgency>comparing(run -> ItemUrgency.of(slack.applyAsLong(run)))
+        .thenComparingLong(slack);
+  }
+
+  /** Stops items of an engine on which requests wait, those that would start last first. */
+  private void yieldItems(EngineState engine, EngineLoadReport load, int count) {
     long nowMs = clock.monotonicMs();
     ToLongFunction<ItemRun> slack = run -> slackMs(run, nowMs);
     runs.all().stream()
         .filter(run -> run.isRunning() && run.engine() == engine)
-        .filter(run -> window.mayYield(slack.applyAsLong(run)))
-        .sorted(Comparator.comparingLong(slack).reversed())
+        .filter(run -> window.mayYield(ItemUrgency.of(slack.applyAsLong(run)), load))
+        .sorted(startOrder(slack).reversed())
         .limit(count)
         .map(ItemRun::stream)
         .toList()
@@ -291,7 +299,7 @@
         waiting.add(run);
       }
     }
-    waiting.sort(Comparator.comparingLong(run -> slackMs(run, nowMs)));
+    waiting.sort(startOrder(run -> slackMs(run, nowMs)));
     Set<String> fullServices = new HashSet<>();
     for (ItemRun run : waiting) {
       Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
@@ -307,10 +315,12 @@
 
   private boolean startItem(ItemRun run, String service, long nowMs) {
     long slackMs = slackMs(run, nowMs);
+    ItemUrgency urgency = ItemUrgency.of(slackMs);
     int groups = Math.max(1, view.jobsFounders().size());
     List<EngineState> open =
         engines.usable(service, Set.of(), nowMs).stream()
-            .filter(engine -> window.hasRoom(engine, slackMs, groups, nowMs))
+            .filter(engine -> window.knowsLoad(engine, nowMs - leadsSinceMs, nowMs))
+            .filter(engine -> window.hasRoom(engine, urgency, groups, nowMs))
             .toList();
     Optional<Placement> chosen = choice.choose(open, Prompt.UNKNOWN, nowMs);
     if (chosen.isEmpty()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
@@ -5,36 +5,56 @@
 
 /**
  * How much of an engine batch items may take: a share of its slots, and only while some slots
- * beyond the load stay free for online requests. An item that cannot wait any more may take more.
+ * beyond the load stay free for online requests. An urgent item may take more.
  */
 final class BatchWindow {
   private static final double USUAL_SHARE = 0.5;
   private static final double URGENT_SHARE = 0.75;
   private static final double FREE_SHARE = 0.25;
-  private static final long URGENT_SLACK_MS = 4_000;
   private static final int DEFAULT_SLOTS = 8;
 
   /** From this many waiting requests on an engine is too full for the batch items it runs. */
   private static final int CROWDED = 2;
 
+  /** From this share of its slots in waiting requests on, urgent items yield too. */
+  private static final double OVERRUN_SHARE = 0.5;
+
   private static final int MOST_YIELDS = 3;
 
+  /** How long a new leader waits for reports, which it asks for every 300 ms. */
+  private static final long FIRST_REPORT_WAIT_MS = 1_500;
+
   /**
    * Whether another item may start on the engine.
    *
-   * @param slackMs for how long the item can wait and still be done when it is due
    * @param groups how many groups of batch jobs share the engines, each by its own count
    */
-  boolean hasRoom(EngineState engine, long slackMs, int groups, long nowMs) {
+  boolean hasRoom(EngineState engine, ItemUrgency urgency, int groups, long nowMs) {
     int slots = engine.instance().slots() > 0 ? engine.instance().slots() : DEFAULT_SLOTS;
-    double share = slackMs < URGENT_SLACK_MS ? URGENT_SHARE : USUAL_SHARE;
+    double share = urgency == ItemUrgency.URGENT ? URGENT_SHARE : USUAL_SHARE;
     boolean withinShare = engine.inFlight() < Math.max(1, slots * share / groups);
     return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - FREE_SHARE);
   }
 
-  /** Whether an item may be stopped for online requests: one that cannot wait may not. */
-  boolean mayYield(long slackMs) {
-    return slackMs >= URGENT_SLACK_MS;
+  /**
+   * Whether items may start on an engine, as far as its load has been told. After a loss of power
+   * an engine may go on for seconds with what processes asked for that are gone, so one that has
+   * not been heard must not be taken for free; one that never tells its load is used after a while.
+   *
+   * @param leadingForMs for how long this store has led, and so has asked for reports
+   */
+  boolean knowsLoad(EngineState engine, long leadingForMs, long nowMs) {
+    boolean told = engine.loadAgeMs(nowMs) >= 0;
+    return told || leadingForMs >= FIRST_REPORT_WAIT_MS;
+  }
+
+  /**
+   * Whether an item may be stopped for online requests on an engine with this load: an urgent one
+   * only where so many wait that its slot would serve several of them before it was done.
+   */
+  boolean mayYield(ItemUrgency urgency, EngineLoadReport load) {
+    int slots = load.slots() > 0 ? load.slots() : DEFAULT_SLOTS;
+    return urgency != ItemUrgency.URGENT || load.waiting() >= slots * OVERRUN_SHARE;
   }
 
   /** How many items on an engine with this load should make room for online requests. */
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
@@ -14,6 +14,7 @@
   private static final long LONG_SLACK_MS = 12_000;
   private static final long SOME_SLACK_MS = 6_000;
   private static final long SHORT_SLACK_MS = 1_000;
+  private static final long PAST_DUE_MS = -1;
 
   private final BatchWindow window = new BatchWindow();
   private final EngineState engine = engine();
@@ -26,7 +27,7 @@
 
   private int itemsThatFit(long slackMs) {
     int items = 0;
-    while (window.hasRoom(engine, slackMs, 1, NOW_MS)) {
+    while (window.hasRoom(engine, ItemUrgency.of(slackMs), 1, NOW_MS)) {
       engine.onStart(NOW_MS);
       items++;
     }
@@ -41,6 +42,7 @@
     assertThat(itemsThatFit(LONG_SLACK_MS)).isEqualTo(6);
     assertThat(itemsThatFit(SOME_SLACK_MS)).isEqualTo(6);
     assertThat(itemsThatFit(SHORT_SLACK_MS)).isEqualTo(9);
+    assertThat(itemsThatFit(PAST_DUE_MS)).isEqualTo(6);
   }
 
   @Test
@@ -54,8 +56,44 @@
     assertThat(window.yields(new EngineLoadReport(12, 0, 12))).isZero();
     assertThat(window.yields(new EngineLoadReport(12, 2, 12))).isEqualTo(2);
     assertThat(window.yields(new EngineLoadReport(12, 50, 12))).isEqualTo(3);
-    assertThat(window.mayYield(LONG_SLACK_MS)).isTrue();
-    assertThat(window.mayYield(SOME_SLACK_MS)).isTrue();
-    assertThat(window.mayYield(SHORT_SLACK_MS)).isFalse();
+    assertThat(mayYield(LONG_SLACK_MS)).isTrue();
+    assertThat(mayYield(SOME_SLACK_MS)).isTrue();
+    assertThat(mayYield(SHORT_SLACK_MS)).isFalse();
+  }
+
+  /** After a loss of power late items took three quarters of all slots and never yielded. */
+  @Test
+  void itemThatCannotBeInTimeAnyMoreYieldsAndStartsLast() {
+    assertThat(mayYield(PAST_DUE_MS)).isTrue();
+    assertThat(ItemUrgency.of(PAST_DUE_MS)).isGreaterThan(ItemUrgency.of(LONG_SLACK_MS));
+    assertThat(ItemUrgency.of(LONG_SLACK_MS)).isGreaterThan(ItemUrgency.of(SHORT_SLACK_MS));
+  }
+
+  @Test
+  void urgentItemYieldsOnlyWhereOnlineRequestsOverrunTheEngine() {
+    assertThat(mayYield(SHORT_SLACK_MS, 5)).isFalse();
+    assertThat(mayYield(SHORT_SLACK_MS, 6)).isTrue();
+  }
+
+  /** After a loss of power 44 items started at once on engines that were still full. */
+  @Test
+  void noItemStartsAtOnceOnAnEngineThatHasNotToldItsLoad() {
+    assertThat(window.knowsLoad(engine, 100, NOW_MS)).isFalse();
+    engine.onLoad(new EngineLoadReport(3, 0, 12), NOW_MS);
+    assertThat(window.knowsLoad(engine, 100, NOW_MS + 300)).isTrue();
+  }
+
+  @Test
+  void engineThatTellsNoLoadGetsItemsAfterAWhile() {
+    assertThat(window.knowsLoad(engine, 1_499, NOW_MS)).isFalse();
+    assertThat(window.knowsLoad(engine, 1_500, NOW_MS)).isTrue();
+  }
+
+  private boolean mayYield(long slackMs) {
+    return mayYield(slackMs, 2);
+  }
+
+  private boolean mayYield(long slackMs, int waiting) {
+    return window.mayYield(ItemUrgency.of(slackMs), new EngineLoadReport(12, waiting, 12));
   }
 }
