--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -43,7 +43,7 @@
   private static final int STORAGE_FAILURE_EXIT_CODE = 3;
   private static final int NO_PARTITIONS = 0;
 
-  /** The pause between attempts; a member takes a few of the 1 to 3 ms between zones to follow. */
+  /** The pause between attempts to find a successor: some round trips of 2 to 6 ms. */
   private static final long TRANSFER_RETRY_MS = 20;
 
   private static final long UNUSED_LEASE_MS = 1_000;
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemUrgency.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemUrgency.java
@@ -12,7 +12,7 @@
    */
   OVERDUE;
 
-  /** With less than this to spare an item is urgent: about two whole runs of an item. */
+  /** With less than this to spare an item is urgent; found by plays of refundnet-cz, scale-2. */
   private static final long URGENT_SLACK_MS = 4_000;
 
   /**
