--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -11,7 +11,6 @@
 import io.pathdeck.protocol.raft.TimeoutNow;
 import io.pathdeck.protocol.raft.VoteRequest;
 import io.pathdeck.protocol.raft.VoteResponse;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -46,7 +45,7 @@
   private Set<Integer> leaving = Set.of();
 
   private ReplicaRole role = ReplicaRole.JOINING;
-  private long deliveredIndex;
+  private final Delivery delivery;
 
   /** Not null exactly while this replica leads. */
   private Replicator leader;
@@ -74,7 +73,7 @@
     state.term = recovered.term();
     this.elections = new Elections(state, timer, recovered.votedFor());
     state.restoreLog(recovered);
-    deliveredIndex = state.commitIndex;
+    delivery = new Delivery(state);
     state.syncedIndex = state.log.lastIndex();
     if (state.log.hasConfiguration()) {
       role = ReplicaRole.FOLLOWER;
@@ -291,7 +290,7 @@
     if (!follower.onSnapshotInstalled(metadata)) {
       return;
     }
-    deliveredIndex = metadata.index();
+    delivery.onSnapshotInstalled(metadata.index());
     if (role == ReplicaRole.JOINING) {
       role = ReplicaRole.FOLLOWER;
     }
@@ -301,7 +300,7 @@
 
   /** A durable snapshot now covers the state.log up to {@code index}. */
   public void onSnapshotTaken(long index) {
-    state.log.compact(Math.min(index, deliveredIndex));
+    delivery.compact(index);
   }
 
   /** Sends a part of the newest snapshot that a {@link SnapshotRequest} asked for. */
@@ -315,12 +314,7 @@
 
   /** Returns what has to be done and forgets it. */
   public Ready takeReady() {
-    List<LogEntry> committed = new ArrayList<>();
-    long deliverable = Math.min(state.commitIndex, state.log.lastIndex());
-    while (!follower.isInstalling() && deliveredIndex < deliverable) {
-      deliveredIndex++;
-      committed.add(state.log.entry(deliveredIndex));
-    }
+    List<LogEntry> committed = follower.isInstalling() ? List.of() : delivery.take();
     Ready ready =
         new Ready(
             state.messages,
--- a/consensus/src/test/java/io/pathdeck/consensus/MemoryGroup.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/MemoryGroup.java
@@ -17,7 +17,9 @@
 /** Replicas joined by a network in memory whose disks sync at once, on a clock of their own. */
 final class MemoryGroup {
   private static final int GROUP = 1;
-  private static final long STEP_MS = 10;
+
+  /** How far each step takes the clock; a message takes one step. */
+  static final long STEP_MS = 10;
 
   private final MembershipPolicy policy;
   private final Map<Integer, RaftReplica> replicas = new TreeMap<>();
@@ -30,6 +32,14 @@
     this.policy = policy;
   }
 
+  /** A group of three members that has elected a leader; one of them may be lost. */
+  static MemoryGroup founded(Set<Integer> members) {
+    MemoryGroup group = new MemoryGroup(MembershipPolicy.openFor(1));
+    members.forEach(id -> group.start(id, id, members, members));
+    group.runFor(3_000);
+    return group;
+  }
+
   void start(int id, long incarnation, Set<Integer> founders, Set<Integer> contacts) {
     JoinSettings settings = new JoinSettings(founders, contacts, "host:" + id, policy);
     RaftReplica replica =
--- a/consensus/src/test/java/io/pathdeck/consensus/TestLeadershipTransfer.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/TestLeadershipTransfer.java
@@ -14,14 +14,8 @@
   /** A few message delays; far below the shortest election timeout of 600 ms. */
   private static final long HANDOVER_MS = 100;
 
-  /** The step of {@link MemoryGroup}'s clock. */
-  private static final long STEP_MS = 10;
-
   private static MemoryGroup founded() {
-    MemoryGroup group = new MemoryGroup(MembershipPolicy.openFor(1));
-    MEMBERS.forEach(id -> group.start(id, id, MEMBERS, MEMBERS));
-    group.runFor(3_000);
-    return group;
+    return MemoryGroup.founded(MEMBERS);
   }
 
   @Test
@@ -29,7 +23,7 @@
     MemoryGroup group = founded();
     RaftReplica before = group.leader().orElseThrow();
     assertThat(before.transferLeadership(group.nowMs())).isTrue();
-    group.runFor(2 * STEP_MS);
+    group.runFor(2 * MemoryGroup.STEP_MS);
     group.silence(idOf(group, before));
     group.runFor(HANDOVER_MS);
     assertThat(group.leader()).isPresent().get().isNotSameAs(before);
--- a/consensus/src/test/java/io/pathdeck/consensus/TestOpenMembership.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/TestOpenMembership.java
@@ -11,10 +11,7 @@
   private static final Set<Integer> NOBODY = Set.of();
 
   private static MemoryGroup founded() {
-    MemoryGroup group = new MemoryGroup(MembershipPolicy.openFor(1));
-    SEEDS.forEach(id -> group.start(id, id, SEEDS, SEEDS));
-    group.runFor(3_000);
-    return group;
+    return MemoryGroup.founded(SEEDS);
   }
 
   @Test
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -43,6 +43,9 @@
   private static final int STORAGE_FAILURE_EXIT_CODE = 3;
   private static final int NO_PARTITIONS = 0;
 
+  /** How long a stop waits for a successor; an election instead takes up to 1,200 ms. */
+  private static final long TRANSFER_PATIENCE_MS = 500;
+
   /** The pause between attempts to find a successor: some round trips of 2 to 6 ms. */
   private static final long TRANSFER_RETRY_MS = 20;
 
@@ -187,13 +190,13 @@
    *
    * @return whether this replica does not lead, or leads a group of its own
    */
-  public boolean transferLeadership(long timeoutMs) {
-    long deadlineMs = clock.monotonicMs() + timeoutMs;
+  public boolean transferLeadership() {
+    long deadlineMs = clock.monotonicMs() + TRANSFER_PATIENCE_MS;
     while (clock.monotonicMs() < deadlineMs) {
       CompletableFuture<Boolean> follows = new CompletableFuture<>();
       boolean accepted = execute(() -> follows.complete(stopLeading()));
       try {
-        if (accepted && follows.get(timeoutMs, TimeUnit.MILLISECONDS)) {
+        if (accepted && follows.get(TRANSFER_PATIENCE_MS, TimeUnit.MILLISECONDS)) {
           return true;
         }
         Thread.sleep(TRANSFER_RETRY_MS);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -51,9 +51,6 @@
   private static final long MAX_SEGMENT_BYTES = 8L * 1024 * 1024;
   private static final String FOUNDERS_FILE = "founders";
 
-  /** How long a stop waits for a successor; an election instead takes up to 1,200 ms. */
-  private static final long LEADERSHIP_TRANSFER_MS = 500;
-
   /** How long a stop waits for calls in progress; longer than an operator's call may take. */
   private static final long CALLS_DRAIN_MS = OperatorEndpoint.CALL_TIMEOUT_MS + 100;
 
@@ -243,7 +240,7 @@
   public void close() {
     EVENTS.log(EventCode.PROCESS_STOPPING, "role", "coordinator", "id", settings.fleet().name());
     servers.forEach(HttpServer::closeConnectionsAfterResponses);
-    host.transferLeadership(LEADERSHIP_TRANSFER_MS);
+    host.transferLeadership();
     servers.forEach(server -> server.drain(CALLS_DRAIN_MS));
     resources.closeAll();
     EVENTS.log(EventCode.PROCESS_STOPPED, "role", "coordinator", "id", settings.fleet().name());
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
-import io.pathdeck.common.events.EventCode;
-import io.pathdeck.common.events.EventLog;
 import io.pathdeck.fleet.adapter.CallerCall;
 import io.pathdeck.fleet.adapter.EngineAnswer;
 import io.pathdeck.fleet.adapter.EngineCall;
@@ -23,7 +21,6 @@
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -35,7 +32,6 @@
  * at another engine after the last whole event, when its route allows that.
  */
 final class RequestForwarder {
-  private static final EventLog EVENTS = EventLog.of(RequestForwarder.class);
   private static final int SUCCESS_FROM = 200;
   private static final int SUCCESS_TO = 300;
   private static final int SERVER_ERROR = 500;
@@ -61,6 +57,7 @@
   private final long startMs;
   private final long deadlineMs;
   private final AttemptBudget budget;
+  private final RequestLog log;
   private final Set<String> tried = new HashSet<>();
   private ScheduledFuture<?> timeout;
   private Attempt attempt;
@@ -87,6 +84,7 @@
     this.service = service;
     this.lastEventId = request.resumeAfter();
     this.budget = new AttemptBudget(route, shared.settings().maxSends());
+    this.log = new RequestLog(request.requestId(), route.name(), budget);
     long waitMs = route.timeoutMs();
     if (request.deadlineMs() > 0) {
       waitMs = Math.min(waitMs, request.deadlineMs());
@@ -160,18 +158,7 @@
 
   private void finishWithoutEngine(String reason) {
     if (headSent) {
-      EVENTS.log(
-          EventCode.REQUEST_FAILED,
-          "request",
-          request.requestId(),
-          "route",
-          route.name(),
-          "reason",
-          reason,
-          "after_event",
-          lastEventId,
-          "sends",
-          budget.sends());
+      log.failed(reason, "after_event", lastEventId);
       finish(RequestMetrics.Outcome.FAILED);
       exchange.abort();
     } else if (budget.mayHaveRun()) {
@@ -182,33 +169,13 @@
   }
 
   private void fail(int status, String code, String reason) {
-    EVENTS.log(
-        EventCode.REQUEST_FAILED,
-        "request",
-        request.requestId(),
-        "route",
-        route.name(),
-        "reason",
-        reason,
-        "status",
-        status,
-        "sends",
-        budget.sends());
+    log.failed(reason, "status", status);
     finish(RequestMetrics.Outcome.FAILED);
     exchange.sendError(ApiError.failed(status, code, reason, true));
   }
 
   private void refuse(String reason) {
-    EVENTS.log(
-        EventCode.REQUEST_REFUSED,
-        "request",
-        request.requestId(),
-        "route",
-        route.name(),
-        "reason",
-        reason,
-        "sends",
-        budget.sends());
+    log.refused(reason);
     finish(RequestMetrics.Outcome.REFUSED);
     Refusals.unavailable(exchange, reason, shared.settings().refusedRetryAfterMs());
   }
@@ -260,7 +227,7 @@
   private final class Attempt implements EngineListener {
     private final EngineState engine;
     private final long tokensToRead;
-    private final String believedLoad;
+    private final double believedLoad;
     private final long loadAgeMs;
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
     private EngineTransport.Handle handle;
@@ -274,7 +241,7 @@
     Attempt(Placement placement, long nowMs) {
       this.engine = placement.engine();
       this.tokensToRead = placement.tokensToRead();
-      this.believedLoad = String.format(Locale.ROOT, "%.1f", engine.estimatedLoad(nowMs));
+      this.believedLoad = engine.estimatedLoad(nowMs);
       this.loadAgeMs = engine.loadAgeMs(nowMs);
       this.lastProgressMs = nowMs;
       this.sentMs = nowMs;
@@ -355,7 +322,7 @@
       if (events.length > 0) {
         lastEventId = scanner.lastId();
         if (!exchange.write(events)) {
-          EVENTS.log(EventCode.CALLER_TOO_SLOW, "request", request.requestId());
+          log.callerTooSlow();
           cancelAttempt();
           finishWithoutEngine("the caller reads too slowly");
           return;
@@ -396,28 +363,15 @@
     }
 
     private void logServed() {
-      EVENTS.log(
-          EventCode.REQUEST_SERVED,
-          "request",
-          request.requestId(),
-          "route",
-          route.name(),
-          "routes_version",
-          routesVersion,
-          "engine",
-          engine.instance().id(),
-          "load",
-          believedLoad,
-          "load_age_ms",
-          loadAgeMs,
-          "sends",
-          budget.sends(),
-          "first_ms",
-          firstMs,
-          "total_ms",
-          nowMs() - startMs,
-          "last_event",
-          lastEventId);
+      log.served(
+          new RequestLog.Served(
+              routesVersion,
+              engine.instance().id(),
+              believedLoad,
+              loadAgeMs,
+              firstMs,
+              nowMs() - startMs,
+              lastEventId));
     }
 
     private void onRefusalOrError() {
@@ -447,18 +401,7 @@
       if (failure != EngineFailure.CLOSED_BEFORE_ANSWER) {
         engine.onFailure(nowMs());
       }
-      EVENTS.log(
-          EventCode.ATTEMPT_FAILED,
-          "request",
-          request.requestId(),
-          "engine",
-          engine.instance().id(),
-          "failure",
-          failure.name().toLowerCase(Locale.ROOT),
-          "reason",
-          reason,
-          "after_event",
-          lastEventId);
+      log.attemptFailed(engine.instance().id(), failure, reason, lastEventId);
       afterFailure(failure == EngineFailure.NOT_SENT, reason);
     }
 
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -0,0 +1,110 @@
+package io.pathdeck.fleet.gateway;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.fleet.engine.EngineFailure;
+import java.util.Locale;
+
+/** The log lines about one request and its attempts. */
+final class RequestLog {
+  private static final EventLog EVENTS = EventLog.of(RequestLog.class);
+
+  /**
+   * How a request was served.
+   *
+   * @param engineId the engine that ended the answer
+   * @param believedLoad the engine's load as it was believed at the choice
+   * @param loadAgeMs how old that belief was
+   */
+  record Served(
+      long routesVersion,
+      String engineId,
+      double believedLoad,
+      long loadAgeMs,
+      long firstMs,
+      long totalMs,
+      long lastEvent) {}
+
+  private final String requestId;
+  private final String route;
+  private final AttemptBudget budget;
+
+  RequestLog(String requestId, String route, AttemptBudget budget) {
+    this.requestId = requestId;
+    this.route = route;
+    this.budget = budget;
+  }
+
+  void served(Served how) {
+    EVENTS.log(
+        EventCode.REQUEST_SERVED,
+        "request",
+        requestId,
+        "route",
+        route,
+        "routes_version",
+        how.routesVersion(),
+        "engine",
+        how.engineId(),
+        "load",
+        String.format(Locale.ROOT, "%.1f", how.believedLoad()),
+        "load_age_ms",
+        how.loadAgeMs(),
+        "sends",
+        budget.sends(),
+        "first_ms",
+        how.firstMs(),
+        "total_ms",
+        how.totalMs(),
+        "last_event",
+        how.lastEvent());
+  }
+
+  void refused(String reason) {
+    EVENTS.log(
+        EventCode.REQUEST_REFUSED,
+        "request",
+        requestId,
+        "route",
+        route,
+        "reason",
+        reason,
+        "sends",
+        budget.sends());
+  }
+
+  /** The request failed; {@code key} and {@code value} say with which status or after which event. */
+  void failed(String reason, String key, long value) {
+    EVENTS.log(
+        EventCode.REQUEST_FAILED,
+        "request",
+        requestId,
+        "route",
+        route,
+        "reason",
+        reason,
+        key,
+        value,
+        "sends",
+        budget.sends());
+  }
+
+  void attemptFailed(String engineId, EngineFailure failure, String reason, long afterEvent) {
+    EVENTS.log(
+        EventCode.ATTEMPT_FAILED,
+        "request",
+        requestId,
+        "engine",
+        engineId,
+        "failure",
+        failure.name().toLowerCase(Locale.ROOT),
+        "reason",
+        reason,
+        "after_event",
+        afterEvent);
+  }
+
+  void callerTooSlow() {
+    EVENTS.log(EventCode.CALLER_TOO_SLOW, "request", requestId);
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -4,8 +4,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.pathdeck.common.events.EventCode;
-import io.pathdeck.common.events.EventLog;
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
 import io.pathdeck.fleet.adapter.EngineCall;
@@ -34,7 +32,6 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -51,7 +48,6 @@
  * proposal was not taken begins again from what is recorded.
  */
 final class BatchRunner {
-  private static final EventLog EVENTS = EventLog.of(BatchRunner.class);
   private static final long SCHEDULE_INTERVAL_MS = 20;
   private static final long REPORT_INTERVAL_MS = 300;
   private static final long YIELD_PAUSE_MS = 400;
@@ -260,7 +256,7 @@
     stop(run);
     runs.remove(run);
     long recorded = run.job.progress(run.item.id()).lastEvent();
-    logRetry(run, "RESTARTED", "what it brought was not recorded", recorded);
+    ItemLog.retried(run, "RESTARTED", "what it brought was not recorded", recorded);
   }
 
   /** Proposes a command about items; those of a command that is not taken begin again. */
@@ -334,24 +330,7 @@
             run.lastEvent(),
             outcome -> consensus.execute(() -> onOutcome(run, started[0], ofTerm, outcome)));
     started[0] = stream;
-    EVENTS.log(
-        EventCode.ITEM_STARTED,
-        "job",
-        run.job.submission().jobId(),
-        "item",
-        run.item.id(),
-        "engine",
-        engine.instance().id(),
-        "load",
-        String.format(Locale.ROOT, "%.1f", engine.estimatedLoad(nowMs)),
-        "load_age_ms",
-        engine.loadAgeMs(nowMs),
-        "after_event",
-        run.lastEvent(),
-        "due_in_ms",
-        run.dueMs() - state.timeMs(),
-        "slack_ms",
-        slackMs);
+    ItemLog.started(run, engine, run.dueMs() - state.timeMs(), slackMs, nowMs);
     run.onStart(stream, engine, nowMs);
     engine.onStart(nowMs);
     EngineCall call = call(run, engine);
@@ -398,7 +377,7 @@
       case OTHER_INSTANCE -> engine.onGone();
       case YIELDED -> {
         run.waitUntil(nowMs + YIELD_PAUSE_MS);
-        logRetry(run, outcome);
+        ItemLog.retried(run, outcome);
       }
       case REFUSED -> {
         engine.onFull(nowMs, outcome.retryAfterMs());
@@ -406,13 +385,13 @@
       }
       default -> {
         engine.onFailure(nowMs);
-        logRetry(run, outcome);
+        ItemLog.retried(run, outcome);
       }
     }
   }
 
   private void onItemFailed(ItemRun run, ItemOutcome outcome, long nowMs) {
-    logRetry(run, outcome);
+    ItemLog.retried(run, outcome);
     if (run.countFailure() >= Math.max(1, run.job.submission().maxAttempts())) {
       giveUp(run, "failed on every attempt");
     } else {
@@ -420,25 +399,6 @@
     }
   }
 
-  private static void logRetry(ItemRun run, ItemOutcome outcome) {
-    logRetry(run, outcome.kind().name(), outcome.reason(), outcome.events().lastEvent());
-  }
-
-  private static void logRetry(ItemRun run, String outcome, String reason, long afterEvent) {
-    EVENTS.log(
-        EventCode.ITEM_RETRIED,
-        "job",
-        run.job.submission().jobId(),
-        "item",
-        run.item.id(),
-        "outcome",
-        outcome,
-        "reason",
-        reason,
-        "after_event",
-        afterEvent);
-  }
-
   private void onWhole(ItemRun run, long nowMs) {
     if (run.beganAtFirstEvent()) {
       runTimes.onWhole(run.item.outputTokens(), run.ranMs(nowMs));
@@ -451,18 +411,8 @@
   }
 
   private void list(ItemRun run, BatchOutcome outcome, String reason) {
-    EVENTS.log(
-        EventCode.ITEM_LISTED,
-        "job",
-        run.job.submission().jobId(),
-        "item",
-        run.item.id(),
-        "done",
-        outcome.done(),
-        "reason",
-        reason,
-        "age_ms",
-        state.timeMs() - run.job.submittedAtMs());
+    long ageMs = state.timeMs() - run.job.submittedAtMs();
+    ItemLog.listed(run, outcome.done(), reason, ageMs);
     propose(new ListBatchResults(run.job.submission().jobId(), List.of(outcome)), List.of(run));
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -38,9 +38,6 @@
   /** The answer to a call about a group that the store does not keep: ask another member. */
   static final NotLeader ANOTHER_MEMBER = new NotLeader(RecoveredState.NO_VOTE, "");
 
-  /** How long a stop waits for a successor; an election instead takes up to 1,200 ms. */
-  private static final long LEADERSHIP_TRANSFER_MS = 500;
-
   private static final long SNAPSHOT_THRESHOLD_BYTES = 16L * 1024 * 1024;
   private static final long MAX_SEGMENT_BYTES = 16L * 1024 * 1024;
 
@@ -189,7 +186,7 @@
 
   /** Hands leadership of the group over, if this store has it. */
   void transferLeadership() {
-    host.transferLeadership(LEADERSHIP_TRANSFER_MS);
+    host.transferLeadership();
   }
 
   @Override
