--- a/common/src/main/java/io/pathdeck/common/settings/SettingsReader.java
+++ b/common/src/main/java/io/pathdeck/common/settings/SettingsReader.java
@@ -116,6 +116,18 @@
     return node.intValue();
   }
 
+  /** A number between {@code min} and {@code max}, or {@code fallback} when absent. */
+  public double decimal(String key, double fallback, double min, double max) {
+    JsonNode node = lookup(key);
+    if (node == null) {
+      return fallback;
+    }
+    if (!node.isNumber() || node.doubleValue() < min || node.doubleValue() > max) {
+      return invalid(key, node, "a number from " + min + " to " + max, fallback);
+    }
+    return node.doubleValue();
+  }
+
   /** A boolean, or {@code fallback} when absent. */
   public boolean bool(String key, boolean fallback) {
     JsonNode node = lookup(key);
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -122,7 +122,8 @@
     proposals.put(index.getAsLong(), new PendingProposal(replica.term(), reply));
   }
 
-  private NotLeader notLeader() {
+  /** The answer to a call that only the leader takes. */
+  public NotLeader notLeader() {
     int leader = replica.leaderId();
     String address =
         replica
--- a/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
@@ -13,6 +13,7 @@
  * @param listen where other processes reach this one
  * @param seeds coordinators as they stood when the settings were written
  * @param toleratedLosses how many machines with data may be lost at once
+ * @param limitWindowMs the span over which tenants' limits on requests hold
  * @param metricsListen where the process serves its metrics; empty when it does not
  */
 public record FleetSettings(
@@ -21,10 +22,15 @@
     HostPort listen,
     List<HostPort> seeds,
     int toleratedLosses,
+    long limitWindowMs,
     Optional<HostPort> metricsListen,
     TlsSettings tls) {
   private static final int MAX_TOLERATED = 4;
   private static final int MAX_PORT = 65_535;
+  private static final double DEFAULT_LIMIT_WINDOW_S = 5;
+  private static final double MIN_LIMIT_WINDOW_S = 0.5;
+  private static final double MAX_LIMIT_WINDOW_S = 3_600;
+  private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Reads the common part of a role's settings. */
   public static FleetSettings read(SettingsReader reader) {
@@ -40,6 +46,7 @@
             reader.address("listen"),
             seeds,
             reader.integer("tolerated_losses", 1, 0, MAX_TOLERATED),
+            limitWindowMs(reader),
             reader.has("metrics_listen")
                 ? Optional.of(reader.address("metrics_listen"))
                 : Optional.empty(),
@@ -53,6 +60,13 @@
     return settings;
   }
 
+  private static long limitWindowMs(SettingsReader reader) {
+    double seconds =
+        reader.decimal(
+            "limit_window_s", DEFAULT_LIMIT_WINDOW_S, MIN_LIMIT_WINDOW_S, MAX_LIMIT_WINDOW_S);
+    return Math.round(seconds * MILLIS_PER_SECOND);
+  }
+
   /** The addresses of the seeds. */
   public List<String> seedAddresses() {
     return seeds.stream().map(HostPort::toString).toList();
--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/CallerCall.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/CallerCall.java
@@ -15,6 +15,7 @@
    * @param resumeAfter the last event the caller has; -1 when it starts from the beginning
    * @param promptTokens the tokens of the prompt; 0 when not stated
    * @param outputTokens the most tokens out; 0 when not stated
+   * @param key what the caller proves its tenant with; empty when it sent none
    * @param headers what is passed on to an engine
    */
   record Request(
@@ -26,6 +27,7 @@
       long promptTokens,
       long outputTokens,
       List<PromptPart> promptParts,
+      String key,
       HttpHeaders headers)
       implements CallerCall {}
 
@@ -33,13 +35,13 @@
   record PromptPart(String id, long tokens) {}
 
   /** Reads results of a batch job. */
-  record ReadResults(String jobId, int from, long waitMs) implements CallerCall {}
+  record ReadResults(String jobId, int from, long waitMs, String key) implements CallerCall {}
 
   /** Reads the body of an item that waits. */
-  record ReadItem(String jobId, String itemId) implements CallerCall {}
+  record ReadItem(String jobId, String itemId, String key) implements CallerCall {}
 
   /** Ends a batch job. */
-  record EndJob(String jobId) implements CallerCall {}
+  record EndJob(String jobId, String key) implements CallerCall {}
 
   /** Not a call of this protocol. */
   record Malformed(String reason) implements CallerCall {}
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -23,6 +23,7 @@
 import io.pathdeck.fleet.metrics.MemberMetrics;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.message.AdmissionRequest;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.Message;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
@@ -166,6 +167,7 @@
             state,
             host.clock(),
             fleet.minMembers(),
+            fleet.limitWindowMs(),
             poller::setPolling,
             lastKnown.atStart());
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
@@ -219,6 +221,8 @@
       Message message, ReplySink reply, ReplicaHost host, FleetMembership membership) {
     if (message instanceof FleetHeartbeat heartbeat) {
       host.execute(() -> membership.onHeartbeat(heartbeat, reply));
+    } else if (message instanceof AdmissionRequest request) {
+      host.execute(() -> membership.onAdmission(request, reply));
     } else {
       host.handle(message, reply);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -7,8 +7,10 @@
 import io.pathdeck.control.ConsensusExtension;
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
+import io.pathdeck.fleet.limit.TenantLedger;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.fleet.CallerTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
 import io.pathdeck.protocol.fleet.FleetProcess;
@@ -17,8 +19,11 @@
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.message.AdmissionReply;
+import io.pathdeck.protocol.message.AdmissionRequest;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
+import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.state.FleetStateMachine;
 import java.util.HashMap;
@@ -56,6 +61,7 @@
   private final FleetStateMachine state;
   private final ControllerClock clock;
   private final int minStores;
+  private final TenantLedger tenants;
   private final Consumer<Boolean> leadershipListener;
   private final Optional<FleetUpdate> lastKnown;
   private final VersionedList<FleetProcess> processes = new VersionedList<>();
@@ -74,6 +80,7 @@
    * Creates the membership of a coordinator.
    *
    * @param minStores how many stores a group of jobs needs at least
+   * @param limitWindowMs the span over which tenants' limits hold
    * @param leadershipListener hears when this coordinator begins or ends to lead
    * @param lastKnown what this coordinator knew before its restart
    */
@@ -82,6 +89,7 @@
       FleetStateMachine state,
       ControllerClock clock,
       int minStores,
+      long limitWindowMs,
       Consumer<Boolean> leadershipListener,
       Optional<FleetUpdate> lastKnown) {
     this.lastKnown = lastKnown;
@@ -89,6 +97,7 @@
     this.state = state;
     this.clock = clock;
     this.minStores = minStores;
+    this.tenants = new TenantLedger(limitWindowMs);
     this.jobsGroups = new JobsGroupRegistry(JobsGroupFounding.targetSize(minStores));
     this.leadershipListener = leadershipListener;
   }
@@ -102,6 +111,7 @@
     }
     if (leading) {
       expireProcesses(nowMs);
+      tenants.expire(nowMs);
       foundJobsGroupsIfReady(nowMs);
     }
   }
@@ -117,6 +127,7 @@
     enginesKnown = false;
     foundingProposed = false;
     jobsGroups.clear(nowMs);
+    tenants.clear();
     leadershipListener.accept(leads);
   }
 
@@ -176,7 +187,8 @@
             state.jobsFounders(),
             jobsGroups.reports(),
             groupFor(heartbeat.sender(), nowMs),
-            leavingMembers()));
+            leavingMembers(),
+            contendedTenantsFor(heartbeat.sender())));
   }
 
   private void note(FleetHeartbeat heartbeat, long nowMs) {
@@ -193,6 +205,9 @@
     }
     processes.put(sender.name(), sender);
     lastHeardMs.put(sender.name(), nowMs);
+    if (sender.role() == FleetRole.GATEWAY) {
+      tenants.note(sender.name(), sender.incarnation(), heartbeat.tenantUse(), nowMs);
+    }
     JobsGroupReport report = heartbeat.jobsGroup();
     if (report != null) {
       jobsGroups.report(report);
@@ -209,6 +224,31 @@
     }
   }
 
+  private List<String> contendedTenantsFor(FleetProcess sender) {
+    if (sender.role() != FleetRole.GATEWAY) {
+      return List.of();
+    }
+    return state.table().map(table -> tenants.contended(table.tenants())).orElse(List.of());
+  }
+
+  /** Admits one request of a contended tenant, or not. */
+  void onAdmission(AdmissionRequest request, ReplySink reply) {
+    long nowMs = clock.monotonicMs();
+    if (!leading || !group.isLeading()) {
+      reply.reply(group.notLeader());
+      return;
+    }
+    if (nowMs - leadsSinceMs < COLLECTION_MS) {
+      reply.reply(new Unavailable("not all gateways were heard yet", false));
+      return;
+    }
+    Optional<CallerTenant> tenant = state.table().flatMap(table -> table.tenant(request.tenant()));
+    boolean admitted =
+        tenant.isPresent()
+            && tenants.tryAdmit(request.gateway(), request.life(), tenant.get(), nowMs);
+    reply.reply(new AdmissionReply(admitted));
+  }
+
   private List<Integer> leavingMembers() {
     return state.leaving().stream().map(SetStoreLeaving::memberId).toList();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -99,7 +99,8 @@
             view.jobsFounders(),
             view.jobsGroups(),
             FleetProcess.NO_GROUP,
-            view.leavingMembers());
+            view.leavingMembers(),
+            new ArrayList<>());
     return Base64.getEncoder().encodeToString(ObjectCodec.encode(update));
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/RouteTableCheck.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/RouteTableCheck.java
@@ -1,10 +1,13 @@
 package io.pathdeck.fleet.coordinator;
 
+import io.pathdeck.protocol.fleet.CallerTenant;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.RouteTarget;
 import io.pathdeck.protocol.fleet.ServiceLimits;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -28,6 +31,23 @@
             "route " + route.name() + ": another route has the same host and prefix");
       }
     }
+    return tenantProblem(table);
+  }
+
+  private static Optional<String> tenantProblem(RouteTable table) {
+    Map<String, String> owners = new HashMap<>();
+    Set<String> names = new HashSet<>();
+    for (CallerTenant tenant : table.tenants()) {
+      if (!names.add(tenant.name())) {
+        return Optional.of("tenant " + tenant.name() + " is declared twice");
+      }
+      for (String digest : tenant.keyDigests()) {
+        String other = owners.putIfAbsent(digest, tenant.name());
+        if (other != null && !other.equals(tenant.name())) {
+          return Optional.of("tenants " + other + " and " + tenant.name() + " share a key");
+        }
+      }
+    }
     return Optional.empty();
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineReports.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineReports.java
@@ -38,6 +38,7 @@
             protocol.reportPath(),
             engine.address(),
             EngineCall.NO_REQUEST,
+            null,
             EmptyHttpHeaders.INSTANCE,
             new byte[0],
             DEADLINE_MS,
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
@@ -62,7 +62,7 @@
     this.protocol = protocol;
   }
 
-  void submit(HttpExchange exchange, CallerCall.Request request, RouteSpec route) {
+  void submit(HttpExchange exchange, CallerCall.Request request, RouteSpec route, String tenant) {
     Result<List<BatchItem>, String> items = protocol.readItems(exchange.body());
     if (!items.isOk() || items.value().isEmpty() || items.value().size() > MAX_ITEMS) {
       String reason = items.isOk() ? "a job has 1 to " + MAX_ITEMS + " items" : items.error();
@@ -77,6 +77,7 @@
     SubmitBatch command =
         new SubmitBatch(
             request.requestId(),
+            tenant,
             route.name(),
             route.host(),
             items.value(),
@@ -134,7 +135,7 @@
     }
   }
 
-  void end(HttpExchange exchange, CallerCall.EndJob call) {
+  void end(HttpExchange exchange, CallerCall.EndJob call, String tenant) {
     Optional<JobsGroup> group = jobs.of(call.jobId());
     if (group.isEmpty()) {
       refuseWithoutGroup(exchange);
@@ -143,7 +144,7 @@
     long startNs = System.nanoTime();
     propose(
         group.get(),
-        new EndBatch(call.jobId()),
+        new EndBatch(call.jobId(), tenant),
         result -> {
           log("end", call.jobId(), result, startNs);
           if (!result.isOk()) {
@@ -158,12 +159,12 @@
         });
   }
 
-  void readResults(HttpExchange exchange, CallerCall.ReadResults call) {
+  void readResults(HttpExchange exchange, CallerCall.ReadResults call, String tenant) {
     long waitMs = Math.max(0, Math.min(MAX_WAIT_MS, call.waitMs()));
     query(
         exchange,
         call.jobId(),
-        new ReadBatchResults(call.jobId(), call.from(), MAX_PAGE_BYTES, waitMs),
+        new ReadBatchResults(call.jobId(), tenant, call.from(), MAX_PAGE_BYTES, waitMs),
         waitMs,
         result -> {
           if (result.isOk() && result.value() instanceof BatchResults results) {
@@ -174,11 +175,11 @@
         });
   }
 
-  void readItem(HttpExchange exchange, CallerCall.ReadItem call) {
+  void readItem(HttpExchange exchange, CallerCall.ReadItem call, String tenant) {
     query(
         exchange,
         call.jobId(),
-        new ReadBatchItem(call.jobId(), call.itemId()),
+        new ReadBatchItem(call.jobId(), tenant, call.itemId()),
         0,
         result -> {
           if (result.isOk() && result.value() instanceof BatchItemBody item) {
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerIdentity.java
@@ -0,0 +1,26 @@
+package io.pathdeck.fleet.gateway;
+
+import io.pathdeck.protocol.fleet.CallerTenant;
+
+/** Who sent a request, as far as its key tells. */
+sealed interface CallerIdentity {
+  /** What to tell engines and stores when no tenant is to be named. */
+  String NO_TENANT = "";
+
+  /** The fleet has no tenants, and callers carry no keys. */
+  record Untold() implements CallerIdentity {}
+
+  /** The route is open to callers without a key, and none was given. */
+  record Anonymous() implements CallerIdentity {}
+
+  /** The key is a tenant's. */
+  record Known(CallerTenant tenant) implements CallerIdentity {}
+
+  /** A key is needed, and there is none or one that no tenant has. */
+  record Unknown() implements CallerIdentity {}
+
+  /** The name of the tenant; empty when none is known. */
+  default String tenantName() {
+    return this instanceof Known known ? known.tenant().name() : NO_TENANT;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerKeys.java
@@ -0,0 +1,47 @@
+package io.pathdeck.fleet.gateway;
+
+import io.pathdeck.protocol.fleet.CallerTenant;
+import io.pathdeck.protocol.fleet.KeyDigest;
+import io.pathdeck.protocol.fleet.RouteTable;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The tenants of one configuration by the digests of their keys; keys themselves are not kept. */
+final class CallerKeys {
+  /** Before the first configuration: nobody is known. */
+  static final CallerKeys NONE = new CallerKeys(false, new byte[0]);
+
+  private final boolean required;
+  private final byte[] salt;
+  private final Map<String, CallerTenant> tenants = new HashMap<>();
+
+  private CallerKeys(boolean required, byte[] salt) {
+    this.required = required;
+    this.salt = salt;
+  }
+
+  static CallerKeys of(RouteTable table) {
+    CallerKeys keys = new CallerKeys(table.requiresKeys(), table.keySalt());
+    for (CallerTenant tenant : table.tenants()) {
+      tenant.keyDigests().forEach(digest -> keys.tenants.put(digest, tenant));
+    }
+    return keys;
+  }
+
+  /**
+   * Who holds {@code key}.
+   *
+   * @param key as the caller sent it; empty when it sent none
+   * @param anonymousAllowed whether the call needs no key
+   */
+  CallerIdentity identify(String key, boolean anonymousAllowed) {
+    if (!required) {
+      return new CallerIdentity.Untold();
+    }
+    CallerTenant tenant = key.isEmpty() ? null : tenants.get(KeyDigest.of(salt, key));
+    if (tenant != null) {
+      return new CallerIdentity.Known(tenant);
+    }
+    return anonymousAllowed ? new CallerIdentity.Anonymous() : new CallerIdentity.Unknown();
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
 import java.util.ArrayList;
@@ -20,6 +21,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** Matches callers' requests against the routes and serves them; confined to the event loop. */
@@ -36,14 +38,20 @@
   private static final long MIN_START_RETRY_AFTER_MS = 300;
   private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
 
+  /** A fifth of the usual window of a limit, in which a fifth of the limit becomes free. */
+  private static final long OVER_RATE_RETRY_AFTER_MS = 1_000;
+
   private final CallerProtocol protocol;
   private final Supplier<FleetView> view;
   private final BooleanSupplier usable;
   private final BooleanSupplier routesConfirmed;
   private final BatchCalls batch;
+  private final TenantLimiter limiter;
   private final RequestForwarder.Shared shared;
   private final long startNs = System.nanoTime();
   private final TrafficSplit split = new TrafficSplit();
+  private CallerKeys keys = CallerKeys.NONE;
+  private long keysVersion = RouteTable.NO_VERSION;
 
   /**
    * Creates a gateway.
@@ -59,6 +67,7 @@
       BooleanSupplier usable,
       BooleanSupplier routesConfirmed,
       BatchCalls batch,
+      TenantLimiter limiter,
       EngineTransport transport,
       EngineChoice choice,
       RequestMetrics metrics) {
@@ -67,6 +76,7 @@
     this.usable = usable;
     this.routesConfirmed = routesConfirmed;
     this.batch = batch;
+    this.limiter = limiter;
     this.shared =
         new RequestForwarder.Shared(
             eventLoop,
@@ -89,6 +99,10 @@
     if (changed.engines() != null) {
       shared.engines().update(changed.engines());
     }
+    if (changed.routes() != null && changed.routes().version() != keysVersion) {
+      keysVersion = changed.routes().version();
+      keys = CallerKeys.of(changed.routes());
+    }
   }
 
   private void checkSilence() {
@@ -104,16 +118,38 @@
     if (call instanceof CallerCall.Request request) {
       handleRequest(exchange, request);
     } else if (call instanceof CallerCall.ReadResults read) {
-      batch.readResults(exchange, read);
+      handleJobCall(exchange, read.key(), tenant -> batch.readResults(exchange, read, tenant));
     } else if (call instanceof CallerCall.ReadItem read) {
-      batch.readItem(exchange, read);
+      handleJobCall(exchange, read.key(), tenant -> batch.readItem(exchange, read, tenant));
     } else if (call instanceof CallerCall.EndJob end) {
-      batch.end(exchange, end);
+      handleJobCall(exchange, end.key(), tenant -> batch.end(exchange, end, tenant));
     } else if (call instanceof CallerCall.Malformed malformed) {
       exchange.sendError(ApiError.invalid("bad_request", malformed.reason()));
     }
   }
 
+  private void handleJobCall(HttpExchange exchange, String key, Consumer<String> call) {
+    if (!usable.getAsBoolean()) {
+      Refusals.unavailable(exchange, "no configuration yet", UNCONFIRMED_RETRY_AFTER_MS);
+      return;
+    }
+    CallerIdentity caller = keys.identify(key, false);
+    if (caller instanceof CallerIdentity.Unknown) {
+      refuseUnknownKey(exchange);
+    } else {
+      call.accept(caller.tenantName());
+    }
+  }
+
+  /** A key that this gateway does not know may be newer than the configuration that it holds. */
+  private void refuseUnknownKey(HttpExchange exchange) {
+    if (routesConfirmed.getAsBoolean()) {
+      exchange.sendError(ApiError.unauthorized());
+    } else {
+      Refusals.unavailable(exchange, "the keys may be out of date", UNCONFIRMED_RETRY_AFTER_MS);
+    }
+  }
+
   private static void logRefusal(CallerCall.Request request, String reason, FleetView known) {
     EVENTS.log(
         EventCode.REQUEST_REFUSED,
@@ -149,13 +185,60 @@
     } else if (request.requestId().isEmpty()) {
       logRefusal(request, "no request id", known);
       exchange.sendError(ApiError.invalid("no_request_id", "the request has no id"));
-    } else if (route.get().kind() == RouteKind.BATCH) {
-      batch.submit(exchange, request, route.get());
     } else {
-      long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-      String service = split.next(route.get());
-      long version = known.routes().version();
-      new RequestForwarder(shared, exchange, request, route.get(), service, version, nowMs).start();
+      handleRouted(exchange, request, route.get(), known);
+    }
+  }
+
+  private void handleRouted(
+      HttpExchange exchange, CallerCall.Request request, RouteSpec route, FleetView known) {
+    CallerIdentity caller = keys.identify(request.key(), route.anonymous());
+    if (caller instanceof CallerIdentity.Unknown) {
+      logRefusal(request, "missing or unknown key", known);
+      refuseUnknownKey(exchange);
+    } else if (route.kind() == RouteKind.BATCH) {
+      batch.submit(exchange, request, route, caller.tenantName());
+    } else if (caller instanceof CallerIdentity.Known member) {
+      limiter.admit(
+          member.tenant(),
+          admitted -> {
+            if (admitted) {
+              forward(exchange, request, route, caller, known);
+            } else {
+              logRefusal(request, "over the rate of tenant " + caller.tenantName(), known);
+              Refusals.overRate(exchange, "over the tenant's rate", OVER_RATE_RETRY_AFTER_MS);
+            }
+          });
+    } else {
+      forward(exchange, request, route, caller, known);
+    }
+  }
+
+  private void forward(
+      HttpExchange exchange,
+      CallerCall.Request request,
+      RouteSpec route,
+      CallerIdentity caller,
+      FleetView known) {
+    if (exchange.isEnded()) {
+      return;
     }
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    String service = split.next(route);
+    long version = known.routes().version();
+    String tenant = caller instanceof CallerIdentity.Untold ? null : caller.tenantName();
+    RequestForwarder.Permission permission =
+        new RequestForwarder.Permission(tenant, () -> isStillAllowed(request, caller));
+    new RequestForwarder(shared, exchange, request, route, service, version, permission, nowMs)
+        .start();
+  }
+
+  /** Whether the newest configuration has a route for the request and a tenant for its key. */
+  private boolean isStillAllowed(CallerCall.Request request, CallerIdentity caller) {
+    Optional<RouteSpec> route = view.get().routes().match(request.host(), request.path());
+    return route.isPresent()
+        && keys.identify(request.key(), route.get().anonymous())
+            .tenantName()
+            .equals(caller.tenantName());
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -50,9 +50,13 @@
     PeerPool pool = resources.push(new PeerPool(eventLoops, tls));
     long life = System.nanoTime();
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
+    TenantLimiter limiter =
+        new TenantLimiter(eventLoop, contacts.client(), fleet.name(), life, fleet.limitWindowMs());
     follower =
         contacts.follower(
-            eventLoop, () -> new FleetFollower.SelfReport(describe(life), false, null));
+            eventLoop,
+            () -> new FleetFollower.SelfReport(describe(life), false, null, limiter.uses()));
+    follower.onContention(limiter::onTold);
     JobsGroups jobs = new JobsGroups(pool, RetryTimer.on(eventLoops), follower::view);
     RequestMetrics metrics = new RequestMetrics();
     Gateway gateway =
@@ -63,6 +67,7 @@
             follower::isUsable,
             follower::isConfirmed,
             new BatchCalls(jobs, adapter.callers()),
+            limiter,
             new NettyEngineTransport(eventLoop, adapter.engines()),
             new EngineChoice(fleet.zone(), life),
             metrics);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Refusals.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Refusals.java
@@ -20,6 +20,10 @@
     send(exchange, ApiError.rateLimited("quota", reason, 0), retryAfterMs);
   }
 
+  static void overRate(HttpExchange exchange, String reason, long retryAfterMs) {
+    send(exchange, ApiError.rateLimited("rate_limit", reason, 0), retryAfterMs);
+  }
+
   private static void send(HttpExchange exchange, ApiError error, long retryAfterMs) {
     String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMs / MILLIS_PER_SECOND);
     exchange.sendError(error, Map.of(HttpHeaderNames.RETRY_AFTER.toString(), seconds));
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -24,6 +24,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Brings one request to an engine and its answer back; confined to the event loop.
@@ -47,6 +48,15 @@
       RequestMetrics metrics,
       Set<RequestForwarder> active) {}
 
+  /**
+   * What lets a request be sent to engines.
+   *
+   * @param tenant the tenant to name to them; see {@link EngineCall#tenant}
+   * @param stillGiven whether the newest configuration allows the request; asked before each send
+   *     after the first one
+   */
+  record Permission(String tenant, BooleanSupplier stillGiven) {}
+
   private final Shared shared;
   private final HttpExchange exchange;
   private final CallerCall.Request request;
@@ -58,6 +68,7 @@
   private final long deadlineMs;
   private final AttemptBudget budget;
   private final RequestLog log;
+  private final Permission permission;
   private final Set<String> tried = new HashSet<>();
   private ScheduledFuture<?> timeout;
   private Attempt attempt;
@@ -73,8 +84,10 @@
       RouteSpec route,
       String service,
       long routesVersion,
+      Permission permission,
       long nowMs) {
     this.routesVersion = routesVersion;
+    this.permission = permission;
     this.startMs = nowMs;
     this.shared = shared;
     this.exchange = exchange;
@@ -129,7 +142,9 @@
       budget.onNotRun();
     }
     boolean timeLeft = deadlineMs - nowMs() > 0;
-    if (timeLeft && budget.mayTryAgain()) {
+    if (!permission.stillGiven().getAsBoolean()) {
+      finishWithoutEngine("the configuration does not allow the request any more");
+    } else if (timeLeft && budget.mayTryAgain()) {
       sendToNextEngine();
     } else {
       finishWithoutEngine(reason);
@@ -259,6 +274,7 @@
               exchange.uri(),
               request.host(),
               request.requestId(),
+              permission.tenant(),
               request.headers(),
               exchange.body(),
               Math.max(1, deadlineMs - lastProgressMs),
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -73,7 +73,9 @@
         budget.sends());
   }
 
-  /** The request failed; {@code key} and {@code value} say with which status or after which event. */
+  /**
+   * The request failed; {@code key} and {@code value} say with which status or after which event.
+   */
   void failed(String reason, String key, long value) {
     EVENTS.log(
         EventCode.REQUEST_FAILED,
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/TenantLimiter.java
@@ -0,0 +1,93 @@
+package io.pathdeck.fleet.gateway;
+
+import io.netty.channel.EventLoop;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.fleet.limit.GatewayAdmissions;
+import io.pathdeck.fleet.member.GroupCallError;
+import io.pathdeck.fleet.member.GroupClient;
+import io.pathdeck.protocol.fleet.CallerTenant;
+import io.pathdeck.protocol.fleet.TenantUse;
+import io.pathdeck.protocol.message.AdmissionReply;
+import io.pathdeck.protocol.message.AdmissionRequest;
+import io.pathdeck.protocol.message.Message;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Keeps tenants within their limits together with all other gateways; confined to the event loop.
+ */
+final class TenantLimiter {
+  /**
+   * How long a request waits for the leader's word. An answer takes two one-way delays, some 2 ms;
+   * a frozen or lost leader must not cost a caller more than half of a usual objective of 300 ms.
+   */
+  private static final long ASK_TIMEOUT_MS = 150;
+
+  private final EventLoop eventLoop;
+  private final GroupClient coordinators;
+  private final String gateway;
+  private final long life;
+  private final GatewayAdmissions admissions;
+
+  TenantLimiter(
+      EventLoop eventLoop, GroupClient coordinators, String gateway, long life, long windowMs) {
+    this.eventLoop = eventLoop;
+    this.coordinators = coordinators;
+    this.gateway = gateway;
+    this.life = life;
+    this.admissions = new GatewayAdmissions(windowMs, nowMs());
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  /** Tells {@code decided} whether the tenant's limit has room for one more request. */
+  void admit(CallerTenant tenant, Consumer<Boolean> decided) {
+    if (!tenant.isLimited()) {
+      decided.accept(true);
+      return;
+    }
+    switch (admissions.decide(tenant.name(), nowMs())) {
+      case ADMIT -> decide(tenant.name(), true, decided);
+      case REFUSE -> decided.accept(false);
+      case ASK_LEADER -> askLeader(tenant.name(), decided);
+    }
+  }
+
+  private void askLeader(String tenant, Consumer<Boolean> decided) {
+    coordinators
+        .call(new AdmissionRequest(gateway, life, tenant), ASK_TIMEOUT_MS, ASK_TIMEOUT_MS)
+        .thenAcceptAsync(answer -> onAnswer(tenant, answer, decided), eventLoop);
+  }
+
+  private void onAnswer(
+      String tenant, Result<Message, GroupCallError> answer, Consumer<Boolean> decided) {
+    if (answer.isOk() && answer.value() instanceof AdmissionReply reply) {
+      if (!reply.admitted()) {
+        admissions.onRefused(tenant, nowMs());
+      }
+      decide(tenant, reply.admitted(), decided);
+    } else {
+      decide(tenant, admissions.mayAdmitUnanswered(tenant, nowMs()), decided);
+    }
+  }
+
+  private void decide(String tenant, boolean admitted, Consumer<Boolean> decided) {
+    if (admitted) {
+      admissions.onAdmitted(tenant, nowMs());
+    }
+    decided.accept(admitted);
+  }
+
+  /** The leader told which tenants are near their limits. */
+  void onTold(List<String> contended) {
+    admissions.onTold(contended, nowMs());
+  }
+
+  /** What to tell the leader. */
+  List<TenantUse> uses() {
+    return admissions.uses(nowMs());
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/limit/SlidingCount.java
@@ -0,0 +1,49 @@
+package io.pathdeck.fleet.limit;
+
+import java.util.Arrays;
+
+/** Counts events in a window of time that ends now, to a resolution of a fiftieth of it. */
+final class SlidingCount {
+  private static final int BUCKETS = 50;
+
+  private final long bucketMs;
+
+  /** One more than the window has, so that an event is counted for at least a whole window. */
+  private final int[] buckets = new int[BUCKETS + 1];
+
+  private long newestBucket = Long.MIN_VALUE;
+  private int total;
+
+  SlidingCount(long windowMs) {
+    this.bucketMs = Math.max(1, windowMs / BUCKETS);
+  }
+
+  void add(long nowMs) {
+    advance(nowMs);
+    buckets[index(newestBucket)]++;
+    total++;
+  }
+
+  int total(long nowMs) {
+    advance(nowMs);
+    return total;
+  }
+
+  private void advance(long nowMs) {
+    long bucket = nowMs / bucketMs;
+    if (newestBucket == Long.MIN_VALUE || bucket - newestBucket > BUCKETS) {
+      Arrays.fill(buckets, 0);
+      total = 0;
+      newestBucket = bucket;
+    }
+    while (newestBucket < bucket) {
+      newestBucket++;
+      total -= buckets[index(newestBucket)];
+      buckets[index(newestBucket)] = 0;
+    }
+  }
+
+  private int index(long bucket) {
+    return (int) Math.floorMod(bucket, (long) buckets.length);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/limit/TenantLedger.java
@@ -0,0 +1,144 @@
+package io.pathdeck.fleet.limit;
+
+import io.pathdeck.protocol.fleet.CallerTenant;
+import io.pathdeck.protocol.fleet.TenantUse;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What all gateways together admit of limited tenants, as the leading coordinator knows it.
+ *
+ * <p>Nothing of it is replicated: each heartbeat of a gateway tells its whole window, so a new
+ * leader knows all after one round of heartbeats. What a gateway was granted since its last
+ * heartbeat is added to it. A gateway that is not heard of any more counts for one more window.
+ */
+public final class TenantLedger {
+  /**
+   * From which part of its limit on a tenant is contended. Gateways hear of it within a heartbeat's
+   * interval of 300 ms; the other half is room for what they admit until then, at up to six times
+   * the rate of the limit for a window of 5 s.
+   */
+  private static final double CONTENDED_FROM = 0.5;
+
+  /** A contended tenant is so until it is below this part, so that it does not flap. */
+  private static final double CONTENDED_UNTIL = 0.3;
+
+  /**
+   * Windows are told up to 300 ms late, so what has left them still counts: 300 ms of a window of 5
+   * s are 6 in 100.
+   */
+  private static final double STALENESS_ALLOWANCE = 1.05;
+
+  /**
+   * The same in requests, for tenants of few requests: with it none of 485 requests inside a limit
+   * of 3 a second is refused at 47 gateways, 1 in 97 without it (TestTenantLimits).
+   */
+  private static final double STALENESS_ALLOWANCE_REQUESTS = 2;
+
+  private record GatewayLife(String gateway, long life) {}
+
+  /** What is known of one gateway. */
+  private static final class Gateway {
+    long heardMs;
+    Map<String, Integer> told = Map.of();
+    final Map<String, Integer> grantedSince = new HashMap<>();
+  }
+
+  private final long windowMs;
+  private final Map<GatewayLife, Gateway> gateways = new HashMap<>();
+  private final Map<String, Integer> totals = new HashMap<>();
+  private final Set<String> contended = new HashSet<>();
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @param windowMs the span over which limits hold
+   */
+  public TenantLedger(long windowMs) {
+    this.windowMs = windowMs;
+  }
+
+  /** Forgets everything, for a new leadership. */
+  public void clear() {
+    gateways.clear();
+    totals.clear();
+    contended.clear();
+  }
+
+  /** Takes what a gateway tells of its window. */
+  public void note(String gateway, long life, List<TenantUse> uses, long nowMs) {
+    Gateway known = gateways.computeIfAbsent(new GatewayLife(gateway, life), l -> new Gateway());
+    subtract(known);
+    known.heardMs = nowMs;
+    known.grantedSince.clear();
+    Map<String, Integer> told = new HashMap<>();
+    uses.forEach(use -> told.put(use.tenant(), use.admitted()));
+    known.told = told;
+    told.forEach((tenant, admitted) -> totals.merge(tenant, admitted, Integer::sum));
+  }
+
+  private void subtract(Gateway gateway) {
+    gateway.told.forEach((tenant, admitted) -> totals.merge(tenant, -admitted, Integer::sum));
+    gateway.grantedSince.forEach((tenant, granted) -> totals.merge(tenant, -granted, Integer::sum));
+  }
+
+  /** Forgets gateways whose last window is over. */
+  public void expire(long nowMs) {
+    gateways
+        .values()
+        .removeIf(
+            gateway -> {
+              boolean over = nowMs - gateway.heardMs > windowMs;
+              if (over) {
+                subtract(gateway);
+              }
+              return over;
+            });
+  }
+
+  /** The tenants whose requests gateways are to ask for. */
+  public List<String> contended(List<CallerTenant> tenants) {
+    List<String> names = new ArrayList<>();
+    for (CallerTenant tenant : tenants) {
+      if (tenant.isLimited() && updateContention(tenant)) {
+        names.add(tenant.name());
+      }
+    }
+    return names;
+  }
+
+  private boolean updateContention(CallerTenant tenant) {
+    boolean was = contended.contains(tenant.name());
+    double from = tenant.maxRequestsIn(windowMs) * (was ? CONTENDED_UNTIL : CONTENDED_FROM);
+    boolean is = admitted(tenant.name()) >= from;
+    if (is && !was) {
+      contended.add(tenant.name());
+    } else if (!is && was) {
+      contended.remove(tenant.name());
+    }
+    return is;
+  }
+
+  /** Admits one request of a tenant at a gateway when that keeps the tenant within its limit. */
+  public boolean tryAdmit(String gateway, long life, CallerTenant tenant, long nowMs) {
+    double most =
+        tenant.maxRequestsIn(windowMs) * STALENESS_ALLOWANCE + STALENESS_ALLOWANCE_REQUESTS;
+    if (tenant.isLimited() && admitted(tenant.name()) + 1 > most) {
+      return false;
+    }
+    Gateway known = gateways.computeIfAbsent(new GatewayLife(gateway, life), l -> new Gateway());
+    known.heardMs = Math.max(known.heardMs, nowMs);
+    known.grantedSince.merge(tenant.name(), 1, Integer::sum);
+    totals.merge(tenant.name(), 1, Integer::sum);
+    return true;
+  }
+
+  /** The requests of a tenant that all gateways have admitted in the window. */
+  public int admitted(String tenant) {
+    return totals.getOrDefault(tenant, 0);
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -11,10 +11,12 @@
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.fleet.TenantUse;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
 import io.pathdeck.protocol.message.Message;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,7 +41,16 @@
   private static final long UNCONFIRMED_INTERVAL_MS = 80;
 
   /** What the process says of itself, made anew for each heartbeat. */
-  public record SelfReport(FleetProcess process, boolean mayFound, JobsGroupReport jobsGroup) {}
+  public record SelfReport(
+      FleetProcess process,
+      boolean mayFound,
+      JobsGroupReport jobsGroup,
+      List<TenantUse> tenantUse) {
+    /** The report of a process that admits no callers' requests. */
+    public SelfReport(FleetProcess process, boolean mayFound, JobsGroupReport jobsGroup) {
+      this(process, mayFound, jobsGroup, List.of());
+    }
+  }
 
   private final EventLoop eventLoop;
   private final GroupClient coordinators;
@@ -48,6 +59,7 @@
   private final Map<String, EngineInstance> engines = new HashMap<>();
   private final Map<String, FleetProcess> processes = new HashMap<>();
   private Consumer<FleetView> listener = changed -> {};
+  private Consumer<List<String>> contentionListener = contended -> {};
   private boolean enginesKnown;
   private long engineEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long engineSequence;
@@ -91,6 +103,14 @@
     listener = changeListener;
   }
 
+  /**
+   * Calls {@code heard} on the event loop with the tenants that are near their limits, at each
+   * answer of a leader; to be set before the start.
+   */
+  public void onContention(Consumer<List<String>> heard) {
+    contentionListener = heard;
+  }
+
   /** Begins to report. */
   public void start() {
     eventLoop.execute(this::report);
@@ -128,7 +148,8 @@
             engineSequence,
             processEpoch,
             processSequence,
-            report.jobsGroup());
+            report.jobsGroup(),
+            report.tenantUse());
     long sentNs = System.nanoTime();
     return coordinators
         .call(heartbeat, CALL_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
@@ -149,6 +170,7 @@
         freshness.onLastKnownTold(System.nanoTime());
       } else {
         freshness.onLeaderAnswered(sentNs);
+        contentionListener.accept(update.contendedTenants());
       }
       accept(update);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchReads.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchReads.java
@@ -56,7 +56,7 @@
     for (Waiting read : due) {
       ReadBatchResults asked = read.read();
       read(
-          new ReadBatchResults(asked.jobId(), asked.from(), asked.maxBytes(), 0),
+          new ReadBatchResults(asked.jobId(), asked.tenant(), asked.from(), asked.maxBytes(), 0),
           read.reply(),
           nowMs);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -340,6 +340,7 @@
 
   private static EngineCall call(ItemRun run, EngineState engine) {
     HttpHeaders headers = new DefaultHttpHeaders();
+    String tenant = run.job.submission().tenant();
     run.item.headers().forEach(headers::set);
     return new EngineCall(
         engine.instance(),
@@ -347,6 +348,7 @@
         run.item.path(),
         run.job.submission().host(),
         run.item.id(),
+        tenant.isEmpty() ? null : tenant,
         headers,
         run.item.body(),
         0,
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -33,7 +33,8 @@
     EngineInstance engine = new EngineInstance("e", "s", "h:1", "a", 10, false);
     FleetProcess gateway = new FleetProcess("g", FleetRole.GATEWAY, "a", 0, 1, "", "h:2", true, 0);
     RouteTable routes =
-        new RouteTable(VERSION, List.of(), List.of(), CallerLimits.NONE, new byte[0]);
+        new RouteTable(
+            VERSION, List.of(), List.of(), CallerLimits.NONE, List.of(), new byte[0], new byte[0]);
     return new FleetView(
         routes, Map.of("e", engine), Map.of("g", gateway), List.of(), List.of(), 0, List.of(5));
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestRouteTableCheck.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestRouteTableCheck.java
@@ -28,12 +28,20 @@
         0,
         0,
         0,
-        0);
+        0,
+        false);
   }
 
   private static RouteTable table(RouteSpec... routes) {
     ServiceLimits service = new ServiceLimits("s", 10, 4, 1_000);
-    return new RouteTable(1, List.of(routes), List.of(service), CallerLimits.NONE, new byte[0]);
+    return new RouteTable(
+        1,
+        List.of(routes),
+        List.of(service),
+        CallerLimits.NONE,
+        List.of(),
+        new byte[0],
+        new byte[0]);
   }
 
   private static final RouteTarget GOOD = new RouteTarget("s", 1);
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestTrafficSplit.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestTrafficSplit.java
@@ -27,7 +27,8 @@
         0,
         0,
         0,
-        0);
+        0,
+        false);
   }
 
   @Test
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestAttemptBudget.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestAttemptBudget.java
@@ -27,7 +27,8 @@
         0,
         0,
         0,
-        0);
+        0,
+        false);
   }
 
   @Test
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/limit/LimitWaysTable.java
@@ -0,0 +1,48 @@
+package io.pathdeck.fleet.limit;
+
+import io.pathdeck.protocol.fleet.CallerTenant;
+import java.util.List;
+import java.util.Locale;
+
+/** Prints three ways of keeping a limit side by side, for docs/design/tenant-limits.md. */
+final class LimitWaysTable {
+  private static final long PLAY_MS = 40_000;
+  private static final long SEED = 7;
+
+  private LimitWaysTable() {}
+
+  public static void main(String[] args) {
+    for (int gateways : new int[] {10, 47, 300}) {
+      for (double rate : new double[] {3, 30, 92}) {
+        for (double asked : new double[] {0.8, 2, 4}) {
+          printRows(gateways, new CallerTenant("t", List.of(), 0, rate, rate), asked * rate);
+        }
+      }
+    }
+  }
+
+  private static void printRows(int gateways, CallerTenant tenant, double mean) {
+    for (String name : List.of("equal shares", "told sums", "leader when contended")) {
+      LimitSimulation simulation =
+          new LimitSimulation(gateways, tenant, SEED, 0, Long.MAX_VALUE / 2, 0);
+      LimitSimulation.Way way =
+          switch (name) {
+            case "equal shares" -> simulation.equalShares();
+            case "told sums" -> simulation.toldSums();
+            default -> simulation.freeUntilContended();
+          };
+      LimitSimulation.Outcome outcome =
+          simulation.play(
+              way, LimitSimulation.steps(0.38 * mean, 1.87 * mean, 3_400, 2_400), PLAY_MS);
+      System.out.printf(
+          Locale.ROOT,
+          "| %d | %.0f | %.1f | %s | %d | %.1f |%n",
+          gateways,
+          tenant.requestsPerSecond(),
+          mean / tenant.requestsPerSecond(),
+          name,
+          outcome.mostInWindow(),
+          100 * outcome.refusedInsideShare());
+    }
+  }
+}
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -19,7 +19,7 @@
   private final BatchItem item = new BatchItem("i", "/p", Map.of(), new byte[0], 100, 40);
 
   TestItemRun() {
-    SubmitBatch job = new SubmitBatch("j", "r", "h", List.of(item), 3, 20_000, 60_000, 0);
+    SubmitBatch job = new SubmitBatch("j", "", "r", "h", List.of(item), 3, 20_000, 60_000, 0);
     machine.apply(new CommandEnvelope("", 0, 1, job));
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestJobSubmissions.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestJobSubmissions.java
@@ -82,7 +82,7 @@
 
   private static SubmitBatch job() {
     BatchItem item = new BatchItem("item", "/p", Map.of(), new byte[10], 100, 40);
-    return new SubmitBatch("job", "route", "host", List.of(item), 3, 20_000, 60_000, 0);
+    return new SubmitBatch("job", "", "route", "host", List.of(item), 3, 20_000, 60_000, 0);
   }
 
   private List<CompletableFuture<Message>> submitCopies() throws Exception {
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -45,6 +45,7 @@
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
 import io.pathdeck.protocol.fleet.CallerLimits;
+import io.pathdeck.protocol.fleet.CallerTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
 import io.pathdeck.protocol.fleet.FleetProcess;
@@ -57,6 +58,9 @@
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.RouteTarget;
 import io.pathdeck.protocol.fleet.ServiceLimits;
+import io.pathdeck.protocol.fleet.TenantUse;
+import io.pathdeck.protocol.message.AdmissionReply;
+import io.pathdeck.protocol.message.AdmissionRequest;
 import io.pathdeck.protocol.message.ConfigurationHeartbeat;
 import io.pathdeck.protocol.message.ConfigurationUpdate;
 import io.pathdeck.protocol.message.FleetHeartbeat;
@@ -281,7 +285,11 @@
           BatchOutcome.class,
           RecordBatchProgress.class,
           CallerLimits.class,
-          TimeoutNow.class);
+          TimeoutNow.class,
+          CallerTenant.class,
+          TenantUse.class,
+          AdmissionRequest.class,
+          AdmissionReply.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/EndBatch.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/EndBatch.java
@@ -1,4 +1,8 @@
 package io.pathdeck.protocol.command;
 
-/** Ends a batch job; nothing of it needs to run any more. */
-public record EndBatch(String jobId) implements BatchCommand {}
+/**
+ * Ends a batch job; nothing of it needs to run any more.
+ *
+ * @param tenant who asks; the jobs of others do not exist for it
+ */
+public record EndBatch(String jobId, String tenant) implements BatchCommand {}
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteSpec.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteSpec.java
@@ -15,7 +15,8 @@
  * @param gapTargetMs the longest pause between events of a stream that is still in time; 0: none
  * @param runTargetMs when the results of a batch job are due after its submission
  * @param retainMs when an item of a batch job may be given up after its submission
- * @param maxQueuedTokens the most tokens of unfinished items; 0: no limit
+ * @param maxQueuedTokens the most tokens of unfinished items of each tenant; 0: no limit
+ * @param anonymous whether callers need no key
  */
 public record RouteSpec(
     String name,
@@ -32,7 +33,8 @@
     long gapTargetMs,
     long runTargetMs,
     long retainMs,
-    long maxQueuedTokens) {
+    long maxQueuedTokens,
+    boolean anonymous) {
   public RouteSpec {
     targets = new ArrayList<>(targets);
   }
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
@@ -2,6 +2,9 @@
 
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
+import io.pathdeck.protocol.fleet.TenantUse;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * A process reports itself and what it knows; the answer brings what it lacks.
@@ -13,6 +16,7 @@
  * @param processEpoch the leadership that {@code processSequence} belongs to
  * @param processSequence up to where it knows the list of processes
  * @param jobsGroup set by the leader of a jobs group
+ * @param tenantUse what a gateway has admitted of limited tenants
  */
 public record FleetHeartbeat(
     FleetProcess sender,
@@ -22,5 +26,10 @@
     long engineSequence,
     long processEpoch,
     long processSequence,
-    JobsGroupReport jobsGroup)
-    implements Message {}
+    JobsGroupReport jobsGroup,
+    List<TenantUse> tenantUse)
+    implements Message {
+  public FleetHeartbeat {
+    tenantUse = new ArrayList<>(tenantUse);
+  }
+}
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -21,6 +21,7 @@
  * @param assignedGroup the group that the asking store is to keep; {@link FleetProcess#NO_GROUP}
  *     when it has to wait or is no store
  * @param leavingMembers ids of store processes that are being emptied
+ * @param contendedTenants tenants near their limit, whose requests the leader admits one by one
  */
 public record FleetUpdate(
     RouteTable routes,
@@ -29,7 +30,8 @@
     List<JobsGroupFounders> jobsFounders,
     List<JobsGroupReport> jobsGroups,
     int assignedGroup,
-    List<Integer> leavingMembers)
+    List<Integer> leavingMembers,
+    List<String> contendedTenants)
     implements Message {
   /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
   public static final long NO_LEADERS_EPOCH = -1;
@@ -38,6 +40,7 @@
     jobsFounders = new ArrayList<>(jobsFounders);
     jobsGroups = new ArrayList<>(jobsGroups);
     leavingMembers = new ArrayList<>(leavingMembers);
+    contendedTenants = new ArrayList<>(contendedTenants);
   }
 
   /** Whether this is what a coordinator knew before its restart, and not a leader's answer. */
--- a/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
@@ -2,7 +2,9 @@
 
 /** A message between two processes of the system. */
 public sealed interface Message
-    permits ConfigurationHeartbeat,
+    permits AdmissionReply,
+        AdmissionRequest,
+        ConfigurationHeartbeat,
         ConfigurationUpdate,
         FleetHeartbeat,
         FleetUpdate,
--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -39,6 +39,12 @@
     return job;
   }
 
+  /** Whether {@code tenant} may see the job; without tenants on either side everybody may. */
+  boolean belongsTo(String tenant) {
+    String owner = submission.tenant();
+    return owner.isEmpty() || tenant.isEmpty() || owner.equals(tenant);
+  }
+
   /** Records events of an open item; returns whether they follow what is recorded. */
   boolean record(BatchProgress events) {
     ItemProgress before = progress(events.itemId());
--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -98,10 +98,13 @@
   }
 
   private CommandResult submit(SubmitBatch submit, long nowMs) {
-    if (jobs.containsKey(submit.jobId())) {
-      return new BatchAccepted(submit.jobId());
+    BatchJob held = jobs.get(submit.jobId());
+    if (held != null) {
+      return held.belongsTo(submit.tenant())
+          ? new BatchAccepted(submit.jobId())
+          : new Rejected(RejectionCode.CONFLICT, "another tenant has a job of this id");
     }
-    long waiting = queuedTokens(submit.route());
+    long waiting = queuedTokens(submit.tenant(), submit.route());
     long added = submit.items().stream().mapToLong(BatchItem::tokens).sum();
     boolean limited = submit.maxQueuedTokens() > 0;
     if (limited && waiting + added > submit.maxQueuedTokens()) {
@@ -111,10 +114,10 @@
     return new BatchAccepted(submit.jobId());
   }
 
-  private long queuedTokens(String route) {
+  private long queuedTokens(String tenant, String route) {
     long tokens = 0;
     for (BatchJob job : jobs.values()) {
-      if (job.submission().route().equals(route)) {
+      if (job.submission().route().equals(route) && job.belongsTo(tenant)) {
         tokens += job.queuedTokens();
       }
     }
@@ -146,7 +149,7 @@
   }
 
   private CommandResult end(EndBatch end) {
-    BatchJob job = jobs.get(end.jobId());
+    BatchJob job = jobOf(end.tenant(), end.jobId());
     if (job == null) {
       return new Rejected(RejectionCode.NOT_FOUND, "no job " + end.jobId());
     }
@@ -165,8 +168,14 @@
     return new NotFound("not a query of a batch group");
   }
 
+  /** The job of this id; null when there is none, or when it is another tenant's. */
+  private BatchJob jobOf(String tenant, String jobId) {
+    BatchJob job = jobs.get(jobId);
+    return job != null && job.belongsTo(tenant) ? job : null;
+  }
+
   private QueryResult readResults(ReadBatchResults read) {
-    BatchJob job = jobs.get(read.jobId());
+    BatchJob job = jobOf(read.tenant(), read.jobId());
     if (job == null) {
       return new BatchMissing();
     }
@@ -184,7 +193,7 @@
   }
 
   private QueryResult readItem(ReadBatchItem read) {
-    BatchJob job = jobs.get(read.jobId());
+    BatchJob job = jobOf(read.tenant(), read.jobId());
     BatchItem item = job == null ? null : job.open().get(read.itemId());
     return item == null ? new BatchMissing() : new BatchItemBody(item.body());
   }
--- a/state/src/test/java/io/pathdeck/state/TestBatchProgressProperties.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchProgressProperties.java
@@ -93,7 +93,7 @@
   }
 
   private List<BatchResult> results() {
-    BatchResults read = (BatchResults) machine.query(new ReadBatchResults(JOB, 0, 1 << 20, 0));
+    BatchResults read = (BatchResults) machine.query(new ReadBatchResults(JOB, "", 0, 1 << 20, 0));
     return read.results();
   }
 
@@ -101,7 +101,7 @@
   private void submit() {
     machine = new BatchStateMachine();
     BatchItem item = new BatchItem(ITEM, "/p", Map.of(), new byte[0], 10, 5);
-    apply(new SubmitBatch(JOB, "r", "h", List.of(item), 3, 20_000, 60_000, 0));
+    apply(new SubmitBatch(JOB, "", "r", "h", List.of(item), 3, 20_000, 60_000, 0));
   }
 
   @Property
--- a/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
@@ -46,7 +46,7 @@
       byte[] body = {(byte) i};
       list.add(new BatchItem(id + "-" + i, "/p/" + i, Map.of("Model", "m"), body, 100, 40));
     }
-    return new SubmitBatch(id, "route", "host", list, 3, 20_000, 60_000, maxQueuedTokens);
+    return new SubmitBatch(id, "", "route", "host", list, 3, 20_000, 60_000, maxQueuedTokens);
   }
 
   private static ListBatchResults list(String job, String item, boolean done, String text) {
@@ -69,7 +69,7 @@
   }
 
   private BatchResults read(String job, int from) {
-    return (BatchResults) machine.query(new ReadBatchResults(job, from, PAGE_BYTES, 0));
+    return (BatchResults) machine.query(new ReadBatchResults(job, "", from, PAGE_BYTES, 0));
   }
 
   @Test
@@ -113,8 +113,8 @@
   void endedJobFreesItsQuotaAndKeepsItsResults() {
     apply(job("a", 3, 500));
     apply(list("a", "a-0", true, "x"));
-    assertThat(apply(new EndBatch("a"))).isInstanceOf(Done.class);
-    assertThat(apply(new EndBatch("a"))).isInstanceOf(Done.class);
+    assertThat(apply(new EndBatch("a", ""))).isInstanceOf(Done.class);
+    assertThat(apply(new EndBatch("a", ""))).isInstanceOf(Done.class);
     assertThat(apply(job("b", 5, 500))).isInstanceOf(BatchAccepted.class);
     assertThat(read("a", 0).results()).hasSize(1);
     assertThat(machine.job("a").orElseThrow().isActive()).isFalse();
@@ -122,25 +122,25 @@
 
   @Test
   void unknownJobIsMissing() {
-    assertThat(apply(new EndBatch("nobody"))).isInstanceOf(Rejected.class);
-    assertThat(machine.query(new ReadBatchResults("nobody", 0, PAGE_BYTES, 0)))
+    assertThat(apply(new EndBatch("nobody", ""))).isInstanceOf(Rejected.class);
+    assertThat(machine.query(new ReadBatchResults("nobody", "", 0, PAGE_BYTES, 0)))
         .isInstanceOf(BatchMissing.class);
   }
 
   @Test
   void bodyIsReadWhileTheItemWaits() {
     apply(job("a", 2, 0));
-    BatchItemBody body = (BatchItemBody) machine.query(new ReadBatchItem("a", "a-1"));
+    BatchItemBody body = (BatchItemBody) machine.query(new ReadBatchItem("a", "", "a-1"));
     assertThat(body.body()).containsExactly(1);
     apply(list("a", "a-1", true, ""));
-    assertThat(machine.query(new ReadBatchItem("a", "a-1"))).isInstanceOf(BatchMissing.class);
+    assertThat(machine.query(new ReadBatchItem("a", "", "a-1"))).isInstanceOf(BatchMissing.class);
   }
 
   @Test
   void openJobIsKeptHoweverOld() {
     apply(job("open", 1, 0));
     apply(job("ended", 1, 0));
-    apply(new EndBatch("ended"));
+    apply(new EndBatch("ended", ""));
     timeMs += 2 * BatchStateMachine.MIN_RETENTION_MS;
     apply(job("new", 1, 0));
     assertThat(machine.job("open")).isPresent();
@@ -202,7 +202,7 @@
     apply(list("a", "a-2", true, "two"));
     apply(list("a", "a-0", false, ""));
     apply(job("b", 1, 0));
-    apply(new EndBatch("b"));
+    apply(new EndBatch("b", ""));
     List<Object> decoded = new ArrayList<>();
     Iterator<Object> records = machine.captureSnapshot();
     while (records.hasNext()) {
@@ -211,8 +211,8 @@
     BatchStateMachine restored = new BatchStateMachine();
     restored.restoreSnapshot(decoded.iterator());
     assertThat(restored.timeMs()).isEqualTo(machine.timeMs());
-    assertThat(restored.query(new ReadBatchResults("a", 0, 1_000, 0)))
-        .isEqualTo(machine.query(new ReadBatchResults("a", 0, 1_000, 0)));
+    assertThat(restored.query(new ReadBatchResults("a", "", 0, 1_000, 0)))
+        .isEqualTo(machine.query(new ReadBatchResults("a", "", 0, 1_000, 0)));
     assertThat(restored.job("a").orElseThrow().open()).containsOnlyKeys("a-1");
     assertThat(restored.job("a").orElseThrow().progress("a-1").lastEvent()).isEqualTo(3);
     assertThat(restored.job("a").orElseThrow().progress("a-1").text()).isEqualTo("part");
--- a/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -32,6 +32,8 @@
             List.of(),
             List.of(),
             CallerLimits.NONE,
+            List.of(),
+            new byte[0],
             document.getBytes(StandardCharsets.UTF_8)));
   }
 
