--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -195,7 +195,9 @@
     OperatorEndpoint operators =
         new OperatorEndpoint(
             adapter.operators(), contacts.client(), follower::view, fleet.minMembers());
-    DirectoryEndpoint directory = new DirectoryEndpoint(adapter.directory(), follower::view);
+    DirectoryEndpoint directory =
+        new DirectoryEndpoint(
+            adapter.directory(), follower::view, new GatewayNaming(settings.namedGatewaysShare()));
     serve(settings.operatorsListen(), eventLoops, operators::handle);
     serve(settings.directoryListen(), eventLoops, directory::handle);
     resources.push(host);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorSettings.java
@@ -13,6 +13,7 @@
  * @param operatorsListen where operators connect
  * @param directoryListen where callers ask where to go
  * @param firstStart whether this is the first start of the whole system, on empty disks
+ * @param namedGatewaysShare the part of many ready gateways that callers are told of
  * @param engineList where the list of engines is read
  */
 public record CoordinatorSettings(
@@ -22,9 +23,16 @@
     Path dataFolder,
     boolean firstStart,
     HostPort engineList,
-    int engineListIntervalMs) {
+    int engineListIntervalMs,
+    double namedGatewaysShare) {
   private static final int DEFAULT_INTERVAL_MS = 800;
 
+  /** At half of 47 gateways a crest of 640 requests a second is a tenth of a core at each. */
+  private static final double DEFAULT_NAMED_SHARE = 0.5;
+
+  private static final double MIN_NAMED_SHARE = 0.05;
+  private static final double MAX_NAMED_SHARE = 1;
+
   /** Reads and checks the settings. */
   public static Result<CoordinatorSettings, SettingsError> read(SettingsReader reader) {
     CoordinatorSettings settings =
@@ -35,7 +43,9 @@
             reader.path("data_folder"),
             reader.bool("first_start", false),
             reader.address("engine_list"),
-            reader.integer("engine_list_interval_ms", DEFAULT_INTERVAL_MS, 100, 10_000));
+            reader.integer("engine_list_interval_ms", DEFAULT_INTERVAL_MS, 100, 10_000),
+            reader.decimal(
+                "named_gateways_share", DEFAULT_NAMED_SHARE, MIN_NAMED_SHARE, MAX_NAMED_SHARE));
     return reader.finish(settings);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/DirectoryEndpoint.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/DirectoryEndpoint.java
@@ -20,10 +20,12 @@
 
   private final DirectoryProtocol protocol;
   private final Supplier<FleetView> view;
+  private final GatewayNaming naming;
 
-  DirectoryEndpoint(DirectoryProtocol protocol, Supplier<FleetView> view) {
+  DirectoryEndpoint(DirectoryProtocol protocol, Supplier<FleetView> view, GatewayNaming naming) {
     this.protocol = protocol;
     this.view = view;
+    this.naming = naming;
   }
 
   void handle(HttpExchange exchange) {
@@ -41,18 +43,21 @@
   }
 
   private List<String> choose(String zone) {
-    List<String> near = new ArrayList<>();
-    List<String> all = new ArrayList<>();
+    List<FleetProcess> near = new ArrayList<>();
+    List<FleetProcess> all = new ArrayList<>();
     for (FleetProcess gateway : view.get().withRole(FleetRole.GATEWAY)) {
       if (!gateway.ready()) {
         continue;
       }
-      all.add(gateway.serviceAddress());
+      all.add(gateway);
       if (gateway.zone().equals(zone)) {
-        near.add(gateway.serviceAddress());
+        near.add(gateway);
       }
     }
-    List<String> chosen = near.size() >= ENOUGH_IN_ZONE ? near : all;
+    List<String> chosen = new ArrayList<>();
+    for (FleetProcess gateway : naming.choose(near.size() >= ENOUGH_IN_ZONE ? near : all)) {
+      chosen.add(gateway.serviceAddress());
+    }
     Collections.shuffle(chosen);
     return chosen.size() > MAX_ADDRESSES ? chosen.subList(0, MAX_ADDRESSES) : chosen;
   }
