--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/TenantLimiter.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/TenantLimiter.java
@@ -52,7 +52,7 @@
     switch (admissions.decide(tenant.name(), nowMs())) {
       case ADMIT -> decide(tenant.name(), true, decided);
       case REFUSE -> decided.accept(false);
-      case ASK_LEADER -> askLeader(tenant.name(), decided);
+      default -> askLeader(tenant.name(), decided);
     }
   }
 
