A thread that ends by an error ends its process

Cause: in a trial whose class path lacked a library the storage thread of a coordinator ended with NoClassDefFoundError, and the process lived on without it, answering nothing that has to be stored. The class path was mended at the time; this is the fault below it. Ruled out: catching errors in each duty, which can go on with nothing.

--- a/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
@@ -87,6 +87,7 @@
     settingsFile = file;
     settingsOverrides = overrides;
     HangupSignal.onHangup(() -> onHangup.run());
+    Thread.setDefaultUncaughtExceptionHandler(new FatalErrors(RoleCommand::halt));
     Result<SettingsReader, SettingsError> reader = SettingsReader.open(file, overrides);
     if (!reader.isOk()) {
       return rejectSettings(reader.error());
@@ -223,6 +224,12 @@
         : TransportTls.NONE;
   }
 
+  /** Ends the process at once, once its log lines are written. */
+  private static void halt(int code) {
+    LogManager.shutdown();
+    Runtime.getRuntime().halt(code);
+  }
+
   /** The process's own threads keep it alive; SIGTERM closes it in order. */
   private static void runUntilStopped(AutoCloseable process) {
     Thread stop =
@@ -233,9 +240,8 @@
               } catch (Exception e) {
                 EVENTS.log(EventCode.DUTY_FAILED, e, "duty", "stop");
               }
-              LogManager.shutdown();
               // Everything is closed. Threads that only wait must not hold the end up.
-              Runtime.getRuntime().halt(ExitCode.OK.value());
+              halt(ExitCode.OK.value());
             },
             "stop");
     Runtime.getRuntime().addShutdownHook(stop);
