--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -4,7 +4,6 @@
 import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.JoinRequest;
 import io.pathdeck.protocol.raft.LogEntry;
-import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.raft.RaftHeader;
 import io.pathdeck.protocol.raft.RaftMessage;
 import io.pathdeck.protocol.raft.SnapshotChunk;
@@ -40,15 +39,9 @@
   private final ElectionTimer timer;
   private final MembershipPolicy policy;
   private final Elections elections;
-
-  /** The members that are to leave the group. */
-  private Set<Integer> leaving = Set.of();
-
-  private ReplicaRole role = ReplicaRole.JOINING;
   private final Delivery delivery;
-
-  /** Not null exactly while this replica leads. */
-  private Replicator leader;
+  private final Leadership leadership;
+  private ReplicaRole role = ReplicaRole.JOINING;
 
   /**
    * Restores a replica that finds its group as {@code joinSettings} say.
@@ -74,6 +67,7 @@
     this.elections = new Elections(state, timer, recovered.votedFor());
     state.restoreLog(recovered);
     delivery = new Delivery(state);
+    leadership = new Leadership(state, policy);
     state.syncedIndex = state.log.lastIndex();
     if (state.log.hasConfiguration()) {
       role = ReplicaRole.FOLLOWER;
@@ -123,7 +117,7 @@
     if (memberId == state.id) {
       return state.syncedIndex;
     }
-    return leader == null ? 0 : leader.matchIndex(memberId);
+    return leadership.matchIndex(memberId);
   }
 
   /** What this replica has sent as leader. */
@@ -149,11 +143,8 @@
    * that leads hands over by ending its term.
    */
   public void setLeaving(Set<Integer> ids) {
-    leaving = Set.copyOf(ids);
-    timer.setLeaving(leaving.contains(state.id));
-    if (leader != null) {
-      leader.setLeaving(leaving);
-    }
+    leadership.setLeaving(ids);
+    timer.setLeaving(leadership.isLeaving(state.id));
   }
 
   /**
@@ -165,16 +156,11 @@
    * @return whether a successor was found; nothing changes otherwise
    */
   public boolean transferLeadership(long nowMs) {
-    if (role != ReplicaRole.LEADER) {
+    if (role != ReplicaRole.LEADER || !leadership.nameSuccessor(nowMs)) {
       return false;
     }
-    Optional<Member> successor = leader.successor(nowMs);
-    successor.ifPresent(
-        member -> {
-          state.messages.add(new TimeoutNow(state.header(member.id(), member.incarnation())));
-          becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
-        });
-    return successor.isPresent();
+    becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
+    return true;
   }
 
   /** What a snapshot taken after applying {@code index} must record. */
@@ -208,7 +194,8 @@
     if (role != ReplicaRole.LEADER) {
       return OptionalLong.empty();
     }
-    leader.append(new LogEntry(state.log.lastIndex() + 1, state.term, command, null), nowMs);
+    long index = state.log.lastIndex() + 1;
+    leadership.replicator().append(new LogEntry(index, state.term, command, null), nowMs);
     return OptionalLong.of(state.log.lastIndex());
   }
 
@@ -217,11 +204,7 @@
    * replica cannot tell that it still leads.
    */
   public OptionalLong readIndex(long nowMs) {
-    boolean leads = role == ReplicaRole.LEADER && state.log.term(state.commitIndex) == state.term;
-    if (!leads || leader.quorumSilenceMs(nowMs) >= state.settings.leaseMs()) {
-      return OptionalLong.empty();
-    }
-    return OptionalLong.of(state.commitIndex);
+    return role == ReplicaRole.LEADER ? leadership.readIndex(nowMs) : OptionalLong.empty();
   }
 
   /** Handles a message of another replica. */
@@ -246,7 +229,7 @@
     } else if (message instanceof TimeoutNow handover) {
       onTimeoutNow(handover, nowMs);
     } else if (leadsTerm(header)) {
-      leader.receive(message, nowMs);
+      leadership.receive(message, nowMs);
     } else {
       receiveOfLeader(message, nowMs);
     }
@@ -279,7 +262,7 @@
     }
     state.syncedIndex = index;
     if (role == ReplicaRole.LEADER) {
-      leader.advanceCommit();
+      leadership.replicator().advanceCommit();
     } else {
       follower.onSynced();
     }
@@ -309,7 +292,7 @@
     if (role != ReplicaRole.LEADER) {
       return;
     }
-    leader.sendSnapshotChunk(request, metadata, data, last, nowMs);
+    leadership.replicator().sendSnapshotChunk(request, metadata, data, last, nowMs);
   }
 
   /** Returns what has to be done and forgets it. */
@@ -348,7 +331,7 @@
     }
     joining.answer(join);
     if (role == ReplicaRole.LEADER) {
-      leader.onJoinRequest(join, nowMs);
+      leadership.replicator().onJoinRequest(join, nowMs);
     }
   }
 
@@ -432,10 +415,7 @@
     role = ReplicaRole.LEADER;
     follower.setLeader(state.id);
     elections.endCampaign();
-    leader = new Replicator(state, policy, nowMs);
-    leader.setLeaving(leaving);
-    leader.append(new LogEntry(state.log.lastIndex() + 1, state.term, null, null), nowMs);
-    leader.broadcastHeartbeat(nowMs);
+    leadership.begin(nowMs);
   }
 
   private void becomeFollower(long newTerm, int newLeader, long nowMs) {
@@ -450,25 +430,23 @@
       role = ReplicaRole.FOLLOWER;
     }
     follower.setLeader(newLeader);
-    leader = null;
+    leadership.end();
     elections.endCampaign();
   }
 
   private void pollLeader(long nowMs) {
-    if (!leader.isHeartbeatDue(nowMs)) {
-      return;
-    }
-    long silenceMs = leader.quorumSilenceMs(nowMs);
-    boolean handsOver =
-        leaving.contains(state.id) && state.log.configuration().voterCount() > policy.minVoters();
-    if (handsOver && transferLeadership(nowMs)) {
+    if (!leadership.replicator().isHeartbeatDue(nowMs)) {
       return;
     }
-    if (silenceMs > state.settings.electionTimeoutMaxMs() || handsOver) {
-      becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
-      return;
+    switch (leadership.course(nowMs)) {
+      case HAND_OVER -> {
+        if (!transferLeadership(nowMs)) {
+          becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
+        }
+      }
+      case STEP_DOWN -> becomeFollower(state.term, RecoveredState.NO_VOTE, nowMs);
+      default -> leadership.replicator().heartbeat(nowMs);
     }
-    leader.heartbeat(nowMs);
   }
 
   private boolean acceptLeader(RaftHeader header, long nowMs) {
--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineCall.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineCall.java
@@ -8,8 +8,7 @@
  * One request to one engine.
  *
  * @param uri the path with the query, as the caller sent it
- * @param tenant the tenant to name to the engine; empty: none, whatever {@code headers} hold; null
- *     when the fleet has no tenants
+ * @param tenant what the engine is told of the request's tenant
  * @param headers what is passed on
  * @param deadlineMs how long the engine may work
  * @param resumeAfter the last event that is already held; -1 to start from the beginning
@@ -20,7 +19,7 @@
     String uri,
     String host,
     String requestId,
-    String tenant,
+    EngineTenant tenant,
     HttpHeaders headers,
     byte[] body,
     long deadlineMs,
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -7,10 +7,8 @@
 import io.pathdeck.control.ConsensusExtension;
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
-import io.pathdeck.fleet.limit.TenantLedger;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.SetStoreLeaving;
-import io.pathdeck.protocol.fleet.CallerTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
 import io.pathdeck.protocol.fleet.FleetProcess;
@@ -19,11 +17,9 @@
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.RouteTable;
-import io.pathdeck.protocol.message.AdmissionReply;
 import io.pathdeck.protocol.message.AdmissionRequest;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
-import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.state.FleetStateMachine;
 import java.util.HashMap;
@@ -61,7 +57,7 @@
   private final FleetStateMachine state;
   private final ControllerClock clock;
   private final int minStores;
-  private final TenantLedger tenants;
+  private final TenantAdmission tenants;
   private final Consumer<Boolean> leadershipListener;
   private final Optional<FleetUpdate> lastKnown;
   private final VersionedList<FleetProcess> processes = new VersionedList<>();
@@ -97,7 +93,7 @@
     this.state = state;
     this.clock = clock;
     this.minStores = minStores;
-    this.tenants = new TenantLedger(limitWindowMs);
+    this.tenants = new TenantAdmission(group, state, limitWindowMs);
     this.jobsGroups = new JobsGroupRegistry(JobsGroupFounding.targetSize(minStores));
     this.leadershipListener = leadershipListener;
   }
@@ -179,6 +175,8 @@
       onLeadershipChanged(true, nowMs);
     }
     note(heartbeat, nowMs);
+    List<String> contendedTenants =
+        tenants.onHeartbeat(heartbeat.sender(), heartbeat.tenantUse(), nowMs);
     reply.reply(
         new FleetUpdate(
             routesFor(heartbeat),
@@ -188,7 +186,7 @@
             jobsGroups.reports(),
             groupFor(heartbeat.sender(), nowMs),
             leavingMembers(),
-            contendedTenantsFor(heartbeat.sender())));
+            contendedTenants));
   }
 
   private void note(FleetHeartbeat heartbeat, long nowMs) {
@@ -205,9 +203,6 @@
     }
     processes.put(sender.name(), sender);
     lastHeardMs.put(sender.name(), nowMs);
-    if (sender.role() == FleetRole.GATEWAY) {
-      tenants.note(sender.name(), sender.incarnation(), heartbeat.tenantUse(), nowMs);
-    }
     JobsGroupReport report = heartbeat.jobsGroup();
     if (report != null) {
       jobsGroups.report(report);
@@ -224,29 +219,11 @@
     }
   }
 
-  private List<String> contendedTenantsFor(FleetProcess sender) {
-    if (sender.role() != FleetRole.GATEWAY) {
-      return List.of();
-    }
-    return state.table().map(table -> tenants.contended(table.tenants())).orElse(List.of());
-  }
-
-  /** Admits one request of a contended tenant, or not. */
+  /** Decides on one request of a contended tenant. */
   void onAdmission(AdmissionRequest request, ReplySink reply) {
     long nowMs = clock.monotonicMs();
-    if (!leading || !group.isLeading()) {
-      reply.reply(group.notLeader());
-      return;
-    }
-    if (nowMs - leadsSinceMs < COLLECTION_MS) {
-      reply.reply(new Unavailable("not all gateways were heard yet", false));
-      return;
-    }
-    Optional<CallerTenant> tenant = state.table().flatMap(table -> table.tenant(request.tenant()));
-    boolean admitted =
-        tenant.isPresent()
-            && tenants.tryAdmit(request.gateway(), request.life(), tenant.get(), nowMs);
-    reply.reply(new AdmissionReply(admitted));
+    boolean allHeard = leading && nowMs - leadsSinceMs >= COLLECTION_MS;
+    reply.reply(tenants.decide(request, allHeard, nowMs));
   }
 
   private List<Integer> leavingMembers() {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineReports.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineReports.java
@@ -6,6 +6,7 @@
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.io.ByteArrayOutputStream;
 import java.util.function.BiConsumer;
@@ -38,7 +39,7 @@
             protocol.reportPath(),
             engine.address(),
             EngineCall.NO_REQUEST,
-            null,
+            new EngineTenant.AsSent(),
             EmptyHttpHeaders.INSTANCE,
             new byte[0],
             DEADLINE_MS,
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerIdentity.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerIdentity.java
@@ -1,14 +1,12 @@
 package io.pathdeck.fleet.gateway;
 
+import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.protocol.fleet.CallerTenant;
 
 /** Who sent a request, as far as its key tells. */
 sealed interface CallerIdentity {
-  /** What to tell engines and stores when no tenant is to be named. */
-  String NO_TENANT = "";
-
   /** The fleet has no tenants, and callers carry no keys. */
-  record Untold() implements CallerIdentity {}
+  record NotAsked() implements CallerIdentity {}
 
   /** The route is open to callers without a key, and none was given. */
   record Anonymous() implements CallerIdentity {}
@@ -21,6 +19,16 @@
 
   /** The name of the tenant; empty when none is known. */
   default String tenantName() {
-    return this instanceof Known known ? known.tenant().name() : NO_TENANT;
+    return this instanceof Known known ? known.tenant().name() : "";
+  }
+
+  /** What engines are told. */
+  default EngineTenant toEngines() {
+    if (this instanceof NotAsked) {
+      return new EngineTenant.AsSent();
+    }
+    return this instanceof Known known
+        ? new EngineTenant.Named(known.tenant().name())
+        : new EngineTenant.Nobody();
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerKeys.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerKeys.java
@@ -20,6 +20,11 @@
     this.salt = salt;
   }
 
+  /** Whether a call without a key can be refused. */
+  boolean areRequired() {
+    return required;
+  }
+
   static CallerKeys of(RouteTable table) {
     CallerKeys keys = new CallerKeys(table.requiresKeys(), table.keySalt());
     for (CallerTenant tenant : table.tenants()) {
@@ -36,7 +41,7 @@
    */
   CallerIdentity identify(String key, boolean anonymousAllowed) {
     if (!required) {
-      return new CallerIdentity.Untold();
+      return new CallerIdentity.NotAsked();
     }
     CallerTenant tenant = key.isEmpty() ? null : tenants.get(KeyDigest.of(salt, key));
     if (tenant != null) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -129,7 +129,8 @@
   }
 
   private void handleJobCall(HttpExchange exchange, String key, Consumer<String> call) {
-    if (!usable.getAsBoolean()) {
+    boolean keysKnown = view.get().routes() != null;
+    if (!keysKnown || (keys.areRequired() && !usable.getAsBoolean())) {
       Refusals.unavailable(exchange, "no configuration yet", UNCONFIRMED_RETRY_AFTER_MS);
       return;
     }
@@ -201,12 +202,18 @@
     } else if (caller instanceof CallerIdentity.Known member) {
       limiter.admit(
           member.tenant(),
-          admitted -> {
-            if (admitted) {
-              forward(exchange, request, route, caller, known);
-            } else {
-              logRefusal(request, "over the rate of tenant " + caller.tenantName(), known);
-              Refusals.overRate(exchange, "over the tenant's rate", OVER_RATE_RETRY_AFTER_MS);
+          outcome -> {
+            switch (outcome) {
+              case ADMITTED -> forward(exchange, request, route, caller, known);
+              case OVER_LIMIT -> {
+                logRefusal(request, "over the rate of tenant " + caller.tenantName(), known);
+                Refusals.overRate(exchange, "over the tenant's rate", OVER_RATE_RETRY_AFTER_MS);
+              }
+              default -> {
+                logRefusal(request, "rate of " + caller.tenantName() + " not known", known);
+                Refusals.unavailable(
+                    exchange, "the tenant's rate is not known", UNCONFIRMED_RETRY_AFTER_MS);
+              }
             }
           });
     } else {
@@ -226,9 +233,8 @@
     long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     String service = split.next(route);
     long version = known.routes().version();
-    String tenant = caller instanceof CallerIdentity.Untold ? null : caller.tenantName();
     RequestForwarder.Permission permission =
-        new RequestForwarder.Permission(tenant, () -> isStillAllowed(request, caller));
+        new RequestForwarder.Permission(caller.toEngines(), () -> isStillAllowed(request, caller));
     new RequestForwarder(shared, exchange, request, route, service, version, permission, nowMs)
         .start();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -5,6 +5,7 @@
 import io.pathdeck.fleet.adapter.CallerCall;
 import io.pathdeck.fleet.adapter.EngineAnswer;
 import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.fleet.engine.EngineChoice;
 import io.pathdeck.fleet.engine.EngineFailure;
 import io.pathdeck.fleet.engine.EngineListener;
@@ -51,11 +52,11 @@
   /**
    * What lets a request be sent to engines.
    *
-   * @param tenant the tenant to name to them; see {@link EngineCall#tenant}
+   * @param tenant what engines are told of the request's tenant
    * @param stillGiven whether the newest configuration allows the request; asked before each send
    *     after the first one
    */
-  record Permission(String tenant, BooleanSupplier stillGiven) {}
+  record Permission(EngineTenant tenant, BooleanSupplier stillGiven) {}
 
   private final Shared shared;
   private final HttpExchange exchange;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/TenantLimiter.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/TenantLimiter.java
@@ -18,6 +18,15 @@
  * Keeps tenants within their limits together with all other gateways; confined to the event loop.
  */
 final class TenantLimiter {
+  /** What became of a request. */
+  enum Outcome {
+    ADMITTED,
+    OVER_LIMIT,
+
+    /** Whether the request fits into the limit cannot be told now. */
+    UNDECIDED
+  }
+
   /**
    * How long a request waits for the leader's word. An answer takes two one-way delays, some 2 ms;
    * a frozen or lost leader must not cost a caller more than half of a usual objective of 300 ms.
@@ -44,41 +53,41 @@
   }
 
   /** Tells {@code decided} whether the tenant's limit has room for one more request. */
-  void admit(CallerTenant tenant, Consumer<Boolean> decided) {
+  void admit(CallerTenant tenant, Consumer<Outcome> decided) {
     if (!tenant.isLimited()) {
-      decided.accept(true);
+      decided.accept(Outcome.ADMITTED);
       return;
     }
     switch (admissions.decide(tenant.name(), nowMs())) {
-      case ADMIT -> decide(tenant.name(), true, decided);
-      case REFUSE -> decided.accept(false);
-      default -> askLeader(tenant.name(), decided);
+      case ADMIT -> admitted(tenant.name(), decided);
+      case REFUSE -> decided.accept(Outcome.OVER_LIMIT);
+      case ASK_LEADER -> askLeader(tenant.name(), decided);
+      default -> decided.accept(Outcome.UNDECIDED);
     }
   }
 
-  private void askLeader(String tenant, Consumer<Boolean> decided) {
+  private void askLeader(String tenant, Consumer<Outcome> decided) {
     coordinators
         .call(new AdmissionRequest(gateway, life, tenant), ASK_TIMEOUT_MS, ASK_TIMEOUT_MS)
         .thenAcceptAsync(answer -> onAnswer(tenant, answer, decided), eventLoop);
   }
 
   private void onAnswer(
-      String tenant, Result<Message, GroupCallError> answer, Consumer<Boolean> decided) {
-    if (answer.isOk() && answer.value() instanceof AdmissionReply reply) {
-      if (!reply.admitted()) {
-        admissions.onRefused(tenant, nowMs());
-      }
-      decide(tenant, reply.admitted(), decided);
+      String tenant, Result<Message, GroupCallError> answer, Consumer<Outcome> decided) {
+    boolean answered = answer.isOk() && answer.value() instanceof AdmissionReply;
+    if (answered && !((AdmissionReply) answer.value()).admitted()) {
+      admissions.onRefused(tenant, nowMs());
+      decided.accept(Outcome.OVER_LIMIT);
+    } else if (answered || admissions.mayAdmitUnanswered(tenant, nowMs())) {
+      admitted(tenant, decided);
     } else {
-      decide(tenant, admissions.mayAdmitUnanswered(tenant, nowMs()), decided);
+      decided.accept(Outcome.UNDECIDED);
     }
   }
 
-  private void decide(String tenant, boolean admitted, Consumer<Boolean> decided) {
-    if (admitted) {
-      admissions.onAdmitted(tenant, nowMs());
-    }
-    decided.accept(admitted);
+  private void admitted(String tenant, Consumer<Outcome> decided) {
+    admissions.onAdmitted(tenant, nowMs());
+    decided.accept(Outcome.ADMITTED);
   }
 
   /** The leader told which tenants are near their limits. */
--- a/fleet/src/main/java/io/pathdeck/fleet/limit/GatewayAdmissions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/limit/GatewayAdmissions.java
@@ -22,7 +22,12 @@
   public enum Decision {
     ADMIT,
     ASK_LEADER,
-    REFUSE
+
+    /** The leader has just refused a request of the tenant. */
+    REFUSE,
+
+    /** The leader was not heard for so long that the fleet may be at the limit. */
+    UNDECIDED
   }
 
   /**
@@ -66,7 +71,7 @@
   /** Decides on a request of a limited tenant. */
   public Decision decide(String tenant, long nowMs) {
     if (!contended.contains(tenant)) {
-      return isFree(tenant, nowMs) ? Decision.ADMIT : Decision.REFUSE;
+      return isFree(tenant, nowMs) ? Decision.ADMIT : Decision.UNDECIDED;
     }
     Tenant known = tenants.get(tenant);
     boolean justRefused = known != null && nowMs < known.refusedUntilMs;
--- a/fleet/src/main/java/io/pathdeck/fleet/limit/TenantLedger.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/limit/TenantLedger.java
@@ -127,7 +127,7 @@
   public boolean tryAdmit(String gateway, long life, CallerTenant tenant, long nowMs) {
     double most =
         tenant.maxRequestsIn(windowMs) * STALENESS_ALLOWANCE + STALENESS_ALLOWANCE_REQUESTS;
-    if (tenant.isLimited() && admitted(tenant.name()) + 1 > most) {
+    if (admitted(tenant.name()) + 1 > most) {
       return false;
     }
     Gateway known = gateways.computeIfAbsent(new GatewayLife(gateway, life), l -> new Gateway());
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -9,6 +9,7 @@
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.fleet.engine.EngineChoice;
 import io.pathdeck.fleet.engine.EngineReports;
 import io.pathdeck.fleet.engine.EngineState;
@@ -340,7 +341,6 @@
 
   private static EngineCall call(ItemRun run, EngineState engine) {
     HttpHeaders headers = new DefaultHttpHeaders();
-    String tenant = run.job.submission().tenant();
     run.item.headers().forEach(headers::set);
     return new EngineCall(
         engine.instance(),
@@ -348,7 +348,7 @@
         run.item.path(),
         run.job.submission().host(),
         run.item.id(),
-        tenant.isEmpty() ? null : tenant,
+        EngineTenant.ofOwner(run.job.submission().tenant()),
         headers,
         run.item.body(),
         0,
--- a/fleet/src/test/java/io/pathdeck/fleet/limit/LimitSimulation.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/limit/LimitSimulation.java
@@ -168,7 +168,7 @@
         boolean admitted =
             switch (own.decide(name, nowMs)) {
               case ADMIT -> true;
-              case REFUSE -> false;
+              case REFUSE, UNDECIDED -> false;
               case ASK_LEADER -> ask(own, gateway, nowMs, leaderAnswers);
             };
         if (admitted) {
