--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorSettings.java
@@ -27,7 +27,9 @@
     double namedGatewaysShare) {
   private static final int DEFAULT_INTERVAL_MS = 800;
 
-  /** With half of 47 gateways a crest of 458 requests a second is 19 at each, 4 ms of a core each. */
+  /**
+   * With half of 47 gateways a crest of 458 requests a second is 19 at each, 4 ms of a core each.
+   */
   private static final double DEFAULT_NAMED_SHARE = 0.5;
 
   private static final double MIN_NAMED_SHARE = 0.05;
