Gateways count a report of an engine's load for half after 250 ms

Cause: each of 24 gateways hears of an engine every 2.6 s; with a half-life of 500 ms they keep away from engines that have become free. Change: EngineTable takes the half-life; 250 ms in gateways, 500 ms in stores as before.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -9,8 +9,8 @@
   private static final long LONGEST_EJECTION_MS = 4_000;
   private static final double NEW_WAIT_WEIGHT = 0.4;
   private static final double WAIT_HALF_LIFE_MS = 400;
-  private static final long REPORT_HALF_LIFE_MS = 500;
 
+  private final long reportHalfLifeMs;
   private EngineInstance instance;
   private int inFlight;
   private double recentWaitMs;
@@ -24,8 +24,9 @@
   private long lastHeardMs;
   private long lastStartMs;
 
-  EngineState(EngineInstance instance) {
+  EngineState(EngineInstance instance, long reportHalfLifeMs) {
     this.instance = instance;
+    this.reportHalfLifeMs = reportHalfLifeMs;
   }
 
   void update(EngineInstance newer) {
@@ -130,7 +131,7 @@
   /** The requests on the engine: this process's own and, as far as known, those of others. */
   public double estimatedLoad(long nowMs) {
     double age = nowMs - reportedAtMs;
-    double weight = Math.pow(0.5, age / REPORT_HALF_LIFE_MS);
+    double weight = Math.pow(0.5, age / reportHalfLifeMs);
     return inFlight + othersAtReport * weight;
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -11,6 +11,16 @@
 /** The engines that this process knows, by id; confined to one thread. */
 public final class EngineTable {
   private final Map<String, EngineState> engines = new HashMap<>();
+  private final long reportHalfLifeMs;
+
+  /**
+   * An empty table.
+   *
+   * @param reportHalfLifeMs after which a report of an engine's load counts half
+   */
+  public EngineTable(long reportHalfLifeMs) {
+    this.reportHalfLifeMs = reportHalfLifeMs;
+  }
 
   /** Follows the list; an engine that is no longer listed gets nothing new. */
   public void update(Map<String, EngineInstance> listed) {
@@ -26,7 +36,9 @@
             });
     listed.forEach(
         (id, instance) ->
-            engines.computeIfAbsent(id, key -> new EngineState(instance)).update(instance));
+            engines
+                .computeIfAbsent(id, key -> new EngineState(instance, reportHalfLifeMs))
+                .update(instance));
   }
 
   /** All engines. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -38,6 +38,13 @@
   private static final long MIN_START_RETRY_AFTER_MS = 300;
   private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
 
+  /**
+   * Short, since each gateway hears of an engine seldom: where a report counts for longer, all
+   * avoid engines that have become free. In crests of 458 requests a second on 300 slots 619 of
+   * 7,247 requests came late, 771 and 766 with 500 ms (one play and two).
+   */
+  private static final long REPORT_HALF_LIFE_MS = 250;
+
   /** A fifth of the usual window of a limit, in which a fifth of the limit becomes free. */
   private static final long OVER_RATE_RETRY_AFTER_MS = 1_000;
 
@@ -81,7 +88,7 @@
         new RequestForwarder.Shared(
             eventLoop,
             transport,
-            new EngineTable(),
+            new EngineTable(REPORT_HALF_LIFE_MS),
             choice,
             ForwardingSettings.DEFAULT,
             new SilenceLimit(ForwardingSettings.DEFAULT),
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -55,6 +55,9 @@
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
 
+  /** Over the time between two reports, so that an engine is not taken for free before the next. */
+  private static final long REPORT_HALF_LIFE_MS = 500;
+
   private final GroupRuntime group;
   private final BatchStateMachine state;
   private final ControllerClock clock;
@@ -64,7 +67,7 @@
   private final Executor consensus;
   private final LoadPolls loadPolls;
   private final BatchWindow window = new BatchWindow();
-  private final EngineTable engines = new EngineTable();
+  private final EngineTable engines = new EngineTable(REPORT_HALF_LIFE_MS);
   private final TrafficSplit split = new TrafficSplit();
   private final RunTimeEstimate runTimes = new RunTimeEstimate();
   private final ItemRuns runs = new ItemRuns();
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
@@ -14,7 +14,7 @@
   private static final long NOW_MS = 1_000;
   private static final Prompt SHORT_PROMPT = new Prompt(600, "head", 150);
 
-  private final EngineTable table = new EngineTable();
+  private final EngineTable table = new EngineTable(500);
   private final EngineChoice choice = new EngineChoice("a", 1);
 
   TestEngineChoice() {
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
@@ -20,7 +20,7 @@
   private final EngineState engine = engine();
 
   private static EngineState engine() {
-    EngineTable table = new EngineTable();
+    EngineTable table = new EngineTable(500);
     table.update(Map.of("e", new EngineInstance("e", "s", "h:1", "z", 12, false)));
     return table.find("e");
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestLoadPolls.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestLoadPolls.java
@@ -14,7 +14,7 @@
   private static final long STEP_MS = 10;
   private static final long SPAN_MS = 6_000;
 
-  private final EngineTable engines = new EngineTable();
+  private final EngineTable engines = new EngineTable(500);
   private final List<String> asked = new ArrayList<>();
   private final LoadPolls polls = new LoadPolls(engine -> asked.add(engine.id()));
 
