Tests of a whole fleet take ports that nothing else can take

The ports were those that the system gives out, closed again and bound later; meanwhile another part of the fleet was given the same one.

--- a/testkit/src/test/java/io/pathdeck/testkit/InProcessFleet.java
+++ b/testkit/src/test/java/io/pathdeck/testkit/InProcessFleet.java
@@ -20,8 +20,6 @@
 import io.pathdeck.serving.NodeSettings;
 import io.pathdeck.testkit.engine.EmulatedEngine;
 import io.pathdeck.testkit.engine.EngineProfile;
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -31,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import javax.net.ssl.SSLException;
 
 /** A small fleet in one process, on free ports: 3 controllers, 2 nodes, 1 dispatcher, 3 engines. */
 final class InProcessFleet {
@@ -50,7 +49,7 @@
   private final HttpClient http = HttpClient.newHttpClient();
 
   InProcessFleet(Path folder) throws Exception {
-    List<HostPort> controllers = freeAddresses(CONTROLLERS);
+    List<HostPort> controllers = LoopbackPorts.take(CONTROLLERS);
     String addresses =
         controllers.stream().map(HostPort::toString).collect(Collectors.joining(", ", "[", "]"));
     for (int id = 1; id <= CONTROLLERS; id++) {
@@ -60,7 +59,7 @@
     processes.add(eventLoops::shutdownGracefully);
     List<EngineSpec> engines = new ArrayList<>();
     EngineProfile fast = new EngineProfile(2_000, 50, 10, 5, 512, 16, 64, 256, 50, 100, 5);
-    for (HostPort address : freeAddresses(ENGINES)) {
+    for (HostPort address : LoopbackPorts.take(ENGINES)) {
       String name = "engine-" + (engines.size() + 1);
       processes.add(new EmulatedEngine(name, address, fast, true, null, eventLoops));
       engines.add(new EngineSpec(name, address.toString(), "tanta-hall", MODEL, 8, false));
@@ -73,26 +72,12 @@
     awaitReady();
   }
 
-  private static List<HostPort> freeAddresses(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<HostPort> addresses = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      addresses.add(new HostPort("127.0.0.1", socket.getLocalPort()));
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return addresses;
-  }
-
   private static SettingsReader settings(String yaml) {
     return SettingsReader.parse("test", yaml, Map.of()).value();
   }
 
-  private void startController(int id, String controllers, Path folder) throws IOException {
-    List<HostPort> own = freeAddresses(2);
+  private void startController(int id, String controllers, Path folder) {
+    List<HostPort> own = LoopbackPorts.take(2);
     String yaml =
         String.format(
             "{id: %d, zone: tanta-hall, peers: %s, operator_listen: %s, admin_listen: %s,"
@@ -102,8 +87,8 @@
     processes.add(ControllerProcess.start(settings, TransportTls.NONE).value());
   }
 
-  private void startNode(int number, String controllers) throws IOException {
-    List<HostPort> own = freeAddresses(2);
+  private void startNode(int number, String controllers) throws SSLException {
+    List<HostPort> own = LoopbackPorts.take(2);
     String yaml =
         String.format(
             "{id: node-%d, zone: tanta-hall, listen: %s, admin_listen: %s, controllers: %s,"
@@ -114,11 +99,11 @@
     nodeAdmins.add(own.get(1));
   }
 
-  private void startDispatcher(String controllers) throws IOException {
+  private void startDispatcher(String controllers) throws SSLException {
     String yaml =
         String.format(
             "{id: dispatcher-1, zone: tanta-hall, admin_listen: %s, controllers: %s}",
-            freeAddresses(1).get(0), controllers);
+            LoopbackPorts.take(1).get(0), controllers);
     processes.add(
         DispatcherProcess.start(
             DispatcherSettings.read(settings(yaml)).value(), TransportTls.NONE));
