--- a/testkit/src/test/java/io/pathdeck/testkit/LoopbackPorts.java
+++ b/testkit/src/test/java/io/pathdeck/testkit/LoopbackPorts.java
@@ -43,7 +43,7 @@
   }
 
   private static boolean isFree(int port) {
-    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
       return socket.isBound();
     } catch (IOException taken) {
       return false;
