--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
@@ -11,10 +11,11 @@
 import org.junit.jupiter.api.Test;
 
 class TestEngineChoice {
+  private static final long REPORT_HALF_LIFE_MS = 500;
   private static final long NOW_MS = 1_000;
   private static final Prompt SHORT_PROMPT = new Prompt(600, "head", 150);
 
-  private final EngineTable table = new EngineTable(500);
+  private final EngineTable table = new EngineTable(REPORT_HALF_LIFE_MS);
   private final EngineChoice choice = new EngineChoice("a", 1);
 
   TestEngineChoice() {
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class TestBatchWindow {
+  private static final long REPORT_HALF_LIFE_MS = 500;
   private static final long NOW_MS = 1_000;
   private static final long LONG_SLACK_MS = 12_000;
   private static final long SOME_SLACK_MS = 6_000;
@@ -20,7 +21,7 @@
   private final EngineState engine = engine();
 
   private static EngineState engine() {
-    EngineTable table = new EngineTable(500);
+    EngineTable table = new EngineTable(REPORT_HALF_LIFE_MS);
     table.update(Map.of("e", new EngineInstance("e", "s", "h:1", "z", 12, false)));
     return table.find("e");
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestLoadPolls.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestLoadPolls.java
@@ -11,10 +11,11 @@
 import org.junit.jupiter.api.Test;
 
 class TestLoadPolls {
+  private static final long REPORT_HALF_LIFE_MS = 500;
   private static final long STEP_MS = 10;
   private static final long SPAN_MS = 6_000;
 
-  private final EngineTable engines = new EngineTable(500);
+  private final EngineTable engines = new EngineTable(REPORT_HALF_LIFE_MS);
   private final List<String> asked = new ArrayList<>();
   private final LoadPolls polls = new LoadPolls(engine -> asked.add(engine.id()));
 
--- a/testkit/src/test/java/io/pathdeck/testkit/LoopbackPorts.java
+++ b/testkit/src/test/java/io/pathdeck/testkit/LoopbackPorts.java
@@ -29,8 +29,8 @@
   /** The addresses of {@code count} free ports that were not handed out before. */
   static synchronized List<HostPort> take(int count) {
     List<HostPort> addresses = new ArrayList<>();
-    for (int tried = FIRST; addresses.size() < count; tried++) {
-      if (tried == END) {
+    for (int tries = END - FIRST; addresses.size() < count; tries--) {
+      if (tries == 0) {
         throw new IllegalStateException("no free port from " + FIRST + " to " + END);
       }
       int port = next;
