Sight: answers of engines that are dropped, and of whom; who failed an item, how often and how fast; its age on two clocks

Cause: logs could not tell three ways apart in which an item may be listed as given up too soon (a late second answer, another failure counted as an attempt, the time of the log ahead of real time). No change of logic.

--- a/common/src/main/java/io/pathdeck/common/events/EventCode.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventCode.java
@@ -58,6 +58,7 @@
   CALLER_TOO_SLOW(3107, Level.WARN, true),
   REQUEST_SERVED(3108, Level.INFO, true),
   BATCH_CALL(3109, Level.INFO, true),
+  ENGINE_ANSWER_DROPPED(3110, Level.WARN, true),
   ITEM_RETRIED(4001, Level.WARN, true),
   ITEM_STARTED(4004, Level.INFO, true),
   ITEM_LISTED(4005, Level.INFO, true),
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
 import io.pathdeck.fleet.adapter.EngineAnswer;
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineProtocol;
@@ -25,6 +27,9 @@
  * under way belongs to nobody, and the connection is closed.
  */
 final class EngineConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private static final EventLog EVENTS = EventLog.of(EngineConnection.class);
+  private static final String NOTHING = "";
+
   /** How much sooner than the engine this side gives an idle connection up. */
   private static final long IDLE_MARGIN_MS = 600;
 
@@ -43,6 +48,7 @@
   private Reading reading = Reading.HEAD;
   private boolean keepAlive;
   private boolean usedBefore;
+  private int callsEnded;
   private boolean anythingRead;
   private boolean failed;
   private long idleSinceNs;
@@ -103,6 +109,7 @@
       return;
     }
     if (current == null) {
+      logDropped(message, "no call is under way");
       ctx.close();
       return;
     }
@@ -125,6 +132,7 @@
     boolean success = status.codeClass() == HttpStatusClass.SUCCESS;
     boolean unnamed = answer.requestId().isEmpty();
     if (!answer.requestId().equals(current.call().requestId()) && (success || !unnamed)) {
+      logDropped(head, "it names another request");
       reading = Reading.SKIPPED_BODY;
       return;
     }
@@ -139,6 +147,29 @@
     current.listener().onHead(answer);
   }
 
+  private void logDropped(HttpObject message, String reason) {
+    String named = NOTHING;
+    String status = NOTHING;
+    if (message instanceof HttpResponse head) {
+      named = protocol.read(head).requestId();
+      status = String.valueOf(head.status().code());
+    }
+    EVENTS.log(
+        EventCode.ENGINE_ANSWER_DROPPED,
+        "engine",
+        engine.id(),
+        "awaited",
+        current == null ? NOTHING : current.call().requestId(),
+        "named",
+        named,
+        "status",
+        status,
+        "reason",
+        reason,
+        "calls",
+        callsEnded);
+  }
+
   private static boolean lacksLength(HttpResponse head) {
     return !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
   }
@@ -158,6 +189,7 @@
   private void endCall() {
     PendingCall ended = current;
     current = null;
+    callsEnded++;
     boolean reusable = keepAlive && requestWritten.isDone() && context.channel().isActive();
     if (reusable) {
       usedBefore = true;
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -121,7 +121,7 @@
       return;
     }
     nextScheduleMs = nowMs + SCHEDULE_INTERVAL_MS;
-    runs.follow(state.jobs(), this::stop);
+    runs.follow(state.jobs(), this::stop, nowMs);
     checkSilence(nowMs);
     giveUpExpired();
     recordProgress(nowMs);
@@ -243,7 +243,7 @@
     stop(run);
     runs.remove(run);
     long recorded = run.job.progress(run.item.id()).lastEvent();
-    ItemLog.retried(run, "RESTARTED", "what it brought was not recorded", recorded);
+    ItemLog.restarted(run, recorded);
   }
 
   /** Proposes a command about items; those of a command that is not taken begin again. */
@@ -349,6 +349,7 @@
     }
     long nowMs = clock.monotonicMs();
     EngineState engine = run.engine();
+    long tookMs = run.sendMs(nowMs);
     engine.onEnd();
     run.onStop(nowMs);
     if (!run.keep(outcome.events())) {
@@ -358,28 +359,24 @@
     if (outcome.load() != null) {
       engine.onLoad(outcome.load(), nowMs);
     }
+    if (outcome.kind() != ItemOutcome.Kind.DONE) {
+      ItemLog.retried(run, engine, outcome, tookMs);
+    }
     switch (outcome.kind()) {
       case DONE -> onWhole(run, nowMs);
       case IMPOSSIBLE -> giveUp(run, "impossible");
-      case FAILED -> onItemFailed(run, outcome, nowMs);
+      case FAILED -> onItemFailed(run, nowMs);
       case OTHER_INSTANCE -> engine.onGone();
-      case YIELDED -> {
-        run.waitUntil(nowMs + YIELD_PAUSE_MS);
-        ItemLog.retried(run, outcome);
-      }
+      case YIELDED -> run.waitUntil(nowMs + YIELD_PAUSE_MS);
       case REFUSED -> {
         engine.onFull(nowMs, outcome.retryAfterMs());
         run.waitUntil(nowMs + outcome.retryAfterMs());
       }
-      default -> {
-        engine.onFailure(nowMs);
-        ItemLog.retried(run, outcome);
-      }
+      default -> engine.onFailure(nowMs);
     }
   }
 
-  private void onItemFailed(ItemRun run, ItemOutcome outcome, long nowMs) {
-    ItemLog.retried(run, outcome);
+  private void onItemFailed(ItemRun run, long nowMs) {
     if (run.countFailure() >= Math.max(1, run.job.submission().maxAttempts())) {
       giveUp(run, "failed on every attempt");
     } else {
@@ -400,7 +397,7 @@
 
   private void list(ItemRun run, BatchOutcome outcome, String reason) {
     long ageMs = state.timeMs() - run.job.submittedAtMs();
-    ItemLog.listed(run, outcome.done(), reason, ageMs);
+    ItemLog.listed(run, outcome.done(), reason, ageMs, run.knownMs(clock.monotonicMs()));
     propose(new ListBatchResults(run.job.submission().jobId(), List.of(outcome)), List.of(run));
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
@@ -32,26 +32,41 @@
         slackMs);
   }
 
-  static void retried(ItemRun run, ItemOutcome outcome) {
-    retried(run, outcome.kind().name(), outcome.reason(), outcome.events().lastEvent());
+  /** Tells that a send ended without the whole item. */
+  static void retried(ItemRun run, EngineState engine, ItemOutcome outcome, long tookMs) {
+    String engineId = engine.instance().id();
+    long lastEvent = outcome.events().lastEvent();
+    retried(run, engineId, outcome.kind().name(), outcome.reason(), tookMs, lastEvent);
   }
 
-  static void retried(ItemRun run, String outcome, String reason, long afterEvent) {
+  /** Tells that what an item brought was not recorded, so that it begins again. */
+  static void restarted(ItemRun run, long recordedEvent) {
+    retried(run, "", "RESTARTED", "what it brought was not recorded", 0, recordedEvent);
+  }
+
+  private static void retried(
+      ItemRun run, String engineId, String outcome, String reason, long tookMs, long afterEvent) {
     EVENTS.log(
         EventCode.ITEM_RETRIED,
         "job",
         run.job.submission().jobId(),
         "item",
         run.item.id(),
+        "engine",
+        engineId,
         "outcome",
         outcome,
         "reason",
         reason,
+        "failures",
+        run.failures(),
+        "took_ms",
+        tookMs,
         "after_event",
         afterEvent);
   }
 
-  static void listed(ItemRun run, boolean done, String reason, long ageMs) {
+  static void listed(ItemRun run, boolean done, String reason, long ageMs, long knownMs) {
     EVENTS.log(
         EventCode.ITEM_LISTED,
         "job",
@@ -63,6 +78,8 @@
         "reason",
         reason,
         "age_ms",
-        ageMs);
+        ageMs,
+        "known_ms",
+        knownMs);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -26,15 +26,18 @@
   private long ranMs;
   private long startedMs;
   private boolean decided;
+  private final long knownSinceMs;
 
   /** The send under way and its engine; null when there is none. */
   private ItemStream stream;
 
   private EngineState engine;
 
-  ItemRun(BatchJob job, BatchItem item) {
+  /** Creates the run of an item that this store knows as leader since {@code nowMs}. */
+  ItemRun(BatchJob job, BatchItem item, long nowMs) {
     this.job = job;
     this.item = item;
+    this.knownSinceMs = nowMs;
     this.recordedEvent = job.progress(item.id()).lastEvent();
     this.lastEvent = recordedEvent;
     this.beganAtFirstEvent = recordedEvent == BatchProgress.NO_EVENT;
@@ -125,6 +128,21 @@
     return BatchOutcome.givenUp(item.id());
   }
 
+  /** For how long this store has known the item as leader. */
+  long knownMs(long nowMs) {
+    return nowMs - knownSinceMs;
+  }
+
+  /** For how long the send under way has run. */
+  long sendMs(long nowMs) {
+    return stream == null ? 0 : nowMs - startedMs;
+  }
+
+  /** How many attempts failed. */
+  int failures() {
+    return failures;
+  }
+
   int countFailure() {
     return ++failures;
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -25,7 +25,7 @@
 
   private ItemRun run() {
     BatchJob job = machine.job("j").orElseThrow();
-    return new ItemRun(job, item);
+    return new ItemRun(job, item, 0);
   }
 
   private void record(BatchProgress progress) {
