An answer counts for a send only if it cannot be another send's; ages count no more than has passed

Cause: engines may answer twice, the second time late, in the place of the next answer on the connection. Answers name the request, and an item keeps its id over its sends: a late second 500 to one send was counted as the failure of the next one on that connection. Of the same class: a failure that names no request was taken for the call under way (as the promise that it did not run, too); any status but 2xx, 421, 422 or 'not run' counted as a failed attempt; the product's engine client looked at the attempt's id of successes only, and attempts of an item that is leased again bore the same id; the age of an item was the time of the log, which runs at up to twice real speed. Change: a connection carries each request once (256 at most, then it is closed); one on which something was dropped is not kept, and its closing by this side no longer teaches the limit for idle ones; a failure without a name breaks the call off as one that may have run; only 500 counts as a failed attempt, other answers are asked again after a growing pause; errors of the product's engines have to name the attempt, the emulated engine does so; attempt ids hold the lease; an item's age counts half of the time of the log before this leader knew it, real time since.

--- a/control/src/main/java/io/pathdeck/control/LogTime.java
+++ b/control/src/main/java/io/pathdeck/control/LogTime.java
@@ -4,9 +4,16 @@
  * The time a leader stamps on commands.
  *
  * <p>It advances with the monotonic clock and only leans toward the wall clock, at no more than
- * twice the real speed. So a wall clock that jumps neither ends leases early nor turns time back.
+ * {@value #MAX_RATE} times the real speed. So a wall clock that jumps neither ends leases early nor
+ * turns time back.
  */
 public final class LogTime {
+  /**
+   * How many times as fast as real time it runs at the most. What must not end early is measured on
+   * a monotonic clock, or counts this many times as long here.
+   */
+  public static final int MAX_RATE = 2;
+
   private long timeMs;
   private long lastMonotonicMs;
   private boolean started;
@@ -26,7 +33,7 @@
     lastMonotonicMs = monotonicMs;
     timeMs += elapsed;
     long lag = Math.max(0, wallMs - timeMs);
-    timeMs += Math.min(lag, elapsed);
+    timeMs += Math.min(lag, (MAX_RATE - 1) * elapsed);
     return timeMs;
   }
 
--- a/dispatch/src/main/java/io/pathdeck/dispatch/DispatchDuty.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/DispatchDuty.java
@@ -277,7 +277,7 @@
     }
     EngineRequest request =
         new EngineRequest(
-            run.requestId() + "." + settings.id() + "." + attempt,
+            run.attemptId(settings.id(), attempt),
             run.requestId(),
             run.leased.endpoint(),
             run.generation().engineBody(),
--- a/dispatch/src/main/java/io/pathdeck/dispatch/ItemRun.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/ItemRun.java
@@ -76,6 +76,11 @@
     return key.jobId() + "-" + key.index();
   }
 
+  /** Names an attempt; an item that is leased again counts its attempts from 1 again. */
+  String attemptId(String dispatcherId, int attempt) {
+    return requestId() + "." + dispatcherId + "." + key.leaseId() + "." + attempt;
+  }
+
   /** The result of a whole answer. */
   synchronized ItemResult toResult() {
     ObjectNode result = newLine();
--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineCall.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineCall.java
@@ -26,4 +26,9 @@
     long resumeAfter) {
   /** The id of a call that is no caller's request. */
   public static final String NO_REQUEST = "";
+
+  /** Whether this is a request of a caller or an item of a job. */
+  public boolean isOfRequest() {
+    return !requestId.equals(NO_REQUEST);
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -17,19 +17,30 @@
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
  * One connection to one life of an engine.
  *
- * <p>An answer belongs to the call only if it names the call's request. An answer that names
- * another one came too late for its own call and is skipped. Whatever arrives while no call is
- * under way belongs to nobody, and the connection is closed.
+ * <p>An engine may answer twice, the second time late, in the place of the next answer on the
+ * connection. Its answers name the request, not the send. So a connection carries each request once
+ * only, and an answer belongs to the call under way only if it names the call's request. A failure
+ * that names none may be the second answer to a call without a request, and breaks the call off as
+ * one that may have run. An answer that names another request is skipped. What arrives while no
+ * call is under way belongs to nobody. A connection on which something was dropped is not kept.
  */
 final class EngineConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final EventLog EVENTS = EventLog.of(EngineConnection.class);
   private static final String NOTHING = "";
 
+  /**
+   * Bounds what a connection remembers, about 90 bytes an id and so 23 KB, at the price of one new
+   * connection in 256 calls.
+   */
+  private static final int MAX_REQUESTS = 256;
+
   /** How much sooner than the engine this side gives an idle connection up. */
   private static final long IDLE_MARGIN_MS = 600;
 
@@ -48,9 +59,11 @@
   private Reading reading = Reading.HEAD;
   private boolean keepAlive;
   private boolean usedBefore;
+  private final Set<String> carriedRequests = new HashSet<>();
   private int callsEnded;
   private boolean anythingRead;
-  private boolean failed;
+  private boolean closing;
+  private boolean droppedAnything;
   private long idleSinceNs;
   private long engineIdleTimeoutMs;
 
@@ -73,8 +86,16 @@
     context = added;
   }
 
+  /** Whether an answer to {@code requestId} could not be taken for one to an earlier send of it. */
+  boolean mayCarry(String requestId) {
+    return !carriedRequests.contains(requestId);
+  }
+
   void send(PendingCall call) {
     current = call;
+    if (call.call().isOfRequest()) {
+      carriedRequests.add(call.call().requestId());
+    }
     call.sentOn(this);
     reading = Reading.HEAD;
     anythingRead = false;
@@ -98,6 +119,7 @@
   }
 
   void close() {
+    closing = true;
     current = null;
     context.close();
   }
@@ -108,9 +130,13 @@
       breakOff("not an answer: " + message.decoderResult().cause());
       return;
     }
+    if (closing) {
+      return;
+    }
     if (current == null) {
       logDropped(message, "no call is under way");
-      ctx.close();
+      owner.discard(this);
+      close();
       return;
     }
     anythingRead = true;
@@ -130,14 +156,16 @@
     }
     EngineAnswer answer = protocol.read(head);
     boolean success = status.codeClass() == HttpStatusClass.SUCCESS;
-    boolean unnamed = answer.requestId().isEmpty();
-    if (!answer.requestId().equals(current.call().requestId()) && (success || !unnamed)) {
+    if (!answer.requestId().equals(current.call().requestId())) {
       logDropped(head, "it names another request");
+      droppedAnything = true;
       reading = Reading.SKIPPED_BODY;
+      if (!success && answer.requestId().equals(EngineCall.NO_REQUEST)) {
+        breakOff("a failure that names no request");
+      }
       return;
     }
-    boolean ofCaller = !current.call().requestId().equals(EngineCall.NO_REQUEST);
-    if (success && ofCaller && !answer.signed()) {
+    if (success && current.call().isOfRequest() && !answer.signed()) {
       breakOff("a success without a signature");
       return;
     }
@@ -190,22 +218,25 @@
     PendingCall ended = current;
     current = null;
     callsEnded++;
-    boolean reusable = keepAlive && requestWritten.isDone() && context.channel().isActive();
-    if (reusable) {
+    if (isReusable()) {
       usedBefore = true;
       idleSinceNs = System.nanoTime();
       owner.keep(this);
     } else {
-      context.close();
+      close();
     }
     ended.end();
   }
 
+  private boolean isReusable() {
+    boolean undisturbed = requestWritten.isDone() && !droppedAnything;
+    boolean hasRoom = carriedRequests.size() < MAX_REQUESTS;
+    return keepAlive && undisturbed && hasRoom && context.channel().isActive();
+  }
+
   private void breakOff(String reason) {
-    failed = true;
     PendingCall broken = current;
-    current = null;
-    context.close();
+    close();
     if (broken != null) {
       boolean silent = usedBefore && !anythingRead;
       broken.fail(silent ? EngineFailure.CLOSED_BEFORE_ANSWER : EngineFailure.BROKEN, reason);
@@ -216,7 +247,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     if (current != null) {
       breakOff("the connection ended");
-    } else if (!failed && usedBefore) {
+    } else if (!closing && usedBefore) {
       long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNs);
       owner.onIdleClosed(this, engine.service(), idleMs);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -15,6 +15,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +29,7 @@
 public final class NettyEngineTransport implements EngineTransport {
   private static final int CONNECT_TIMEOUT_MS = 400;
   private static final long SWEEP_INTERVAL_MS = 1_000;
+  private static final Deque<EngineConnection> NO_CONNECTIONS = new ArrayDeque<>(0);
 
   private final EventLoop eventLoop;
   private final EngineProtocol protocol;
@@ -58,7 +60,7 @@
   @Override
   public Handle start(EngineCall call, EngineListener listener) {
     PendingCall pending = new PendingCall(call, listener);
-    EngineConnection kept = takeIdle(call.engine().id(), call.engine().service());
+    EngineConnection kept = takeIdle(call);
     if (kept != null) {
       kept.send(pending);
     } else {
@@ -67,15 +69,23 @@
     return pending;
   }
 
-  private EngineConnection takeIdle(String engineId, String service) {
-    Deque<EngineConnection> connections = idle.get(engineId);
+  /** The newest kept connection that may carry {@code call}, or null. */
+  private EngineConnection takeIdle(EngineCall call) {
+    Deque<EngineConnection> connections = idle.getOrDefault(call.engine().id(), NO_CONNECTIONS);
     long nowNs = System.nanoTime();
-    while (connections != null && !connections.isEmpty()) {
-      EngineConnection newest = connections.pollFirst();
-      if (newest.isUsable(nowNs, idleTimeouts.limitMs(service))) {
-        return newest;
+    long limitMs = idleTimeouts.limitMs(call.engine().service());
+    Iterator<EngineConnection> newestFirst = connections.iterator();
+    while (newestFirst.hasNext()) {
+      EngineConnection connection = newestFirst.next();
+      boolean usable = connection.isUsable(nowNs, limitMs);
+      if (usable && !connection.mayCarry(call.requestId())) {
+        continue;
       }
-      newest.close();
+      newestFirst.remove();
+      if (usable) {
+        return connection;
+      }
+      connection.close();
     }
     return null;
   }
@@ -119,6 +129,14 @@
     idle.computeIfAbsent(connection.engineId(), key -> new ArrayDeque<>()).addFirst(connection);
   }
 
+  /** Forgets a kept connection that this side closes. */
+  void discard(EngineConnection connection) {
+    Deque<EngineConnection> connections = idle.get(connection.engineId());
+    if (connections != null) {
+      connections.remove(connection);
+    }
+  }
+
   /** A kept connection was closed by the engine after {@code idleMs} without use. */
   void onIdleClosed(EngineConnection connection, String service, long idleMs) {
     Deque<EngineConnection> connections = idle.get(connection.engineId());
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -52,6 +52,7 @@
   private static final long YIELD_PAUSE_MS = 400;
   private static final long SILENCE_MS = 1_500;
   private static final long FAILURE_PAUSE_MS = 150;
+  private static final long MAX_UNCLEAR_PAUSE_MS = 2_000;
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
 
@@ -121,9 +122,9 @@
       return;
     }
     nextScheduleMs = nowMs + SCHEDULE_INTERVAL_MS;
-    runs.follow(state.jobs(), this::stop, nowMs);
+    runs.follow(state.jobs(), this::stop, nowMs, state.timeMs());
     checkSilence(nowMs);
-    giveUpExpired();
+    giveUpExpired(nowMs);
     recordProgress(nowMs);
     if (view.isComplete()) {
       boolean itemsWait = runs.all().stream().anyMatch(run -> run.mayStart(nowMs));
@@ -262,9 +263,9 @@
         clock);
   }
 
-  private void giveUpExpired() {
+  private void giveUpExpired(long nowMs) {
     for (ItemRun run : runs.copy()) {
-      long ageMs = state.timeMs() - run.job.submittedAtMs();
+      long ageMs = run.leastAgeMs(nowMs);
       long retainMs = run.job.submission().retainMs();
       if (!run.isDecided() && retainMs > 0 && ageMs > retainMs + GIVE_UP_MARGIN_MS) {
         stop(run);
@@ -366,6 +367,7 @@
       case DONE -> onWhole(run, nowMs);
       case IMPOSSIBLE -> giveUp(run, "impossible");
       case FAILED -> onItemFailed(run, nowMs);
+      case UNCLEAR -> run.waitUntil(nowMs + unclearPauseMs(run.countUnclear()));
       case OTHER_INSTANCE -> engine.onGone();
       case YIELDED -> run.waitUntil(nowMs + YIELD_PAUSE_MS);
       case REFUSED -> {
@@ -384,6 +386,11 @@
     }
   }
 
+  /** Grows with each such answer, so that an item that gets no other does not keep engines busy. */
+  private static long unclearPauseMs(int answers) {
+    return Math.min(FAILURE_PAUSE_MS << Math.min(answers, 10), MAX_UNCLEAR_PAUSE_MS);
+  }
+
   private void onWhole(ItemRun run, long nowMs) {
     if (run.beganAtFirstEvent()) {
       runTimes.onWhole(run.item.outputTokens(), run.ranMs(nowMs));
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
@@ -23,6 +23,8 @@
     OTHER_INSTANCE,
     /** The engine tried and failed. */
     FAILED,
+    /** The engine's answer proves neither a failed attempt nor that the item did not run. */
+    UNCLEAR,
     /** The item can never be done. */
     IMPOSSIBLE,
     /** The stream broke off. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.store;
 
+import io.pathdeck.control.LogTime;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
@@ -27,17 +28,25 @@
   private long startedMs;
   private boolean decided;
   private final long knownSinceMs;
+  private final long leastAgeWhenKnownMs;
+  private int unclearAnswers;
 
   /** The send under way and its engine; null when there is none. */
   private ItemStream stream;
 
   private EngineState engine;
 
-  /** Creates the run of an item that this store knows as leader since {@code nowMs}. */
-  ItemRun(BatchJob job, BatchItem item, long nowMs) {
+  /**
+   * Creates the run of an item.
+   *
+   * @param nowMs since when this store knows the item as leader, by its monotonic clock
+   * @param logTimeMs the time of the log then
+   */
+  ItemRun(BatchJob job, BatchItem item, long nowMs, long logTimeMs) {
     this.job = job;
     this.item = item;
     this.knownSinceMs = nowMs;
+    this.leastAgeWhenKnownMs = (logTimeMs - job.submittedAtMs()) / LogTime.MAX_RATE;
     this.recordedEvent = job.progress(item.id()).lastEvent();
     this.lastEvent = recordedEvent;
     this.beganAtFirstEvent = recordedEvent == BatchProgress.NO_EVENT;
@@ -133,6 +142,15 @@
     return nowMs - knownSinceMs;
   }
 
+  /**
+   * The time that has passed since the submission at least. The time of the log runs ahead while it
+   * catches up after an outage: after one of 4 s, an item that may be given up after 3 s was given
+   * up after 2.2 s by it.
+   */
+  long leastAgeMs(long nowMs) {
+    return leastAgeWhenKnownMs + knownMs(nowMs);
+  }
+
   /** For how long the send under way has run. */
   long sendMs(long nowMs) {
     return stream == null ? 0 : nowMs - startedMs;
@@ -147,6 +165,11 @@
     return ++failures;
   }
 
+  /** Counts an answer that proves nothing, and returns how many there were. */
+  int countUnclear() {
+    return ++unclearAnswers;
+  }
+
   void waitUntil(long nextMs) {
     notBeforeMs = nextMs;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRuns.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRuns.java
@@ -32,11 +32,11 @@
    * Follows the jobs: begins a run for each open item, and forgets those that have a result or
    * whose job was ended after giving them to {@code onOver}.
    */
-  void follow(Collection<BatchJob> jobs, Consumer<ItemRun> onOver, long nowMs) {
+  void follow(Collection<BatchJob> jobs, Consumer<ItemRun> onOver, long nowMs, long logTimeMs) {
     runs.values().removeIf(run -> isOver(run, onOver));
     for (BatchJob job : jobs) {
       if (job.isActive()) {
-        job.open().values().forEach(item -> begin(job, item, nowMs));
+        job.open().values().forEach(item -> begin(job, item, nowMs, logTimeMs));
       }
     }
   }
@@ -49,9 +49,9 @@
     return over;
   }
 
-  private void begin(BatchJob job, BatchItem item, long nowMs) {
+  private void begin(BatchJob job, BatchItem item, long nowMs, long logTimeMs) {
     ItemKey key = new ItemKey(job.submission().jobId(), item.id());
-    runs.computeIfAbsent(key, absent -> new ItemRun(job, item, nowMs));
+    runs.computeIfAbsent(key, absent -> new ItemRun(job, item, nowMs, logTimeMs));
   }
 
   /** Forgets a run; the item begins a new one with the next {@link #follow}. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -18,6 +18,7 @@
   private static final int SUCCESS_FROM = 200;
   private static final int SUCCESS_TO = 300;
   private static final int UNPROCESSABLE = 422;
+  private static final int INTERNAL_SERVER_ERROR = 500;
   private static final long DEFAULT_RETRY_AFTER_MS = 100;
 
   private final Consumer<ItemOutcome> listener;
@@ -137,8 +138,10 @@
       finish(ItemOutcome.Kind.REFUSED, "refused with " + answer.status());
     } else if (answer.status() == UNPROCESSABLE) {
       finish(ItemOutcome.Kind.IMPOSSIBLE, "impossible");
-    } else {
+    } else if (answer.status() == INTERNAL_SERVER_ERROR) {
       finish(ItemOutcome.Kind.FAILED, "status " + answer.status());
+    } else {
+      finish(ItemOutcome.Kind.UNCLEAR, "status " + answer.status());
     }
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -25,7 +25,7 @@
 
   private ItemRun run() {
     BatchJob job = machine.job("j").orElseThrow();
-    return new ItemRun(job, item, 0);
+    return new ItemRun(job, item, 0, 1);
   }
 
   private void record(BatchProgress progress) {
@@ -65,4 +65,13 @@
     run.keep(new ItemEvents(7, 8, "rest"));
     assertThat(run.decideWhole()).isEqualTo(new BatchOutcome("i", true, 7, "rest"));
   }
+
+  @Test
+  void ageNeverCountsMoreThanHasPassed() {
+    BatchJob job = machine.job("j").orElseThrow();
+    long logTimeMs = job.submittedAtMs() + 4_000;
+    ItemRun inherited = new ItemRun(job, item, 10_000, logTimeMs);
+    assertThat(inherited.leastAgeMs(10_000)).as("the log ran at twice real speed").isEqualTo(2_000);
+    assertThat(inherited.leastAgeMs(11_500)).as("then real time counts").isEqualTo(3_500);
+  }
 }
--- a/serving/src/main/java/io/pathdeck/serving/engine/HttpEngineClient.java
+++ b/serving/src/main/java/io/pathdeck/serving/engine/HttpEngineClient.java
@@ -109,14 +109,15 @@
       if (ended) {
         return State.ABORT;
       }
+      // An engine may answer twice, the second time late and in the place of the next answer. A
+      // refusal or failure that does not name this attempt proves nothing of it.
+      if (!request.attemptId().equals(headers.get(EngineHeaders.REQUEST_ID))) {
+        fail(new AttemptFailure.Broken("the answer does not name this attempt"));
+        return State.ABORT;
+      }
       EngineLoad.parse(headers.get(EngineHeaders.LOAD)).ifPresent(listener::onLoad);
       leaving = Boolean.parseBoolean(headers.get(EngineHeaders.LEAVING));
       retryAfterMs = retryAfterMs(headers.get(HttpHeaderNames.RETRY_AFTER));
-      boolean own = request.attemptId().equals(headers.get(EngineHeaders.REQUEST_ID));
-      if (status == OK && !own) {
-        fail(new AttemptFailure.Broken("the answer belongs to another request"));
-        return State.ABORT;
-      }
       return State.CONTINUE;
     }
 
--- a/testkit/src/main/java/io/pathdeck/testkit/engine/EmulatedEngine.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/engine/EmulatedEngine.java
@@ -21,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -165,7 +166,8 @@
   private void generate(HttpExchange exchange) {
     Optional<ObjectNode> body = Json.parseObject(exchange.body());
     if (body.isEmpty() || !body.get().path("stream").asBoolean()) {
-      exchange.sendError(ApiError.invalid("invalid", "expected a JSON object with stream: true"));
+      ApiError error = ApiError.invalid("invalid", "expected a JSON object with stream: true");
+      exchange.sendError(error, namingRequest(exchange));
       return;
     }
     if (faults.isLeaving() || faults.kind() == EngineFaults.Kind.REFUSE) {
@@ -232,15 +234,17 @@
 
   private void refuse(HttpExchange exchange) {
     ApiError error = ApiError.unavailable("engine_full", "the request was not run", RETRY_AFTER_MS);
-    Map<String, String> headers =
-        Map.of(
-            EngineHeaders.LOAD,
-            reportedLoad().format(),
-            EngineHeaders.LEAVING,
-            Boolean.toString(faults.isLeaving()));
+    Map<String, String> headers = new HashMap<>(namingRequest(exchange));
+    headers.put(EngineHeaders.LOAD, reportedLoad().format());
+    headers.put(EngineHeaders.LEAVING, Boolean.toString(faults.isLeaving()));
     exchange.sendError(error, headers);
   }
 
+  private static Map<String, String> namingRequest(HttpExchange exchange) {
+    String requestId = exchange.headers().get(EngineHeaders.REQUEST_ID);
+    return requestId == null ? Map.of() : Map.of(EngineHeaders.REQUEST_ID, requestId);
+  }
+
   private void sendLoad(HttpExchange exchange) {
     loads.add(model.load(), nowMs());
     exchange.send(
