--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -53,17 +53,17 @@
   private final NettyEngineTransport owner;
   private final EngineProtocol protocol;
   private final EngineInstance engine;
+  private final Set<String> carriedRequests = new HashSet<>();
   private ChannelHandlerContext context;
   private PendingCall current;
   private ChannelFuture requestWritten;
   private Reading reading = Reading.HEAD;
   private boolean keepAlive;
   private boolean usedBefore;
-  private final Set<String> carriedRequests = new HashSet<>();
-  private int callsEnded;
   private boolean anythingRead;
-  private boolean closing;
   private boolean droppedAnything;
+  private boolean closing;
+  private int callsEnded;
   private long idleSinceNs;
   private long engineIdleTimeoutMs;
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -53,6 +53,7 @@
   private static final long SILENCE_MS = 1_500;
   private static final long FAILURE_PAUSE_MS = 150;
   private static final long MAX_UNCLEAR_PAUSE_MS = 2_000;
+  private static final int MAX_DOUBLINGS = 10;
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
 
@@ -388,7 +389,8 @@
 
   /** Grows with each such answer, so that an item that gets no other does not keep engines busy. */
   private static long unclearPauseMs(int answers) {
-    return Math.min(FAILURE_PAUSE_MS << Math.min(answers, 10), MAX_UNCLEAR_PAUSE_MS);
+    int doublings = Math.min(answers, MAX_DOUBLINGS);
+    return Math.min(FAILURE_PAUSE_MS << doublings, MAX_UNCLEAR_PAUSE_MS);
   }
 
   private void onWhole(ItemRun run, long nowMs) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -18,18 +18,18 @@
 final class ItemRun {
   final BatchJob job;
   final BatchItem item;
+  private final long knownSinceMs;
+  private final long leastAgeWhenKnownMs;
   private final boolean beganAtFirstEvent;
   private String unrecordedText = "";
   private long recordedEvent;
   private long lastEvent;
   private int failures;
+  private int unclearAnswers;
   private long notBeforeMs;
   private long ranMs;
   private long startedMs;
   private boolean decided;
-  private final long knownSinceMs;
-  private final long leastAgeWhenKnownMs;
-  private int unclearAnswers;
 
   /** The send under way and its engine; null when there is none. */
   private ItemStream stream;
