Sight: whether an engine has ended or only a connection, and which requests were under way there

Cause: logs could not tell which tries are the same request, nor an end of an engine from a reset. No change to what is sent where. Measured: nothing yet.

--- a/common/src/main/java/io/pathdeck/common/events/EventCode.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventCode.java
@@ -59,6 +59,8 @@
   REQUEST_SERVED(3108, Level.INFO, true),
   BATCH_CALL(3109, Level.INFO, true),
   ENGINE_ANSWER_DROPPED(3110, Level.WARN, true),
+  ENGINE_CHECKED(3111, Level.INFO, true),
+  ENGINE_ENDED_UNDER_REQUEST(3112, Level.WARN, true),
   ITEM_RETRIED(4001, Level.WARN, true),
   ITEM_STARTED(4004, Level.INFO, true),
   ITEM_LISTED(4005, Level.INFO, true),
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -17,6 +17,7 @@
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import java.io.IOException;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -73,8 +74,8 @@
     this.engine = engine;
   }
 
-  String engineId() {
-    return engine.id();
+  String lifeId() {
+    return engine.lifeId();
   }
 
   String service() {
@@ -235,18 +236,26 @@
   }
 
   private void breakOff(String reason) {
+    fail(EngineFailure.BROKEN, reason);
+  }
+
+  private void onLost(String reason) {
+    boolean silent = usedBefore && !anythingRead;
+    fail(silent ? EngineFailure.CLOSED_BEFORE_ANSWER : EngineFailure.CONNECTION_ENDED, reason);
+  }
+
+  private void fail(EngineFailure failure, String reason) {
     PendingCall broken = current;
     close();
     if (broken != null) {
-      boolean silent = usedBefore && !anythingRead;
-      broken.fail(silent ? EngineFailure.CLOSED_BEFORE_ANSWER : EngineFailure.BROKEN, reason);
+      broken.fail(failure, reason);
     }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     if (current != null) {
-      breakOff("the connection ended");
+      onLost("the connection ended");
     } else if (!closing && usedBefore) {
       long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNs);
       owner.onIdleClosed(this, engine.service(), idleMs);
@@ -255,6 +264,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    breakOff(String.valueOf(cause));
+    if (cause instanceof IOException) {
+      onLost(String.valueOf(cause));
+    } else {
+      breakOff(String.valueOf(cause));
+    }
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineFailure.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineFailure.java
@@ -4,8 +4,22 @@
 public enum EngineFailure {
   /** No connection came up; the request was not sent. */
   NOT_SENT,
+  /** Nothing listens at the engine's address; the request was not sent. */
+  CONNECTION_REFUSED,
   /** A kept connection ended before any byte of an answer; the request may have run. */
   CLOSED_BEFORE_ANSWER,
-  /** The answer broke off or is none; the request may have run. */
-  BROKEN
+  /** The connection ended before the answer was whole; the request may have run. */
+  CONNECTION_ENDED,
+  /** The answer is none, or was given up; the request may have run. */
+  BROKEN;
+
+  /** Whether the request surely did not run. */
+  public boolean isNotRun() {
+    return this == NOT_SENT || this == CONNECTION_REFUSED;
+  }
+
+  /** Whether the engine may have ended while the request was under way there. */
+  public boolean isLostConnection() {
+    return this == CLOSED_BEFORE_ANSWER || this == CONNECTION_ENDED;
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineReports.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineReports.java
@@ -32,19 +32,22 @@
 
   /** Asks one engine; nothing is told when it does not answer. */
   public void ask(EngineInstance engine) {
-    EngineCall call =
-        new EngineCall(
-            engine,
-            HttpMethod.GET,
-            protocol.reportPath(),
-            engine.address(),
-            EngineCall.NO_REQUEST,
-            new EngineTenant.AsSent(),
-            EmptyHttpHeaders.INSTANCE,
-            new byte[0],
-            DEADLINE_MS,
-            -1);
-    transport.start(call, new ReportListener(engine.id()));
+    transport.start(call(protocol, engine), new ReportListener(engine.id()));
+  }
+
+  /** The call that asks an engine for its load. */
+  static EngineCall call(EngineProtocol protocol, EngineInstance engine) {
+    return new EngineCall(
+        engine,
+        HttpMethod.GET,
+        protocol.reportPath(),
+        engine.address(),
+        EngineCall.NO_REQUEST,
+        new EngineTenant.AsSent(),
+        EmptyHttpHeaders.INSTANCE,
+        new byte[0],
+        DEADLINE_MS,
+        -1);
   }
 
   private final class ReportListener implements EngineListener {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -12,6 +13,8 @@
 import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -35,6 +38,7 @@
   private final EngineProtocol protocol;
   private final Bootstrap bootstrap;
   private final Map<String, Deque<EngineConnection>> idle = new HashMap<>();
+  private final Map<String, Integer> open = new HashMap<>();
   private final IdleTimeouts idleTimeouts = new IdleTimeouts();
   private long connectionsOpened;
 
@@ -71,7 +75,7 @@
 
   /** The newest kept connection that may carry {@code call}, or null. */
   private EngineConnection takeIdle(EngineCall call) {
-    Deque<EngineConnection> connections = idle.getOrDefault(call.engine().id(), NO_CONNECTIONS);
+    Deque<EngineConnection> connections = idle.getOrDefault(call.engine().lifeId(), NO_CONNECTIONS);
     long nowNs = System.nanoTime();
     long limitMs = idleTimeouts.limitMs(call.engine().service());
     Iterator<EngineConnection> newestFirst = connections.iterator();
@@ -113,25 +117,43 @@
         .addListener((ChannelFuture future) -> onConnected(future, connection, pending));
   }
 
-  private static void onConnected(
-      ChannelFuture future, EngineConnection connection, PendingCall pending) {
+  private void onConnected(ChannelFuture future, EngineConnection connection, PendingCall pending) {
     if (!future.isSuccess()) {
-      pending.fail(EngineFailure.NOT_SENT, String.valueOf(future.cause().getMessage()));
-    } else if (pending.isOver()) {
+      pending.fail(failureOf(future.cause()), String.valueOf(future.cause().getMessage()));
+      return;
+    }
+    open.merge(connection.lifeId(), 1, Integer::sum);
+    future.channel().closeFuture().addListener(closed -> onClosed(connection.lifeId()));
+    if (pending.isOver()) {
       connection.release();
     } else {
       connection.send(pending);
     }
   }
 
+  private static EngineFailure failureOf(Throwable cause) {
+    boolean refused =
+        cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    return refused ? EngineFailure.CONNECTION_REFUSED : EngineFailure.NOT_SENT;
+  }
+
+  private void onClosed(String lifeId) {
+    open.computeIfPresent(lifeId, (life, count) -> count > 1 ? count - 1 : null);
+  }
+
+  /** How many connections to a life of an engine are open, idle ones included. */
+  int openConnections(EngineInstance engine) {
+    return open.getOrDefault(engine.lifeId(), 0);
+  }
+
   /** Keeps a connection whose last answer was whole. */
   void keep(EngineConnection connection) {
-    idle.computeIfAbsent(connection.engineId(), key -> new ArrayDeque<>()).addFirst(connection);
+    idle.computeIfAbsent(connection.lifeId(), key -> new ArrayDeque<>()).addFirst(connection);
   }
 
   /** Forgets a kept connection that this side closes. */
   void discard(EngineConnection connection) {
-    Deque<EngineConnection> connections = idle.get(connection.engineId());
+    Deque<EngineConnection> connections = idle.get(connection.lifeId());
     if (connections != null) {
       connections.remove(connection);
     }
@@ -139,11 +161,11 @@
 
   /** A kept connection was closed by the engine after {@code idleMs} without use. */
   void onIdleClosed(EngineConnection connection, String service, long idleMs) {
-    Deque<EngineConnection> connections = idle.get(connection.engineId());
+    Deque<EngineConnection> connections = idle.get(connection.lifeId());
     if (connections != null && connections.remove(connection)) {
       idleTimeouts.observeClose(service, idleMs);
       if (connections.isEmpty()) {
-        idle.remove(connection.engineId());
+        idle.remove(connection.lifeId());
       }
     }
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -11,6 +11,8 @@
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.FleetAdapter;
 import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.EngineLiveness;
+import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.member.CoordinatorContacts;
 import io.pathdeck.fleet.member.FleetFollower;
@@ -18,6 +20,7 @@
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.FleetMetrics;
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
+import io.pathdeck.fleet.quarantine.EngineEndWatch;
 import io.pathdeck.protocol.client.RetryTimer;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
@@ -68,7 +71,7 @@
             follower::isConfirmed,
             new BatchCalls(jobs, adapter.callers()),
             limiter,
-            new NettyEngineTransport(eventLoop, adapter.engines()),
+            watchedTransport(eventLoop),
             new EngineChoice(fleet.zone(), life),
             metrics);
     follower.onChange(view -> onChange(view, gateway));
@@ -97,6 +100,12 @@
     resources.push(follower);
   }
 
+  private EngineTransport watchedTransport(EventLoop eventLoop) {
+    NettyEngineTransport transport = new NettyEngineTransport(eventLoop, adapter.engines());
+    EngineLiveness liveness = new EngineLiveness(eventLoop, transport, adapter.engines());
+    return new EngineEndWatch(transport, liveness, (engine, requests) -> {});
+  }
+
   private void onChange(FleetView view, Gateway gateway) {
     gateway.onChange(view);
     if (view.routes() != null) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -419,7 +419,7 @@
         engine.onFailure(nowMs());
       }
       log.attemptFailed(engine.instance().id(), failure, reason, lastEventId);
-      afterFailure(failure == EngineFailure.NOT_SENT, reason);
+      afterFailure(failure.isNotRun(), reason);
     }
 
     void giveUp(String reason) {
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CutRequest.java
@@ -0,0 +1,10 @@
+package io.pathdeck.fleet.quarantine;
+
+import io.pathdeck.fleet.adapter.EngineCall;
+
+/**
+ * A request that was under way at an engine when the connection ended.
+ *
+ * @param answerBegan whether the engine had begun to answer it
+ */
+public record CutRequest(EngineCall call, boolean answerBegan) {}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/RequestContent.java
@@ -0,0 +1,59 @@
+package io.pathdeck.fleet.quarantine;
+
+import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.adapter.EngineTenant;
+import io.pathdeck.protocol.fleet.RequestFingerprint;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Computes what names a request over all its tries. Headers do not belong to it: ids, deadlines and
+ * the last event that a caller holds differ from try to try.
+ */
+public final class RequestContent {
+  private static final String ALGORITHM = "SHA-256";
+  private static final int DIGEST_BYTES = 16;
+  private static final int FACTOR = 31;
+
+  private RequestContent() {}
+
+  /** The cheap part of the fingerprint: some tens of nanoseconds, whatever the body's length. */
+  public static int outline(EngineCall call) {
+    int hash = call.method().hashCode();
+    hash = FACTOR * hash + call.uri().hashCode();
+    return FACTOR * hash + call.body().length;
+  }
+
+  /** The fingerprint of the request that {@code call} carries; it reads the whole body. */
+  public static RequestFingerprint fingerprint(EngineCall call) {
+    MessageDigest digest = newDigest();
+    add(digest, tenant(call).getBytes(StandardCharsets.UTF_8));
+    add(digest, call.method().name().getBytes(StandardCharsets.UTF_8));
+    add(digest, call.host().getBytes(StandardCharsets.UTF_8));
+    add(digest, call.uri().getBytes(StandardCharsets.UTF_8));
+    add(digest, call.body());
+    String text = HexFormat.of().formatHex(digest.digest(), 0, DIGEST_BYTES);
+    return new RequestFingerprint(outline(call), text);
+  }
+
+  private static String tenant(EngineCall call) {
+    return call.tenant() instanceof EngineTenant.Named named ? named.name() : "";
+  }
+
+  /** Each part with its length before it, so that no two lists of parts give the same bytes. */
+  private static void add(MessageDigest digest, byte[] part) {
+    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, part.length));
+    digest.update(part);
+  }
+
+  private static MessageDigest newDigest() {
+    try {
+      return MessageDigest.getInstance(ALGORITHM);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
+    }
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -11,14 +11,17 @@
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.EngineLiveness;
 import io.pathdeck.fleet.engine.EngineReports;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
+import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.engine.Placement;
 import io.pathdeck.fleet.engine.Prompt;
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.quarantine.EngineEndWatch;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.ListBatchResults;
@@ -85,7 +88,7 @@
       BatchStateMachine state,
       ControllerClock clock,
       EventLoop eventLoop,
-      EngineTransport transport,
+      NettyEngineTransport transport,
       EngineProtocol protocol,
       EngineChoice choice,
       Executor consensus) {
@@ -93,7 +96,8 @@
     this.state = state;
     this.clock = clock;
     this.eventLoop = eventLoop;
-    this.transport = transport;
+    EngineLiveness liveness = new EngineLiveness(eventLoop, transport, protocol);
+    this.transport = new EngineEndWatch(transport, liveness, (engine, requests) -> {});
     this.choice = choice;
     this.consensus = consensus;
     EngineReports reports =
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -148,8 +148,7 @@
   @Override
   public void onFailure(EngineFailure failure, String reason) {
     if (!over) {
-      boolean notSent = failure == EngineFailure.NOT_SENT;
-      finish(notSent ? ItemOutcome.Kind.REFUSED : ItemOutcome.Kind.BROKEN, reason);
+      finish(failure.isNotRun() ? ItemOutcome.Kind.REFUSED : ItemOutcome.Kind.BROKEN, reason);
     }
   }
 
