Requests and items under which three engines ended reach no more engines

Cause: each try of a request began without history, at every gateway, since only its id named it and ids differ from try to try; and a lost connection was the same as an engine that had ended. Ruled out: more sends in one try than the route allows (no id was on more than two engines). Change: one way to engines for requests, retries, resumptions and items (EngineEndWatch) that checks whether an engine has ended, tells the leading coordinator under which requests, and sends none on that is in quarantine. The leader finds causes (EngineEndLedger: three ends that nothing else explains), replicates them and tells them with the answers to heartbeats. An engine that ended gets nothing for a second, also when no other is left; a life of an engine is told apart by its start.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -24,6 +24,7 @@
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.message.AdmissionRequest;
+import io.pathdeck.protocol.message.EngineEndNotice;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.Message;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
@@ -225,6 +226,8 @@
       host.execute(() -> membership.onHeartbeat(heartbeat, reply));
     } else if (message instanceof AdmissionRequest request) {
       host.execute(() -> membership.onAdmission(request, reply));
+    } else if (message instanceof EngineEndNotice notice) {
+      host.execute(() -> membership.onEngineEnds(notice, reply));
     } else {
       host.handle(message, reply);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -18,6 +18,7 @@
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.message.AdmissionRequest;
+import io.pathdeck.protocol.message.EngineEndNotice;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
@@ -58,6 +59,7 @@
   private final ControllerClock clock;
   private final int minStores;
   private final TenantAdmission tenants;
+  private final QuarantineKeeper quarantine;
   private final Consumer<Boolean> leadershipListener;
   private final Optional<FleetUpdate> lastKnown;
   private final VersionedList<FleetProcess> processes = new VersionedList<>();
@@ -94,6 +96,7 @@
     this.clock = clock;
     this.minStores = minStores;
     this.tenants = new TenantAdmission(group, state, limitWindowMs);
+    this.quarantine = new QuarantineKeeper(group, state, clock);
     this.jobsGroups = new JobsGroupRegistry(JobsGroupFounding.targetSize(minStores));
     this.leadershipListener = leadershipListener;
   }
@@ -108,6 +111,7 @@
     if (leading) {
       expireProcesses(nowMs);
       tenants.expire(nowMs);
+      quarantine.onStep(nowMs);
       foundJobsGroupsIfReady(nowMs);
     }
   }
@@ -124,6 +128,7 @@
     foundingProposed = false;
     jobsGroups.clear(nowMs);
     tenants.clear();
+    quarantine.clear();
     leadershipListener.accept(leads);
   }
 
@@ -186,7 +191,8 @@
             jobsGroups.reports(),
             groupFor(heartbeat.sender(), nowMs),
             leavingMembers(),
-            contendedTenants));
+            contendedTenants,
+            quarantine.newerThan(heartbeat.quarantineVersion())));
   }
 
   private void note(FleetHeartbeat heartbeat, long nowMs) {
@@ -226,6 +232,11 @@
     reply.reply(tenants.decide(request, allHeard, nowMs));
   }
 
+  /** Takes what a process noticed of engines that ended. */
+  void onEngineEnds(EngineEndNotice notice, ReplySink reply) {
+    quarantine.onNotice(notice, reply, clock.monotonicMs());
+  }
+
   private List<Integer> leavingMembers() {
     return state.leaving().stream().map(SetStoreLeaving::memberId).toList();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -27,8 +27,8 @@
  * process, and is acted on for less than a second: by then a leader should have told what is in
  * force.
  *
- * <p>A thread of its own writes it, at most once every {@value #WRITE_INTERVAL_MS} ms, for the disk
- * may hang.
+ * <p>A thread of its own writes it, for the disk may hang: at most once every {@value
+ * #WRITE_INTERVAL_MS} ms, but for changes of the requests in quarantine.
  */
 final class LastKnownFleet implements AutoCloseable {
   private static final EventLog EVENTS = EventLog.of(LastKnownFleet.class);
@@ -58,10 +58,18 @@
     return atStart;
   }
 
-  /** Keeps a view that came from a leader; returns at once. */
+  /**
+   * Keeps a view that came from a leader; returns at once. A change of the requests in quarantine
+   * is written without delay: a gateway that starts with an older list sends such a request to
+   * engines once more.
+   */
   void offer(FleetView view) {
-    if (view.isComplete()) {
-      newest.set(view);
+    if (!view.isComplete()) {
+      return;
+    }
+    FleetView before = newest.getAndSet(view);
+    if (before != null && !before.quarantine().equals(view.quarantine())) {
+      LockSupport.unpark(writer);
     }
   }
 
@@ -100,7 +108,8 @@
             view.jobsGroups(),
             FleetProcess.NO_GROUP,
             view.leavingMembers(),
-            new ArrayList<>());
+            new ArrayList<>(),
+            view.quarantine());
     return Base64.getEncoder().encodeToString(ObjectCodec.encode(update));
   }
 
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineKeeper.java
@@ -0,0 +1,118 @@
+package io.pathdeck.fleet.coordinator;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.control.ControllerClock;
+import io.pathdeck.control.GroupRuntime;
+import io.pathdeck.fleet.quarantine.EngineEndLedger;
+import io.pathdeck.protocol.command.QuarantineRequests;
+import io.pathdeck.protocol.command.ReleaseRequests;
+import io.pathdeck.protocol.fleet.QuarantineList;
+import io.pathdeck.protocol.fleet.RequestFingerprint;
+import io.pathdeck.protocol.message.EngineEndNoted;
+import io.pathdeck.protocol.message.EngineEndNotice;
+import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
+import io.pathdeck.state.FleetStateMachine;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Decides for the leading coordinator which requests must not reach engines any more; runs on the
+ * thread of the consensus duty.
+ *
+ * <p>What processes tell of ends is kept in memory, and processes tell a new leader again. What is
+ * decided is replicated, so that a loss of power of all machines does not let a request loose that
+ * ended engines before: it would end three more until it was found again.
+ */
+final class QuarantineKeeper {
+  private static final EventLog EVENTS = EventLog.of(QuarantineKeeper.class);
+
+  /**
+   * Long enough for callers to give up, short enough for a mended engine to be tried the same day.
+   */
+  private static final long HOLD_MS = 600_000;
+
+  private static final long STEP_INTERVAL_MS = 1_000;
+
+  private final GroupRuntime group;
+  private final FleetStateMachine state;
+  private final ControllerClock clock;
+  private final EngineEndLedger ledger = new EngineEndLedger();
+
+  /** Since when this leader knows each request as held. */
+  private final Map<RequestFingerprint, Long> heldSinceMs = new HashMap<>();
+
+  private long nextStepMs;
+
+  QuarantineKeeper(GroupRuntime group, FleetStateMachine state, ControllerClock clock) {
+    this.group = group;
+    this.state = state;
+    this.clock = clock;
+  }
+
+  /** Forgets everything, for a new leadership. */
+  void clear() {
+    ledger.clear();
+    heldSinceMs.clear();
+  }
+
+  /** The list for a process that has {@code version}; null when it has the newest one. */
+  QuarantineList newerThan(long version) {
+    return state.quarantineVersion() == version ? null : state.quarantine();
+  }
+
+  /** Takes a notice, and replies once what follows from it is committed. */
+  void onNotice(EngineEndNotice notice, ReplySink reply, long nowMs) {
+    if (!group.isLeading()) {
+      reply.reply(group.notLeader());
+      return;
+    }
+    notice.served().forEach(ledger::clear);
+    notice.ends().forEach(end -> ledger.note(end, nowMs));
+    List<RequestFingerprint> found = ledger.causes(state::isQuarantined);
+    if (found.isEmpty()) {
+      reply.reply(new EngineEndNoted());
+      return;
+    }
+    for (RequestFingerprint request : found) {
+      EVENTS.log(EventCode.REQUEST_QUARANTINED, "fingerprint", request.shortForm());
+    }
+    group.propose(
+        "",
+        0,
+        new QuarantineRequests(found),
+        committed -> reply.reply(new EngineEndNoted()),
+        clock);
+  }
+
+  /** Forgets old ends, and releases requests that were held for long enough. */
+  void onStep(long nowMs) {
+    if (nowMs < nextStepMs) {
+      return;
+    }
+    nextStepMs = nowMs + STEP_INTERVAL_MS;
+    ledger.expire(nowMs);
+    List<RequestFingerprint> held = state.quarantine().requests();
+    heldSinceMs.keySet().retainAll(held);
+    List<RequestFingerprint> over = new ArrayList<>();
+    for (RequestFingerprint request : held) {
+      long sinceMs = heldSinceMs.computeIfAbsent(request, key -> nowMs);
+      if (nowMs - sinceMs > HOLD_MS) {
+        over.add(request);
+      }
+    }
+    if (!over.isEmpty()) {
+      release(over);
+    }
+  }
+
+  private void release(List<RequestFingerprint> over) {
+    for (RequestFingerprint request : over) {
+      EVENTS.log(EventCode.REQUEST_RELEASED, "fingerprint", request.shortForm());
+      ledger.clear(request);
+    }
+    group.propose("", 0, new ReleaseRequests(over), reply -> {}, clock);
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineFailure.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineFailure.java
@@ -6,6 +6,8 @@
   NOT_SENT,
   /** Nothing listens at the engine's address; the request was not sent. */
   CONNECTION_REFUSED,
+  /** Engines end under the request, so it was not sent. */
+  QUARANTINED,
   /** A kept connection ended before any byte of an answer; the request may have run. */
   CLOSED_BEFORE_ANSWER,
   /** The connection ended before the answer was whole; the request may have run. */
@@ -15,7 +17,7 @@
 
   /** Whether the request surely did not run. */
   public boolean isNotRun() {
-    return this == NOT_SENT || this == CONNECTION_REFUSED;
+    return this == NOT_SENT || this == CONNECTION_REFUSED || this == QUARANTINED;
   }
 
   /** Whether the engine may have ended while the request was under way there. */
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLiveness.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLiveness.java
@@ -68,6 +68,14 @@
     eventLoop.execute(() -> new Check(engine).ask());
   }
 
+  /**
+   * Whether an engine that has just refused a connection has ended. One that has too many
+   * connections refuses more, too, but then some of them are open.
+   */
+  public boolean isGone(EngineInstance engine) {
+    return transport.openConnections(engine) == 0;
+  }
+
   private void decide(EngineInstance engine, Verdict verdict) {
     List<Consumer<Verdict>> waiting = underWay.remove(engine.lifeId());
     if (waiting != null) {
@@ -137,8 +145,7 @@
     @Override
     public void onFailure(EngineFailure failure, String reason) {
       if (failure == EngineFailure.CONNECTION_REFUSED) {
-        boolean nothingOpen = transport.openConnections(engine) == 0;
-        finish(nothingOpen ? Verdict.ENDED : Verdict.ALIVE);
+        finish(isGone(engine) ? Verdict.ENDED : Verdict.ALIVE);
       } else if (failure.isLostConnection() && attempts < MAX_ATTEMPTS && !decided) {
         ask();
       } else {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -7,6 +7,14 @@
 public final class EngineState {
   private static final long FIRST_EJECTION_MS = 500;
   private static final long LONGEST_EJECTION_MS = 4_000;
+
+  /**
+   * How long an engine that has ended gets nothing, not even when no other is left: the list shows
+   * its end and its return some seconds late. Without it 1,755 sends of one day met a refused
+   * connection, and requests were refused after five of them.
+   */
+  private static final long ENDED_PAUSE_MS = 1_000;
+
   private static final double NEW_WAIT_WEIGHT = 0.4;
   private static final double WAIT_HALF_LIFE_MS = 400;
 
@@ -20,6 +28,7 @@
   private long reportedAtMs = Long.MIN_VALUE / 2;
   private int failures;
   private long ejectedUntilMs;
+  private long endedUntilMs = Long.MIN_VALUE;
   private boolean gone;
   private long lastHeardMs;
   private long lastStartMs;
@@ -118,14 +127,19 @@
     gone = true;
   }
 
+  /** This life of the engine has ended. */
+  public void onEnded(long nowMs) {
+    endedUntilMs = nowMs + ENDED_PAUSE_MS;
+  }
+
   /** Whether new calls may be sent. */
   public boolean isUsable(long nowMs) {
-    return !gone && !instance.draining() && nowMs >= ejectedUntilMs;
+    return !isAway(nowMs) && nowMs >= ejectedUntilMs;
   }
 
   /** Whether calls must not be sent, however few other engines there are. */
-  public boolean isLeaving() {
-    return gone || instance.draining();
+  public boolean isAway(long nowMs) {
+    return gone || instance.draining() || nowMs < endedUntilMs;
   }
 
   /** The requests on the engine: this process's own and, as far as known, those of others. */
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -34,11 +34,28 @@
               }
               return missing;
             });
-    listed.forEach(
-        (id, instance) ->
-            engines
-                .computeIfAbsent(id, key -> new EngineState(instance, reportHalfLifeMs))
-                .update(instance));
+    listed.forEach(this::update);
+  }
+
+  /** An engine that began another life is another one: nothing of the earlier life holds. */
+  private void update(String id, EngineInstance instance) {
+    EngineState known = engines.get(id);
+    if (known != null && known.instance().lifeId().equals(instance.lifeId())) {
+      known.update(instance);
+      return;
+    }
+    if (known != null) {
+      known.onGone();
+    }
+    engines.put(id, new EngineState(instance, reportHalfLifeMs));
+  }
+
+  /** A life of an engine has ended. */
+  public void onEnded(EngineInstance engine, long nowMs) {
+    EngineState known = engines.get(engine.id());
+    if (known != null && known.instance().lifeId().equals(engine.lifeId())) {
+      known.onEnded(nowMs);
+    }
   }
 
   /** All engines. */
@@ -64,13 +81,13 @@
     return usable;
   }
 
-  /** The engines of a service that are not leaving, whether or not they failed of late. */
-  public List<EngineState> listed(String service, Set<String> excluded) {
+  /** The engines of a service that are not away, whether or not they failed of late. */
+  public List<EngineState> listed(String service, Set<String> excluded, long nowMs) {
     List<EngineState> listed = new ArrayList<>();
     for (EngineState engine : engines.values()) {
       EngineInstance instance = engine.instance();
       boolean candidate = instance.service().equals(service) && !excluded.contains(instance.id());
-      if (candidate && !engine.isLeaving()) {
+      if (candidate && !engine.isAway(nowMs)) {
         listed.add(engine);
       }
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -112,6 +113,11 @@
     }
   }
 
+  /** An engine has ended: it gets nothing until it can be back. */
+  void onEngineEnded(EngineInstance engine) {
+    shared.engines().onEnded(engine, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  }
+
   private void checkSilence() {
     long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     for (RequestForwarder forwarder : new ArrayList<>(shared.active())) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -12,7 +12,6 @@
 import io.pathdeck.fleet.adapter.FleetAdapter;
 import io.pathdeck.fleet.engine.EngineChoice;
 import io.pathdeck.fleet.engine.EngineLiveness;
-import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.member.CoordinatorContacts;
 import io.pathdeck.fleet.member.FleetFollower;
@@ -20,6 +19,7 @@
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.FleetMetrics;
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
+import io.pathdeck.fleet.quarantine.EngineEndReporter;
 import io.pathdeck.fleet.quarantine.EngineEndWatch;
 import io.pathdeck.protocol.client.RetryTimer;
 import io.pathdeck.protocol.fleet.FleetProcess;
@@ -40,6 +40,7 @@
   private final ResourceStack resources = new ResourceStack();
   private final CoordinatorContacts contacts;
   private final FleetFollower follower;
+  private final Gateway gateway;
   private final HttpServer callers;
   private final AtomicBoolean stopping = new AtomicBoolean();
 
@@ -62,7 +63,8 @@
     follower.onContention(limiter::onTold);
     JobsGroups jobs = new JobsGroups(pool, RetryTimer.on(eventLoops), follower::view);
     RequestMetrics metrics = new RequestMetrics();
-    Gateway gateway =
+    EngineEndWatch watch = watch(eventLoop);
+    gateway =
         new Gateway(
             eventLoop,
             adapter.callers(),
@@ -71,10 +73,10 @@
             follower::isConfirmed,
             new BatchCalls(jobs, adapter.callers()),
             limiter,
-            watchedTransport(eventLoop),
+            watch,
             new EngineChoice(fleet.zone(), life),
             metrics);
-    follower.onChange(view -> onChange(view, gateway));
+    follower.onChange(view -> onChange(view, watch));
     callers =
         resources.push(
             new HttpServer(
@@ -100,13 +102,18 @@
     resources.push(follower);
   }
 
-  private EngineTransport watchedTransport(EventLoop eventLoop) {
+  private EngineEndWatch watch(EventLoop eventLoop) {
+    EngineEndReporter reporter =
+        new EngineEndReporter(eventLoop, contacts.client(), follower::reportNow);
+    follower.onNewLeader(reporter::onNewLeader);
     NettyEngineTransport transport = new NettyEngineTransport(eventLoop, adapter.engines());
     EngineLiveness liveness = new EngineLiveness(eventLoop, transport, adapter.engines());
-    return new EngineEndWatch(transport, liveness, (engine, requests) -> {});
+    return new EngineEndWatch(
+        transport, liveness, reporter, eventLoop, engine -> gateway.onEngineEnded(engine));
   }
 
-  private void onChange(FleetView view, Gateway gateway) {
+  private void onChange(FleetView view, EngineEndWatch watch) {
+    watch.follow(view.quarantine());
     gateway.onChange(view);
     if (view.routes() != null) {
       callers.setLimits(settings.limitsUnder(view.routes().limits()));
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -38,6 +38,9 @@
   private static final int SUCCESS_TO = 300;
   private static final int SERVER_ERROR = 500;
 
+  /** For how long coordinators hold a request back after they found that engines end under it. */
+  private static final long QUARANTINE_RETRY_AFTER_MS = 600_000;
+
   /** What forwarders of a gateway share. */
   record Shared(
       EventLoop eventLoop,
@@ -124,7 +127,7 @@
     long now = nowMs();
     List<EngineState> candidates = shared.engines().usable(service, tried, now);
     if (candidates.isEmpty()) {
-      candidates = shared.engines().listed(service, tried);
+      candidates = shared.engines().listed(service, tried, now);
     }
     Optional<Placement> placement = shared.choice().choose(candidates, prompt, now);
     if (placement.isEmpty()) {
@@ -196,6 +199,19 @@
     Refusals.unavailable(exchange, reason, shared.settings().refusedRetryAfterMs());
   }
 
+  /** Engines end under the request: it goes to none, and its caller hears so at once. */
+  private void onQuarantined(String reason) {
+    attempt = null;
+    budget.onNotRun();
+    if (headSent || budget.mayHaveRun()) {
+      finishWithoutEngine(reason);
+      return;
+    }
+    log.refused(reason);
+    finish(RequestMetrics.Outcome.REFUSED);
+    Refusals.unavailable(exchange, reason, QUARANTINE_RETRY_AFTER_MS);
+  }
+
   private void onDeadline() {
     if (finished) {
       return;
@@ -415,6 +431,10 @@
         return;
       }
       end();
+      if (failure == EngineFailure.QUARANTINED) {
+        onQuarantined(reason);
+        return;
+      }
       if (failure != EngineFailure.CLOSED_BEFORE_ANSWER) {
         engine.onFailure(nowMs());
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -60,6 +60,7 @@
   private final Map<String, FleetProcess> processes = new HashMap<>();
   private Consumer<FleetView> listener = changed -> {};
   private Consumer<List<String>> contentionListener = contended -> {};
+  private Runnable newLeaderListener = () -> {};
   private boolean enginesKnown;
   private long engineEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long engineSequence;
@@ -111,6 +112,14 @@
     contentionListener = heard;
   }
 
+  /**
+   * Calls {@code heard} on the event loop when another leader has answered than before; to be set
+   * before the start.
+   */
+  public void onNewLeader(Runnable heard) {
+    newLeaderListener = heard;
+  }
+
   /** Begins to report. */
   public void start() {
     eventLoop.execute(this::report);
@@ -149,6 +158,7 @@
             processEpoch,
             processSequence,
             report.jobsGroup(),
+            view().quarantine().version(),
             report.tenantUse());
     long sentNs = System.nanoTime();
     return coordinators
@@ -195,7 +205,8 @@
             update.jobsFounders(),
             update.jobsGroups(),
             update.assignedGroup(),
-            update.leavingMembers());
+            update.leavingMembers(),
+            update.quarantine() == null ? view().quarantine() : update.quarantine());
     if (!changed && next.equals(before)) {
       return;
     }
@@ -222,6 +233,9 @@
     }
     delta.changed().forEach(engine -> engines.put(engine.id(), engine));
     delta.removed().forEach(engines::remove);
+    if (engineEpoch != delta.epoch()) {
+      newLeaderListener.run();
+    }
     engineEpoch = delta.epoch();
     engineSequence = delta.sequence();
     enginesKnown = true;
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
+import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.Member;
@@ -24,6 +25,7 @@
  * @param jobsGroups these groups as their leaders reported them last
  * @param assignedGroup the group that this process is to keep, for a store
  * @param leavingMembers ids of stores that are being emptied
+ * @param quarantine the requests that must not reach engines
  */
 public record FleetView(
     RouteTable routes,
@@ -32,10 +34,19 @@
     List<JobsGroupFounders> jobsFounders,
     List<JobsGroupReport> jobsGroups,
     int assignedGroup,
-    List<Integer> leavingMembers) {
+    List<Integer> leavingMembers,
+    QuarantineList quarantine) {
   /** Nothing is known. */
   public static final FleetView UNKNOWN =
-      new FleetView(null, null, Map.of(), List.of(), List.of(), FleetProcess.NO_GROUP, List.of());
+      new FleetView(
+          null,
+          null,
+          Map.of(),
+          List.of(),
+          List.of(),
+          FleetProcess.NO_GROUP,
+          List.of(),
+          QuarantineList.NONE);
 
   /** Whether requests can be forwarded by this knowledge. */
   public boolean isComplete() {
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineEndLedger.java
@@ -0,0 +1,151 @@
+package io.pathdeck.fleet.quarantine;
+
+import io.pathdeck.protocol.fleet.EngineEnd;
+import io.pathdeck.protocol.fleet.RequestFingerprint;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Under which requests engines have ended, and which of these requests end them. Pure: time is
+ * told.
+ *
+ * <p>Many requests are under way when an engine ends, and one of them at most is the cause. A
+ * request is held to be the cause when {@value #SUFFICIENT_ENDS} lives of engines ended under it
+ * that no other cause explains. The request under which most have ended is found first, and the
+ * ends under it then count against no other: so requests that were beside it again and again stay
+ * clear. An end counts half for a request that the engine had begun to answer, since a request that
+ * ends engines when they begin to run it gets no answer. A request that was served to its end is
+ * cleared.
+ */
+public final class EngineEndLedger {
+  /** Engines of a fleet end one by one for other reasons too; three under one request seldom do. */
+  static final int SUFFICIENT_ENDS = 3;
+
+  private static final double ANSWER_BEGAN_WEIGHT = 0.5;
+
+  /** Longer than callers repeat a request after an engine that was away has come back. */
+  private static final long WINDOW_MS = 60_000;
+
+  /** About 300 bytes each; the oldest give way when many engines end under many requests. */
+  private static final int MAX_REQUESTS = 2_048;
+
+  /** One end, as it counts against a request. */
+  private record Noted(double weight, long atMs) {}
+
+  private final Map<RequestFingerprint, Map<String, Noted>> endsByRequest = new LinkedHashMap<>();
+
+  /** Notes an end; the same one may be told again. */
+  public void note(EngineEnd end, long nowMs) {
+    double weight = end.answerBegan() ? ANSWER_BEGAN_WEIGHT : 1;
+    endsByRequest
+        .computeIfAbsent(end.request(), key -> new HashMap<>())
+        .putIfAbsent(end.engine(), new Noted(weight, nowMs));
+    if (endsByRequest.size() > MAX_REQUESTS) {
+      Iterator<RequestFingerprint> oldest = endsByRequest.keySet().iterator();
+      oldest.next();
+      oldest.remove();
+    }
+  }
+
+  /** A request was served to its end. */
+  public void clear(RequestFingerprint request) {
+    endsByRequest.remove(request);
+  }
+
+  /** Forgets everything. */
+  public void clear() {
+    endsByRequest.clear();
+  }
+
+  /** Forgets what is too old to count. */
+  public void expire(long nowMs) {
+    endsByRequest.values().forEach(ends -> ends.values().removeIf(end -> isOld(end, nowMs)));
+    endsByRequest.values().removeIf(Map::isEmpty);
+  }
+
+  private static boolean isOld(Noted end, long nowMs) {
+    return nowMs - end.atMs() > WINDOW_MS;
+  }
+
+  /** Whether an engine has ended under a request of this outline of late. */
+  boolean mayKnow(int outline) {
+    return endsByRequest.keySet().stream().anyMatch(request -> request.outline() == outline);
+  }
+
+  /** Whether an engine has ended under this request of late. */
+  boolean knows(RequestFingerprint request) {
+    return endsByRequest.containsKey(request);
+  }
+
+  boolean isEmpty() {
+    return endsByRequest.isEmpty();
+  }
+
+  /**
+   * The requests that end engines and are not known as such.
+   *
+   * @param isKnown whether a request is known to end engines
+   */
+  public List<RequestFingerprint> causes(Predicate<RequestFingerprint> isKnown) {
+    List<RequestFingerprint> candidates = new ArrayList<>();
+    endsByRequest.forEach(
+        (request, ends) -> {
+          if (ends.size() >= SUFFICIENT_ENDS && !isKnown.test(request)) {
+            candidates.add(request);
+          }
+        });
+    if (candidates.isEmpty()) {
+      return candidates;
+    }
+    return leadingCauses(candidates, explainedBy(isKnown));
+  }
+
+  private List<RequestFingerprint> leadingCauses(
+      List<RequestFingerprint> candidates, Set<String> explained) {
+    List<RequestFingerprint> causes = new ArrayList<>();
+    while (true) {
+      RequestFingerprint leading = null;
+      double most = 0;
+      for (RequestFingerprint candidate : candidates) {
+        double weight = unexplainedWeight(candidate, explained);
+        if (weight > most) {
+          leading = candidate;
+          most = weight;
+        }
+      }
+      if (most < SUFFICIENT_ENDS) {
+        return causes;
+      }
+      causes.add(leading);
+      explained.addAll(endsByRequest.get(leading).keySet());
+    }
+  }
+
+  private Set<String> explainedBy(Predicate<RequestFingerprint> isKnown) {
+    Set<String> explained = new HashSet<>();
+    endsByRequest.forEach(
+        (request, ends) -> {
+          if (isKnown.test(request)) {
+            explained.addAll(ends.keySet());
+          }
+        });
+    return explained;
+  }
+
+  private double unexplainedWeight(RequestFingerprint request, Set<String> explained) {
+    double weight = 0;
+    for (Map.Entry<String, Noted> end : endsByRequest.get(request).entrySet()) {
+      if (!explained.contains(end.getKey())) {
+        weight += end.getValue().weight();
+      }
+    }
+    return weight;
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -15,12 +15,12 @@
 import io.pathdeck.fleet.engine.EngineReports;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
-import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.engine.Placement;
 import io.pathdeck.fleet.engine.Prompt;
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.quarantine.EngineEndReporter;
 import io.pathdeck.fleet.quarantine.EngineEndWatch;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.Done;
@@ -56,6 +56,12 @@
   private static final long SILENCE_MS = 1_500;
   private static final long FAILURE_PAUSE_MS = 150;
   private static final long MAX_UNCLEAR_PAUSE_MS = 2_000;
+
+  /**
+   * An item under which engines end stays open until its age; this often it may have been freed.
+   */
+  private static final long QUARANTINE_PAUSE_MS = 2_000;
+
   private static final int MAX_DOUBLINGS = 10;
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
@@ -67,7 +73,7 @@
   private final BatchStateMachine state;
   private final ControllerClock clock;
   private final EventLoop eventLoop;
-  private final EngineTransport transport;
+  private final EngineEndWatch transport;
   private final EngineChoice choice;
   private final Executor consensus;
   private final LoadPolls loadPolls;
@@ -90,6 +96,7 @@
       EventLoop eventLoop,
       NettyEngineTransport transport,
       EngineProtocol protocol,
+      EngineEndReporter reporter,
       EngineChoice choice,
       Executor consensus) {
     this.group = group;
@@ -97,7 +104,13 @@
     this.clock = clock;
     this.eventLoop = eventLoop;
     EngineLiveness liveness = new EngineLiveness(eventLoop, transport, protocol);
-    this.transport = new EngineEndWatch(transport, liveness, (engine, requests) -> {});
+    this.transport =
+        new EngineEndWatch(
+            transport,
+            liveness,
+            reporter,
+            eventLoop,
+            engine -> consensus.execute(() -> engines.onEnded(engine, clock.monotonicMs())));
     this.choice = choice;
     this.consensus = consensus;
     EngineReports reports =
@@ -111,6 +124,7 @@
   /** Follows what is known of the fleet. */
   void onChange(FleetView changed) {
     view = changed;
+    eventLoop.execute(() -> transport.follow(changed.quarantine()));
     if (changed.engines() != null) {
       engines.update(changed.engines());
     }
@@ -143,6 +157,9 @@
     if (engine == null) {
       return;
     }
+    if (engine.instance().isOtherLife(load.bornMs())) {
+      return;
+    }
     engine.onLoad(load, clock.monotonicMs());
     int yields = window.yields(load);
     if (yields > 0) {
@@ -374,6 +391,7 @@
       case FAILED -> onItemFailed(run, nowMs);
       case UNCLEAR -> run.waitUntil(nowMs + unclearPauseMs(run.countUnclear()));
       case OTHER_INSTANCE -> engine.onGone();
+      case QUARANTINED -> run.waitUntil(nowMs + QUARANTINE_PAUSE_MS);
       case YIELDED -> run.waitUntil(nowMs + YIELD_PAUSE_MS);
       case REFUSED -> {
         engine.onFull(nowMs, outcome.retryAfterMs());
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
@@ -27,6 +27,8 @@
     UNCLEAR,
     /** The item can never be done. */
     IMPOSSIBLE,
+    /** Engines end under the item, so it was not sent. */
+    QUARANTINED,
     /** The stream broke off. */
     BROKEN,
     /** The send was given up to make room for online requests. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -148,10 +148,17 @@
   @Override
   public void onFailure(EngineFailure failure, String reason) {
     if (!over) {
-      finish(failure.isNotRun() ? ItemOutcome.Kind.REFUSED : ItemOutcome.Kind.BROKEN, reason);
+      finish(kindOf(failure), reason);
     }
   }
 
+  private static ItemOutcome.Kind kindOf(EngineFailure failure) {
+    if (failure == EngineFailure.QUARANTINED) {
+      return ItemOutcome.Kind.QUARANTINED;
+    }
+    return failure.isNotRun() ? ItemOutcome.Kind.REFUSED : ItemOutcome.Kind.BROKEN;
+  }
+
   private void finish(ItemOutcome.Kind kind, String reason) {
     over = true;
     long retryAfterMs =
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -18,6 +18,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.fleet.quarantine.EngineEndReporter;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.message.Message;
@@ -57,7 +58,8 @@
       PeerPool pool,
       EventLoop eventLoop,
       String zone,
-      EngineProtocol engines) {
+      EngineProtocol engines,
+      EngineEndReporter reporter) {
     this.number = number;
     this.host = host;
     this.pool = pool;
@@ -71,6 +73,7 @@
             eventLoop,
             new NettyEngineTransport(eventLoop, engines),
             engines,
+            reporter,
             new EngineChoice(zone, System.nanoTime()),
             host::execute);
   }
@@ -82,10 +85,14 @@
       DataFolder folder,
       PeerPool pool,
       EventLoop eventLoop,
-      EngineProtocol engines) {
+      EngineProtocol engines,
+      EngineEndReporter reporter) {
     BatchStateMachine state = new BatchStateMachine();
     return ReplicaHost.open(options(number, fleet, state), folder, pool)
-        .map(host -> new JobsReplica(number, host, state, pool, eventLoop, fleet.zone(), engines));
+        .map(
+            host ->
+                new JobsReplica(
+                    number, host, state, pool, eventLoop, fleet.zone(), engines, reporter));
   }
 
   static ReplicaHost.Options options(int number, FleetSettings fleet, BatchStateMachine state) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/LoadPolls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/LoadPolls.java
@@ -32,7 +32,7 @@
     boolean others = itemsWait && nowMs >= nextOthersMs;
     for (EngineState engine : engines) {
       boolean isDue = engine.inFlight() > 0 ? running : others;
-      if (isDue && !engine.isLeaving()) {
+      if (isDue && !engine.isAway(nowMs)) {
         ask.accept(engine.instance());
       }
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -19,6 +19,7 @@
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.MemberMetrics;
+import io.pathdeck.fleet.quarantine.EngineEndReporter;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.message.Message;
@@ -49,6 +50,7 @@
   private PeerPool pool;
   private CoordinatorContacts contacts;
   private FleetFollower follower;
+  private EngineEndReporter reporter;
 
   /** The replica of this store's group; null while the store has none. */
   private volatile JobsReplica replica;
@@ -86,6 +88,8 @@
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
     follower = contacts.follower(eventLoop, () -> describe(mayFound));
     follower.onChange(this::onChange);
+    reporter = new EngineEndReporter(eventLoop, contacts.client(), follower::reportNow);
+    follower.onNewLeader(reporter::onNewLeader);
     Result<Void, StorageError> recovered = recoverReplica();
     if (!recovered.isOk()) {
       return recovered;
@@ -154,7 +158,8 @@
   }
 
   private Result<Void, StorageError> openReplica(int number) {
-    return JobsReplica.open(number, settings.fleet(), folder, pool, eventLoop, adapter.engines())
+    return JobsReplica.open(
+            number, settings.fleet(), folder, pool, eventLoop, adapter.engines(), reporter)
         .map(
             opened -> {
               replica = resources.push(opened);
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -8,6 +8,7 @@
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.message.FleetUpdate;
 import java.io.IOException;
@@ -36,7 +37,14 @@
         new RouteTable(
             VERSION, List.of(), List.of(), CallerLimits.NONE, List.of(), new byte[0], new byte[0]);
     return new FleetView(
-        routes, Map.of("e", engine), Map.of("g", gateway), List.of(), List.of(), 0, List.of(5));
+        routes,
+        Map.of("e", engine),
+        Map.of("g", gateway),
+        List.of(),
+        List.of(),
+        0,
+        List.of(5),
+        QuarantineList.NONE);
   }
 
   private void write(FleetView view) throws InterruptedException {
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
@@ -131,7 +131,7 @@
     assertThat(table.usable("s", Set.of(), NOW_MS + 600)).contains(failed);
     failed.update(new EngineInstance("a0", "s", "h:1", "a", 10, true));
     assertThat(table.usable("s", Set.of(), NOW_MS + 600)).doesNotContain(failed);
-    assertThat(table.listed("s", Set.of())).doesNotContain(failed);
+    assertThat(table.listed("s", Set.of(), NOW_MS)).doesNotContain(failed);
   }
 
   @Test
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -24,12 +24,14 @@
 import io.pathdeck.protocol.command.LeasesRenewed;
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.PutRouteTable;
+import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.ReleaseClaim;
 import io.pathdeck.protocol.command.ReleaseItems;
+import io.pathdeck.protocol.command.ReleaseRequests;
 import io.pathdeck.protocol.command.RenewLeases;
 import io.pathdeck.protocol.command.ReserveKey;
 import io.pathdeck.protocol.command.ResultsCommitted;
@@ -46,6 +48,7 @@
 import io.pathdeck.protocol.fleet.BatchResult;
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.CallerTenant;
+import io.pathdeck.protocol.fleet.EngineEnd;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
 import io.pathdeck.protocol.fleet.FleetProcess;
@@ -53,6 +56,8 @@
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
+import io.pathdeck.protocol.fleet.QuarantineList;
+import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -63,6 +68,8 @@
 import io.pathdeck.protocol.message.AdmissionRequest;
 import io.pathdeck.protocol.message.ConfigurationHeartbeat;
 import io.pathdeck.protocol.message.ConfigurationUpdate;
+import io.pathdeck.protocol.message.EngineEndNoted;
+import io.pathdeck.protocol.message.EngineEndNotice;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
 import io.pathdeck.protocol.message.NotLeader;
@@ -135,6 +142,7 @@
 import io.pathdeck.protocol.snapshot.KeyRecord;
 import io.pathdeck.protocol.snapshot.LeaseRecord;
 import io.pathdeck.protocol.snapshot.MetaRecord;
+import io.pathdeck.protocol.snapshot.QuarantineRecord;
 import io.pathdeck.protocol.snapshot.QueueRecord;
 import io.pathdeck.protocol.snapshot.ResultRecord;
 import io.pathdeck.protocol.snapshot.SnapshotEndRecord;
@@ -289,7 +297,15 @@
           CallerTenant.class,
           TenantUse.class,
           AdmissionRequest.class,
-          AdmissionReply.class);
+          AdmissionReply.class,
+          RequestFingerprint.class,
+          EngineEnd.class,
+          QuarantineList.class,
+          EngineEndNotice.class,
+          EngineEndNoted.class,
+          QuarantineRequests.class,
+          ReleaseRequests.class,
+          QuarantineRecord.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
@@ -2,4 +2,4 @@
 
 /** A command of the group that keeps the fleet's configuration. */
 public sealed interface FleetCommand extends Command
-    permits PutRouteTable, FoundJobsGroups, SetStoreLeaving {}
+    permits PutRouteTable, FoundJobsGroups, SetStoreLeaving, QuarantineRequests, ReleaseRequests {}
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
@@ -16,6 +16,7 @@
  * @param processEpoch the leadership that {@code processSequence} belongs to
  * @param processSequence up to where it knows the list of processes
  * @param jobsGroup set by the leader of a jobs group
+ * @param quarantineVersion the version of the list of requests in quarantine that it has
  * @param tenantUse what a gateway has admitted of limited tenants
  */
 public record FleetHeartbeat(
@@ -27,6 +28,7 @@
     long processEpoch,
     long processSequence,
     JobsGroupReport jobsGroup,
+    long quarantineVersion,
     List<TenantUse> tenantUse)
     implements Message {
   public FleetHeartbeat {
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
+import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +23,7 @@
  *     when it has to wait or is no store
  * @param leavingMembers ids of store processes that are being emptied
  * @param contendedTenants tenants near their limit, whose requests the leader admits one by one
+ * @param quarantine the requests that must not reach engines; null when the asker knows them
  */
 public record FleetUpdate(
     RouteTable routes,
@@ -31,7 +33,8 @@
     List<JobsGroupReport> jobsGroups,
     int assignedGroup,
     List<Integer> leavingMembers,
-    List<String> contendedTenants)
+    List<String> contendedTenants,
+    QuarantineList quarantine)
     implements Message {
   /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
   public static final long NO_LEADERS_EPOCH = -1;
--- a/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
@@ -6,6 +6,8 @@
         AdmissionRequest,
         ConfigurationHeartbeat,
         ConfigurationUpdate,
+        EngineEndNotice,
+        EngineEndNoted,
         FleetHeartbeat,
         FleetUpdate,
         NotLeader,
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -6,11 +6,15 @@
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.PutRouteTable;
+import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
+import io.pathdeck.protocol.command.ReleaseRequests;
 import io.pathdeck.protocol.command.RouteTableHeld;
 import io.pathdeck.protocol.command.SetStoreLeaving;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.QuarantineList;
+import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.query.NotFound;
 import io.pathdeck.protocol.query.Query;
@@ -18,24 +22,33 @@
 import io.pathdeck.protocol.query.ReadRouteTable;
 import io.pathdeck.protocol.query.RouteTableResult;
 import io.pathdeck.protocol.snapshot.FleetRecord;
+import io.pathdeck.protocol.snapshot.QuarantineRecord;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The state of a fleet's configuration group: the routes under the highest version taken, the first
- * members of the groups that keep batch jobs, and the stores that are being emptied.
+ * members of the groups that keep batch jobs, the stores that are being emptied, and the requests
+ * that must not reach engines.
  *
  * <p>Every command is idempotent, so that a resent one needs no stored answer.
  */
 public final class FleetStateMachine implements StateMachine {
+  /** About 60 bytes each; the oldest give way, so that a flood of them stays within 32 KB. */
+  private static final int MAX_QUARANTINED = 512;
+
   private final LogicalClock clock = new LogicalClock();
   private RouteTable table;
   private List<JobsGroupFounders> jobsFounders = List.of();
   private final Map<Integer, SetStoreLeaving> leaving = new LinkedHashMap<>();
+  private final LinkedHashSet<RequestFingerprint> quarantined = new LinkedHashSet<>();
+  private long quarantineVersion;
 
   /** The configuration held; empty before the first one. */
   public Optional<RouteTable> table() {
@@ -52,6 +65,21 @@
     return List.copyOf(leaving.values());
   }
 
+  /** The requests that must not reach engines, the oldest first. */
+  public QuarantineList quarantine() {
+    return new QuarantineList(quarantineVersion, List.copyOf(quarantined));
+  }
+
+  /** Whether a request must not reach engines. */
+  public boolean isQuarantined(RequestFingerprint request) {
+    return quarantined.contains(request);
+  }
+
+  /** The version of {@link #quarantine()}. */
+  public long quarantineVersion() {
+    return quarantineVersion;
+  }
+
   @Override
   public long timeMs() {
     return clock.nowMs();
@@ -79,9 +107,29 @@
       leaving.put(store.memberId(), store);
       return new Done();
     }
+    if (command instanceof QuarantineRequests added) {
+      quarantine(added.requests());
+      return new Done();
+    }
+    if (command instanceof ReleaseRequests released) {
+      quarantineVersion += quarantined.removeAll(Set.copyOf(released.requests())) ? 1 : 0;
+      return new Done();
+    }
     return new Rejected(RejectionCode.INVALID, "not a command of the fleet group");
   }
 
+  private void quarantine(List<RequestFingerprint> added) {
+    if (!quarantined.addAll(added)) {
+      return;
+    }
+    quarantineVersion++;
+    Iterator<RequestFingerprint> oldest = quarantined.iterator();
+    while (quarantined.size() > MAX_QUARANTINED) {
+      oldest.next();
+      oldest.remove();
+    }
+  }
+
   private CommandResult putRouteTable(RouteTable sent) {
     if (table == null || sent.version() > table.version()) {
       table = sent;
@@ -106,14 +154,22 @@
             table,
             new ArrayList<>(jobsFounders),
             new ArrayList<>(leaving.values())));
+    records.add(new QuarantineRecord(quarantine()));
     return records.iterator();
   }
 
   @Override
   public void restoreSnapshot(Iterator<Object> records) {
     leaving.clear();
+    quarantined.clear();
+    quarantineVersion = QuarantineList.NONE.version();
     while (records.hasNext()) {
-      if (records.next() instanceof FleetRecord fleet) {
+      Object record = records.next();
+      if (record instanceof QuarantineRecord held) {
+        quarantineVersion = held.quarantine().version();
+        quarantined.addAll(held.quarantine().requests());
+      }
+      if (record instanceof FleetRecord fleet) {
         clock.restore(fleet.clockMs());
         table = fleet.table();
         jobsFounders = List.copyOf(fleet.jobsFounders());
--- a/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -7,10 +7,14 @@
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.PutRouteTable;
+import io.pathdeck.protocol.command.QuarantineRequests;
+import io.pathdeck.protocol.command.ReleaseRequests;
 import io.pathdeck.protocol.command.RouteTableHeld;
 import io.pathdeck.protocol.command.SetStoreLeaving;
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.QuarantineList;
+import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.Member;
@@ -81,4 +85,27 @@
     assertThat(restored.jobsFounders()).isEqualTo(machine.jobsFounders());
     assertThat(restored.leaving()).containsExactly(new SetStoreLeaving("store-1", 1));
   }
+
+  @Test
+  void requestsInQuarantineSurviveASnapshotUntilTheyAreReleased() {
+    RequestFingerprint first = new RequestFingerprint(1, "first");
+    RequestFingerprint second = new RequestFingerprint(2, "second");
+    apply(new QuarantineRequests(List.of(first, second)));
+    apply(new QuarantineRequests(List.of(second)));
+    FleetStateMachine restored = new FleetStateMachine();
+    restored.restoreSnapshot(machine.captureSnapshot());
+    assertThat(restored.quarantine()).isEqualTo(new QuarantineList(1, List.of(first, second)));
+    restored.apply(new CommandEnvelope("", 0, 1, new ReleaseRequests(List.of(first))));
+    assertThat(restored.quarantine()).isEqualTo(new QuarantineList(2, List.of(second)));
+  }
+
+  @Test
+  void oldestRequestsInQuarantineGiveWay() {
+    for (int number = 0; number < 600; number++) {
+      apply(new QuarantineRequests(List.of(new RequestFingerprint(number, "r" + number))));
+    }
+    assertThat(machine.quarantine().requests()).hasSize(512);
+    assertThat(machine.isQuarantined(new RequestFingerprint(599, "r599"))).isTrue();
+    assertThat(machine.isQuarantined(new RequestFingerprint(0, "r0"))).isFalse();
+  }
 }
