--- a/consensus/src/main/java/io/pathdeck/consensus/Leadership.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Leadership.java
@@ -21,6 +21,9 @@
   private final MembershipPolicy policy;
   private Set<Integer> leaving = Set.of();
 
+  /** What was sent until then does not renew the lease, however late it is acknowledged. */
+  private long leaseDoubtedAtMs = Long.MIN_VALUE;
+
   /** Not null exactly while the replica leads. */
   private Replicator replicator;
 
@@ -75,10 +78,20 @@
   /** The index up to which a read must see, while the lease of this leader holds. */
   OptionalLong readIndex(long nowMs) {
     boolean ownTermCommitted = state.log.term(state.commitIndex) == state.term;
-    boolean leased = replicator.quorumSilenceMs(nowMs) < state.settings.leaseMs();
+    long acknowledgedMs = nowMs - replicator.quorumSilenceMs(nowMs);
+    boolean recent = nowMs - acknowledgedMs < state.settings.leaseMs();
+    boolean leased = recent && acknowledgedMs > leaseDoubtedAtMs;
     return ownTermCommitted && leased ? OptionalLong.of(state.commitIndex) : OptionalLong.empty();
   }
 
+  /**
+   * More time may have passed than the clock shows. Another member may lead by now, so no read is
+   * answered until a quorum acknowledges something that is sent from now on.
+   */
+  void doubtLease(long nowMs) {
+    leaseDoubtedAtMs = nowMs;
+  }
+
   /** What to do once a heartbeat is due: a leader that is to leave, or hears no quorum, ends. */
   Course course(long nowMs) {
     boolean enoughRemain = state.log.configuration().voterCount() > policy.minVoters();
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -207,6 +207,14 @@
     return role == ReplicaRole.LEADER ? leadership.readIndex(nowMs) : OptionalLong.empty();
   }
 
+  /**
+   * To be called when more time may have passed than the clock shows, as after a suspension of the
+   * machine: a lease that is measured by the clock may be over.
+   */
+  public void doubtLease(long nowMs) {
+    leadership.doubtLease(nowMs);
+  }
+
   /** Handles a message of another replica. */
   public void receive(RaftMessage message, long nowMs) {
     RaftHeader header = message.header();
--- a/consensus/src/test/java/io/pathdeck/consensus/MemoryGroup.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/MemoryGroup.java
@@ -25,6 +25,11 @@
   private final Map<Integer, RaftReplica> replicas = new TreeMap<>();
   private final Map<Integer, Long> committed = new HashMap<>();
   private final Set<Integer> silent = new HashSet<>();
+
+  /** How much less the clocks of replicas show that were suspended, and which are so now. */
+  private final Map<Integer, Long> sleptMs = new HashMap<>();
+
+  private final Set<Integer> suspended = new HashSet<>();
   private final Queue<RaftMessage> network = new ArrayDeque<>();
   private long nowMs = 1_000;
 
@@ -69,13 +74,31 @@
     silent.remove(id);
   }
 
+  /** Stops a replica and its clock; what is sent to it is lost. */
+  void suspend(int id) {
+    suspended.add(id);
+  }
+
+  void wake(int id) {
+    suspended.remove(id);
+  }
+
+  /** What the clock of a replica shows. */
+  long nowMs(int id) {
+    return nowMs - sleptMs.getOrDefault(id, 0L);
+  }
+
   void runFor(long durationMs) {
     long endMs = nowMs + durationMs;
     while (nowMs < endMs) {
       nowMs += STEP_MS;
       replicas.forEach(
           (id, replica) -> {
-            replica.poll(nowMs);
+            if (suspended.contains(id)) {
+              sleptMs.merge(id, STEP_MS, Long::sum);
+              return;
+            }
+            replica.poll(nowMs(id));
             carryOut(id, replica);
           });
       deliver();
@@ -87,9 +110,10 @@
     for (int i = 0; i < inFlight; i++) {
       RaftMessage message = network.poll();
       int to = message.header().to();
-      boolean lost = silent.contains(to) || silent.contains(message.header().from());
+      boolean lost =
+          silent.contains(to) || suspended.contains(to) || silent.contains(message.header().from());
       if (!lost && replicas.containsKey(to)) {
-        replicas.get(to).receive(message, nowMs);
+        replicas.get(to).receive(message, nowMs(to));
         carryOut(to, replicas.get(to));
       }
     }
@@ -108,14 +132,14 @@
     }
     network.addAll(ready.messagesAfterSync());
     if (lastIndex > 0) {
-      replica.onSynced(lastIndex, lastTerm, nowMs);
+      replica.onSynced(lastIndex, lastTerm, nowMs(id));
     }
     committed.merge(id, replica.commitIndex(), Math::max);
   }
 
   Optional<RaftReplica> leader() {
     return replicas.entrySet().stream()
-        .filter(entry -> !silent.contains(entry.getKey()))
+        .filter(entry -> !silent.contains(entry.getKey()) && !suspended.contains(entry.getKey()))
         .map(Map.Entry::getValue)
         .filter(replica -> replica.role() == ReplicaRole.LEADER)
         .findFirst();
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -45,6 +45,7 @@
   private final ConfigurationLeases configurationLeases;
   private final Section<ControllerStatus> status;
   private final ControllerClock clock;
+  private final SuspensionWatch suspension = new SuspensionWatch();
   private int outstandingBatches;
   private long nextStatusMs;
 
@@ -81,6 +82,9 @@
 
   @Override
   public int doWork(long nowNs) {
+    if (suspension.hasSlept(clock.monotonicMs(), clock.wallMs())) {
+      onSuspended(clock.monotonicMs());
+    }
     int work = completions.drain(this::handle, MAX_EVENTS_PER_STEP);
     work += events.drain(this::handle, MAX_EVENTS_PER_STEP);
     long nowMs = clock.monotonicMs();
@@ -96,6 +100,14 @@
     return work;
   }
 
+  /**
+   * Before anything that was waiting is handled: a read among it must not be answered by a lease.
+   */
+  private void onSuspended(long nowMs) {
+    EVENTS.log(EventCode.SUSPENSION_NOTICED);
+    groups.values().forEach(group -> group.replica().doubtLease(nowMs));
+  }
+
   private void handle(ControllerEvent event) {
     long nowMs = clock.monotonicMs();
     if (event instanceof ControllerEvent.PeerMessages peerMessages) {
