Quarantine: causes are judged anew with each end, and innocent requests are released

A request held by mistake then also explained the ends of the true cause. Change: the ledger finds causes from all ends, whatever was found before; the coordinator releases those that others explain. A request that is proposed already is not proposed again.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineKeeper.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineKeeper.java
@@ -15,8 +15,10 @@
 import io.pathdeck.state.FleetStateMachine;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Decides for the leading coordinator which requests must not reach engines any more; runs on the
@@ -44,6 +46,9 @@
   /** Since when this leader knows each request as held. */
   private final Map<RequestFingerprint, Long> heldSinceMs = new HashMap<>();
 
+  /** Found, and not committed yet. */
+  private final Set<RequestFingerprint> proposed = new HashSet<>();
+
   private long nextStepMs;
 
   QuarantineKeeper(GroupRuntime group, FleetStateMachine state, ControllerClock clock) {
@@ -56,6 +61,7 @@
   void clear() {
     ledger.clear();
     heldSinceMs.clear();
+    proposed.clear();
   }
 
   /** The list for a process that has {@code version}; null when it has the newest one. */
@@ -71,7 +77,12 @@
     }
     notice.served().forEach(ledger::clear);
     notice.ends().forEach(end -> ledger.note(end, nowMs));
-    List<RequestFingerprint> found = ledger.causes(state::isQuarantined);
+    List<RequestFingerprint> causes = ledger.causes(state::isQuarantined);
+    releaseInnocent(causes);
+    List<RequestFingerprint> found =
+        causes.stream()
+            .filter(request -> !state.isQuarantined(request) && proposed.add(request))
+            .toList();
     if (found.isEmpty()) {
       reply.reply(new EngineEndNoted());
       return;
@@ -83,10 +94,24 @@
         "",
         0,
         new QuarantineRequests(found),
-        committed -> reply.reply(new EngineEndNoted()),
+        committed -> {
+          proposed.removeAll(found);
+          reply.reply(new EngineEndNoted());
+        },
         clock);
   }
 
+  /** Requests that were beside causes which were not found yet when they were held back. */
+  private void releaseInnocent(List<RequestFingerprint> causes) {
+    List<RequestFingerprint> innocent =
+        state.quarantine().requests().stream()
+            .filter(request -> ledger.canJudge(request) && !causes.contains(request))
+            .toList();
+    if (!innocent.isEmpty()) {
+      release(innocent, "another request explains the ends");
+    }
+  }
+
   /** Forgets old ends, and releases requests that were held for long enough. */
   void onStep(long nowMs) {
     if (nowMs < nextStepMs) {
@@ -104,15 +129,15 @@
       }
     }
     if (!over.isEmpty()) {
-      release(over);
+      release(over, "held for long enough");
+      over.forEach(ledger::clear);
     }
   }
 
-  private void release(List<RequestFingerprint> over) {
-    for (RequestFingerprint request : over) {
-      EVENTS.log(EventCode.REQUEST_RELEASED, "fingerprint", request.shortForm());
-      ledger.clear(request);
+  private void release(List<RequestFingerprint> requests, String reason) {
+    for (RequestFingerprint request : requests) {
+      EVENTS.log(EventCode.REQUEST_RELEASED, "fingerprint", request.shortForm(), "reason", reason);
     }
-    group.propose("", 0, new ReleaseRequests(over), reply -> {}, clock);
+    group.propose("", 0, new ReleaseRequests(requests), reply -> {}, clock);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineEndLedger.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineEndLedger.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -20,9 +21,9 @@
  * request is held to be the cause when {@value #SUFFICIENT_ENDS} lives of engines ended under it
  * that no other cause explains. The request under which most have ended is found first, and the
  * ends under it then count against no other: so requests that were beside it again and again stay
- * clear. An end counts half for a request that the engine had begun to answer, since a request that
- * ends engines when they begin to run it gets no answer. A request that was served to its end is
- * cleared.
+ * clear, and one that was held to be a cause by mistake is none any more when more is known. An end
+ * counts half for a request that the engine had begun to answer, since a request that ends engines
+ * when they begin to run it gets no answer. A request that was served to its end is cleared.
  */
 public final class EngineEndLedger {
   /** Engines of a fleet end one by one for other reasons too; three under one request seldom do. */
@@ -88,55 +89,53 @@
     return endsByRequest.isEmpty();
   }
 
+  /** Whether enough ends are known under a request to tell whether it is a cause. */
+  public boolean canJudge(RequestFingerprint request) {
+    Map<String, Noted> ends = endsByRequest.get(request);
+    return ends != null && ends.size() >= SUFFICIENT_ENDS;
+  }
+
   /**
-   * The requests that end engines and are not known as such.
+   * The requests that end engines, by all that is known now. A request that was a cause before may
+   * be none any more, once the true cause has become plain.
    *
-   * @param isKnown whether a request is known to end engines
+   * @param isHeld whether a request was a cause before; among equals it stays one
    */
-  public List<RequestFingerprint> causes(Predicate<RequestFingerprint> isKnown) {
+  public List<RequestFingerprint> causes(Predicate<RequestFingerprint> isHeld) {
     List<RequestFingerprint> candidates = new ArrayList<>();
     endsByRequest.forEach(
         (request, ends) -> {
-          if (ends.size() >= SUFFICIENT_ENDS && !isKnown.test(request)) {
+          if (ends.size() >= SUFFICIENT_ENDS) {
             candidates.add(request);
           }
         });
-    if (candidates.isEmpty()) {
-      return candidates;
+    Set<String> explained = new HashSet<>();
+    List<RequestFingerprint> causes = new ArrayList<>();
+    Optional<RequestFingerprint> leading = leading(candidates, explained, isHeld);
+    while (leading.isPresent()) {
+      causes.add(leading.get());
+      explained.addAll(endsByRequest.get(leading.get()).keySet());
+      leading = leading(candidates, explained, isHeld);
     }
-    return leadingCauses(candidates, explainedBy(isKnown));
+    return causes;
   }
 
-  private List<RequestFingerprint> leadingCauses(
-      List<RequestFingerprint> candidates, Set<String> explained) {
-    List<RequestFingerprint> causes = new ArrayList<>();
-    while (true) {
-      RequestFingerprint leading = null;
-      double most = 0;
-      for (RequestFingerprint candidate : candidates) {
-        double weight = unexplainedWeight(candidate, explained);
-        if (weight > most) {
-          leading = candidate;
-          most = weight;
-        }
-      }
-      if (most < SUFFICIENT_ENDS) {
-        return causes;
+  /** The request under which most engines ended that nothing explains; empty when too few did. */
+  private Optional<RequestFingerprint> leading(
+      List<RequestFingerprint> candidates,
+      Set<String> explained,
+      Predicate<RequestFingerprint> isHeld) {
+    RequestFingerprint leading = null;
+    double most = 0;
+    for (RequestFingerprint candidate : candidates) {
+      double weight = unexplainedWeight(candidate, explained);
+      boolean leads = weight > most || (weight == most && isHeld.test(candidate));
+      if (weight >= SUFFICIENT_ENDS && leads) {
+        leading = candidate;
+        most = weight;
       }
-      causes.add(leading);
-      explained.addAll(endsByRequest.get(leading).keySet());
     }
-  }
-
-  private Set<String> explainedBy(Predicate<RequestFingerprint> isKnown) {
-    Set<String> explained = new HashSet<>();
-    endsByRequest.forEach(
-        (request, ends) -> {
-          if (isKnown.test(request)) {
-            explained.addAll(ends.keySet());
-          }
-        });
-    return explained;
+    return Optional.ofNullable(leading);
   }
 
   private double unexplainedWeight(RequestFingerprint request, Set<String> explained) {
