Entries of other writers in the list of engines name no engine, and the others hold

Cause: a missing or strange field was read as empty or 0, and one unreadable stretch lost the whole list.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineListProtocol.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineListProtocol.java
@@ -11,8 +11,9 @@
    * A page of the list.
    *
    * @param nextPage names the page that follows; null on the last one
+   * @param rejected why entries name no engine, one line each
    */
-  record Page(List<EngineInstance> engines, String nextPage) {}
+  record Page(List<EngineInstance> engines, String nextPage, List<String> rejected) {}
 
   /** The path of a page; {@code page} is null for the first one. */
   String path(String page);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/EngineListPoller.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/EngineListPoller.java
@@ -8,7 +8,9 @@
 import io.pathdeck.fleet.adapter.EngineListProtocol;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -19,12 +21,16 @@
   private static final long FAILURE_PAUSE_MS = 300;
   private static final int MAX_PAGES = 1_000;
 
+  /** About 100 bytes each. */
+  private static final int MAX_REJECTED = 256;
+
   private final EventLoop eventLoop;
   private final HttpFetcher fetcher;
   private final EngineListProtocol protocol;
   private final HostPort address;
   private final long intervalMs;
   private final Consumer<List<EngineInstance>> listener;
+  private final Set<String> rejected = new HashSet<>();
   private long round;
   private boolean polling;
   private boolean reachable = true;
@@ -77,6 +83,7 @@
       return;
     }
     reachable = true;
+    page.value().rejected().forEach(this::noteRejected);
     read.addAll(page.value().engines());
     String next = page.value().nextPage();
     if (next != null && pages < MAX_PAGES) {
@@ -87,6 +94,16 @@
     }
   }
 
+  /** An entry that stays in the list is told once, as long as few others come. */
+  private void noteRejected(String reason) {
+    if (rejected.size() >= MAX_REJECTED) {
+      rejected.clear();
+    }
+    if (rejected.add(reason)) {
+      EVENTS.log(EventCode.ENGINE_ENTRY_REJECTED, "reason", reason);
+    }
+  }
+
   private void again(long ofRound, long pauseMs) {
     eventLoop.schedule(
         () -> readPage(ofRound, null, new ArrayList<>(), 1), pauseMs, TimeUnit.MILLISECONDS);
