--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
@@ -25,6 +25,11 @@
         .register(registry);
     Gauge.builder("pathdeck.processes.known", follower, held -> held.view().processes().size())
         .register(registry);
+    Gauge.builder(
+            "pathdeck.requests.quarantined",
+            follower,
+            held -> held.view().quarantine().requests().size())
+        .register(registry);
   }
 
   private static double routesVersion(FleetFollower follower) {
