Quarantine: ends that grew old release no request that is held back

Cause: EngineEndLedger.canJudge counted ends while causes weighs them; ends during answers count half, so once some of six had grown old, three to five were left that could be judged and were no cause, and QuarantineKeeper released the request though nothing else explained the ends. Change: canJudge weighs the ends as causes does; a request with less evidence stays held until its time is over. Ruled out: keeping old ends of held requests, which would let memory grow with them.

--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineEndLedger.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineEndLedger.java
@@ -89,10 +89,14 @@
     return endsByRequest.isEmpty();
   }
 
-  /** Whether enough ends are known under a request to tell whether it is a cause. */
+  /**
+   * Whether the ends that are known under a request weigh enough to make it a cause if nothing else
+   * explained them. Where they weigh less, as after some have grown old, nothing tells that another
+   * request explains them.
+   */
   public boolean canJudge(RequestFingerprint request) {
-    Map<String, Noted> ends = endsByRequest.get(request);
-    return ends != null && ends.size() >= SUFFICIENT_ENDS;
+    boolean known = endsByRequest.containsKey(request);
+    return known && unexplainedWeight(request, Set.of()) >= SUFFICIENT_ENDS;
   }
 
   /**
