Callers are told of large gateways first where gateways differ in size

Cause: gateways were named by a hash of their names whatever their size; many small ones each served a little, ran cold code and heard of each engine's load seldom. Where the ready gateways of a zone tell sizes that differ, GatewayNaming names the fewest of the largest, four at least, that bear what the named ones would bear if all had the smallest size; callers spread evenly, so the smallest named one counts for each. Small ones take the place of large ones that are lost. Where sizes are equal or not told, the same gateways are named as before. The last-known list keeps the sizes, so the choice holds before there is a leader.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/GatewayNaming.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/GatewayNaming.java
@@ -11,11 +11,29 @@
  * processor time each, later ones 4 ms, and it hears of each engine's load seldom. So only a share
  * of many gateways is named; the others are ready to take their place. All coordinators order the
  * gateways alike and name the same ones.
+ *
+ * <p>Where gateways differ in size, larger ones are named first, and as few as bear what the named
+ * ones would bear if all had the size of the smallest. Callers spread evenly over the named
+ * gateways, so that the smallest of them sets what they bear together: a small one beside large
+ * ones gets as many requests as they do. Hence small ones are named only when too few large ones
+ * are ready, and then enough of them.
  */
 final class GatewayNaming {
   /** So many are named in any case: small fleets need all of theirs to bear losses. */
   static final int MIN_NAMED = 6;
 
+  /**
+   * So many are named in any case where sizes differ: when two of them are lost at once, the others
+   * bear half of what is needed, until callers are told of the gateways in their place.
+   */
+  static final int MIN_NAMED_BY_SIZE = 4;
+
+  private static final Comparator<FleetProcess> BY_RANK =
+      Comparator.comparingInt(GatewayNaming::rank).thenComparing(FleetProcess::name);
+
+  private static final Comparator<FleetProcess> LARGE_FIRST =
+      Comparator.comparingDouble(FleetProcess::cores).reversed().thenComparing(BY_RANK);
+
   private final double share;
 
   /**
@@ -30,10 +48,28 @@
   /** The gateways of {@code ready} that are named, the same whatever their order. */
   List<FleetProcess> choose(List<FleetProcess> ready) {
     int count = Math.max(MIN_NAMED, (int) Math.ceil(share * ready.size()));
-    return ready.stream()
-        .sorted(Comparator.comparingInt(GatewayNaming::rank).thenComparing(FleetProcess::name))
-        .limit(count)
-        .toList();
+    if (differInSize(ready)) {
+      return chooseLargest(ready, Math.min(count, ready.size()));
+    }
+    return ready.stream().sorted(BY_RANK).limit(count).toList();
+  }
+
+  /** Whether the gateways tell sizes that differ; one that tells none cannot be compared. */
+  static boolean differInSize(List<FleetProcess> gateways) {
+    boolean allTold =
+        gateways.stream().noneMatch(gateway -> gateway.cores() == FleetProcess.CORES_UNKNOWN);
+    return allTold && gateways.stream().mapToDouble(FleetProcess::cores).distinct().count() > 1;
+  }
+
+  /** The fewest of the largest that bear what {@code count} of the smallest size would. */
+  private static List<FleetProcess> chooseLargest(List<FleetProcess> ready, int count) {
+    List<FleetProcess> sorted = ready.stream().sorted(LARGE_FIRST).toList();
+    double neededCores = count * sorted.get(sorted.size() - 1).cores();
+    int named = Math.min(MIN_NAMED_BY_SIZE, count);
+    while (named < count && named * sorted.get(named - 1).cores() < neededCores) {
+      named++;
+    }
+    return sorted.subList(0, named);
   }
 
   /** Spreads the named ones over machines with names in sequence. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -151,7 +151,8 @@
         "",
         settings.callersListen().toString(),
         isReady(),
-        FleetProcess.NO_GROUP);
+        FleetProcess.NO_GROUP,
+        settings.cores());
   }
 
   private boolean isReady() {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.protocol.fleet.CallerLimits;
+import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.serving.http.HttpLimits;
 
 /**
@@ -15,6 +16,7 @@
  * @param readinessListen where its readiness is asked
  * @param drainMs how long a planned stop may take
  * @param minDrainMs how long a planned stop serves on at least, until callers have heard of it
+ * @param cores processor time that the gateway may use, in cores; 0 when not told
  */
 public record GatewaySettings(
     FleetSettings fleet,
@@ -22,7 +24,9 @@
     HostPort readinessListen,
     HttpLimits limits,
     int drainMs,
-    int minDrainMs) {
+    int minDrainMs,
+    double cores) {
+  private static final double MAX_CORES = 1_024;
 
   /** The limits of the settings, each replaced where a configuration states one. */
   HttpLimits limitsUnder(CallerLimits stated) {
@@ -52,7 +56,9 @@
             reader.address("readiness_listen"),
             limits,
             reader.integer("drain_timeout_ms", 7_400, 100, 600_000),
-            reader.integer("drain_min_ms", 3_000, 0, 600_000));
+            reader.integer("drain_min_ms", 3_000, 0, 600_000),
+            reader.decimal(
+                "cores", FleetProcess.CORES_UNKNOWN, FleetProcess.CORES_UNKNOWN, MAX_CORES));
     return reader.finish(settings);
   }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -22,6 +22,7 @@
 class TestLastKnownFleet {
   private static final String FILE = "last-known-fleet";
   private static final long VERSION = 7;
+  private static final double CORES = 0.27;
   private static final long LONGEST_WAIT_MS = 5_000;
 
   @TempDir private Path path;
@@ -32,7 +33,8 @@
 
   private static FleetView view() {
     EngineInstance engine = new EngineInstance("e", "s", "h:1", "a", 10, false);
-    FleetProcess gateway = new FleetProcess("g", FleetRole.GATEWAY, "a", 0, 1, "", "h:2", true, 0);
+    FleetProcess gateway =
+        new FleetProcess("g", FleetRole.GATEWAY, "a", 0, 1, "", "h:2", true, 0, CORES);
     RouteTable routes =
         new RouteTable(
             VERSION, List.of(), List.of(), CallerLimits.NONE, List.of(), new byte[0], new byte[0]);
@@ -70,6 +72,7 @@
     assertThat(update.routes().version()).isEqualTo(VERSION);
     assertThat(update.engines().changed()).extracting(EngineInstance::id).containsExactly("e");
     assertThat(update.processes().changed()).extracting(FleetProcess::name).containsExactly("g");
+    assertThat(update.processes().changed()).extracting(FleetProcess::cores).containsExactly(CORES);
     assertThat(update.leavingMembers()).containsExactly(5);
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestGatewaySettings.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestGatewaySettings.java
@@ -2,11 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.pathdeck.common.result.Result;
+import io.pathdeck.common.settings.SettingsError;
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.protocol.fleet.CallerLimits;
+import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.serving.http.HttpLimits;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TestGatewaySettings {
   private static final String YAML =
@@ -24,7 +29,26 @@
       """;
 
   private static GatewaySettings settings() {
-    return GatewaySettings.read(SettingsReader.parse("test", YAML, Map.of()).value()).value();
+    return read("").value();
+  }
+
+  private static Result<GatewaySettings, SettingsError> read(String more) {
+    return GatewaySettings.read(SettingsReader.parse("test", YAML + more, Map.of()).value());
+  }
+
+  @Test
+  void coresAreUnknownUnlessToldAndMayBeAShareOfOne() {
+    assertThat(settings().cores()).isEqualTo(FleetProcess.CORES_UNKNOWN);
+    assertThat(read("cores: 0.27").value().cores()).isEqualTo(0.27);
+    assertThat(read("cores: 2").value().cores()).isEqualTo(2);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"cores: -0.1", "cores: 1025", "cores: many"})
+  void coresOutOfBoundsAreRejectedByName(String line) {
+    Result<GatewaySettings, SettingsError> result = read(line);
+    assertThat(result.isOk()).isFalse();
+    assertThat(result.error().problems()).singleElement().asString().contains("cores");
   }
 
   @Test
