--- a/cli/src/main/java/io/pathdeck/cli/CheckConfigCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/CheckConfigCommand.java
@@ -17,6 +17,15 @@
 
 /** Checks a settings file; which role it is for is told by its keys. */
 final class CheckConfigCommand {
+  private static final String USAGE =
+      """
+      usage: pathdeck check-config FILE
+
+      Checks a settings file of a role, or a declaration; which of them it is its keys tell.
+      Every problem is printed.
+      exit codes: 0 valid, 2 not valid or cannot be read
+      """;
+
   private final PrintStream out;
   private final PrintStream err;
 
@@ -26,8 +35,12 @@
   }
 
   ExitCode run(List<String> arguments) {
+    if (arguments.contains("--help") || arguments.contains("-h")) {
+      out.print(USAGE);
+      return ExitCode.OK;
+    }
     if (arguments.size() != 1 || arguments.get(0).startsWith("-")) {
-      err.println("usage: pathdeck check-config FILE");
+      err.print(USAGE);
       return ExitCode.USAGE;
     }
     Path file = Path.of(arguments.get(0));
--- a/cli/src/main/java/io/pathdeck/cli/ExplainCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/ExplainCommand.java
@@ -23,6 +23,14 @@
 
 /** Merges the logs of several processes into one timeline of a request, job or item. */
 final class ExplainCommand {
+  private static final String USAGE =
+      """
+      usage: pathdeck explain --logs FILE|DIR ... --request ID
+
+      Prints the lines of all logs that name a request, a batch job or an item, by their time.
+      exit codes: 0 done, 1 a log cannot be read, 2 usage, 5 no line names the id
+
+      """;
   private static final Set<String> SHOWN_FIRST = Set.of("time", "level", "code", "event");
 
   private record Line(String time, String source, JsonNode event) {}
@@ -47,8 +55,14 @@
             .accepts("request", "the id of a request, a batch job or an item")
             .withRequiredArg()
             .required();
+    parser.acceptsAll(List.of("help", "h"), "prints this text").forHelp();
     try {
       OptionSet options = parser.parse(arguments.toArray(new String[0]));
+      if (options.has("help")) {
+        out.print(USAGE);
+        parser.printHelpOn(out);
+        return ExitCode.OK;
+      }
       return explain(options.valuesOf(logs), options.valueOf(request));
     } catch (OptionException e) {
       err.println(e.getMessage());
--- a/cli/src/main/java/io/pathdeck/cli/OperatorCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/OperatorCommand.java
@@ -81,7 +81,7 @@
   OperatorCommand(PrintStream out, PrintStream err) {
     this.out = out;
     this.err = err;
-    parser.accepts("help");
+    parser.acceptsAll(List.of("help", "h"));
   }
 
   ExitCode run(List<String> arguments) {
--- a/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
+++ b/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.common.duty.ProcessStart;
 import io.pathdeck.common.events.EventLogConfiguration;
+import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
 
@@ -30,41 +31,42 @@
   /** Runs the command line and exits with its code unless a role keeps running. */
   public static void main(String[] arguments) {
     ProcessStart.mark();
-    ExitCode code = run(Arrays.asList(arguments));
+    ExitCode code = run(Arrays.asList(arguments), System.out, System.err);
     if (code != ExitCode.OK) {
       System.exit(code.value());
     }
   }
 
-  private static ExitCode run(List<String> arguments) {
+  static ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     if (arguments.isEmpty()) {
-      System.err.print(USAGE);
+      err.print(USAGE);
       return ExitCode.USAGE;
     }
     List<String> rest = arguments.subList(1, arguments.size());
     return switch (arguments.get(0)) {
       case "--help", "-h", "help" -> {
-        System.out.print(USAGE);
+        out.print(USAGE);
         yield ExitCode.OK;
       }
-      case "ctl" -> new OperatorCommand(System.out, System.err).run(rest);
-      case "explain" -> new ExplainCommand(System.out, System.err).run(rest);
-      case "check-config" -> new CheckConfigCommand(System.out, System.err).run(rest);
+      case "ctl" -> new OperatorCommand(out, err).run(rest);
+      case "explain" -> new ExplainCommand(out, err).run(rest);
+      case "check-config" -> new CheckConfigCommand(out, err).run(rest);
       case "gateway", "coordinator", "store" -> {
         System.setProperty(EventLogConfiguration.TARGET_PROPERTY, "SYSTEM_OUT");
-        yield runRole(arguments.get(0), rest);
+        yield runRole(arguments.get(0), rest, out, err);
       }
-      case "node", "controller", "dispatcher" -> runRole(arguments.get(0), rest);
+      case "node", "controller", "dispatcher" -> runRole(arguments.get(0), rest, out, err);
       default -> {
-        System.err.println("unknown role: " + arguments.get(0));
-        System.err.print(USAGE);
+        err.println("unknown role: " + arguments.get(0));
+        err.print(USAGE);
         yield ExitCode.USAGE;
       }
     };
   }
 
-  private static ExitCode runRole(String role, List<String> arguments) {
+  private static ExitCode runRole(
+      String role, List<String> arguments, PrintStream out, PrintStream err) {
     EventLogConfiguration.install();
-    return new RoleCommand(role).run(arguments);
+    return new RoleCommand(role, out, err).run(arguments);
   }
 }
--- a/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
@@ -24,6 +24,7 @@
 import io.pathdeck.serving.NodeProcess;
 import io.pathdeck.serving.NodeSettings;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -41,6 +42,8 @@
   private static final EventLog EVENTS = EventLog.of(RoleCommand.class);
 
   private final String role;
+  private final PrintStream out;
+  private final PrintStream err;
 
   /** What SIGHUP does; nothing until the process has started. */
   private volatile Runnable onHangup = () -> {};
@@ -48,8 +51,10 @@
   private Path settingsFile;
   private Map<String, String> settingsOverrides = Map.of();
 
-  RoleCommand(String role) {
+  RoleCommand(String role, PrintStream out, PrintStream err) {
     this.role = role;
+    this.out = out;
+    this.err = err;
   }
 
   ExitCode run(List<String> arguments) {
@@ -58,24 +63,24 @@
         parser.accepts("config", "the settings file").withRequiredArg().required();
     OptionSpec<String> set =
         parser.accepts("set", "KEY=VALUE replaces a key of the file").withRequiredArg();
-    parser.accepts("help", "prints this text").forHelp();
+    parser.acceptsAll(List.of("help", "h"), "prints this text").forHelp();
     OptionSet options;
     try {
       options = parser.parse(arguments.toArray(new String[0]));
       if (options.has("help")) {
-        System.out.println("pathdeck " + role + " --config FILE [--set KEY=VALUE ...]");
-        parser.printHelpOn(System.out);
+        out.println("pathdeck " + role + " --config FILE [--set KEY=VALUE ...]");
+        parser.printHelpOn(out);
         return ExitCode.OK;
       }
     } catch (OptionException | IOException e) {
-      System.err.println(e.getMessage());
+      err.println(e.getMessage());
       return ExitCode.USAGE;
     }
     Map<String, String> overrides = new HashMap<>();
     for (String assignment : options.valuesOf(set)) {
       int equals = assignment.indexOf('=');
       if (equals < 1) {
-        System.err.println("--set: expected KEY=VALUE, found " + assignment);
+        err.println("--set: expected KEY=VALUE, found " + assignment);
         return ExitCode.USAGE;
       }
       overrides.put(assignment.substring(0, equals), assignment.substring(equals + 1));
@@ -102,18 +107,18 @@
         default -> startDispatcher(reader.value());
       };
     } catch (SSLException | RuntimeException e) {
-      System.err.println("cannot start: " + e.getMessage());
+      err.println("cannot start: " + e.getMessage());
       return ExitCode.FAILURE;
     }
   }
 
-  private static ExitCode rejectSettings(SettingsError error) {
-    System.err.println(error);
+  private ExitCode rejectSettings(SettingsError error) {
+    err.println(error);
     EVENTS.log(EventCode.SETTINGS_REJECTED, "problems", error.problems().size());
     return ExitCode.USAGE;
   }
 
-  private static ExitCode startNode(SettingsReader reader) throws SSLException {
+  private ExitCode startNode(SettingsReader reader) throws SSLException {
     Result<NodeSettings, SettingsError> settings = NodeSettings.read(reader);
     if (!settings.isOk()) {
       return rejectSettings(settings.error());
@@ -122,7 +127,7 @@
     return ExitCode.OK;
   }
 
-  private static ExitCode startDispatcher(SettingsReader reader) throws SSLException {
+  private ExitCode startDispatcher(SettingsReader reader) throws SSLException {
     Result<DispatcherSettings, SettingsError> settings = DispatcherSettings.read(reader);
     if (!settings.isOk()) {
       return rejectSettings(settings.error());
@@ -131,7 +136,7 @@
     return ExitCode.OK;
   }
 
-  private static ExitCode startController(SettingsReader reader) throws SSLException {
+  private ExitCode startController(SettingsReader reader) throws SSLException {
     Result<ControllerSettings, SettingsError> settings = ControllerSettings.read(reader);
     if (!settings.isOk()) {
       return rejectSettings(settings.error());
@@ -209,9 +214,9 @@
     return fleet.tls();
   }
 
-  private static ExitCode runOrExplain(Result<? extends AutoCloseable, StorageError> process) {
+  private ExitCode runOrExplain(Result<? extends AutoCloseable, StorageError> process) {
     if (!process.isOk()) {
-      System.err.println("cannot start: " + process.error());
+      err.println("cannot start: " + process.error());
       return ExitCode.FAILURE;
     }
     runUntilStopped(process.value());
