Engines are chosen by the time that work takes there, where they tell their pace

Cause: a service's engines may differ by almost three times in how long an event takes, and the choice counted places only: a slow engine holds each place longer, fills up, and its requests wait.

EnginePace keeps for each life of an engine the time an event takes, from streams that were served whole, and what the engine tells of the moment. ServicePace relates it to the median of the known engines. The cost of an engine is its load, unread prompts and the place the request itself takes, times its relative pace. Without a told pace the formula is as before. The request-served line gets event_ms.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineLoadReport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineLoadReport.java
@@ -10,9 +10,20 @@
  * @param slots requests that it can run at once; 0 when it does not say
  * @param bornMs when the life of the engine that reports began; {@link EngineInstance#BORN_UNKNOWN}
  *     when it does not say
+ * @param paceInHundredths how long work takes there at this moment, 100 is as usual; {@link
+ *     #PACE_UNKNOWN} when it does not say
  */
-public record EngineLoadReport(int running, int waiting, int slots, long bornMs) {
-  /** A report of an engine that does not say when its life began. */
+public record EngineLoadReport(
+    int running, int waiting, int slots, long bornMs, int paceInHundredths) {
+  /** The pace of an engine that does not tell it. */
+  public static final int PACE_UNKNOWN = 0;
+
+  /** A report of an engine that does not tell its pace. */
+  public EngineLoadReport(int running, int waiting, int slots, long bornMs) {
+    this(running, waiting, slots, bornMs, PACE_UNKNOWN);
+  }
+
+  /** A report of an engine that says neither when its life began nor its pace. */
   public EngineLoadReport(int running, int waiting, int slots) {
     this(running, waiting, slots, EngineInstance.BORN_UNKNOWN);
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineChoice.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineChoice.java
@@ -14,6 +14,10 @@
  * for all processes (rendezvous hashing), which probably keeps the prefix in its cache; everywhere
  * else the prefix has to be read again. So the home is taken until its load outweighs that. Among
  * equals an engine of the own zone is taken.
+ *
+ * <p>Where the engines of a service tell their pace, the load and the prompts count by the time
+ * that they take at this engine: a slow one is taken when it is emptier, and before a fast one that
+ * is full.
  */
 public final class EngineChoice {
   /** From this many shared tokens on a prompt has a home. */
@@ -40,8 +44,14 @@
     this.random = new SplittableRandom(seed);
   }
 
-  /** Chooses among {@code candidates}; empty when there is none. */
+  /** Chooses among {@code candidates}, all of one service; empty when there is none. */
   public Optional<Placement> choose(List<EngineState> candidates, Prompt prompt, long nowMs) {
+    return choose(candidates, ServicePace.of(candidates, nowMs), prompt, nowMs);
+  }
+
+  /** Chooses among {@code candidates}, some engines of a service with this {@code pace}. */
+  public Optional<Placement> choose(
+      List<EngineState> candidates, ServicePace pace, Prompt prompt, long nowMs) {
     Optional<EngineState> home = home(candidates, prompt);
     Placement best = null;
     double bestCost = Double.MAX_VALUE;
@@ -49,8 +59,7 @@
       boolean cached = home.filter(engine::equals).isPresent();
       long tokensToRead = prompt.tokens() - (cached ? prompt.sharedPrefixTokens() : 0);
       double cost =
-          load(engine, nowMs)
-              + (engine.unreadPromptTokens() + tokensToRead) / TOKENS_PER_LOAD
+          work(engine, tokensToRead, pace, nowMs)
               + engine.recentWaitMs(nowMs) / WAIT_MS_PER_LOAD
               + zonePenalty(engine)
               + random.nextDouble() * JITTER;
@@ -62,14 +71,30 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * The load and the unread prompts. Where engines are uneven it is the time that this work and the
+   * request itself take there: so the request counts with its own place, else a slow engine would
+   * be as good as a fast one whenever both look empty, which is often, because most of their
+   * requests come from other processes.
+   */
+  private static double work(EngineState engine, long tokensToRead, ServicePace pace, long nowMs) {
+    double unread = (engine.unreadPromptTokens() + tokensToRead) / TOKENS_PER_LOAD;
+    double work = load(engine, nowMs) + unread;
+    return pace.isUneven() ? (work + 1.0 / slots(engine)) * pace.relativeNow(engine) : work;
+  }
+
   private double zonePenalty(EngineState engine) {
     return engine.instance().zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY;
   }
 
   /** The load as a share of the engine's slots. */
   public static double load(EngineState engine, long nowMs) {
-    int slots = engine.instance().slots() > 0 ? engine.instance().slots() : DEFAULT_SLOTS;
-    return engine.estimatedLoad(nowMs) / slots;
+    return engine.estimatedLoad(nowMs) / slots(engine);
+  }
+
+  private static int slots(EngineState engine) {
+    int told = engine.instance().slots();
+    return told > 0 ? told : DEFAULT_SLOTS;
   }
 
   private static Optional<EngineState> home(List<EngineState> candidates, Prompt prompt) {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -19,6 +19,7 @@
   private static final double WAIT_HALF_LIFE_MS = 400;
 
   private final long reportHalfLifeMs;
+  private final EnginePace pace = new EnginePace();
   private EngineInstance instance;
   private int inFlight;
   private double recentWaitMs;
@@ -108,6 +109,14 @@
   public void onLoad(EngineLoadReport report, long nowMs) {
     othersAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
     reportedAtMs = nowMs;
+    if (report.paceInHundredths() != EngineLoadReport.PACE_UNKNOWN) {
+      pace.onTold(report.paceInHundredths(), nowMs);
+    }
+  }
+
+  /** How long work takes at the engine. */
+  public EnginePace pace() {
+    return pace;
   }
 
   /** A call failed for a reason that speaks against the engine. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -13,6 +13,7 @@
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.EventScanner;
+import io.pathdeck.fleet.engine.EventTimes;
 import io.pathdeck.fleet.engine.Placement;
 import io.pathdeck.fleet.engine.Prompt;
 import io.pathdeck.protocol.fleet.RouteKind;
@@ -262,6 +263,7 @@
     private final double believedLoad;
     private final long loadAgeMs;
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
+    private final EventTimes eventTimes = new EventTimes();
     private EngineTransport.Handle handle;
     private EngineAnswer answer;
     private EventScanner scanner;
@@ -354,6 +356,7 @@
       byte[] events = scanner.feed(part);
       if (events.length > 0) {
         lastEventId = scanner.lastId();
+        eventTimes.onEvent(lastEventId, lastProgressMs);
         if (!exchange.write(events)) {
           log.callerTooSlow();
           cancelAttempt();
@@ -389,6 +392,7 @@
         engine.onFailure(nowMs());
         afterFailure(false, "the stream ended inside an event");
       } else {
+        engine.pace().onStream(eventTimes.events(), eventTimes.spanMs(), nowMs());
         logServed();
         finishServed();
         exchange.endStream();
@@ -402,6 +406,7 @@
               engine.instance().id(),
               believedLoad,
               loadAgeMs,
+              engine.pace().msPerEvent(),
               firstMs,
               nowMs() - startMs,
               lastEventId));
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -15,12 +15,14 @@
    * @param engineId the engine that ended the answer
    * @param believedLoad the engine's load as it was believed at the choice
    * @param loadAgeMs how old that belief was
+   * @param eventMs how long an event takes at the engine, as its streams here showed it
    */
   record Served(
       long routesVersion,
       String engineId,
       double believedLoad,
       long loadAgeMs,
+      double eventMs,
       long firstMs,
       long totalMs,
       long lastEvent) {}
@@ -50,6 +52,8 @@
         String.format(Locale.ROOT, "%.1f", how.believedLoad()),
         "load_age_ms",
         how.loadAgeMs(),
+        "event_ms",
+        String.format(Locale.ROOT, "%.1f", how.eventMs()),
         "sends",
         budget.sends(),
         "first_ms",
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineChoice.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -151,4 +152,76 @@
     assertThat(choose(SHORT_PROMPT)).isNotEqualTo(slow);
     assertThat(slow.recentWaitMs(NOW_MS + 4_000)).isLessThan(5);
   }
+
+  private void tellPace(String id, long eventMs) {
+    EngineState engine = table.find(id);
+    engine.onLoad(new EngineLoadReport(0, 0, 10, EngineInstance.BORN_UNKNOWN, 100), NOW_MS);
+    showPace(id, eventMs);
+  }
+
+  private void showPace(String id, long eventMs) {
+    for (int i = 0; i < 4; i++) {
+      table.find(id).pace().onStream(20, 20 * eventMs, NOW_MS);
+    }
+  }
+
+  private void start(String id, int calls) {
+    for (int i = 0; i < calls; i++) {
+      table.find(id).onStart(NOW_MS);
+    }
+  }
+
+  private Set<String> chosenOften() {
+    Set<String> ids = new HashSet<>();
+    for (int i = 0; i < 40; i++) {
+      ids.add(choose(SHORT_PROMPT).instance().id());
+    }
+    return ids;
+  }
+
+  @Test
+  void slowEngineIsTakenWhenItIsEmptierAndBeforeAFullOne() {
+    tellPace("a0", 27);
+    tellPace("a1", 27);
+    tellPace("a2", 75);
+    assertThat(chosenOften()).as("all are empty").containsExactlyInAnyOrder("a0", "a1");
+    start("a0", 2);
+    start("a1", 2);
+    assertThat(chosenOften()).as("its one place takes as long as three").doesNotContain("a2");
+    start("a0", 4);
+    start("a1", 4);
+    assertThat(chosenOften()).as("the others fill up").containsExactly("a2");
+  }
+
+  @Test
+  void engineThatIsNewToAllCountsAsAUsualOne() {
+    tellPace("a0", 27);
+    tellPace("a1", 75);
+    tellPace("b0", 27);
+    start("a0", 1);
+    assertThat(chosenOften()).containsExactly("a2");
+  }
+
+  /** The formula of services whose engines do not tell their pace is the one without pace. */
+  @Test
+  void paceOfEnginesThatDoNotTellItChangesNothing() {
+    showPace("a0", 27);
+    showPace("a1", 27);
+    showPace("a2", 75);
+    assertThat(chosenOften()).containsExactlyInAnyOrder("a0", "a1", "a2");
+    start("a0", 1);
+    start("a1", 1);
+    assertThat(chosenOften()).containsExactly("a2");
+  }
+
+  /** 62 engines, 22 of them 2.8 times slower, 25 gateways, crests near what all engines can do. */
+  @Test
+  void fewRequestsWaitAtSlowEnginesInCrests() {
+    UnevenEnginesModel.Result without = new UnevenEnginesModel(1, false).run();
+    UnevenEnginesModel.Result with = new UnevenEnginesModel(1, true).run();
+    assertThat(without.lateShare()).isGreaterThan(0.04);
+    assertThat(with.lateShare()).isLessThan(0.02);
+    assertThat(with.servedBySlow()).as("slow ones are used").isGreaterThan(with.served() / 20);
+    assertThat(with.lateAtSlow()).isLessThan(without.lateAtSlow() / 4);
+  }
 }
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/UnevenEnginesModel.java
@@ -0,0 +1,174 @@
+package io.pathdeck.fleet.engine;
+
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * A model of streams on engines of which some take longer, chosen by gateways that each know only
+ * what their own calls tell; time in milliseconds.
+ */
+final class UnevenEnginesModel {
+  private static final int GATEWAYS = 25;
+  private static final int FAST_ENGINES = 40;
+  private static final int ENGINES = 62;
+  private static final int SLOTS = 8;
+  private static final int EVENTS = 20;
+  private static final double FAST_EVENT_MS = 27;
+  private static final double SLOW_EVENT_MS = 75;
+  private static final double READING_MS = 9;
+  private static final long AIM_MS = 305;
+  private static final long DAY_MS = 40_000;
+  private static final long CREST_EVERY_MS = 6_600;
+  private static final long CREST_MS = 2_800;
+  private static final double TROUGH_PER_MS = 0.15;
+  private static final double CREST_PER_MS = 0.54;
+  private static final long REPORT_HALF_LIFE_MS = 250;
+  private static final Prompt PROMPT = new Prompt(450, "shared", 200);
+  private static final List<String> ZONES = List.of("a", "b", "c");
+
+  /** How the day went. */
+  record Result(int served, int late, int servedBySlow, int lateAtSlow) {
+    double lateShare() {
+      return late / (double) served;
+    }
+  }
+
+  private record Timed(double atMs, long order, Runnable action) {}
+
+  private static final class Engine {
+    private final double eventMs;
+    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private int running;
+
+    Engine(double eventMs) {
+      this.eventMs = eventMs;
+    }
+
+    void take(Runnable begin) {
+      if (running < SLOTS) {
+        running++;
+        begin.run();
+      } else {
+        waiting.add(begin);
+      }
+    }
+
+    void free() {
+      if (waiting.isEmpty()) {
+        running--;
+      } else {
+        waiting.remove().run();
+      }
+    }
+  }
+
+  private final SplittableRandom random;
+  private final boolean paceTold;
+  private final PriorityQueue<Timed> agenda =
+      new PriorityQueue<>(Comparator.comparingDouble(Timed::atMs).thenComparing(Timed::order));
+  private final Map<String, Engine> engines = new HashMap<>();
+  private final List<EngineTable> tables = new ArrayList<>();
+  private final List<EngineChoice> choices = new ArrayList<>();
+  private double nowMs;
+  private long order;
+  private int served;
+  private int late;
+  private int servedBySlow;
+  private int lateAtSlow;
+
+  UnevenEnginesModel(long seed, boolean paceTold) {
+    this.random = new SplittableRandom(seed);
+    this.paceTold = paceTold;
+    Map<String, EngineInstance> listed = new HashMap<>();
+    for (int i = 0; i < ENGINES; i++) {
+      String id = "e" + i;
+      engines.put(id, new Engine(i < FAST_ENGINES ? FAST_EVENT_MS : SLOW_EVENT_MS));
+      String zone = ZONES.get(i % ZONES.size());
+      listed.put(id, new EngineInstance(id, "s", "h:1", zone, SLOTS, false));
+    }
+    for (int i = 0; i < GATEWAYS; i++) {
+      EngineTable table = new EngineTable(REPORT_HALF_LIFE_MS);
+      table.update(listed);
+      tables.add(table);
+      choices.add(new EngineChoice(ZONES.get(i % ZONES.size()), seed + i));
+    }
+  }
+
+  Result run() {
+    after(0, this::arrive);
+    while (!agenda.isEmpty()) {
+      Timed next = agenda.remove();
+      nowMs = next.atMs();
+      next.action().run();
+    }
+    return new Result(served, late, servedBySlow, lateAtSlow);
+  }
+
+  private void after(double delayMs, Runnable action) {
+    agenda.add(new Timed(nowMs + delayMs, order++, action));
+  }
+
+  private long clockMs() {
+    return (long) nowMs;
+  }
+
+  private void arrive() {
+    if (nowMs > DAY_MS) {
+      return;
+    }
+    double perMs = nowMs % CREST_EVERY_MS < CREST_MS ? CREST_PER_MS : TROUGH_PER_MS;
+    after(-Math.log(1 - random.nextDouble()) / perMs, this::arrive);
+    int gateway = random.nextInt(GATEWAYS);
+    List<EngineState> usable = tables.get(gateway).usable("s", Set.of(), clockMs());
+    Placement placement = choices.get(gateway).choose(usable, PROMPT, clockMs()).orElseThrow();
+    EngineState state = placement.engine();
+    Engine engine = engines.get(state.instance().id());
+    double sentMs = nowMs;
+    state.onStart(clockMs());
+    state.onPromptSent(placement.tokensToRead());
+    engine.take(() -> begin(state, engine, sentMs, placement.tokensToRead()));
+  }
+
+  private void begin(EngineState state, Engine engine, double sentMs, long tokens) {
+    double factor = 0.85 + 0.3 * random.nextDouble();
+    double eventMs = engine.eventMs * factor;
+    after(READING_MS * engine.eventMs / FAST_EVENT_MS, () -> state.onPromptRead(tokens));
+    after(
+        READING_MS * engine.eventMs / FAST_EVENT_MS + eventMs,
+        () -> {
+          state.onFirstBytes((long) (nowMs - sentMs), clockMs());
+          int pace = paceTold ? (int) (100 * factor) : EngineLoadReport.PACE_UNKNOWN;
+          EngineLoadReport load =
+              new EngineLoadReport(
+                  engine.running, engine.waiting.size(), SLOTS, EngineInstance.BORN_UNKNOWN, pace);
+          state.onLoad(load, clockMs());
+          count(engine, nowMs - sentMs > AIM_MS);
+          double restMs = (EVENTS - 1) * eventMs;
+          after(restMs, () -> end(state, engine, (long) restMs));
+        });
+  }
+
+  private void count(Engine engine, boolean isLate) {
+    boolean slow = engine.eventMs == SLOW_EVENT_MS;
+    served++;
+    late += isLate ? 1 : 0;
+    servedBySlow += slow ? 1 : 0;
+    lateAtSlow += slow && isLate ? 1 : 0;
+  }
+
+  private void end(EngineState state, Engine engine, long spanMs) {
+    state.pace().onStream(EVENTS - 1, spanMs, clockMs());
+    state.onEnd();
+    engine.free();
+  }
+}
