Processes that start together ask different coordinators first

Cause: all processes asked the seeds in the order of their settings, so after a loss of power one coordinator was asked by 13 of 17 processes while the others had nothing to do. Change: the name of a process decides which candidate it asks first (CandidateOrder).

--- a/fleet/src/main/java/io/pathdeck/fleet/member/CoordinatorContacts.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/CoordinatorContacts.java
@@ -22,7 +22,8 @@
   /** Contacts of a process with these settings. */
   public CoordinatorContacts(FleetSettings settings, PeerPool pool, EventLoopGroup eventLoops) {
     this.seeds = settings.seedAddresses();
-    this.client = new GroupClient(pool, RetryTimer.on(eventLoops), this::addresses);
+    CandidateOrder order = CandidateOrder.of(settings.name());
+    this.client = new GroupClient(pool, RetryTimer.on(eventLoops), this::addresses, order);
   }
 
   /** The way to whichever coordinator leads. */
--- a/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
@@ -7,12 +7,10 @@
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.transport.PeerClient;
 import io.pathdeck.protocol.transport.TransportError;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 /**
@@ -28,17 +26,24 @@
   private final RetryTimer timer;
   private final Supplier<List<String>> candidates;
   private volatile String leaderAddress = "";
-  private final AtomicInteger nextCandidate = new AtomicInteger();
+  private final CandidateOrder order;
 
   /**
-   * Creates a client.
+   * Creates a client that asks the first candidate first.
    *
    * @param candidates addresses of processes that may know the leader
    */
   public GroupClient(PeerPool pool, RetryTimer timer, Supplier<List<String>> candidates) {
+    this(pool, timer, candidates, CandidateOrder.fromFirst());
+  }
+
+  /** Creates a client that asks candidates in this order while it knows no leader. */
+  GroupClient(
+      PeerPool pool, RetryTimer timer, Supplier<List<String>> candidates, CandidateOrder order) {
     this.pool = pool;
     this.timer = timer;
     this.candidates = candidates;
+    this.order = order;
   }
 
   /** Sends {@code message}; the future completes within {@code timeoutMs} or a little later. */
@@ -60,15 +65,14 @@
     if (!leader.isEmpty()) {
       return leader;
     }
-    List<String> known = new ArrayList<>(candidates.get());
-    return known.isEmpty() ? "" : known.get(Math.floorMod(nextCandidate.get(), known.size()));
+    return order.current(List.copyOf(candidates.get()));
   }
 
   private void abandon(String target) {
     if (target.equals(leaderAddress)) {
       leaderAddress = "";
     }
-    nextCandidate.incrementAndGet();
+    order.advance();
   }
 
   /** One call and its attempts, which follow each other and never overlap. */
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestCandidateOrder.java
@@ -0,0 +1,40 @@
+package io.pathdeck.fleet.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class TestCandidateOrder {
+  private static final List<String> CANDIDATES = List.of("a", "b", "c");
+
+  @Test
+  void processesBeginAtDifferentCandidates() {
+    Map<String, Integer> asked = new HashMap<>();
+    for (int i = 0; i < 18; i++) {
+      asked.merge(CandidateOrder.of("gateway-" + i).current(CANDIDATES), 1, Integer::sum);
+    }
+    assertThat(asked).hasSize(CANDIDATES.size());
+    assertThat(asked.values()).allMatch(processes -> processes >= 4);
+  }
+
+  @Test
+  void allCandidatesAreAskedInTurn() {
+    CandidateOrder order = CandidateOrder.of("gateway-1");
+    String first = order.current(CANDIDATES);
+    order.advance();
+    String second = order.current(CANDIDATES);
+    order.advance();
+    String third = order.current(CANDIDATES);
+    order.advance();
+    assertThat(List.of(first, second, third)).containsExactlyInAnyOrderElementsOf(CANDIDATES);
+    assertThat(order.current(CANDIDATES)).isEqualTo(first);
+  }
+
+  @Test
+  void nobodyIsAskedWithoutCandidates() {
+    assertThat(CandidateOrder.fromFirst().current(List.of())).isEmpty();
+  }
+}
