A process that lacks the leader's lists reports again after 80 ms

Cause: a gateway that heard of a leader's routes before that leader knew the list of engines asked again only 300 ms later, and refused callers meanwhile. Change: ReportInterval decides. The short interval holds for 5 s after the first answer at most (from the start while there is none), so that a list of engines that cannot be read does not load the leader; formerly it had no bound for processes that held last-known lists.

--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -30,16 +30,10 @@
  * be read anywhere.
  */
 public final class FleetFollower implements AutoCloseable {
-  /** How often a process reports itself. */
-  public static final long INTERVAL_MS = 300;
-
   private static final EventLog EVENTS = EventLog.of(FleetFollower.class);
   private static final long CALL_TIMEOUT_MS = 900;
   private static final long ATTEMPT_TIMEOUT_MS = 500;
 
-  /** The interval while only what a coordinator knew before its restart is known. */
-  private static final long UNCONFIRMED_INTERVAL_MS = 80;
-
   /** What the process says of itself, made anew for each heartbeat. */
   public record SelfReport(
       FleetProcess process,
@@ -67,6 +61,7 @@
   private long processEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long processSequence;
   private final ViewFreshness freshness = new ViewFreshness();
+  private final ReportInterval interval = new ReportInterval(System.nanoTime());
   private boolean connected;
   private boolean closed;
 
@@ -141,8 +136,9 @@
   }
 
   private long intervalMs() {
-    boolean unconfirmed = enginesKnown && engineEpoch == FleetUpdate.NO_LEADERS_EPOCH;
-    return unconfirmed ? UNCONFIRMED_INTERVAL_MS : INTERVAL_MS;
+    boolean leadersEngines = engineEpoch != FleetUpdate.NO_LEADERS_EPOCH;
+    boolean followsLeader = leadersEngines && view().isComplete();
+    return interval.intervalMs(followsLeader, System.nanoTime());
   }
 
   private java.util.concurrent.CompletableFuture<Void> send() {
@@ -175,6 +171,7 @@
       EVENTS.log(code, "detail", detail);
     }
     if (answered) {
+      interval.onAnswered(System.nanoTime());
       FleetUpdate update = (FleetUpdate) result.value();
       if (update.isLastKnown()) {
         freshness.onLastKnownTold(System.nanoTime());
