What a coordinator knew last carries gateways over an election, and new leaders tell its engines

Cause: after a loss of power coordinators told last-known knowledge only in the first 1.4 s of their process, which a small machine uses up by starting, and once to each process, which acted on it for 400 ms; the election took longer. A new leader had no list of engines for a while, and gateways that had its routes refused callers meanwhile. ViewFreshness acts on it in the first 3 s of a process while it is repeated, for 900 ms in all; a process that has run for longer for 400 ms as before. After such an answer another coordinator is asked next, so none that is cut off keeps a process. Coordinators keep only what a leader told, so a newer file is not replaced by what another coordinator knew.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -18,6 +18,7 @@
 import io.pathdeck.fleet.adapter.FleetAdapter;
 import io.pathdeck.fleet.member.CoordinatorContacts;
 import io.pathdeck.fleet.member.FleetFollower;
+import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.MemberMetrics;
@@ -185,7 +186,7 @@
             FleetProcess.NO_GROUP);
     FleetFollower follower =
         contacts.follower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
-    follower.onChange(lastKnown::offer);
+    follower.onChange(view -> keep(view, follower, lastKnown));
     lastKnown.start();
     resources.push(
         new PeerServer(
@@ -220,6 +221,13 @@
         folder.incarnation());
   }
 
+  /** Keeps what a leader told; what another coordinator knew last may be older than the file. */
+  private static void keep(FleetView view, FleetFollower follower, LastKnownFleet lastKnown) {
+    if (follower.isConfirmed()) {
+      lastKnown.offer(view);
+    }
+  }
+
   private static void route(
       Message message, ReplySink reply, ReplicaHost host, FleetMembership membership) {
     if (message instanceof FleetHeartbeat heartbeat) {
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -1,6 +1,5 @@
 package io.pathdeck.fleet.coordinator;
 
-import io.pathdeck.common.duty.ProcessStart;
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.consensus.RecoveredState;
@@ -49,9 +48,6 @@
   /** How long no further store may have come before the groups of jobs are founded. */
   private static final long FOUNDING_SETTLE_MS = 700;
 
-  /** How long after the start of its process a coordinator tells what it knew before. */
-  private static final long LAST_KNOWN_TOLD_MS = 1_400;
-
   private static final EventLog EVENTS = EventLog.of(FleetMembership.class);
 
   private final GroupRuntime group;
@@ -61,7 +57,7 @@
   private final TenantAdmission tenants;
   private final QuarantineKeeper quarantine;
   private final Consumer<Boolean> leadershipListener;
-  private final Optional<FleetUpdate> lastKnown;
+  private final LastKnownAnswers lastKnown;
   private final VersionedList<FleetProcess> processes = new VersionedList<>();
   private final VersionedList<EngineInstance> engines = new VersionedList<>();
   private final Map<String, Long> lastHeardMs = new HashMap<>();
@@ -75,7 +71,7 @@
   private boolean foundingProposed;
 
   /**
-   * Creates the membership of a coordinator.
+   * Creates the membership of a coordinator that can answer from now on.
    *
    * @param minStores how many stores a group of jobs needs at least
    * @param limitWindowMs the span over which tenants' limits hold
@@ -90,7 +86,7 @@
       long limitWindowMs,
       Consumer<Boolean> leadershipListener,
       Optional<FleetUpdate> lastKnown) {
-    this.lastKnown = lastKnown;
+    this.lastKnown = new LastKnownAnswers(lastKnown, clock.monotonicMs());
     this.group = group;
     this.state = state;
     this.clock = clock;
@@ -146,28 +142,27 @@
 
   /**
    * Answers a heartbeat when this coordinator can tell that it leads. While no leader is known, a
-   * process that knows no configuration gets the last one that this coordinator knew.
+   * process that no leader has told the fleet gets what this coordinator knew last.
    */
   void onHeartbeat(FleetHeartbeat heartbeat, ReplySink reply) {
-    boolean knowsNothing = heartbeat.routeVersion() == RouteTable.NO_VERSION;
-    if (knowsNothing && lastKnown.isPresent() && isLeaderUnknown() && hasJustStarted()) {
-      EVENTS.log(
-          EventCode.LAST_KNOWN_TOLD,
-          "process",
-          heartbeat.sender().name(),
-          "version",
-          lastKnown.get().routes().version());
-      reply.reply(lastKnown.get());
-      return;
-    }
     long nowMs = clock.monotonicMs();
+    if (isLeaderUnknown()) {
+      Optional<FleetUpdate> told = lastKnown.withoutLeader(heartbeat, nowMs);
+      if (told.isPresent()) {
+        tellLastKnown(heartbeat, told.get(), reply);
+        return;
+      }
+    }
     group.readLinearizably(() -> answer(heartbeat, reply), reply, nowMs);
   }
 
-  /** Later after a restart there should be a leader, and a newer configuration may be in force. */
-  private boolean hasJustStarted() {
-    long nowMs = clock.monotonicMs();
-    return nowMs - ProcessStart.monotonicMs(nowMs) < LAST_KNOWN_TOLD_MS;
+  private static void tellLastKnown(FleetHeartbeat heartbeat, FleetUpdate told, ReplySink reply) {
+    if (told.routes() != null) {
+      String process = heartbeat.sender().name();
+      long version = told.routes().version();
+      EVENTS.log(EventCode.LAST_KNOWN_TOLD, "process", process, "version", version);
+    }
+    reply.reply(told);
   }
 
   private boolean isLeaderUnknown() {
@@ -185,7 +180,7 @@
     reply.reply(
         new FleetUpdate(
             routesFor(heartbeat),
-            enginesFor(heartbeat),
+            enginesFor(heartbeat, nowMs),
             processesFor(heartbeat, nowMs),
             state.jobsFounders(),
             jobsGroups.reports(),
@@ -281,9 +276,9 @@
     return held.withoutDocument();
   }
 
-  private EngineListDelta enginesFor(FleetHeartbeat heartbeat) {
+  private EngineListDelta enginesFor(FleetHeartbeat heartbeat, long nowMs) {
     if (!enginesKnown) {
-      return null;
+      return lastKnown.enginesBeforeFirstRead(heartbeat, nowMs);
     }
     VersionedList.Delta<EngineInstance> delta =
         engines.since(heartbeat.engineSequence(), heartbeat.engineEpoch() == epoch);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -22,10 +22,10 @@
  *
  * <p>After a restart of all coordinators it tells gateways that know nothing what was in force,
  * until there is a leader to ask. It holds committed configurations only, so a process that begins
- * with it never has to go back. It may be out of date, and therefore goes only to processes that
- * know no configuration, only while no leader is known, only shortly after the start of this
- * process, and is acted on for less than a second: by then a leader should have told what is in
- * force.
+ * with it never has to go back. It may be out of date, and therefore goes only to processes that no
+ * leader has told the fleet, only shortly after the start of this process ({@link
+ * LastKnownAnswers}), and is acted on only shortly after the start of those: by then a leader
+ * should have told what is in force.
  *
  * <p>A thread of its own writes it, for the disk may hang: at most once every {@value
  * #WRITE_INTERVAL_MS} ms, but for changes of the requests in quarantine.
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.member;
 
 import io.netty.channel.EventLoop;
+import io.pathdeck.common.duty.ProcessStart;
 import io.pathdeck.common.duty.Section;
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
@@ -10,6 +11,7 @@
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
+import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.TenantUse;
 import io.pathdeck.protocol.message.FleetHeartbeat;
@@ -60,7 +62,7 @@
   private long engineSequence;
   private long processEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long processSequence;
-  private final ViewFreshness freshness = new ViewFreshness();
+  private final ViewFreshness freshness = new ViewFreshness(processStartNs());
   private final ReportInterval interval = new ReportInterval(System.nanoTime());
   private boolean connected;
   private boolean closed;
@@ -72,6 +74,11 @@
     this.self = self;
   }
 
+  private static long processStartNs() {
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    return TimeUnit.MILLISECONDS.toNanos(ProcessStart.monotonicMs(nowMs));
+  }
+
   /** What is known; may be read from any thread. */
   public FleetView view() {
     return view.read();
@@ -86,9 +93,9 @@
   }
 
   /**
-   * Whether the view may be acted on: a leader has told it, or a coordinator has told what it knew
-   * before its restart a moment ago. Later than that a newer configuration may be in force.
-   * Thread-safe.
+   * Whether the view may be acted on: a leader has told it, or a coordinator that knows no leader
+   * has told what it knew before its restart a moment ago. Later than that a newer configuration
+   * may be in force. Thread-safe.
    */
   public boolean isUsable() {
     return view().isComplete() && freshness.isUsable(System.nanoTime());
@@ -174,12 +181,25 @@
       interval.onAnswered(System.nanoTime());
       FleetUpdate update = (FleetUpdate) result.value();
       if (update.isLastKnown()) {
-        freshness.onLastKnownTold(System.nanoTime());
+        onLastKnown(update);
       } else {
         freshness.onLeaderAnswered(sentNs);
         contentionListener.accept(update.contendedTenants());
+        accept(update);
       }
-      accept(update);
+    }
+  }
+
+  /**
+   * A coordinator has told what it knew before its restart. It may be cut off from a leader that
+   * others know, so another one is asked next.
+   */
+  private void onLastKnown(FleetUpdate told) {
+    coordinators.askAnotherNext();
+    freshness.onLastKnownTold(System.nanoTime());
+    boolean newer = told.routes() != null && isNewer(told.routes());
+    if (newer && !freshness.isLeaderHeard()) {
+      accept(told);
     }
   }
 
@@ -203,18 +223,26 @@
             update.jobsGroups(),
             update.assignedGroup(),
             update.leavingMembers(),
-            update.quarantine() == null ? view().quarantine() : update.quarantine());
+            quarantineAfter(update));
     if (!changed && next.equals(before)) {
       return;
     }
     if (newRoutes) {
-      boolean fromLeader = engineEpoch != FleetUpdate.NO_LEADERS_EPOCH;
+      boolean fromLeader = !update.isLastKnown();
       EVENTS.log(EventCode.ROUTES_UPDATED, "version", routes.version(), "from_leader", fromLeader);
     }
     view.publish(next);
     listener.accept(next);
   }
 
+  /** Coordinators that restarted may each have kept another list; the newest one counts. */
+  private QuarantineList quarantineAfter(FleetUpdate update) {
+    QuarantineList held = view().quarantine();
+    QuarantineList told = update.quarantine();
+    boolean older = told == null || (update.isLastKnown() && told.version() <= held.version());
+    return older ? held : told;
+  }
+
   private boolean isNewer(RouteTable routes) {
     RouteTable held = view().routes();
     return held == null || routes.version() > held.version();
--- a/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
@@ -60,6 +60,12 @@
     return leaderAddress;
   }
 
+  /** Lets the next message go to another candidate, after an answer that came from no leader. */
+  void askAnotherNext() {
+    leaderAddress = "";
+    order.advance();
+  }
+
   private String target() {
     String leader = leaderAddress;
     if (!leader.isEmpty()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
@@ -11,31 +11,74 @@
   static final long CONFIRMED_MS = 1_500;
 
   /**
-   * How long what a coordinator knew before its restart may be acted on: less than a leader and the
-   * first newer configuration take at the least.
+   * How long what a coordinator knew before its restart may be acted on by a process that has run
+   * for long: less than a leader and the first newer configuration take at the least.
    */
   static final long LAST_KNOWN_VALID_MS = 400;
 
+  /**
+   * How long after the start of its process a gateway may act on it for as long as coordinators
+   * that know no leader repeat it. Callers count on the configuration in force from 4 s after the
+   * start of a machine on; the rest is for the time from there to the start of the process.
+   */
+  static final long STARTING_MS = 3_000;
+
+  /**
+   * By when it has to be repeated: an attempt of 500 ms that gets no answer, the pause after it,
+   * and the interval of reports.
+   */
+  static final long LAST_KNOWN_REPEATED_MS = 700;
+
+  /**
+   * How long it may be acted on in all: an election of replicas that have waited already, spread
+   * over 600 ms, its messages, and two reports.
+   */
+  static final long LAST_KNOWN_LONGEST_MS = 900;
+
+  private final long processStartNs;
   private volatile long confirmedNs;
   private volatile boolean everConfirmed;
-  private volatile long lastKnownNs;
+  private volatile long firstToldNs;
+  private volatile long lastToldNs;
   private volatile boolean lastKnownTold;
 
+  /** Begins with a view that nobody has told. */
+  ViewFreshness(long processStartNs) {
+    this.processStartNs = processStartNs;
+  }
+
   /** The leading coordinator has answered a report that was sent at {@code sentNs}. */
   void onLeaderAnswered(long sentNs) {
     confirmedNs = sentNs;
     everConfirmed = true;
   }
 
-  /** A coordinator has told what it knew before its restart. */
+  /** A coordinator that knows no leader has told or repeated what it knew before its restart. */
   void onLastKnownTold(long nowNs) {
-    lastKnownNs = nowNs;
-    lastKnownTold = true;
+    lastToldNs = nowNs;
+    if (!lastKnownTold) {
+      firstToldNs = nowNs;
+      lastKnownTold = true;
+    }
+  }
+
+  /** Whether a leader has ever answered. */
+  boolean isLeaderHeard() {
+    return everConfirmed;
   }
 
   /** Whether the view may be acted on. */
   boolean isUsable(long nowNs) {
-    return everConfirmed || (lastKnownTold && nowNs - lastKnownNs < millis(LAST_KNOWN_VALID_MS));
+    return everConfirmed || (lastKnownTold && isLastKnownValid(nowNs));
+  }
+
+  private boolean isLastKnownValid(long nowNs) {
+    long knownNs = nowNs - firstToldNs;
+    boolean justTold = knownNs < millis(LAST_KNOWN_VALID_MS);
+    boolean starting =
+        nowNs - processStartNs < millis(STARTING_MS) && knownNs < millis(LAST_KNOWN_LONGEST_MS);
+    boolean repeated = nowNs - lastToldNs < millis(LAST_KNOWN_REPEATED_MS);
+    return justTold || (starting && repeated);
   }
 
   /** Whether the leading coordinator has told or confirmed the view of late. */
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
@@ -8,7 +8,11 @@
 class TestViewFreshness {
   private static final long START_NS = -5;
 
-  private final ViewFreshness freshness = new ViewFreshness();
+  /** A process that has run for longer than its start may take. */
+  private final ViewFreshness freshness = new ViewFreshness(after(-ViewFreshness.STARTING_MS));
+
+  /** A process that starts. */
+  private final ViewFreshness starting = new ViewFreshness(START_NS);
 
   private static long after(long ms) {
     return START_NS + TimeUnit.MILLISECONDS.toNanos(ms);
@@ -37,4 +41,43 @@
     assertThat(freshness.isConfirmed(after(laterMs))).isFalse();
     assertThat(freshness.isUsable(after(100 * laterMs))).isTrue();
   }
+
+  @Test
+  void repetitionDoesNotProlongWhatAProcessThatHasRunForLongActsOn() {
+    freshness.onLastKnownTold(START_NS);
+    long lastMs = ViewFreshness.LAST_KNOWN_VALID_MS - 1;
+    freshness.onLastKnownTold(after(lastMs));
+    assertThat(freshness.isUsable(after(lastMs))).isTrue();
+    assertThat(freshness.isUsable(after(lastMs + 1))).isFalse();
+  }
+
+  private void repeatFrom(long firstMs, long endMs) {
+    for (long ms = firstMs; ms < endMs; ms += ViewFreshness.LAST_KNOWN_REPEATED_MS - 1) {
+      starting.onLastKnownTold(after(ms));
+      long untilMs = Math.min(ms + ViewFreshness.LAST_KNOWN_REPEATED_MS, endMs);
+      assertThat(starting.isUsable(after(untilMs - 1))).isTrue();
+    }
+    starting.onLastKnownTold(after(endMs - 1));
+    assertThat(starting.isUsable(after(endMs))).isFalse();
+    assertThat(starting.isConfirmed(after(endMs - 1))).isFalse();
+  }
+
+  @Test
+  void processThatStartsCarriesOnOverAnElectionWhileItIsRepeated() {
+    repeatFrom(500, 500 + ViewFreshness.LAST_KNOWN_LONGEST_MS);
+  }
+
+  @Test
+  void repetitionEndsWhenTheProcessNoLongerStarts() {
+    long endMs = ViewFreshness.STARTING_MS;
+    repeatFrom(endMs - ViewFreshness.LAST_KNOWN_LONGEST_MS + 100, endMs);
+  }
+
+  @Test
+  void processThatStartsStopsWhenNobodyRepeatsIt() {
+    starting.onLastKnownTold(START_NS);
+    long endMs = ViewFreshness.LAST_KNOWN_REPEATED_MS;
+    assertThat(starting.isUsable(after(endMs - 1))).isTrue();
+    assertThat(starting.isUsable(after(endMs))).isFalse();
+  }
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -14,7 +14,9 @@
  * The answer to a {@link FleetHeartbeat}.
  *
  * @param routes the newest configuration without its document, when the asker's is older
- * @param engines what changed in the list of engines; null while the leader does not know it
+ * @param engines what changed in the list of engines; null while the leader does not know it. A
+ *     leader that has not read the list yet sends the one that it knew before its restart, of no
+ *     leader's epoch, to an asker that knows none
  * @param processes what changed in the list of processes; null while the leader collects it
  * @param jobsFounders the groups that keep batch jobs and their first members; none before they
  *     were founded
@@ -39,6 +41,9 @@
   /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
   public static final long NO_LEADERS_EPOCH = -1;
 
+  /** Up to where a process knows a list of engines that no leader counted; 0 when it knows none. */
+  public static final long NO_LEADERS_SEQUENCE = 1;
+
   public FleetUpdate {
     jobsFounders = new ArrayList<>(jobsFounders);
     jobsGroups = new ArrayList<>(jobsGroups);
@@ -48,6 +53,6 @@
 
   /** Whether this is what a coordinator knew before its restart, and not a leader's answer. */
   public boolean isLastKnown() {
-    return engines != null && engines.epoch() == NO_LEADERS_EPOCH;
+    return processes != null && processes.epoch() == NO_LEADERS_EPOCH;
   }
 }
