A coordinator opens what gateways wait for before what operators use

Cause: the operators' endpoint was made before, and the threads of the group were started after, what gateways and callers wait for; on 0.45 cores 330 ms pass from the recovery to the end of the start. Change: listener of processes, the group's threads, directory and the own reports first; then the operators' endpoint and the metrics. How much it gains was not measured.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -144,6 +144,10 @@
     return addresses.stream().map(MemberIds::of).collect(Collectors.toSet());
   }
 
+  /**
+   * Opens what gateways and callers wait for first, then what operators use: on a small machine
+   * each takes a part of the start.
+   */
   private void startServices(
       ReplicaHost host,
       FleetStateMachine state,
@@ -194,19 +198,19 @@
             eventLoops,
             tls,
             (message, reply) -> route(message, reply, host, membership[0])));
-    OperatorEndpoint operators =
-        new OperatorEndpoint(
-            adapter.operators(), contacts.client(), follower::view, fleet.minMembers());
+    resources.push(host);
+    host.start(membership[0]);
     DirectoryEndpoint directory =
         new DirectoryEndpoint(
             adapter.directory(), follower::view, new GatewayNaming(settings.namedGatewaysShare()));
-    serve(settings.operatorsListen(), eventLoops, operators::handle);
     serve(settings.directoryListen(), eventLoops, directory::handle);
-    resources.push(host);
-    host.start(membership[0]);
-    MemberMetrics.serve(fleet, eventLoops, follower, host::status, pool, resources);
     resources.push(follower);
     follower.start();
+    OperatorEndpoint operators =
+        new OperatorEndpoint(
+            adapter.operators(), contacts.client(), follower::view, fleet.minMembers());
+    serve(settings.operatorsListen(), eventLoops, operators::handle);
+    MemberMetrics.serve(fleet, eventLoops, follower, host::status, pool, resources);
     EVENTS.log(
         EventCode.PROCESS_STARTED,
         "role",
