Replicas that start together do not split the votes

Cause: the first pre-votes after a common start are lost, for the others do not listen yet; each replica then waits a whole election timeout. Replicas that collect pre-votes at the same moment grant each other's, all become candidates and none wins. Change: of pre-candidates the one with the higher id gives way to one that could win; a replica that grants a pre-vote waits 150 ms before a campaign of its own; one that heard no leader since its start repeats a failed pre-vote after 150 to 450 ms, for 3.6 s. Pre-votes and the time of campaigns only: votes, terms and the refusal of votes that the lease rests on are as before.

--- a/consensus/src/main/java/io/pathdeck/consensus/ElectionTimer.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/ElectionTimer.java
@@ -7,8 +7,24 @@
   /** How much longer than the others a member that is to leave waits before it campaigns. */
   private static final long LEAVING_DELAY_MS = 3_000;
 
+  /**
+   * How long a replica leaves the field to another one that asks for votes: an election's two round
+   * trips and its sync on a slow machine.
+   */
+  private static final long GIVE_WAY_MS = 150;
+
+  /** The pause before a replica that starts asks again whether it could win, and its spread. */
+  private static final long STARTING_RETRY_MS = 150;
+
+  private static final long STARTING_RETRY_SPREAD_MS = 300;
+
+  /** How long after its start a replica asks that often: some longest election timeouts. */
+  private static final long STARTING_MS = 3_600;
+
   private final RaftSettings settings;
   private final SplittableRandom random;
+  private final long startMs;
+  private boolean leaderHeard;
   private boolean leaving;
   private long deadlineMs;
   private long refuseVotesUntilMs;
@@ -22,6 +38,7 @@
   ElectionTimer(RaftSettings settings, long seed, long processStartMs, long nowMs) {
     this.settings = settings;
     this.random = new SplittableRandom(seed);
+    this.startMs = nowMs;
     this.refuseVotesUntilMs = processStartMs + settings.electionTimeoutMinMs();
     this.deadlineMs = Math.max(nowMs, refuseVotesUntilMs) + randomDelayMs();
   }
@@ -42,8 +59,29 @@
     deadlineMs = nowMs + waitMs + (leaving ? LEAVING_DELAY_MS : 0);
   }
 
+  /**
+   * Begins to wait for the answers to a pre-vote. While replicas start together the first one may
+   * be lost, for the others do not listen yet; a whole election timeout is not waited then.
+   * Pre-votes promise nothing, so asking again is safe.
+   */
+  void onPreVoteRequested(long nowMs) {
+    reset(nowMs);
+    if (!leaderHeard && !leaving && nowMs - startMs < STARTING_MS) {
+      deadlineMs = nowMs + STARTING_RETRY_MS + random.nextLong(STARTING_RETRY_SPREAD_MS);
+    }
+  }
+
+  /**
+   * Another replica that could win asks for votes. The delay is far shorter than the time between
+   * two campaigns, so a candidate that never wins cannot keep others from campaigning.
+   */
+  void giveWay(long nowMs) {
+    deadlineMs = Math.max(deadlineMs, nowMs + GIVE_WAY_MS);
+  }
+
   /** A leader was heard: no vote is given for the shortest election timeout. */
   void onLeaderHeard(long nowMs) {
+    leaderHeard = true;
     refuseVotesUntilMs = Math.max(refuseVotesUntilMs, nowMs + settings.electionTimeoutMinMs());
     reset(nowMs);
   }
--- a/consensus/src/main/java/io/pathdeck/consensus/Elections.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Elections.java
@@ -34,10 +34,12 @@
    * @return whether its own vote is enough
    */
   boolean campaign(Campaign campaign, long nowMs) {
-    if (campaign != Campaign.PRE_VOTE) {
+    if (campaign == Campaign.PRE_VOTE) {
+      timer.onPreVoteRequested(nowMs);
+    } else {
       ballot.beginTerm(state.term + 1, state.id);
+      timer.reset(nowMs);
     }
-    timer.reset(nowMs);
     votes = new VoteTally(state.log.configuration());
     votes.add(state.id, state.incarnation);
     if (votes.isWon()) {
@@ -66,10 +68,19 @@
     messages.respond(request, false);
   }
 
-  /** Tells a candidate whether it would get a vote. */
-  void answerPreVote(VoteRequest request) {
+  /**
+   * Tells a candidate whether it would get a vote.
+   *
+   * @return whether it would
+   */
+  boolean answerPreVote(VoteRequest request, long nowMs) {
     boolean newerTerm = request.header().term() > state.term;
-    messages.respond(request, newerTerm && messages.isUpToDate(request));
+    boolean granted = newerTerm && messages.isUpToDate(request);
+    if (granted) {
+      timer.giveWay(nowMs);
+    }
+    messages.respond(request, granted);
+    return granted;
   }
 
   /** Gives a vote where that is free and the candidate's log is new enough. */
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -389,7 +389,7 @@
     if (elections.refuses(request, role == ReplicaRole.LEADER, nowMs)) {
       elections.refuse(request);
     } else if (request.preVote()) {
-      elections.answerPreVote(request);
+      onPreVoteRequest(request, nowMs);
     } else {
       if (requestTerm > state.term) {
         becomeFollower(requestTerm, RecoveredState.NO_VOTE, nowMs);
@@ -398,6 +398,19 @@
     }
   }
 
+  /**
+   * Of replicas that ask at the same moment, those with a higher id give way to one that could win,
+   * so that they do not split the votes. Only a pre-vote is given up, which promises nothing.
+   */
+  private void onPreVoteRequest(VoteRequest request, long nowMs) {
+    boolean couldWin = elections.answerPreVote(request, nowMs);
+    boolean comesFirst = request.header().from() < state.id;
+    if (couldWin && comesFirst && role == ReplicaRole.PRE_CANDIDATE) {
+      role = ReplicaRole.FOLLOWER;
+      elections.endCampaign();
+    }
+  }
+
   private void onVoteResponse(VoteResponse response, long nowMs) {
     RaftHeader header = response.header();
     ReplicaRole expectedRole =
--- a/consensus/src/test/java/io/pathdeck/consensus/TestElectionTimer.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/TestElectionTimer.java
@@ -51,4 +51,37 @@
     assertThat(timer.refusesVotes(START_MS + MAX_MS + MIN_MS - 1)).isTrue();
     assertThat(timer.isExpired(START_MS + MAX_MS + MIN_MS - 1)).isFalse();
   }
+
+  @Test
+  void replicaThatStartsAsksAgainSoon() {
+    ElectionTimer timer = new ElectionTimer(SETTINGS, 1, START_MS, START_MS + MAX_MS);
+    long askedMs = START_MS + 2 * MAX_MS;
+    timer.onPreVoteRequested(askedMs);
+    assertThat(timer.isExpired(askedMs + 149)).isFalse();
+    assertThat(timer.isExpired(askedMs + 450)).isTrue();
+  }
+
+  @Test
+  void replicaThatHeardALeaderOrStartedLongAgoWaitsAWholeTimeout() {
+    ElectionTimer heard = new ElectionTimer(SETTINGS, 1, START_MS, START_MS);
+    heard.onLeaderHeard(START_MS);
+    heard.onPreVoteRequested(START_MS + MAX_MS);
+    assertThat(heard.isExpired(START_MS + MAX_MS + MIN_MS - 1)).isFalse();
+    ElectionTimer old = new ElectionTimer(SETTINGS, 1, START_MS, START_MS);
+    long laterMs = START_MS + 3 * MAX_MS;
+    old.onPreVoteRequested(laterMs);
+    assertThat(old.isExpired(laterMs + MIN_MS - 1)).isFalse();
+  }
+
+  @Test
+  void wayIsGivenForAMomentOnly() {
+    ElectionTimer timer = new ElectionTimer(SETTINGS, 1, START_MS, START_MS);
+    long lateMs = START_MS + MAX_MS;
+    timer.giveWay(lateMs);
+    assertThat(timer.isExpired(lateMs + 149)).isFalse();
+    assertThat(timer.isExpired(lateMs + 150)).isTrue();
+    timer.reset(lateMs);
+    timer.giveWay(lateMs);
+    assertThat(timer.isExpired(lateMs + MIN_MS - 1)).isFalse();
+  }
 }
