Callers that are refused at a start are told when service is likely

Cause: callers were told to come back by the age of the gateway alone, too early where the election took longer, and without regard to how long they may wait.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.member.StartProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
@@ -29,14 +30,6 @@
 final class Gateway {
   private static final EventLog EVENTS = EventLog.of(Gateway.class);
   private static final long SILENCE_CHECK_INTERVAL_MS = 100;
-
-  /** How long after its start a gateway has usually heard from the coordinators. */
-  private static final long USUAL_START_MS = 1_400;
-
-  /** Over how long the callers refused at a start are spread when they come back. */
-  private static final long START_SPREAD_MS = 600;
-
-  private static final long MIN_START_RETRY_AFTER_MS = 300;
   private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
 
   /**
@@ -52,11 +45,11 @@
   private final CallerProtocol protocol;
   private final Supplier<FleetView> view;
   private final BooleanSupplier usable;
+  private final Supplier<StartProgress> startProgress;
   private final BooleanSupplier routesConfirmed;
   private final BatchCalls batch;
   private final TenantLimiter limiter;
   private final RequestForwarder.Shared shared;
-  private final long startNs = System.nanoTime();
   private final TrafficSplit split = new TrafficSplit();
   private CallerKeys keys = CallerKeys.NONE;
   private long keysVersion = RouteTable.NO_VERSION;
@@ -65,6 +58,7 @@
    * Creates a gateway.
    *
    * @param usable whether what is known may be acted on
+   * @param startProgress how far the start has come while it may not
    * @param routesConfirmed whether the routes are surely the newest ones; while they are not, a
    *     request without a route is not told that there is none
    */
@@ -73,6 +67,7 @@
       CallerProtocol protocol,
       Supplier<FleetView> view,
       BooleanSupplier usable,
+      Supplier<StartProgress> startProgress,
       BooleanSupplier routesConfirmed,
       BatchCalls batch,
       TenantLimiter limiter,
@@ -82,6 +77,7 @@
     this.protocol = protocol;
     this.view = view;
     this.usable = usable;
+    this.startProgress = startProgress;
     this.routesConfirmed = routesConfirmed;
     this.batch = batch;
     this.limiter = limiter;
@@ -183,9 +179,9 @@
     FleetView known = view.get();
     if (!usable.getAsBoolean()) {
       logRefusal(request, "no configuration yet", known);
-      long upMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
-      long spreadMs = ThreadLocalRandom.current().nextLong(START_SPREAD_MS);
-      long retryAfterMs = Math.max(MIN_START_RETRY_AFTER_MS, USUAL_START_MS - upMs) + spreadMs;
+      double random = ThreadLocalRandom.current().nextDouble();
+      long retryAfterMs =
+          StartRefusal.retryAfterMs(startProgress.get(), request.deadlineMs(), random);
       Refusals.unavailable(exchange, "no configuration yet", retryAfterMs);
       return;
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -70,6 +70,7 @@
             adapter.callers(),
             follower::view,
             follower::isUsable,
+            follower::startProgress,
             follower::isConfirmed,
             new BatchCalls(jobs, adapter.callers()),
             limiter,
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -63,7 +63,8 @@
   private long processEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long processSequence;
   private final ViewFreshness freshness = new ViewFreshness(processStartNs());
-  private final ReportInterval interval = new ReportInterval(System.nanoTime());
+  private final long beganNs = System.nanoTime();
+  private final ReportInterval interval = new ReportInterval(beganNs);
   private boolean connected;
   private boolean closed;
 
@@ -101,6 +102,11 @@
     return view().isComplete() && freshness.isUsable(System.nanoTime());
   }
 
+  /** How far this process has come in learning the fleet. Thread-safe. */
+  public StartProgress startProgress() {
+    return freshness.startProgress(beganNs, System.nanoTime());
+  }
+
   /** Calls {@code listener} on the event loop after each change; to be set before the start. */
   public void onChange(Consumer<FleetView> changeListener) {
     listener = changeListener;
--- a/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
@@ -37,6 +37,7 @@
 
   private final long processStartNs;
   private volatile long confirmedNs;
+  private volatile long confirmedFirstNs;
   private volatile boolean everConfirmed;
   private volatile long firstToldNs;
   private volatile long lastToldNs;
@@ -50,7 +51,10 @@
   /** The leading coordinator has answered a report that was sent at {@code sentNs}. */
   void onLeaderAnswered(long sentNs) {
     confirmedNs = sentNs;
-    everConfirmed = true;
+    if (!everConfirmed) {
+      confirmedFirstNs = sentNs;
+      everConfirmed = true;
+    }
   }
 
   /** A coordinator that knows no leader has told or repeated what it knew before its restart. */
@@ -67,6 +71,18 @@
     return everConfirmed;
   }
 
+  /** How far the start has come; {@code beganNs} is when the process began to ask. */
+  StartProgress startProgress(long beganNs, long nowNs) {
+    if (everConfirmed) {
+      long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNs - confirmedFirstNs);
+      return new StartProgress(StartProgress.Phase.LIST_MISSING, ageMs);
+    }
+    StartProgress.Phase phase =
+        lastKnownTold ? StartProgress.Phase.NO_LEADER : StartProgress.Phase.NO_COORDINATOR;
+    long sinceNs = lastKnownTold ? firstToldNs : beganNs;
+    return new StartProgress(phase, TimeUnit.NANOSECONDS.toMillis(nowNs - sinceNs));
+  }
+
   /** Whether the view may be acted on. */
   boolean isUsable(long nowNs) {
     return everConfirmed || (lastKnownTold && isLastKnownValid(nowNs));
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
@@ -80,4 +80,18 @@
     assertThat(starting.isUsable(after(endMs - 1))).isTrue();
     assertThat(starting.isUsable(after(endMs))).isFalse();
   }
+
+  @Test
+  void startProgressesFromNoCoordinatorOverNoLeaderToTheLeadersLists() {
+    assertThat(starting.startProgress(START_NS, after(30)))
+        .isEqualTo(new StartProgress(StartProgress.Phase.NO_COORDINATOR, 30));
+    starting.onLastKnownTold(after(40));
+    starting.onLastKnownTold(after(60));
+    assertThat(starting.startProgress(START_NS, after(70)))
+        .isEqualTo(new StartProgress(StartProgress.Phase.NO_LEADER, 30));
+    starting.onLeaderAnswered(after(100));
+    starting.onLeaderAnswered(after(110));
+    assertThat(starting.startProgress(START_NS, after(120)))
+        .isEqualTo(new StartProgress(StartProgress.Phase.LIST_MISSING, 20));
+  }
 }
