--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -18,6 +18,7 @@
 import io.pathdeck.fleet.adapter.FleetAdapter;
 import io.pathdeck.fleet.member.CoordinatorContacts;
 import io.pathdeck.fleet.member.FleetFollower;
+import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.MemberMetrics;
@@ -143,6 +144,10 @@
     return addresses.stream().map(MemberIds::of).collect(Collectors.toSet());
   }
 
+  /**
+   * Opens what gateways and callers wait for first, then what operators use: on a small machine
+   * each takes a part of the start.
+   */
   private void startServices(
       ReplicaHost host,
       FleetStateMachine state,
@@ -185,7 +190,7 @@
             FleetProcess.NO_GROUP);
     FleetFollower follower =
         contacts.follower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
-    follower.onChange(lastKnown::offer);
+    follower.onChange(view -> keep(view, follower, lastKnown));
     lastKnown.start();
     resources.push(
         new PeerServer(
@@ -193,19 +198,19 @@
             eventLoops,
             tls,
             (message, reply) -> route(message, reply, host, membership[0])));
-    OperatorEndpoint operators =
-        new OperatorEndpoint(
-            adapter.operators(), contacts.client(), follower::view, fleet.minMembers());
+    resources.push(host);
+    host.start(membership[0]);
     DirectoryEndpoint directory =
         new DirectoryEndpoint(
             adapter.directory(), follower::view, new GatewayNaming(settings.namedGatewaysShare()));
-    serve(settings.operatorsListen(), eventLoops, operators::handle);
     serve(settings.directoryListen(), eventLoops, directory::handle);
-    resources.push(host);
-    host.start(membership[0]);
-    MemberMetrics.serve(fleet, eventLoops, follower, host::status, pool, resources);
     resources.push(follower);
     follower.start();
+    OperatorEndpoint operators =
+        new OperatorEndpoint(
+            adapter.operators(), contacts.client(), follower::view, fleet.minMembers());
+    serve(settings.operatorsListen(), eventLoops, operators::handle);
+    MemberMetrics.serve(fleet, eventLoops, follower, host::status, pool, resources);
     EVENTS.log(
         EventCode.PROCESS_STARTED,
         "role",
@@ -220,6 +225,13 @@
         folder.incarnation());
   }
 
+  /** Keeps what a leader told; what another coordinator knew last may be older than the file. */
+  private static void keep(FleetView view, FleetFollower follower, LastKnownFleet lastKnown) {
+    if (follower.isConfirmed()) {
+      lastKnown.offer(view);
+    }
+  }
+
   private static void route(
       Message message, ReplySink reply, ReplicaHost host, FleetMembership membership) {
     if (message instanceof FleetHeartbeat heartbeat) {
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.member;
 
 import io.netty.channel.EventLoop;
+import io.pathdeck.common.duty.ProcessStart;
 import io.pathdeck.common.duty.Section;
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
@@ -10,6 +11,7 @@
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
+import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.TenantUse;
 import io.pathdeck.protocol.message.FleetHeartbeat;
@@ -30,16 +32,10 @@
  * be read anywhere.
  */
 public final class FleetFollower implements AutoCloseable {
-  /** How often a process reports itself. */
-  public static final long INTERVAL_MS = 300;
-
   private static final EventLog EVENTS = EventLog.of(FleetFollower.class);
   private static final long CALL_TIMEOUT_MS = 900;
   private static final long ATTEMPT_TIMEOUT_MS = 500;
 
-  /** The interval while only what a coordinator knew before its restart is known. */
-  private static final long UNCONFIRMED_INTERVAL_MS = 80;
-
   /** What the process says of itself, made anew for each heartbeat. */
   public record SelfReport(
       FleetProcess process,
@@ -66,7 +62,9 @@
   private long engineSequence;
   private long processEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long processSequence;
-  private final ViewFreshness freshness = new ViewFreshness();
+  private final ViewFreshness freshness = new ViewFreshness(processStartNs());
+  private final long beganNs = System.nanoTime();
+  private final ReportInterval interval = new ReportInterval(beganNs);
   private boolean connected;
   private boolean closed;
 
@@ -77,6 +75,11 @@
     this.self = self;
   }
 
+  private static long processStartNs() {
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    return TimeUnit.MILLISECONDS.toNanos(ProcessStart.monotonicMs(nowMs));
+  }
+
   /** What is known; may be read from any thread. */
   public FleetView view() {
     return view.read();
@@ -91,14 +94,19 @@
   }
 
   /**
-   * Whether the view may be acted on: a leader has told it, or a coordinator has told what it knew
-   * before its restart a moment ago. Later than that a newer configuration may be in force.
-   * Thread-safe.
+   * Whether the view may be acted on: a leader has told it, or a coordinator that knows no leader
+   * has told what it knew before its restart a moment ago. Later than that a newer configuration
+   * may be in force. Thread-safe.
    */
   public boolean isUsable() {
     return view().isComplete() && freshness.isUsable(System.nanoTime());
   }
 
+  /** How far this process has come in learning the fleet. Thread-safe. */
+  public StartProgress startProgress() {
+    return freshness.startProgress(beganNs, System.nanoTime());
+  }
+
   /** Calls {@code listener} on the event loop after each change; to be set before the start. */
   public void onChange(Consumer<FleetView> changeListener) {
     listener = changeListener;
@@ -141,8 +149,9 @@
   }
 
   private long intervalMs() {
-    boolean unconfirmed = enginesKnown && engineEpoch == FleetUpdate.NO_LEADERS_EPOCH;
-    return unconfirmed ? UNCONFIRMED_INTERVAL_MS : INTERVAL_MS;
+    boolean leadersEngines = engineEpoch != FleetUpdate.NO_LEADERS_EPOCH;
+    boolean followsLeader = leadersEngines && view().isComplete();
+    return interval.intervalMs(followsLeader, System.nanoTime());
   }
 
   private java.util.concurrent.CompletableFuture<Void> send() {
@@ -175,14 +184,28 @@
       EVENTS.log(code, "detail", detail);
     }
     if (answered) {
+      interval.onAnswered(System.nanoTime());
       FleetUpdate update = (FleetUpdate) result.value();
       if (update.isLastKnown()) {
-        freshness.onLastKnownTold(System.nanoTime());
+        onLastKnown(update);
       } else {
         freshness.onLeaderAnswered(sentNs);
         contentionListener.accept(update.contendedTenants());
+        accept(update);
       }
-      accept(update);
+    }
+  }
+
+  /**
+   * A coordinator has told what it knew before its restart. It may be cut off from a leader that
+   * others know, so another one is asked next.
+   */
+  private void onLastKnown(FleetUpdate told) {
+    coordinators.askAnotherNext();
+    freshness.onLastKnownTold(System.nanoTime());
+    boolean newer = told.routes() != null && isNewer(told.routes());
+    if (newer && !freshness.isLeaderHeard()) {
+      accept(told);
     }
   }
 
@@ -206,18 +229,26 @@
             update.jobsGroups(),
             update.assignedGroup(),
             update.leavingMembers(),
-            update.quarantine() == null ? view().quarantine() : update.quarantine());
+            quarantineAfter(update));
     if (!changed && next.equals(before)) {
       return;
     }
     if (newRoutes) {
-      boolean fromLeader = engineEpoch != FleetUpdate.NO_LEADERS_EPOCH;
+      boolean fromLeader = !update.isLastKnown();
       EVENTS.log(EventCode.ROUTES_UPDATED, "version", routes.version(), "from_leader", fromLeader);
     }
     view.publish(next);
     listener.accept(next);
   }
 
+  /** Coordinators that restarted may each have kept another list; the newest one counts. */
+  private QuarantineList quarantineAfter(FleetUpdate update) {
+    QuarantineList held = view().quarantine();
+    QuarantineList told = update.quarantine();
+    boolean older = told == null || (update.isLastKnown() && told.version() <= held.version());
+    return older ? held : told;
+  }
+
   private boolean isNewer(RouteTable routes) {
     RouteTable held = view().routes();
     return held == null || routes.version() > held.version();
