Coordinators show how many gateways they name by size and by order

Cause: which rule named the gateways could be told only by asking the directory. Change: gauge pathdeck_gateways_named with the label by. It holds its function itself, for a registry holds what it reads weakly. Tested: TestNamedGateways 3, TestGatewayNaming 16, TestGatewaySettings 6, TestLastKnownFleet 4, TestGatewayTemplate 2, TestPlatformBoundary 1, TestPlatformEndToEnd 24, all passed; formatter and linter clean.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -172,17 +172,7 @@
             poller::setPolling,
             lastKnown.atStart());
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
-    FleetProcess self =
-        new FleetProcess(
-            fleet.name(),
-            FleetRole.COORDINATOR,
-            fleet.zone(),
-            MemberIds.of(fleet.listen().toString()),
-            folder.incarnation(),
-            fleet.listen().toString(),
-            settings.operatorsListen().toString(),
-            true,
-            FleetProcess.NO_GROUP);
+    FleetProcess self = describe(folder.incarnation());
     FleetFollower follower =
         contacts.follower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
     follower.onChange(lastKnown::offer);
@@ -196,14 +186,21 @@
     OperatorEndpoint operators =
         new OperatorEndpoint(
             adapter.operators(), contacts.client(), follower::view, fleet.minMembers());
+    GatewayNaming naming = new GatewayNaming(settings.namedGatewaysShare());
     DirectoryEndpoint directory =
-        new DirectoryEndpoint(
-            adapter.directory(), follower::view, new GatewayNaming(settings.namedGatewaysShare()));
+        new DirectoryEndpoint(adapter.directory(), follower::view, naming);
     serve(settings.operatorsListen(), eventLoops, operators::handle);
     serve(settings.directoryListen(), eventLoops, directory::handle);
     resources.push(host);
     host.start(membership[0]);
-    MemberMetrics.serve(fleet, eventLoops, follower, host::status, pool, resources);
+    MemberMetrics.serve(
+        fleet,
+        eventLoops,
+        follower,
+        host::status,
+        pool,
+        resources,
+        registry -> NamedGateways.bind(registry, follower::view, naming));
     resources.push(follower);
     follower.start();
     EVENTS.log(
@@ -220,6 +217,20 @@
         folder.incarnation());
   }
 
+  private FleetProcess describe(long incarnation) {
+    FleetSettings fleet = settings.fleet();
+    return new FleetProcess(
+        fleet.name(),
+        FleetRole.COORDINATOR,
+        fleet.zone(),
+        MemberIds.of(fleet.listen().toString()),
+        incarnation,
+        fleet.listen().toString(),
+        settings.operatorsListen().toString(),
+        true,
+        FleetProcess.NO_GROUP);
+  }
+
   private static void route(
       Message message, ReplySink reply, ReplicaHost host, FleetMembership membership) {
     if (message instanceof FleetHeartbeat heartbeat) {
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
@@ -1,11 +1,13 @@
 package io.pathdeck.fleet.metrics;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.pathdeck.common.duty.ResourceStack;
 import io.pathdeck.control.ControllerStatus;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.member.FleetFollower;
 import io.pathdeck.fleet.member.PeerPool;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** Serves the metrics of a process that is a member of a replicated group. */
@@ -20,6 +22,18 @@
       Supplier<ControllerStatus> status,
       PeerPool pool,
       ResourceStack resources) {
+    serve(settings, eventLoops, follower, status, pool, resources, registry -> {});
+  }
+
+  /** Serves them beside the metrics of the role, which {@code ofRole} adds. */
+  public static void serve(
+      FleetSettings settings,
+      EventLoopGroup eventLoops,
+      FleetFollower follower,
+      Supplier<ControllerStatus> status,
+      PeerPool pool,
+      ResourceStack resources,
+      Consumer<MeterRegistry> ofRole) {
     settings
         .metricsListen()
         .ifPresent(
@@ -32,6 +46,7 @@
                           FleetMetrics.bindView(registry, follower);
                           FleetMetrics.bindGroup(registry, status);
                           FleetMetrics.bindPeers(registry, pool);
+                          ofRole.accept(registry);
                         },
                         () -> status.get().isReady())));
   }
