--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -177,17 +177,7 @@
             poller::setPolling,
             lastKnown.atStart());
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
-    FleetProcess self =
-        new FleetProcess(
-            fleet.name(),
-            FleetRole.COORDINATOR,
-            fleet.zone(),
-            MemberIds.of(fleet.listen().toString()),
-            folder.incarnation(),
-            fleet.listen().toString(),
-            settings.operatorsListen().toString(),
-            true,
-            FleetProcess.NO_GROUP);
+    FleetProcess self = describe(folder.incarnation());
     FleetFollower follower =
         contacts.follower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
     follower.onChange(view -> keep(view, follower, lastKnown));
@@ -200,9 +190,9 @@
             (message, reply) -> route(message, reply, host, membership[0])));
     resources.push(host);
     host.start(membership[0]);
+    GatewayNaming naming = new GatewayNaming(settings.namedGatewaysShare());
     DirectoryEndpoint directory =
-        new DirectoryEndpoint(
-            adapter.directory(), follower::view, new GatewayNaming(settings.namedGatewaysShare()));
+        new DirectoryEndpoint(adapter.directory(), follower::view, naming);
     serve(settings.directoryListen(), eventLoops, directory::handle);
     resources.push(follower);
     follower.start();
@@ -210,7 +200,14 @@
         new OperatorEndpoint(
             adapter.operators(), contacts.client(), follower::view, fleet.minMembers());
     serve(settings.operatorsListen(), eventLoops, operators::handle);
-    MemberMetrics.serve(fleet, eventLoops, follower, host::status, pool, resources);
+    MemberMetrics.serve(
+        fleet,
+        eventLoops,
+        follower,
+        host::status,
+        pool,
+        resources,
+        registry -> NamedGateways.bind(registry, follower::view, naming));
     EVENTS.log(
         EventCode.PROCESS_STARTED,
         "role",
@@ -232,6 +229,20 @@
     }
   }
 
+  private FleetProcess describe(long incarnation) {
+    FleetSettings fleet = settings.fleet();
+    return new FleetProcess(
+        fleet.name(),
+        FleetRole.COORDINATOR,
+        fleet.zone(),
+        MemberIds.of(fleet.listen().toString()),
+        incarnation,
+        fleet.listen().toString(),
+        settings.operatorsListen().toString(),
+        true,
+        FleetProcess.NO_GROUP);
+  }
+
   private static void route(
       Message message, ReplySink reply, ReplicaHost host, FleetMembership membership) {
     if (message instanceof FleetHeartbeat heartbeat) {
