Batch items run on slow engines while they can wait, and not where they would be late

Cause: an item runs almost three times as long on a slow engine and is due all the same, while online requests now avoid these engines. Slack was computed as if all engines were equal.

Change: ItemPlacement prefers slow engines for items that can wait, others for urgent ones, and none where the item's slack at that engine's pace is negative. BatchWindow gives items three quarters of a slow engine's slots and stops them there from two waiting requests on. An item that turns out to be too late where it runs is moved while an engine that is not slow has room. Stores learn the pace from each hand-over of a running item's events; run times count as on a usual engine. All of it acts only where engines tell their pace. The item-started line gets pace.

Tested: TestItemPlacement, TestBatchWindow, TestItemRun, TestRunTimeEstimate, TestLoadPolls, TestEnginePace, TestEngineChoice, TestEngineLives, TestEventCatalogue, TestPlatformLoad, and over sockets with engines that tell no pace TestPlatformEndToEnd, TestItemRetention, TestJobsGroups: all pass.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EnginePace.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EnginePace.java
@@ -57,7 +57,7 @@
   }
 
   /** The engine told how long work takes at this moment. */
-  void onTold(int paceInHundredths, long nowMs) {
+  public void onTold(int paceInHundredths, long nowMs) {
     told = Math.min(told + 1, MOST_SAMPLES);
     toldUsually += (paceInHundredths - toldUsually) / told;
     toldLast = paceInHundredths;
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -68,6 +68,17 @@
     return engines.get(id);
   }
 
+  /** How long work takes at the engines of a service, whether or not they may get a call. */
+  public ServicePace pace(String service, long nowMs) {
+    List<EngineState> ofService = new ArrayList<>();
+    for (EngineState engine : engines.values()) {
+      if (engine.instance().service().equals(service)) {
+        ofService.add(engine);
+      }
+    }
+    return ServicePace.of(ofService, nowMs);
+  }
+
   /** The engines of a service that may get a call and are not in {@code excluded}. */
   public List<EngineState> usable(String service, Set<String> excluded, long nowMs) {
     List<EngineState> usable = new ArrayList<>();
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -18,6 +18,7 @@
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.engine.Placement;
 import io.pathdeck.fleet.engine.Prompt;
+import io.pathdeck.fleet.engine.ServicePace;
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.quarantine.EngineEndReporter;
@@ -33,8 +34,10 @@
 import io.pathdeck.state.BatchStateMachine;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -62,6 +65,9 @@
    */
   private static final long QUARANTINE_PAUSE_MS = 2_000;
 
+  /** What an item needs to spare to be moved: the pause after a stop and a step or two. */
+  private static final long MOVE_SLACK_MS = 2 * YIELD_PAUSE_MS;
+
   private static final int MAX_DOUBLINGS = 10;
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
@@ -69,6 +75,20 @@
   /** Over the time between two reports, so that an engine is not taken for free before the next. */
   private static final long REPORT_HALF_LIFE_MS = 500;
 
+  /**
+   * So many items are looked at in a step for which only engines have room that are too slow; those
+   * behind them have more time, but looking at all of a long queue costs processor time.
+   */
+  private static final int MOST_UNPLACED = 8;
+
+  /** What became of an item that was to start. */
+  private enum Start {
+    STARTED,
+    /** The engines with room are too slow for the item; others may start there. */
+    NO_ENGINE_IN_TIME,
+    NO_ROOM
+  }
+
   private final GroupRuntime group;
   private final BatchStateMachine state;
   private final ControllerClock clock;
@@ -149,6 +169,7 @@
       boolean itemsWait = runs.all().stream().anyMatch(run -> run.mayStart(nowMs));
       loadPolls.onStep(engines.all(), itemsWait, nowMs);
       startItems(nowMs);
+      moveFromSlowEngine(nowMs);
     }
   }
 
@@ -160,8 +181,13 @@
     if (engine.instance().isOtherLife(load.bornMs())) {
       return;
     }
-    engine.onLoad(load, clock.monotonicMs());
-    int yields = window.yields(load);
+    long nowMs = clock.monotonicMs();
+    engine.onLoad(load, nowMs);
+    if (load.waiting() == 0) {
+      return;
+    }
+    boolean slow = engines.pace(engine.instance().service(), nowMs).isSlow(engine);
+    int yields = window.yields(load, slow);
     if (yields > 0) {
       yieldItems(engine, load, yields);
     }
@@ -169,8 +195,13 @@
 
   /** For how long an item can wait and still be done when it is due. */
   private long slackMs(ItemRun run, long nowMs) {
-    long remainingMs = runTimes.remainingMs(run.item.outputTokens(), run.ranMs(nowMs));
-    return run.dueMs() - state.timeMs() - remainingMs;
+    return slackMs(run, run.relativePace(), nowMs);
+  }
+
+  /** The same on an engine where work takes {@code relativePace} times as long as usual. */
+  private long slackMs(ItemRun run, double relativePace, long nowMs) {
+    long usualMs = runTimes.remainingMs(run.item.outputTokens(), run.ranMs(nowMs));
+    return run.dueMs() - state.timeMs() - Math.round(usualMs * relativePace);
   }
 
   /** Urgent items first, overdue ones last; among equals the one with the least slack. */
@@ -256,11 +287,22 @@
   }
 
   private void onEvents(ItemRun run, long ofTerm, ItemEvents events) {
-    if (ofTerm == term && !run.keep(events)) {
+    if (ofTerm != term) {
+      return;
+    }
+    if (!run.keep(events)) {
       restart(run);
+    } else if (run.isRunning()) {
+      learnPace(run, clock.monotonicMs());
     }
   }
 
+  private void learnPace(ItemRun run, long nowMs) {
+    run.tellPace(nowMs);
+    EngineState engine = run.engine();
+    run.onPace(engines.pace(engine.instance().service(), nowMs).relative(engine));
+  }
+
   /** Begins an item again from what is recorded. */
   private void restart(ItemRun run) {
     stop(run);
@@ -307,32 +349,56 @@
     }
     waiting.sort(startOrder(run -> slackMs(run, nowMs)));
     Set<String> fullServices = new HashSet<>();
+    int unplaced = 0;
+    Map<String, ServicePace> paces = new HashMap<>();
     for (ItemRun run : waiting) {
       Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
       if (route.isEmpty()) {
         continue;
       }
       String service = split.next(route.get());
-      if (!fullServices.contains(service) && !startItem(run, service, nowMs)) {
+      if (fullServices.contains(service)) {
+        continue;
+      }
+      ServicePace pace = paces.computeIfAbsent(service, name -> engines.pace(name, nowMs));
+      Start start = startItem(run, service, pace, nowMs);
+      unplaced += start == Start.NO_ENGINE_IN_TIME ? 1 : 0;
+      if (start == Start.NO_ROOM || unplaced > MOST_UNPLACED) {
         fullServices.add(service);
       }
     }
   }
 
-  private boolean startItem(ItemRun run, String service, long nowMs) {
-    long slackMs = slackMs(run, nowMs);
-    ItemUrgency urgency = ItemUrgency.of(slackMs);
+  /** Engines on which an item with this urgency may start. */
+  private List<EngineState> open(
+      String service, ServicePace pace, ItemUrgency urgency, long nowMs) {
     int groups = Math.max(1, view.jobsFounders().size());
-    List<EngineState> open =
-        engines.usable(service, Set.of(), nowMs).stream()
-            .filter(engine -> window.knowsLoad(engine, nowMs - leadsSinceMs, nowMs))
-            .filter(engine -> window.hasRoom(engine, urgency, groups, nowMs))
-            .toList();
-    Optional<Placement> chosen = choice.choose(open, Prompt.UNKNOWN, nowMs);
+    return engines.usable(service, Set.of(), nowMs).stream()
+        .filter(engine -> window.knowsLoad(engine, nowMs - leadsSinceMs, nowMs))
+        .filter(engine -> window.hasRoom(engine, pace.isSlow(engine), urgency, groups, nowMs))
+        .toList();
+  }
+
+  /** Starts an item where it is best placed. */
+  private Start startItem(ItemRun run, String service, ServicePace pace, long nowMs) {
+    ItemUrgency urgency = ItemUrgency.of(slackMs(run, nowMs));
+    List<EngineState> open = open(service, pace, urgency, nowMs);
+    if (open.isEmpty()) {
+      return Start.NO_ROOM;
+    }
+    ToLongFunction<EngineState> slackAt = engine -> slackMs(run, pace.relative(engine), nowMs);
+    List<EngineState> preferred = ItemPlacement.among(open, pace, urgency, slackAt);
+    Optional<Placement> chosen = choice.choose(preferred, pace, Prompt.UNKNOWN, nowMs);
     if (chosen.isEmpty()) {
-      return false;
+      return Start.NO_ENGINE_IN_TIME;
     }
     EngineState engine = chosen.get().engine();
+    startOn(run, engine, pace.relative(engine), nowMs);
+    return Start.STARTED;
+  }
+
+  private void startOn(ItemRun run, EngineState engine, double relativePace, long nowMs) {
+    long slackMs = slackMs(run, relativePace, nowMs);
     long ofTerm = term;
     ItemStream[] started = new ItemStream[1];
     ItemStream stream =
@@ -340,12 +406,40 @@
             run.lastEvent(),
             outcome -> consensus.execute(() -> onOutcome(run, started[0], ofTerm, outcome)));
     started[0] = stream;
-    ItemLog.started(run, engine, run.dueMs() - state.timeMs(), slackMs, nowMs);
-    run.onStart(stream, engine, nowMs);
+    ItemLog.started(run, engine, relativePace, run.dueMs() - state.timeMs(), slackMs, nowMs);
+    run.onStart(stream, engine, relativePace, nowMs);
     engine.onStart(nowMs);
     EngineCall call = call(run, engine);
     eventLoop.execute(() -> stream.start(transport, call));
-    return true;
+  }
+
+  /**
+   * Stops an item that cannot be done in time where it runs but can elsewhere, when an engine that
+   * is not slow has room; one a step, so that the room is taken before the next one is stopped.
+   */
+  private void moveFromSlowEngine(long nowMs) {
+    for (ItemRun run : runs.all()) {
+      if (run.isRunning() && wouldBeInTimeElsewhere(run, nowMs) && mayLeave(run, nowMs)) {
+        ItemStream stream = run.stream();
+        eventLoop.execute(stream::leaveEngine);
+        return;
+      }
+    }
+  }
+
+  private boolean wouldBeInTimeElsewhere(ItemRun run, long nowMs) {
+    return slackMs(run, nowMs) < 0 && slackMs(run, 1, nowMs) >= MOVE_SLACK_MS;
+  }
+
+  private boolean mayLeave(ItemRun run, long nowMs) {
+    String service = run.engine().instance().service();
+    ServicePace pace = engines.pace(service, nowMs);
+    return pace.isSlow(run.engine()) && hasUsualEngine(service, pace, nowMs);
+  }
+
+  private boolean hasUsualEngine(String service, ServicePace pace, long nowMs) {
+    return open(service, pace, ItemUrgency.URGENT, nowMs).stream()
+        .anyMatch(engine -> !pace.isSlow(engine));
   }
 
   private static EngineCall call(ItemRun run, EngineState engine) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
@@ -5,11 +5,13 @@
 
 /**
  * How much of an engine batch items may take: a share of its slots, and only while some slots
- * beyond the load stay free for online requests. An urgent item may take more.
+ * beyond the load stay free for online requests. An urgent item may take more, and so may any on a
+ * slow engine, which online requests avoid.
  */
 final class BatchWindow {
   private static final double USUAL_SHARE = 0.5;
   private static final double URGENT_SHARE = 0.75;
+  private static final double SLOW_ENGINE_SHARE = 0.75;
   private static final double FREE_SHARE = 0.25;
   private static final int DEFAULT_SLOTS = 8;
 
@@ -20,6 +22,9 @@
    */
   private static final int CROWDED = 1;
 
+  /** The same on a slow engine: few online requests come there, and a stop costs an item more. */
+  private static final int SLOW_ENGINE_CROWDED = 2;
+
   /** From this share of its slots in waiting requests on, urgent items yield too. */
   private static final double OVERRUN_SHARE = 0.5;
 
@@ -31,11 +36,13 @@
   /**
    * Whether another item may start on the engine.
    *
+   * @param slow whether the engine takes so long that online requests avoid it
    * @param groups how many groups of batch jobs share the engines, each by its own count
    */
-  boolean hasRoom(EngineState engine, ItemUrgency urgency, int groups, long nowMs) {
+  boolean hasRoom(EngineState engine, boolean slow, ItemUrgency urgency, int groups, long nowMs) {
     int slots = engine.instance().slots() > 0 ? engine.instance().slots() : DEFAULT_SLOTS;
-    double share = urgency == ItemUrgency.URGENT ? URGENT_SHARE : USUAL_SHARE;
+    double usualShare = slow ? SLOW_ENGINE_SHARE : USUAL_SHARE;
+    double share = urgency == ItemUrgency.URGENT ? URGENT_SHARE : usualShare;
     boolean withinShare = engine.inFlight() < Math.max(1, slots * share / groups);
     return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - FREE_SHARE);
   }
@@ -62,7 +69,8 @@
   }
 
   /** How many items on an engine with this load should make room for online requests. */
-  int yields(EngineLoadReport load) {
-    return load.waiting() < CROWDED ? 0 : Math.min(MOST_YIELDS, load.waiting());
+  int yields(EngineLoadReport load, boolean slow) {
+    int crowded = slow ? SLOW_ENGINE_CROWDED : CROWDED;
+    return load.waiting() < crowded ? 0 : Math.min(MOST_YIELDS, load.waiting());
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
@@ -11,7 +11,8 @@
 
   private ItemLog() {}
 
-  static void started(ItemRun run, EngineState engine, long dueInMs, long slackMs, long nowMs) {
+  static void started(
+      ItemRun run, EngineState engine, double pace, long dueInMs, long slackMs, long nowMs) {
     EVENTS.log(
         EventCode.ITEM_STARTED,
         "job",
@@ -24,6 +25,8 @@
         String.format(Locale.ROOT, "%.1f", engine.estimatedLoad(nowMs)),
         "load_age_ms",
         engine.loadAgeMs(nowMs),
+        "pace",
+        String.format(Locale.ROOT, "%.1f", pace),
         "after_event",
         run.lastEvent(),
         "due_in_ms",
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.store;
 
 import io.pathdeck.control.LogTime;
+import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
@@ -36,6 +37,12 @@
 
   private EngineState engine;
 
+  /** How many times as long as usual work takes at the engine of the send under way. */
+  private double relativePace = 1;
+
+  private long pacedEvent;
+  private long pacedMs;
+
   /**
    * Creates the run of an item.
    *
@@ -73,21 +80,61 @@
     return engine;
   }
 
-  void onStart(ItemStream started, EngineState on, long nowMs) {
+  void onStart(ItemStream started, EngineState on, double relativePaceThere, long nowMs) {
     stream = started;
     engine = on;
+    relativePace = relativePaceThere;
     startedMs = nowMs;
+    pacedEvent = lastEvent;
   }
 
   void onStop(long nowMs) {
     ranMs = ranMs(nowMs);
     stream = null;
     engine = null;
+    relativePace = 1;
   }
 
-  /** For how long sends of the item were under way since this store leads. */
+  /**
+   * For how long sends of the item were under way since this store leads. Time at a slow engine
+   * counts as what a usual one would have taken for the same work.
+   */
   long ranMs(long nowMs) {
-    return ranMs + (stream == null ? 0 : nowMs - startedMs);
+    return ranMs + (stream == null ? 0 : Math.round((nowMs - startedMs) / relativePace));
+  }
+
+  /** How many times as long as usual work takes where the item runs; 1 when it does not run. */
+  double relativePace() {
+    return relativePace;
+  }
+
+  /** What is known of the pace where the item runs has changed. */
+  void onPace(double relativePaceThere) {
+    relativePace = relativePaceThere;
+  }
+
+  private void tellMomentaryPace() {
+    EngineLoadReport load = stream.load();
+    if (load != null && load.paceInHundredths() != EngineLoadReport.PACE_UNKNOWN) {
+      engine.pace().onTold(load.paceInHundredths(), stream.headMs());
+    }
+  }
+
+  /**
+   * Tells the engine's pace the events since the last time. The first events of a send only begin a
+   * span, because the item waited and its prompt was read before them.
+   */
+  void tellPace(long nowMs) {
+    if (engine == null || lastEvent <= pacedEvent) {
+      return;
+    }
+    if (pacedMs <= startedMs) {
+      tellMomentaryPace();
+    } else {
+      engine.pace().onStream(lastEvent - pacedEvent, nowMs - pacedMs, nowMs);
+    }
+    pacedEvent = lastEvent;
+    pacedMs = nowMs;
   }
 
   /** Whether this store has run the item from its first event. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -26,7 +26,8 @@
   private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
   private EngineTransport.Handle handle;
   private EngineAnswer answer;
-  private EngineLoadReport load;
+  private volatile EngineLoadReport load;
+  private volatile long headMs;
   private long handedOverEvent;
   private volatile boolean over;
   private volatile long lastHeardMs;
@@ -66,6 +67,11 @@
     giveUp(ItemOutcome.Kind.YIELDED, "room for online requests");
   }
 
+  /** Gives the send up because the item would be late here; it goes on elsewhere. */
+  void leaveEngine() {
+    giveUp(ItemOutcome.Kind.YIELDED, "too slow to be in time");
+  }
+
   private void giveUp(ItemOutcome.Kind kind, String reason) {
     if (!over) {
       if (handle != null) {
@@ -101,10 +107,21 @@
     return lastHeardMs;
   }
 
+  /** The engine's load when the answer began; null when not told; may be read from any thread. */
+  EngineLoadReport load() {
+    return load;
+  }
+
+  /** When the answer began; may be read from any thread. */
+  long headMs() {
+    return headMs;
+  }
+
   @Override
   public void onHead(EngineAnswer head) {
     lastHeardMs = nowMs();
     answer = head;
+    headMs = lastHeardMs;
     load = head.load();
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RunTimeEstimate.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RunTimeEstimate.java
@@ -11,14 +11,17 @@
 
   private double msPerToken = FIRST_MS_PER_TOKEN;
 
-  /** An item with this output became whole after it had run for {@code ranMs} in all. */
+  /**
+   * An item with this output became whole after it had run for {@code ranMs} in all, counted as on
+   * a usual engine.
+   */
   void onWhole(long outputTokens, long ranMs) {
     if (outputTokens > 0 && ranMs > 0) {
       msPerToken += (ranMs / (double) outputTokens - msPerToken) * NEW_WEIGHT;
     }
   }
 
-  /** How much longer an item with this output runs that has run for {@code ranMs}. */
+  /** How much longer an item with this output runs on a usual engine after {@code ranMs}. */
   long remainingMs(long outputTokens, long ranMs) {
     long wholeMs = outputTokens > 0 ? Math.round(outputTokens * msPerToken) : DEFAULT_MS;
     return Math.max(0, wholeMs - ranMs);
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
@@ -27,8 +27,12 @@
   }
 
   private int itemsThatFit(long slackMs) {
+    return itemsThatFit(slackMs, false);
+  }
+
+  private int itemsThatFit(long slackMs, boolean slow) {
     int items = 0;
-    while (window.hasRoom(engine, ItemUrgency.of(slackMs), 1, NOW_MS)) {
+    while (window.hasRoom(engine, slow, ItemUrgency.of(slackMs), 1, NOW_MS)) {
       engine.onStart(NOW_MS);
       items++;
     }
@@ -54,15 +58,25 @@
 
   @Test
   void itemsYieldWhereRequestsWait() {
-    assertThat(window.yields(new EngineLoadReport(12, 0, 12))).isZero();
-    assertThat(window.yields(new EngineLoadReport(12, 1, 12))).isEqualTo(1);
-    assertThat(window.yields(new EngineLoadReport(12, 2, 12))).isEqualTo(2);
-    assertThat(window.yields(new EngineLoadReport(12, 50, 12))).isEqualTo(3);
+    assertThat(window.yields(new EngineLoadReport(12, 0, 12), false)).isZero();
+    assertThat(window.yields(new EngineLoadReport(12, 1, 12), false)).isEqualTo(1);
+    assertThat(window.yields(new EngineLoadReport(12, 2, 12), false)).isEqualTo(2);
+    assertThat(window.yields(new EngineLoadReport(12, 50, 12), false)).isEqualTo(3);
     assertThat(mayYield(LONG_SLACK_MS)).isTrue();
     assertThat(mayYield(SOME_SLACK_MS)).isTrue();
     assertThat(mayYield(SHORT_SLACK_MS)).isFalse();
   }
 
+  @Test
+  void itemsTakeMoreOfSlowEnginesAndYieldThereLater() {
+    assertThat(itemsThatFit(LONG_SLACK_MS, true)).isEqualTo(9);
+    assertThat(itemsThatFit(SHORT_SLACK_MS, true)).isEqualTo(9);
+    assertThat(window.yields(new EngineLoadReport(12, 1, 12), true)).isZero();
+    assertThat(window.yields(new EngineLoadReport(12, 2, 12), true)).isEqualTo(2);
+    engine.onLoad(new EngineLoadReport(9, 0, 12), NOW_MS);
+    assertThat(itemsThatFit(LONG_SLACK_MS, true)).as("online requests keep a quarter").isZero();
+  }
+
   /** After a loss of power late items took three quarters of all slots and never yielded. */
   @Test
   void itemThatCannotBeInTimeAnyMoreYieldsAndStartsLast() {
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemPlacement.java
@@ -0,0 +1,91 @@
+package io.pathdeck.fleet.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.fleet.engine.ServicePace;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Items that are due 18 s after they came and run 3.4 s on a usual engine, 9 s on a slow one. */
+class TestItemPlacement {
+  private static final long NOW_MS = 1_000;
+  private static final long USUAL_RUN_MS = 3_400;
+  private static final int STREAMS = 8;
+
+  private final EngineTable table = new EngineTable(500);
+  private final EngineState usual;
+  private final EngineState slow;
+
+  TestItemPlacement() {
+    Map<String, EngineInstance> listed = new HashMap<>();
+    for (String id : List.of("u1", "u2", "slow")) {
+      listed.put(id, new EngineInstance(id, "s", "h:1", "z", 8, false));
+    }
+    table.update(listed);
+    usual = table.find("u1");
+    slow = table.find("slow");
+    stream("u1", 25);
+    stream("u2", 25);
+    stream("slow", 66);
+  }
+
+  private void stream(String id, long eventMs) {
+    for (int i = 0; i < STREAMS; i++) {
+      table.find(id).pace().onStream(10, 10 * eventMs, NOW_MS);
+    }
+  }
+
+  private void tellPace() {
+    EngineLoadReport load = new EngineLoadReport(0, 0, 8, EngineInstance.BORN_UNKNOWN, 100);
+    table.all().forEach(engine -> engine.onLoad(load, NOW_MS));
+  }
+
+  private List<EngineState> among(List<EngineState> open, long dueInMs) {
+    ServicePace pace = table.pace("s", NOW_MS);
+    ItemUrgency urgency = ItemUrgency.of(dueInMs - USUAL_RUN_MS);
+    return ItemPlacement.among(
+        open, pace, urgency, engine -> dueInMs - Math.round(USUAL_RUN_MS * pace.relative(engine)));
+  }
+
+  @Test
+  void itemThatCanWaitGoesToTheSlowEngine() {
+    tellPace();
+    assertThat(among(List.of(usual, slow), 18_000)).containsExactly(slow);
+    assertThat(among(List.of(usual), 18_000)).containsExactly(usual);
+  }
+
+  @Test
+  void itemThatWouldNotBeDoneInTimeOnTheSlowEngineGoesElsewhereOrWaits() {
+    tellPace();
+    assertThat(among(List.of(usual, slow), 8_500)).containsExactly(usual);
+    assertThat(among(List.of(slow), 8_500)).isEmpty();
+  }
+
+  @Test
+  void urgentItemGoesToAnEngineThatIsNotSlow() {
+    tellPace();
+    assertThat(among(List.of(usual, slow), 6_000)).containsExactly(usual);
+    assertThat(among(List.of(slow), 6_000)).isEmpty();
+  }
+
+  @Test
+  void overdueItemTakesNothingFromOnlineRequestsWhereItCan() {
+    tellPace();
+    assertThat(among(List.of(usual, slow), 1_000)).containsExactly(slow);
+    assertThat(among(List.of(usual), 1_000)).containsExactly(usual);
+  }
+
+  @Test
+  void whereNoEngineTellsItsPaceAllAreEqual() {
+    List<EngineState> open = List.of(usual, slow);
+    for (long dueInMs : new long[] {18_000, 8_500, 6_000, 1_000}) {
+      assertThat(among(open, dueInMs)).isEqualTo(open);
+    }
+  }
+}
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -2,12 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.state.BatchJob;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.List;
@@ -74,4 +77,35 @@
     assertThat(inherited.leastAgeMs(10_000)).as("the log ran at twice real speed").isEqualTo(2_000);
     assertThat(inherited.leastAgeMs(11_500)).as("then real time counts").isEqualTo(3_500);
   }
+
+  @Test
+  void timeAtASlowEngineCountsAsWhatAUsualOneWouldHaveTaken() {
+    ItemRun run = run();
+    ItemStream stream = new ItemStream(-1, outcome -> {});
+    run.onStart(stream, engine(), 3, 1_000);
+    assertThat(run.ranMs(4_000)).isEqualTo(1_000);
+    run.onStop(4_000);
+    run.onStart(stream, engine(), 1, 5_000);
+    assertThat(run.ranMs(5_500)).isEqualTo(1_500);
+  }
+
+  @Test
+  void eventsOfAnItemTellThePaceOfItsEngineWithoutTheWaitForTheFirstOnes() {
+    EngineState engine = engine();
+    ItemRun run = run();
+    run.onStart(new ItemStream(-1, outcome -> {}), engine, 1, 1_000);
+    run.keep(new ItemEvents(-1, 9, "first"));
+    run.tellPace(1_700);
+    assertThat(engine.pace().msPerEvent()).as("it may have waited").isZero();
+    run.keep(new ItemEvents(9, 19, "next"));
+    run.tellPace(2_400);
+    run.tellPace(9_000);
+    assertThat(engine.pace().msPerEvent()).isEqualTo(70);
+  }
+
+  private static EngineState engine() {
+    EngineTable table = new EngineTable(500);
+    table.update(Map.of("e", new EngineInstance("e", "s", "h:1", "z", 8, false)));
+    return table.find("e");
+  }
 }
