--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -208,18 +208,22 @@
         pool,
         resources,
         registry -> NamedGateways.bind(registry, follower::view, naming));
+    logStarted(self);
+  }
+
+  private static void logStarted(FleetProcess self) {
     EVENTS.log(
         EventCode.PROCESS_STARTED,
         "role",
         "coordinator",
         "id",
-        fleet.name(),
+        self.name(),
         "listen",
-        fleet.listen(),
+        self.peerAddress(),
         "member",
         self.memberId(),
         "incarnation",
-        folder.incarnation());
+        self.incarnation());
   }
 
   /** Keeps what a leader told; what another coordinator knew last may be older than the file. */
