Gateways let requests wait in an order while all engines are full

A request went into an engine's own queue the moment it came: priority, tenant and time left decided nothing, it could not be recalled, and a 503 named one fixed time to come back.

- fleet.queue: RequestQueue (retries, rank, fair between tenants, earliest due; bounded in requests and bytes), QueuePolicy (send, wait, reject), ServiceTimes, ReturnTimes (own moment for each rejected caller)
- RequestDispatcher wires it into RequestForwarder.
It acts only where the configuration declares tenants with limits or priorities; the condition on engines that tell their pace is wired as a predicate that is false
- EngineUse, ForwardingContext and RequestPermission moved out of RequestForwarder
- metrics pathdeck_requests_waiting, _sent_after_wait, _rejected_hopeless, _given_way; waited_ms in request-served and request-refused

Tested: TestRequestQueue, TestQueuePolicy (crest model: 4 of 4 requests of the small tenant in time with order, 0 of 4 without), TestReturnTimes, TestQueueSwitch, TestRequestDispatcher, TestPlatformEndToEnd (24), TestEventCatalogue: pass. Not played on a fleet.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerIdentity.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerIdentity.java
@@ -22,6 +22,11 @@
     return this instanceof Known known ? known.tenant().name() : "";
   }
 
+  /** The priority of the tenant; that of an unranked one when none is known. */
+  default int tenantPriority() {
+    return this instanceof Known known ? known.tenant().priority() : 0;
+  }
+
   /** What engines are told. */
   default EngineTenant toEngines() {
     if (this instanceof NotAsked) {
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingContext.java
@@ -0,0 +1,19 @@
+package io.pathdeck.fleet.gateway;
+
+import io.netty.channel.EventLoop;
+import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.fleet.engine.EngineTransport;
+import java.util.Set;
+
+/** What the forwarders of a gateway share. */
+record ForwardingContext(
+    EventLoop eventLoop,
+    EngineTransport transport,
+    EngineTable engines,
+    EngineChoice choice,
+    ForwardingSettings settings,
+    SilenceLimit silenceLimit,
+    RequestMetrics metrics,
+    RequestDispatcher dispatcher,
+    Set<RequestForwarder> active) {}
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.queue.QueueSwitch;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
@@ -55,11 +56,12 @@
   private final BooleanSupplier routesConfirmed;
   private final BatchCalls batch;
   private final TenantLimiter limiter;
-  private final RequestForwarder.Shared shared;
+  private final ForwardingContext shared;
   private final long startNs = System.nanoTime();
   private final TrafficSplit split = new TrafficSplit();
   private CallerKeys keys = CallerKeys.NONE;
   private long keysVersion = RouteTable.NO_VERSION;
+  private boolean callersCompete;
 
   /**
    * Creates a gateway.
@@ -85,15 +87,17 @@
     this.routesConfirmed = routesConfirmed;
     this.batch = batch;
     this.limiter = limiter;
+    EngineTable engines = new EngineTable(REPORT_HALF_LIFE_MS);
     this.shared =
-        new RequestForwarder.Shared(
+        new ForwardingContext(
             eventLoop,
             transport,
-            new EngineTable(REPORT_HALF_LIFE_MS),
+            engines,
             choice,
             ForwardingSettings.DEFAULT,
             new SilenceLimit(ForwardingSettings.DEFAULT),
             metrics,
+            dispatcher(eventLoop, engines, metrics.queue()),
             new HashSet<>());
     eventLoop.scheduleWithFixedDelay(
         this::checkSilence,
@@ -102,6 +106,16 @@
         TimeUnit.MILLISECONDS);
   }
 
+  private RequestDispatcher dispatcher(
+      EventLoop eventLoop, EngineTable engines, QueueMetrics queueMetrics) {
+    return new RequestDispatcher(
+        engines,
+        new RequestDispatcher.Switch(() -> callersCompete, engine -> false),
+        (delayMs, action) -> eventLoop.schedule(action, delayMs, TimeUnit.MILLISECONDS),
+        () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+        queueMetrics);
+  }
+
   /** Follows what is known of the fleet. */
   void onChange(FleetView changed) {
     if (changed.engines() != null) {
@@ -110,6 +124,7 @@
     if (changed.routes() != null && changed.routes().version() != keysVersion) {
       keysVersion = changed.routes().version();
       keys = CallerKeys.of(changed.routes());
+      callersCompete = QueueSwitch.callersCompete(changed.routes());
     }
   }
 
@@ -246,8 +261,8 @@
     long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     String service = split.next(route);
     long version = known.routes().version();
-    RequestForwarder.Permission permission =
-        new RequestForwarder.Permission(caller.toEngines(), () -> isStillAllowed(request, caller));
+    RequestPermission permission =
+        new RequestPermission(caller, () -> isStillAllowed(request, caller));
     new RequestForwarder(shared, exchange, request, route, service, version, permission, nowMs)
         .start();
   }
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/QueueMetrics.java
@@ -0,0 +1,42 @@
+package io.pathdeck.fleet.gateway;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+
+/** What a gateway counts of requests that wait for room at engines. Thread-safe. */
+final class QueueMetrics {
+  private final AtomicInteger waiting = new AtomicInteger();
+  private final LongAdder sentAfterWait = new LongAdder();
+  private final LongAdder hopeless = new LongAdder();
+  private final LongAdder givenWay = new LongAdder();
+
+  void setWaiting(int requests) {
+    waiting.set(requests);
+  }
+
+  void onSentAfterWait() {
+    sentAfterWait.increment();
+  }
+
+  void onHopeless() {
+    hopeless.increment();
+  }
+
+  void onGivenWay() {
+    givenWay.increment();
+  }
+
+  void bindTo(MeterRegistry registry) {
+    Gauge.builder("pathdeck.requests.waiting", waiting, AtomicInteger::get).register(registry);
+    counter(registry, "pathdeck.requests.sent.after.wait", sentAfterWait);
+    counter(registry, "pathdeck.requests.rejected.hopeless", hopeless);
+    counter(registry, "pathdeck.requests.given.way", givenWay);
+  }
+
+  private static void counter(MeterRegistry registry, String name, LongAdder count) {
+    FunctionCounter.builder(name, count, LongAdder::sum).register(registry);
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -1,20 +1,17 @@
 package io.pathdeck.fleet.gateway;
 
-import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.pathdeck.fleet.adapter.CallerCall;
 import io.pathdeck.fleet.adapter.EngineAnswer;
 import io.pathdeck.fleet.adapter.EngineCall;
-import io.pathdeck.fleet.adapter.EngineTenant;
-import io.pathdeck.fleet.engine.EngineChoice;
 import io.pathdeck.fleet.engine.EngineFailure;
 import io.pathdeck.fleet.engine.EngineListener;
 import io.pathdeck.fleet.engine.EngineState;
-import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.EventScanner;
 import io.pathdeck.fleet.engine.Placement;
 import io.pathdeck.fleet.engine.Prompt;
+import io.pathdeck.fleet.queue.Rank;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.serving.http.ApiError;
@@ -25,7 +22,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 /**
  * Brings one request to an engine and its answer back; confined to the event loop.
@@ -33,7 +29,7 @@
  * <p>The answer keeps the head of the first engine that began it. A stream that breaks off goes on
  * at another engine after the last whole event, when its route allows that.
  */
-final class RequestForwarder {
+final class RequestForwarder implements Dispatchable {
   private static final int SUCCESS_FROM = 200;
   private static final int SUCCESS_TO = 300;
   private static final int SERVER_ERROR = 500;
@@ -41,27 +37,9 @@
   /** For how long coordinators hold a request back after they found that engines end under it. */
   private static final long QUARANTINE_RETRY_AFTER_MS = 600_000;
 
-  /** What forwarders of a gateway share. */
-  record Shared(
-      EventLoop eventLoop,
-      EngineTransport transport,
-      EngineTable engines,
-      EngineChoice choice,
-      ForwardingSettings settings,
-      SilenceLimit silenceLimit,
-      RequestMetrics metrics,
-      Set<RequestForwarder> active) {}
-
-  /**
-   * What lets a request be sent to engines.
-   *
-   * @param tenant what engines are told of the request's tenant
-   * @param stillGiven whether the newest configuration allows the request; asked before each send
-   *     after the first one
-   */
-  record Permission(EngineTenant tenant, BooleanSupplier stillGiven) {}
-
-  private final Shared shared;
+  private static final long NOT_WAITING = -1;
+
+  private final ForwardingContext shared;
   private final HttpExchange exchange;
   private final CallerCall.Request request;
   private final Prompt prompt;
@@ -72,7 +50,7 @@
   private final long deadlineMs;
   private final AttemptBudget budget;
   private final RequestLog log;
-  private final Permission permission;
+  private final RequestPermission permission;
   private final Set<String> tried = new HashSet<>();
   private ScheduledFuture<?> timeout;
   private Attempt attempt;
@@ -80,15 +58,17 @@
   private long firstMs;
   private long lastEventId;
   private boolean finished;
+  private long waitingSinceMs = NOT_WAITING;
+  private long waitedMs;
 
   RequestForwarder(
-      Shared shared,
+      ForwardingContext shared,
       HttpExchange exchange,
       CallerCall.Request request,
       RouteSpec route,
       String service,
       long routesVersion,
-      Permission permission,
+      RequestPermission permission,
       long nowMs) {
     this.routesVersion = routesVersion;
     this.permission = permission;
@@ -124,10 +104,38 @@
   // ---- attempts
 
   private void sendToNextEngine() {
+    waitingSinceMs = nowMs();
+    shared.dispatcher().submit(this);
+  }
+
+  @Override
+  public Needs needs() {
+    Rank rank =
+        new Rank(budget.sends() > 0, permission.caller().tenantPriority(), route.priority());
+    return new Needs(
+        service,
+        permission.caller().tenantName(),
+        rank,
+        route.targetMs() > 0 ? startMs + route.targetMs() : deadlineMs,
+        deadlineMs,
+        exchange.body().length,
+        RequestWork.of(request),
+        !headSent && !budget.mayHaveRun());
+  }
+
+  @Override
+  public Set<String> tried() {
+    return tried;
+  }
+
+  @Override
+  public void sendTo(List<EngineState> candidates) {
     long now = nowMs();
-    List<EngineState> candidates = shared.engines().usable(service, tried, now);
-    if (candidates.isEmpty()) {
-      candidates = shared.engines().listed(service, tried, now);
+    boolean waited = now > waitingSinceMs;
+    endWait(now);
+    if (waited && !permission.stillGiven().getAsBoolean()) {
+      finishWithoutEngine("the configuration does not allow the request any more");
+      return;
     }
     Optional<Placement> placement = shared.choice().choose(candidates, prompt, now);
     if (placement.isEmpty()) {
@@ -140,6 +148,18 @@
     attempt.begin();
   }
 
+  @Override
+  public void reject(String reason, long retryAfterMs) {
+    refuse(reason, retryAfterMs);
+  }
+
+  private void endWait(long nowMs) {
+    if (waitingSinceMs != NOT_WAITING) {
+      waitedMs += nowMs - waitingSinceMs;
+      waitingSinceMs = NOT_WAITING;
+    }
+  }
+
   private void afterFailure(boolean didNotRun, String reason) {
     attempt = null;
     if (didNotRun) {
@@ -162,11 +182,11 @@
     }
     long limit = shared.silenceLimit().limitMs(request.promptTokens());
     boolean silent =
-        attempt.engine.silenceMs(nowMs) > limit && nowMs - attempt.lastProgressMs > limit;
+        attempt.engine().silenceMs(nowMs) > limit && nowMs - attempt.lastProgressMs > limit;
     if (!silent) {
       return;
     }
-    attempt.engine.onFailure(nowMs);
+    attempt.engine().onFailure(nowMs);
     if (budget.mayTryAgain()) {
       shared.silenceLimit().onGivenUp(limit);
       attempt.giveUp("silent for " + limit + " ms");
@@ -183,7 +203,7 @@
     } else if (budget.mayHaveRun()) {
       fail(502, "engine_failed", reason);
     } else {
-      refuse(reason);
+      refuse(reason, shared.settings().refusedRetryAfterMs());
     }
   }
 
@@ -193,10 +213,11 @@
     exchange.sendError(ApiError.failed(status, code, reason, true));
   }
 
-  private void refuse(String reason) {
-    log.refused(reason);
+  private void refuse(String reason, long retryAfterMs) {
+    endWait(nowMs());
+    log.refused(reason, waitedMs);
     finish(RequestMetrics.Outcome.REFUSED);
-    Refusals.unavailable(exchange, reason, shared.settings().refusedRetryAfterMs());
+    Refusals.unavailable(exchange, reason, retryAfterMs);
   }
 
   /** Engines end under the request: it goes to none, and its caller hears so at once. */
@@ -207,9 +228,7 @@
       finishWithoutEngine(reason);
       return;
     }
-    log.refused(reason);
-    finish(RequestMetrics.Outcome.REFUSED);
-    Refusals.unavailable(exchange, reason, QUARANTINE_RETRY_AFTER_MS);
+    refuse(reason, QUARANTINE_RETRY_AFTER_MS);
   }
 
   private void onDeadline() {
@@ -253,45 +272,40 @@
     finished = true;
     timeout.cancel(false);
     shared.active().remove(this);
+    shared.dispatcher().remove(this);
   }
 
   /** One send of the request to one engine. */
   private final class Attempt implements EngineListener {
-    private final EngineState engine;
-    private final long tokensToRead;
-    private final double believedLoad;
-    private final long loadAgeMs;
+    private final EngineUse use;
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
     private EngineTransport.Handle handle;
     private EngineAnswer answer;
     private EventScanner scanner;
     private long lastProgressMs;
     private boolean over;
-    private boolean promptRead;
-    private final long sentMs;
 
     Attempt(Placement placement, long nowMs) {
-      this.engine = placement.engine();
-      this.tokensToRead = placement.tokensToRead();
-      this.believedLoad = engine.estimatedLoad(nowMs);
-      this.loadAgeMs = engine.loadAgeMs(nowMs);
+      this.use = new EngineUse(placement, nowMs);
       this.lastProgressMs = nowMs;
-      this.sentMs = nowMs;
+    }
+
+    EngineState engine() {
+      return use.engine();
     }
 
     void begin() {
-      tried.add(engine.instance().id());
-      engine.onStart(lastProgressMs);
-      engine.onPromptSent(tokensToRead);
+      tried.add(engine().instance().id());
+      use.begin();
       scanner = new EventScanner(lastEventId);
       EngineCall call =
           new EngineCall(
-              engine.instance(),
+              engine().instance(),
               exchange.method(),
               exchange.uri(),
               request.host(),
               request.requestId(),
-              permission.tenant(),
+              permission.caller().toEngines(),
               request.headers(),
               exchange.body(),
               Math.max(1, deadlineMs - lastProgressMs),
@@ -307,17 +321,9 @@
       return answer.status() >= SUCCESS_FROM && answer.status() < SUCCESS_TO;
     }
 
-    private void notePromptRead() {
-      if (!promptRead) {
-        promptRead = true;
-        engine.onPromptRead(tokensToRead);
-      }
-    }
-
     private void heard() {
-      notePromptRead();
       lastProgressMs = nowMs();
-      engine.onHeard(lastProgressMs);
+      use.onHeard(lastProgressMs);
     }
 
     @Override
@@ -326,14 +332,11 @@
         return;
       }
       heard();
-      long readingMs = tokensToRead / shared.settings().tokensReadPerMs();
-      long waitMs = Math.max(0, lastProgressMs - sentMs - readingMs);
-      engine.onFirstBytes(waitMs, lastProgressMs);
+      long tokensReadPerMs = shared.settings().tokensReadPerMs();
+      long waitMs = use.onFirstBytes(tokensReadPerMs, head.load(), lastProgressMs);
       shared.silenceLimit().onFirstBytes(waitMs);
+      shared.dispatcher().onFirstBytes(service, use);
       answer = head;
-      if (head.load() != null) {
-        engine.onLoad(head.load(), lastProgressMs);
-      }
       if (isSuccess() && isStream() && !headSent) {
         headSent = true;
         firstMs = lastProgressMs - startMs;
@@ -386,7 +389,7 @@
         finishServed();
         exchange.send(answer.status(), answer.headers(), collected.toByteArray());
       } else if (scanner.isInsideEvent()) {
-        engine.onFailure(nowMs());
+        engine().onFailure(nowMs());
         afterFailure(false, "the stream ended inside an event");
       } else {
         logServed();
@@ -399,9 +402,10 @@
       log.served(
           new RequestLog.Served(
               routesVersion,
-              engine.instance().id(),
-              believedLoad,
-              loadAgeMs,
+              engine().instance().id(),
+              use.believedLoad(),
+              use.loadAgeMs(),
+              waitedMs,
               firstMs,
               nowMs() - startMs,
               lastEventId));
@@ -410,10 +414,10 @@
     private void onRefusalOrError() {
       long now = nowMs();
       if (answer.otherInstance()) {
-        engine.onGone();
+        engine().onGone();
         afterFailure(true, "another engine has the address");
       } else if (answer.notRun()) {
-        engine.onFull(now, Math.max(answer.retryAfterMs(), 50));
+        engine().onFull(now, Math.max(answer.retryAfterMs(), 50));
         afterFailure(true, "the engine refused with " + answer.status());
       } else if (answer.status() >= SERVER_ERROR && budget.mayTryAgain()) {
         afterFailure(false, "the engine answered " + answer.status());
@@ -436,9 +440,9 @@
         return;
       }
       if (failure != EngineFailure.CLOSED_BEFORE_ANSWER) {
-        engine.onFailure(nowMs());
+        engine().onFailure(nowMs());
       }
-      log.attemptFailed(engine.instance().id(), failure, reason, lastEventId);
+      log.attemptFailed(engine().instance().id(), failure, reason, lastEventId);
       afterFailure(failure.isNotRun(), reason);
     }
 
@@ -456,8 +460,8 @@
 
     private void end() {
       over = true;
-      notePromptRead();
-      engine.onEnd();
+      use.end();
+      shared.dispatcher().onPlaceFreed(service, use);
     }
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -15,12 +15,14 @@
    * @param engineId the engine that ended the answer
    * @param believedLoad the engine's load as it was believed at the choice
    * @param loadAgeMs how old that belief was
+   * @param waitedMs how long the request waited here for room at engines
    */
   record Served(
       long routesVersion,
       String engineId,
       double believedLoad,
       long loadAgeMs,
+      long waitedMs,
       long firstMs,
       long totalMs,
       long lastEvent) {}
@@ -52,6 +54,8 @@
         how.loadAgeMs(),
         "sends",
         budget.sends(),
+        "waited_ms",
+        how.waitedMs(),
         "first_ms",
         how.firstMs(),
         "total_ms",
@@ -60,7 +64,7 @@
         how.lastEvent());
   }
 
-  void refused(String reason) {
+  void refused(String reason, long waitedMs) {
     EVENTS.log(
         EventCode.REQUEST_REFUSED,
         "request",
@@ -70,7 +74,9 @@
         "reason",
         reason,
         "sends",
-        budget.sends());
+        budget.sends(),
+        "waited_ms",
+        waitedMs);
   }
 
   /**
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestMetrics.java
@@ -35,6 +35,7 @@
 
   private final Map<RouteKind, OfKind> kinds = new EnumMap<>(RouteKind.class);
   private final LongAdder attempts = new LongAdder();
+  private final QueueMetrics queue = new QueueMetrics();
 
   RequestMetrics() {
     for (RouteKind kind : RouteKind.values()) {
@@ -42,6 +43,11 @@
     }
   }
 
+  /** What is counted of requests that wait. */
+  QueueMetrics queue() {
+    return queue;
+  }
+
   void onAttempt() {
     attempts.increment();
   }
@@ -58,6 +64,7 @@
 
   void bindTo(MeterRegistry registry) {
     FunctionCounter.builder("pathdeck.attempts", attempts, LongAdder::sum).register(registry);
+    queue.bindTo(registry);
     kinds.forEach((kind, counts) -> bindKind(registry, kind, counts));
   }
 
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/queue/RankQueue.java
@@ -0,0 +1,74 @@
+package io.pathdeck.fleet.queue;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * The waiting requests of one rank, fair between tenants (start-time fair queueing): the tenant
+ * that used least of late is next, so that a flood delays the tenant that sends it.
+ */
+final class RankQueue<T> {
+  private final Map<String, TenantQueue<T>> tenants = new LinkedHashMap<>();
+  private double virtualTime;
+  private int waiting;
+  private int timesPassed;
+
+  void add(TenantQueue.Arrival<T> arrival) {
+    tenants.computeIfAbsent(arrival.waiting().tenant(), added -> new TenantQueue<>()).add(arrival);
+    waiting++;
+  }
+
+  void remove(TenantQueue.Arrival<T> arrival) {
+    TenantQueue<T> tenant = tenants.get(arrival.waiting().tenant());
+    if (tenant != null && tenant.remove(arrival)) {
+      waiting--;
+      timesPassed = isEmpty() ? 0 : timesPassed;
+      forgetIdle();
+    }
+  }
+
+  boolean isEmpty() {
+    return waiting == 0;
+  }
+
+  /** How many requests of other ranks were sent while requests of this one waited. */
+  int timesPassed() {
+    return timesPassed;
+  }
+
+  void onPassed() {
+    timesPassed++;
+  }
+
+  TenantQueue.Arrival<T> first() {
+    return next().first();
+  }
+
+  /** Takes the first request out and charges its tenant. */
+  TenantQueue.Arrival<T> poll() {
+    timesPassed = 0;
+    TenantQueue<T> tenant = next();
+    TenantQueue.Arrival<T> first = tenant.first();
+    tenant.remove(first);
+    waiting--;
+    virtualTime = tenant.startTag(virtualTime);
+    tenant.charge(virtualTime, first.waiting().work());
+    forgetIdle();
+    return first;
+  }
+
+  private TenantQueue<T> next() {
+    TenantQueue<T> best = null;
+    for (TenantQueue<T> tenant : tenants.values()) {
+      boolean sooner = best == null || tenant.startTag(virtualTime) < best.startTag(virtualTime);
+      if (!tenant.isEmpty() && sooner) {
+        best = tenant;
+      }
+    }
+    return best;
+  }
+
+  private void forgetIdle() {
+    tenants.values().removeIf(tenant -> tenant.isIdle(virtualTime));
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestRequestDispatcher.java
@@ -0,0 +1,202 @@
+package io.pathdeck.fleet.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.fleet.engine.Placement;
+import io.pathdeck.fleet.queue.Rank;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** One full engine, and requests that fall due 300 ms after they come. */
+class TestRequestDispatcher {
+  private static final String SERVICE = "s";
+  private static final int SLOTS = 2;
+  private static final long DUE_AFTER_MS = 300;
+
+  private final EngineTable engines = new EngineTable(250);
+  private final List<Runnable> timers = new ArrayList<>();
+  private final List<String> sent = new ArrayList<>();
+  private final List<String> rejected = new ArrayList<>();
+  private boolean competing = true;
+  private boolean tellsPace;
+  private long nowMs = 1_000;
+  private final RequestDispatcher dispatcher =
+      new RequestDispatcher(
+          engines,
+          new RequestDispatcher.Switch(() -> competing, engine -> tellsPace),
+          (delayMs, action) -> timers.add(action),
+          () -> nowMs,
+          new QueueMetrics());
+
+  private final class FakeRequest implements Dispatchable {
+    private final String name;
+    private final String tenant;
+    private final long deadlineMs;
+
+    FakeRequest(String name, String tenant, long timeLeftMs) {
+      this.name = name;
+      this.tenant = tenant;
+      this.deadlineMs = nowMs + timeLeftMs;
+    }
+
+    @Override
+    public Needs needs() {
+      Rank rank = new Rank(false, 0, 0);
+      long dueMs = deadlineMs - 5_000 + DUE_AFTER_MS;
+      return new Needs(SERVICE, tenant, rank, dueMs, deadlineMs, 10, 1, true);
+    }
+
+    @Override
+    public Set<String> tried() {
+      return Set.of();
+    }
+
+    @Override
+    public void sendTo(List<EngineState> candidates) {
+      sent.add(name);
+      candidates.get(0).onStart(nowMs);
+    }
+
+    @Override
+    public void reject(String reason, long retryAfterMs) {
+      rejected.add(name);
+    }
+  }
+
+  private EngineState engine() {
+    return engines.find("e");
+  }
+
+  private FakeRequest submit(String name, String tenant) {
+    FakeRequest request = new FakeRequest(name, tenant, 5_000);
+    dispatcher.submit(request);
+    return request;
+  }
+
+  private void fillEngine() {
+    engines.update(Map.of("e", new EngineInstance("e", SERVICE, "h:1", "z", SLOTS, false)));
+    for (int i = 0; i <= SLOTS; i++) {
+      engine().onStart(nowMs);
+    }
+  }
+
+  private void runTimers() {
+    List<Runnable> due = List.copyOf(timers);
+    timers.clear();
+    due.forEach(Runnable::run);
+  }
+
+  /** A request that held its place for {@code heldMs} leaves the engine. */
+  private void freePlace(long heldMs) {
+    EngineUse use = new EngineUse(new Placement(engine(), 0), nowMs - heldMs);
+    use.onFirstBytes(40, null, nowMs - heldMs);
+    use.end();
+    dispatcher.onPlaceFreed(SERVICE, use);
+    runTimers();
+  }
+
+  @Test
+  void sendsAtOnceWhereNobodyCompetes() {
+    competing = false;
+    fillEngine();
+    submit("a", "t");
+    assertThat(sent).containsExactly("a");
+    assertThat(timers).isEmpty();
+  }
+
+  @Test
+  void waitsWhereEnginesTellTheirPace() {
+    competing = false;
+    tellsPace = true;
+    fillEngine();
+    submit("a", "t");
+    assertThat(sent).isEmpty();
+  }
+
+  @Test
+  void sendsAtOnceWithoutKnowledgeOfTheEngine() {
+    engines.update(Map.of("e", new EngineInstance("e", SERVICE, "h:1", "z", SLOTS, false)));
+    submit("a", "t");
+    assertThat(sent).containsExactly("a");
+  }
+
+  @Test
+  void placesThatBecomeFreeGoRoundBetweenTenants() {
+    fillEngine();
+    submit("hot1", "hot");
+    submit("hot2", "hot");
+    submit("hot3", "hot");
+    submit("small", "small");
+    freePlace(100);
+    freePlace(100);
+    assertThat(sent).containsExactly("hot1", "small");
+  }
+
+  @Test
+  void reportOfRoomSendsWhatWaits() {
+    engines.update(Map.of("e", new EngineInstance("e", SERVICE, "h:1", "z", SLOTS, false)));
+    engine().onLoad(new EngineLoadReport(SLOTS, 4, SLOTS), nowMs);
+    submit("a", "t");
+    assertThat(sent).isEmpty();
+    engine().onLoad(new EngineLoadReport(0, 0, SLOTS), nowMs);
+    runTimers();
+    assertThat(sent).containsExactly("a");
+  }
+
+  @Test
+  void isSentToTheFullEngineWhenItHasWaitedLongEnough() {
+    fillEngine();
+    submit("a", "t");
+    nowMs += DUE_AFTER_MS / 2 - 1;
+    runTimers();
+    assertThat(sent).isEmpty();
+    nowMs += 1;
+    runTimers();
+    assertThat(sent).containsExactly("a");
+    assertThat(timers).isEmpty();
+  }
+
+  @Test
+  void requestOfACallerThatLeftIsNeverSent() {
+    fillEngine();
+    FakeRequest left = submit("left", "t");
+    submit("stays", "t");
+    dispatcher.remove(left);
+    nowMs += DUE_AFTER_MS;
+    runTimers();
+    assertThat(sent).containsExactly("stays");
+    assertThat(rejected).isEmpty();
+  }
+
+  @Test
+  void rejectsAtOnceWhatNoEngineTakesInTime() {
+    fillEngine();
+    submit("a", "t");
+    freePlace(4_000);
+    submit("hopeless", "t");
+    assertThat(rejected).isEmpty();
+    dispatcher.submit(new FakeRequest("hopeless", "t", 1_000));
+    assertThat(rejected).containsExactly("hopeless");
+    assertThat(sent).containsExactly("a");
+  }
+
+  @Test
+  void floodGivesWayWhenTooManyWait() {
+    fillEngine();
+    submit("small", "small");
+    for (int i = 0; i < 300; i++) {
+      submit("hot" + i, "hot");
+    }
+    assertThat(rejected).hasSize(45).allMatch(name -> name.startsWith("hot"));
+    nowMs += DUE_AFTER_MS;
+    runTimers();
+    assertThat(sent).hasSize(256).contains("small").doesNotContainAnyElementsOf(rejected);
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/queue/TestQueuePolicy.java
@@ -0,0 +1,125 @@
+package io.pathdeck.fleet.queue;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.fleet.queue.QueuePolicy.Request;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TestQueuePolicy {
+  private static final int SLOTS = 8;
+  private static final EngineRoom FULL = new EngineRoom(SLOTS, 0, SLOTS + 1, 50);
+  private static final long DUE_MS = 300;
+  private static final long FIRST_MS = 60;
+  private static final long PLACE_MS = 200;
+
+  private final ServiceTimes times = times();
+
+  private static ServiceTimes times() {
+    ServiceTimes times = new ServiceTimes();
+    times.onFirstBytes(FIRST_MS);
+    times.onPlaceFreed(PLACE_MS);
+    return times;
+  }
+
+  private static Request fresh(long deadlineMs) {
+    return new Request(DUE_MS, deadlineMs, Request.NOT_HELD, true);
+  }
+
+  private QueueDecision decide(Request request, EngineRoom... engines) {
+    return QueuePolicy.decide(request, List.of(engines), times, 0);
+  }
+
+  @Test
+  void goesAtOnceWhileAnyEngineMayHaveRoom() {
+    QueueDecision send = new QueueDecision.Send();
+    EngineRoom room = new EngineRoom(SLOTS, 0, SLOTS, 50);
+    EngineRoom oldWord = new EngineRoom(SLOTS, 0, SLOTS + 5, 5_000);
+    EngineRoom noWord = new EngineRoom(SLOTS, 0, SLOTS + 5, -1);
+    EngineRoom noSlots = new EngineRoom(0, 9, 9, 50);
+    assertThat(decide(fresh(5_000), FULL, room)).isEqualTo(send);
+    assertThat(decide(fresh(5_000), FULL, oldWord)).isEqualTo(send);
+    assertThat(decide(fresh(5_000), FULL, noWord)).isEqualTo(send);
+    assertThat(decide(fresh(5_000), FULL, noSlots)).isEqualTo(send);
+    assertThat(decide(fresh(5_000))).isEqualTo(send);
+  }
+
+  @Test
+  void waitsForHalfOfItsSpareTimeAndGoesThen() {
+    long halfOfSpareMs = (DUE_MS - FIRST_MS) / 2;
+    assertThat(decide(fresh(5_000), FULL, FULL)).isEqualTo(new QueueDecision.Wait(halfOfSpareMs));
+    Request held = new Request(DUE_MS, 5_000, halfOfSpareMs, true);
+    assertThat(QueuePolicy.decide(held, List.of(FULL), times, halfOfSpareMs))
+        .isEqualTo(new QueueDecision.Send());
+  }
+
+  @Test
+  void engineFullOfOwnRequestsNeedsNoWordOfItsOwn() {
+    EngineRoom fullOfOwn = new EngineRoom(SLOTS, SLOTS + 1, SLOTS + 1, -1);
+    assertThat(decide(fresh(5_000), fullOfOwn)).isInstanceOf(QueueDecision.Wait.class);
+  }
+
+  @Test
+  void rejectsOnlyWhatNoEngineTakesBeforeItsCallerLeaves() {
+    EngineRoom crowded = new EngineRoom(SLOTS, 0, SLOTS * 11 - 1, 50);
+    long waitMs = 10 * PLACE_MS;
+    assertThat(decide(fresh(waitMs - 1), crowded)).isEqualTo(new QueueDecision.Reject(waitMs));
+    assertThat(decide(fresh(waitMs), crowded)).isInstanceOf(QueueDecision.Wait.class);
+    assertThat(decide(fresh(waitMs - 1), crowded, FULL)).isInstanceOf(QueueDecision.Wait.class);
+    Request mayHaveRun = new Request(DUE_MS, waitMs - 1, Request.NOT_HELD, false);
+    assertThat(decide(mayHaveRun, crowded)).isInstanceOf(QueueDecision.Wait.class);
+  }
+
+  /** One engine, a tenant's flood before four requests of a small one; who begins in time? */
+  @Test
+  void smallTenantIsInTimeInTheCrestOfAnother() {
+    assertThat(smallTenantInTime(false)).isEqualTo(0);
+    assertThat(smallTenantInTime(true)).isEqualTo(4);
+  }
+
+  private int smallTenantInTime(boolean ordered) {
+    RequestQueue<Integer> queue = new RequestQueue<>(256, Long.MAX_VALUE);
+    Deque<Integer> engineQueue = new ArrayDeque<>();
+    List<Long> placesFreeAtMs = new ArrayList<>();
+    int smallInTime = 0;
+    for (long nowMs = 0; nowMs < 2_000; nowMs++) {
+      long now = nowMs;
+      placesFreeAtMs.removeIf(freeAtMs -> freeAtMs <= now);
+      if (nowMs < 30 || (nowMs >= 60 && nowMs < 64)) {
+        arrive((int) nowMs, ordered, queue, engineQueue);
+      }
+      while (maySend(queue, engineQueue.size() + placesFreeAtMs.size(), nowMs)) {
+        engineQueue.add(queue.poll().orElseThrow().request());
+      }
+      while (placesFreeAtMs.size() < SLOTS && !engineQueue.isEmpty()) {
+        int startedMs = engineQueue.poll();
+        placesFreeAtMs.add(nowMs + PLACE_MS);
+        boolean inTime = nowMs + FIRST_MS <= startedMs + DUE_MS;
+        smallInTime += startedMs >= 60 && inTime ? 1 : 0;
+      }
+    }
+    return smallInTime;
+  }
+
+  private void arrive(
+      int nowMs, boolean ordered, RequestQueue<Integer> queue, Deque<Integer> engineQueue) {
+    if (!ordered) {
+      engineQueue.add(nowMs);
+      return;
+    }
+    String tenant = nowMs < 30 ? "hot" : "small";
+    Request request = new Request(nowMs + DUE_MS, nowMs + 5_000, Request.NOT_HELD, true);
+    QueueDecision decision = QueuePolicy.decide(request, List.of(FULL), times, nowMs);
+    long untilMs = ((QueueDecision.Wait) decision).untilMs();
+    Rank rank = new Rank(false, 0, 0);
+    queue.add(new WaitingRequest<>(nowMs, tenant, rank, nowMs, nowMs + DUE_MS, untilMs, 1, 1));
+  }
+
+  private boolean maySend(RequestQueue<Integer> queue, int load, long nowMs) {
+    boolean full = new EngineRoom(SLOTS, load, load, 0).isKnownFull();
+    return !queue.isEmpty() && (!full || queue.hasOverdue(nowMs));
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/queue/TestReturnTimes.java
@@ -0,0 +1,43 @@
+package io.pathdeck.fleet.queue;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+class TestReturnTimes {
+
+  @Test
+  void callersRejectedTogetherComeBackApart() {
+    ReturnTimes times = new ReturnTimes();
+    Set<Long> returns = new HashSet<>();
+    for (int i = 0; i < 40; i++) {
+      returns.add(times.retryAfterMs(400, 5_000, 0));
+    }
+    assertThat(returns).hasSize(40).allMatch(afterMs -> afterMs >= 400 && afterMs <= 600);
+  }
+
+  @Test
+  void moreCallersThanMomentsStaySpread() {
+    ReturnTimes times = new ReturnTimes();
+    Set<Long> returns = new HashSet<>();
+    for (int i = 0; i < 500; i++) {
+      returns.add(times.retryAfterMs(100, 900, 0));
+    }
+    assertThat(returns).hasSizeGreaterThan(100);
+  }
+
+  @Property
+  void noCallerIsToldToWaitLongerThanItWould(
+      @ForAll @LongRange(min = 0, max = 100_000) long expectedWaitMs,
+      @ForAll @LongRange(min = 60, max = 10_000) long timeLeftMs) {
+    ReturnTimes times = new ReturnTimes();
+    for (int i = 0; i < 20; i++) {
+      assertThat(times.retryAfterMs(expectedWaitMs, timeLeftMs, i)).isBetween(1L, timeLeftMs / 3);
+    }
+  }
+}
