--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -16,6 +16,7 @@
    * @param believedLoad the engine's load as it was believed at the choice
    * @param loadAgeMs how old that belief was
    * @param eventMs how long an event takes at the engine, as its streams here showed it
+   * @param waitedMs how long the request waited here for room at engines
    */
   record Served(
       long routesVersion,
@@ -23,6 +24,7 @@
       double believedLoad,
       long loadAgeMs,
       double eventMs,
+      long waitedMs,
       long firstMs,
       long totalMs,
       long lastEvent) {}
@@ -56,6 +58,8 @@
         String.format(Locale.ROOT, "%.1f", how.eventMs()),
         "sends",
         budget.sends(),
+        "waited_ms",
+        how.waitedMs(),
         "first_ms",
         how.firstMs(),
         "total_ms",
@@ -64,7 +68,7 @@
         how.lastEvent());
   }
 
-  void refused(String reason) {
+  void refused(String reason, long waitedMs) {
     EVENTS.log(
         EventCode.REQUEST_REFUSED,
         "request",
@@ -74,7 +78,9 @@
         "reason",
         reason,
         "sends",
-        budget.sends());
+        budget.sends(),
+        "waited_ms",
+        waitedMs);
   }
 
   /**
