Gateways of a zone tell each other their calls under way

Cause: a gateway knew its own calls at an engine and the engine's last report, heard every 1 to 3 s and forgotten with a half-life of 250 ms. In crests the choice of an engine was near chance.

Change: package io.pathdeck.fleet.load. One UDP datagram holds all of a gateway's calls under way; starts are told at once within a budget of about 200 datagrams received a second, ends at intervals of 50 ms or more. Counts of a silent peer lapse after 250 ms (up to 10 active peers). EngineState counts own calls, peers' calls, and what the newest report showed beyond both. It acts only where engines tell their pace, or with `share_load: true`; before that there is no socket and no datagram, and never with TLS. Gateways name `listen` as their peer address once the socket is open.

Stores tell nothing yet.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -2,6 +2,8 @@
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import java.nio.charset.StandardCharsets;
+import net.openhft.hashing.LongHashFunction;
 
 /** What this process knows of one life of an engine; confined to one thread. */
 public final class EngineState {
@@ -19,12 +21,15 @@
   private static final double WAIT_HALF_LIFE_MS = 400;
 
   private final long reportHalfLifeMs;
+  private final long lifeHash;
   private EngineInstance instance;
   private int inFlight;
   private double recentWaitMs;
   private long waitNotedAtMs;
   private long unreadPromptTokens;
+  private int peerCalls;
   private int othersAtReport;
+  private boolean tellsPace;
   private long reportedAtMs = Long.MIN_VALUE / 2;
   private int failures;
   private long ejectedUntilMs;
@@ -36,6 +41,8 @@
   EngineState(EngineInstance instance, long reportHalfLifeMs) {
     this.instance = instance;
     this.reportHalfLifeMs = reportHalfLifeMs;
+    byte[] lifeId = instance.lifeId().getBytes(StandardCharsets.UTF_8);
+    this.lifeHash = LongHashFunction.xx3().hashBytes(lifeId);
   }
 
   void update(EngineInstance newer) {
@@ -47,6 +54,11 @@
     return instance;
   }
 
+  /** Names this life of the engine in a few bytes, alike in all processes. */
+  public long lifeHash() {
+    return lifeHash;
+  }
+
   /** The calls of this process that are under way. */
   public int inFlight() {
     return inFlight;
@@ -106,8 +118,20 @@
 
   /** The engine told its load. */
   public void onLoad(EngineLoadReport report, long nowMs) {
-    othersAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
+    int known = inFlight + peerCalls;
+    othersAtReport = Math.max(0, report.running() + report.waiting() - known);
     reportedAtMs = nowMs;
+    tellsPace |= report.tellsPace();
+  }
+
+  /** Other processes have told how many calls of theirs are under way here. */
+  public void onPeerCalls(int calls) {
+    peerCalls = calls;
+  }
+
+  /** Whether the engine says how long work takes there: it shares its machine with others. */
+  public boolean tellsPace() {
+    return tellsPace;
   }
 
   /** A call failed for a reason that speaks against the engine. */
@@ -142,11 +166,14 @@
     return gone || instance.draining() || nowMs < endedUntilMs;
   }
 
-  /** The requests on the engine: this process's own and, as far as known, those of others. */
+  /**
+   * The requests on the engine: this process's own, those that peers tell, and those of others that
+   * the newest report showed beyond these.
+   */
   public double estimatedLoad(long nowMs) {
     double age = nowMs - reportedAtMs;
     double weight = Math.pow(0.5, age / reportHalfLifeMs);
-    return inFlight + othersAtReport * weight;
+    return inFlight + peerCalls + othersAtReport * weight;
   }
 
   /** How old the engine's newest report of its load is; -1 when there is none. */
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -58,6 +58,16 @@
     }
   }
 
+  /** Whether an engine says how long work takes there. */
+  public boolean anyTellsPace() {
+    for (EngineState engine : engines.values()) {
+      if (engine.tellsPace()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** All engines. */
   public Collection<EngineState> all() {
     return engines.values();
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -60,6 +60,8 @@
   private final TrafficSplit split = new TrafficSplit();
   private CallerKeys keys = CallerKeys.NONE;
   private long keysVersion = RouteTable.NO_VERSION;
+  private Runnable regularCheck = () -> {};
+  private Runnable callStarted = () -> {};
 
   /**
    * Creates a gateway.
@@ -102,6 +104,21 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /** The engines and what this gateway knows of them; to be used on the event loop only. */
+  EngineTable engines() {
+    return shared.engines();
+  }
+
+  /** Calls {@code check} on the event loop with each check of engines for silence. */
+  void onRegularCheck(Runnable check) {
+    regularCheck = check;
+  }
+
+  /** Calls {@code heard} on the event loop when a request was given to an engine. */
+  void onCallStarted(Runnable heard) {
+    callStarted = heard;
+  }
+
   /** Follows what is known of the fleet. */
   void onChange(FleetView changed) {
     if (changed.engines() != null) {
@@ -119,6 +136,7 @@
   }
 
   private void checkSilence() {
+    regularCheck.run();
     long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     for (RequestForwarder forwarder : new ArrayList<>(shared.active())) {
       forwarder.checkSilence(nowMs);
@@ -250,6 +268,7 @@
         new RequestForwarder.Permission(caller.toEngines(), () -> isStillAllowed(request, caller));
     new RequestForwarder(shared, exchange, request, route, service, version, permission, nowMs)
         .start();
+    callStarted.run();
   }
 
   /** Whether the newest configuration has a route for the request and a tenant for its key. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -13,6 +13,8 @@
 import io.pathdeck.fleet.engine.EngineChoice;
 import io.pathdeck.fleet.engine.EngineLiveness;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
+import io.pathdeck.fleet.load.LoadExchange;
+import io.pathdeck.fleet.load.LoadMetrics;
 import io.pathdeck.fleet.member.CoordinatorContacts;
 import io.pathdeck.fleet.member.FleetFollower;
 import io.pathdeck.fleet.member.FleetView;
@@ -41,6 +43,7 @@
   private final CoordinatorContacts contacts;
   private final FleetFollower follower;
   private final Gateway gateway;
+  private final LoadExchange loads;
   private final HttpServer callers;
   private final AtomicBoolean stopping = new AtomicBoolean();
 
@@ -76,6 +79,12 @@
             watch,
             new EngineChoice(fleet.zone(), life),
             metrics);
+    LoadMetrics loadMetrics = new LoadMetrics();
+    loads = resources.push(exchange(eventLoop, life, loadMetrics));
+    if (!fleet.tls().isEnabled()) {
+      gateway.onRegularCheck(loads::openIfNeeded);
+      gateway.onCallStarted(loads::onCallStarted);
+    }
     follower.onChange(view -> onChange(view, watch));
     callers =
         resources.push(
@@ -98,10 +107,23 @@
             address ->
                 resources.push(
                     new MetricsEndpoint(
-                        address, eventLoops, registry -> bind(registry, metrics), this::isReady)));
+                        address,
+                        eventLoops,
+                        registry -> bind(registry, metrics, loadMetrics),
+                        this::isReady)));
     resources.push(follower);
   }
 
+  private LoadExchange exchange(EventLoop eventLoop, long life, LoadMetrics metrics) {
+    FleetSettings fleet = settings.fleet();
+    return new LoadExchange(
+        eventLoop,
+        new LoadExchange.Self(fleet.name(), life, fleet.zone(), fleet.listen()),
+        gateway.engines(),
+        metrics,
+        settings.shareLoad());
+  }
+
   private EngineEndWatch watch(EventLoop eventLoop) {
     EngineEndReporter reporter =
         new EngineEndReporter(eventLoop, contacts.client(), follower::reportNow);
@@ -115,13 +137,15 @@
   private void onChange(FleetView view, EngineEndWatch watch) {
     watch.follow(view.quarantine());
     gateway.onChange(view);
+    loads.onChange(view);
     if (view.routes() != null) {
       callers.setLimits(settings.limitsUnder(view.routes().limits()));
     }
   }
 
-  private void bind(MeterRegistry registry, RequestMetrics metrics) {
+  private void bind(MeterRegistry registry, RequestMetrics metrics, LoadMetrics loadMetrics) {
     metrics.bindTo(registry);
+    loadMetrics.bindTo(registry);
     FleetMetrics.bindView(registry, follower);
   }
 
@@ -148,7 +172,7 @@
         settings.fleet().zone(),
         0,
         life,
-        "",
+        loads.address(),
         settings.callersListen().toString(),
         isReady(),
         FleetProcess.NO_GROUP);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
@@ -15,6 +15,8 @@
  * @param readinessListen where its readiness is asked
  * @param drainMs how long a planned stop may take
  * @param minDrainMs how long a planned stop serves on at least, until callers have heard of it
+ * @param shareLoad whether calls under way are told to the zone's gateways also when no engine says
+ *     that it shares its machine
  */
 public record GatewaySettings(
     FleetSettings fleet,
@@ -22,7 +24,8 @@
     HostPort readinessListen,
     HttpLimits limits,
     int drainMs,
-    int minDrainMs) {
+    int minDrainMs,
+    boolean shareLoad) {
 
   /** The limits of the settings, each replaced where a configuration states one. */
   HttpLimits limitsUnder(CallerLimits stated) {
@@ -52,7 +55,11 @@
             reader.address("readiness_listen"),
             limits,
             reader.integer("drain_timeout_ms", 7_400, 100, 600_000),
-            reader.integer("drain_min_ms", 3_000, 0, 600_000));
+            reader.integer("drain_min_ms", 3_000, 0, 600_000),
+            reader.bool("share_load", false));
+    if (settings.shareLoad() && settings.fleet().tls().isEnabled()) {
+      reader.problem("share_load", "must be false with TLS, which does not cover datagrams");
+    }
     return reader.finish(settings);
   }
 }
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/load/LoadExchange.java
@@ -0,0 +1,253 @@
+package io.pathdeck.fleet.load;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.SocketProtocolFamily;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.FleetRole;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Tells the other gateways of the zone this one's calls under way, and notes theirs in the table of
+ * engines; confined to the event loop.
+ *
+ * <p>It opens its socket when {@link #openIfNeeded} finds a reason, and from then on names its
+ * address; before, it costs nothing. Only gateways that name an address are told.
+ */
+public final class LoadExchange implements AutoCloseable {
+  private static final EventLog EVENTS = EventLog.of(LoadExchange.class);
+  private static final long OPEN_RETRY_MS = 5_000;
+
+  /**
+   * Who takes part.
+   *
+   * @param life tells the lives of the process apart
+   * @param listen where its datagrams arrive
+   */
+  public record Self(String name, long life, String zone, HostPort listen) {}
+
+  private final EventLoop eventLoop;
+  private final Self self;
+  private final EngineTable engines;
+  private final LoadMetrics metrics;
+  private final boolean always;
+  private final PeerLoads peers = new PeerLoads();
+  private final SendPace pace = new SendPace();
+  private Map<Long, InetSocketAddress> receivers = Map.of();
+  private volatile Channel channel;
+  private long sequence;
+  private long nextOpenMs = Long.MIN_VALUE;
+  private boolean failureTold;
+  private boolean closed;
+
+  /**
+   * Creates an exchange without a socket.
+   *
+   * @param always whether counts are shared also when no engine tells its pace
+   */
+  public LoadExchange(
+      EventLoop eventLoop, Self self, EngineTable engines, LoadMetrics metrics, boolean always) {
+    this.eventLoop = eventLoop;
+    this.self = self;
+    this.engines = engines;
+    this.metrics = metrics;
+    this.always = always;
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  private static long hash(String name) {
+    return LongHashFunction.xx3().hashBytes(name.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Where others reach this process; empty while no socket is open. Thread-safe. */
+  public String address() {
+    return channel == null ? "" : self.listen().toString();
+  }
+
+  /** Begins when engines share their machines, as far as they tell, or the settings ask for it. */
+  public void openIfNeeded() {
+    boolean open = channel != null || closed;
+    if (open || !(always || engines.anyTellsPace())) {
+      return;
+    }
+    long nowMs = nowMs();
+    if (nowMs >= nextOpenMs) {
+      nextOpenMs = nowMs + OPEN_RETRY_MS;
+      bind();
+    }
+  }
+
+  private void bind() {
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(eventLoop)
+            .channelFactory(() -> new NioDatagramChannel(SocketProtocolFamily.INET))
+            .handler(new Receiver());
+    bootstrap
+        .bind(self.listen().toSocketAddress())
+        .addListener((ChannelFuture bound) -> onBound(bound));
+  }
+
+  private void onBound(ChannelFuture bound) {
+    if (!bound.isSuccess()) {
+      tellFailure(bound.cause());
+    } else if (closed) {
+      bound.channel().close();
+    } else {
+      channel = bound.channel();
+      failureTold = false;
+      EVENTS.log(EventCode.LOAD_SHARING_STARTED, "listen", self.listen());
+      tick();
+    }
+  }
+
+  /** One line for a run of failures: requests are served without the peers' counts. */
+  private void tellFailure(Throwable cause) {
+    if (!failureTold) {
+      failureTold = true;
+      EVENTS.log(EventCode.LOAD_SHARING_FAILED, "listen", self.listen(), "reason", cause);
+    }
+  }
+
+  /** Follows which gateways the zone has. */
+  public void onChange(FleetView view) {
+    Set<Long> known = new HashSet<>();
+    Map<Long, InetSocketAddress> reachable = new HashMap<>();
+    for (FleetProcess gateway : view.withRole(FleetRole.GATEWAY)) {
+      boolean peer = gateway.zone().equals(self.zone()) && !gateway.name().equals(self.name());
+      if (!peer) {
+        continue;
+      }
+      long sender = hash(gateway.name());
+      known.add(sender);
+      Optional<HostPort> address = HostPort.parse(gateway.peerAddress());
+      if (gateway.ready() && address.isPresent()) {
+        reachable.put(sender, address.get().toSocketAddress());
+      }
+    }
+    peers.setKnown(known);
+    receivers = Map.copyOf(reachable);
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    long nowMs = nowMs();
+    Set<Long> active = peers.active(nowMs);
+    peers.expire(nowMs);
+    OwnCalls.notePeers(engines, peers);
+    Map<Long, Integer> calls = OwnCalls.of(engines);
+    tell(pace.onInterval(calls, active.size(), nowMs), calls, active);
+    boolean idle = calls.isEmpty() && active.isEmpty();
+    long waitMs = idle ? SendPace.IDLE_INTERVAL_MS : SendPace.intervalMs(active.size());
+    eventLoop.schedule(this::tick, waitMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** A call of this process has just begun. */
+  public void onCallStarted() {
+    if (channel == null) {
+      return;
+    }
+    long nowMs = nowMs();
+    Set<Long> active = peers.active(nowMs);
+    Map<Long, Integer> calls = OwnCalls.of(engines);
+    tell(pace.onStart(calls, active.size(), nowMs), calls, active);
+  }
+
+  private void tell(SendPace.Receivers whom, Map<Long, Integer> calls, Set<Long> active) {
+    if (whom == SendPace.Receivers.NONE) {
+      return;
+    }
+    int holdMs = SendPace.holdMs(active.size());
+    byte[] bytes =
+        new LoadDatagram(hash(self.name()), self.life(), ++sequence, holdMs, calls).encode();
+    receivers.forEach(
+        (peer, address) -> {
+          if (whom == SendPace.Receivers.ALL || active.contains(peer)) {
+            send(bytes, address);
+          }
+        });
+    channel.flush();
+  }
+
+  private void send(byte[] bytes, InetSocketAddress address) {
+    if (!channel.isWritable()) {
+      metrics.onDropped();
+      return;
+    }
+    channel
+        .write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address))
+        .addListener((ChannelFuture written) -> onWritten(written));
+  }
+
+  private void onWritten(ChannelFuture written) {
+    if (written.isSuccess()) {
+      metrics.onSent();
+    } else {
+      metrics.onDropped();
+    }
+  }
+
+  @Override
+  public void close() {
+    eventLoop.execute(this::closeNow);
+  }
+
+  private void closeNow() {
+    closed = true;
+    Channel open = channel;
+    channel = null;
+    if (open != null) {
+      open.close();
+      EVENTS.log(EventCode.LOAD_SHARING_STOPPED, "listen", self.listen());
+    }
+  }
+
+  /** Takes the peers' datagrams. */
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      Optional<LoadDatagram> datagram = LoadDatagram.decode(packet.content().nioBuffer());
+      if (datagram.isPresent() && peers.accept(datagram.get(), nowMs())) {
+        metrics.onReceived();
+      } else {
+        metrics.onDropped();
+      }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+      OwnCalls.notePeers(engines, peers);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      metrics.onDropped();
+      tellFailure(cause);
+    }
+  }
+}
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLoadEstimate.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLoadEstimate.java
@@ -5,6 +5,9 @@
 import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 
 class TestEngineLoadEstimate {
@@ -33,4 +36,46 @@
     engine.onLoad(new EngineLoadReport(5, 0, 6), REPORTED_MS);
     assertThat(engine.estimatedLoad(REPORTED_MS + HALF_LIFE_MS)).isEqualTo(1 + 2);
   }
+
+  @Test
+  void callsThatPeersTellCountWholeAndAreNotCountedTwice() {
+    engine.onStart(REPORTED_MS);
+    engine.onPeerCalls(2);
+    engine.onLoad(new EngineLoadReport(4, 1, 6), REPORTED_MS);
+    assertThat(engine.estimatedLoad(REPORTED_MS)).isEqualTo(5);
+    assertThat(engine.estimatedLoad(REPORTED_MS + HALF_LIFE_MS)).isEqualTo(1 + 2 + 1);
+    engine.onPeerCalls(0);
+    assertThat(engine.estimatedLoad(REPORTED_MS + HALF_LIFE_MS)).isEqualTo(1 + 1);
+  }
+
+  @Test
+  void peersThatTellMoreThanTheReportShowsTakeNothingFromOwnCalls() {
+    engine.onStart(REPORTED_MS);
+    engine.onPeerCalls(5);
+    engine.onLoad(new EngineLoadReport(3, 0, 6), REPORTED_MS);
+    assertThat(engine.estimatedLoad(REPORTED_MS)).isEqualTo(6);
+  }
+
+  @Property(tries = 200)
+  void withoutPeersTheEstimateIsOwnCallsAndTheAgeingRest(
+      @ForAll @IntRange(max = 20) int own,
+      @ForAll @IntRange(max = 40) int reported,
+      @ForAll @IntRange(max = 5_000) int ageMs) {
+    EngineState alone = engine();
+    for (int i = 0; i < own; i++) {
+      alone.onStart(REPORTED_MS);
+    }
+    alone.onLoad(new EngineLoadReport(reported, 0, 6), REPORTED_MS);
+    double weight = Math.pow(0.5, (double) ageMs / HALF_LIFE_MS);
+    assertThat(alone.estimatedLoad(REPORTED_MS + ageMs))
+        .isEqualTo(own + Math.max(0, reported - own) * weight);
+  }
+
+  @Test
+  void anEngineThatToldItsPaceOnceTellsIt() {
+    assertThat(engine.tellsPace()).isFalse();
+    engine.onLoad(new EngineLoadReport(1, 0, 6, 0, true), REPORTED_MS);
+    engine.onLoad(new EngineLoadReport(1, 0, 6), REPORTED_MS);
+    assertThat(engine.tellsPace()).isTrue();
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestGatewaySettings.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestGatewaySettings.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.pathdeck.common.result.Result;
+import io.pathdeck.common.settings.SettingsError;
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.serving.http.HttpLimits;
@@ -24,7 +26,11 @@
       """;
 
   private static GatewaySettings settings() {
-    return GatewaySettings.read(SettingsReader.parse("test", YAML, Map.of()).value()).value();
+    return read(YAML).value();
+  }
+
+  private static Result<GatewaySettings, SettingsError> read(String yaml) {
+    return GatewaySettings.read(SettingsReader.parse("test", yaml, Map.of()).value());
   }
 
   @Test
@@ -37,4 +43,15 @@
   void limitsThatAConfigurationDoesNotStateStay() {
     assertThat(settings().limitsUnder(CallerLimits.NONE)).isEqualTo(settings().limits());
   }
+
+  @Test
+  void loadIsSharedUnaskedOnlyWhereEnginesSayThatTheyShareMachines() {
+    assertThat(settings().shareLoad()).isFalse();
+    assertThat(read(YAML + "share_load: true\n").value().shareLoad()).isTrue();
+  }
+
+  @Test
+  void aSwitchThatIsNoBooleanIsRefused() {
+    assertThat(read(YAML + "share_load: often\n").isOk()).isFalse();
+  }
 }
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/load/LoadSimulation.java
@@ -0,0 +1,229 @@
+package io.pathdeck.fleet.load;
+
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.fleet.engine.Prompt;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** Gateways that choose engines in crests of load, in steps of time, without a network. */
+final class LoadSimulation {
+  private static final int ENGINES = 20;
+  private static final int SLOTS = 8;
+  private static final long REPORT_HALF_LIFE_MS = 250;
+  private static final long LENGTH_MS = 24_000;
+  private static final long DEATH_MS = 10_400;
+  private static final long CREST_PERIOD_MS = 3_000;
+  private static final long CREST_MS = 1_500;
+  private static final double CREST_PER_MS = 0.205;
+  private static final double TROUGH_PER_MS = 0.06;
+  private static final long MIN_RUN_MS = 300;
+  private static final long MAX_RUN_MS = 1_100;
+  private static final long NETWORK_MS = 1;
+
+  /**
+   * What varies.
+   *
+   * @param lossShare the share of datagrams that are lost
+   * @param oneDies whether a gateway ends in a crest without a word
+   */
+  record Conditions(int gateways, boolean shared, double lossShare, boolean oneDies, long seed) {}
+
+  /**
+   * What happened: the requests of crests, those of them that found all places taken, and how many
+   * datagrams a gateway received in a second.
+   */
+  record Outcome(int requests, int foundFull, double receivedPerS) {
+    double share() {
+      return (double) foundFull / requests;
+    }
+  }
+
+  private record Event(long atMs, Runnable action) {}
+
+  private static final class Engine {
+    final EngineInstance instance;
+    final Deque<Runnable> waiting = new ArrayDeque<>();
+    int running;
+
+    Engine(int number) {
+      instance = new EngineInstance("e" + number, "s", "h:" + number, "z", SLOTS, false);
+    }
+
+    void arrive(Runnable begin) {
+      if (running < SLOTS) {
+        running++;
+        begin.run();
+      } else {
+        waiting.add(begin);
+      }
+    }
+
+    void leave() {
+      if (waiting.isEmpty()) {
+        running--;
+      } else {
+        waiting.remove().run();
+      }
+    }
+
+    EngineLoadReport report() {
+      return new EngineLoadReport(running, waiting.size(), SLOTS);
+    }
+  }
+
+  private final class Gateway {
+    final long id;
+    final EngineTable table = new EngineTable(REPORT_HALF_LIFE_MS);
+    final EngineChoice choice;
+    final PeerLoads peers = new PeerLoads();
+    final SendPace pace = new SendPace();
+    long sequence;
+    boolean dead;
+
+    Gateway(int number) {
+      id = number;
+      choice = new EngineChoice("z", random.nextLong());
+      Map<String, EngineInstance> listed = new HashMap<>();
+      engines.values().forEach(engine -> listed.put(engine.instance.id(), engine.instance));
+      table.update(listed);
+    }
+
+    void request(boolean counts) {
+      List<EngineState> usable = table.usable("s", Set.of(), nowMs);
+      EngineState chosen = choice.choose(usable, Prompt.UNKNOWN, nowMs).orElseThrow().engine();
+      chosen.onStart(nowMs);
+      if (conditions.shared()) {
+        Map<Long, Integer> calls = OwnCalls.of(table);
+        tell(pace.onStart(calls, peers.active(nowMs).size(), nowMs), calls);
+      }
+      long sentMs = nowMs;
+      Engine engine = engines.get(chosen.instance().id());
+      in(NETWORK_MS, () -> arrive(engine, chosen, sentMs, counts));
+    }
+
+    private void arrive(Engine engine, EngineState chosen, long sentMs, boolean counts) {
+      requests += counts ? 1 : 0;
+      foundFull += counts && engine.running == SLOTS ? 1 : 0;
+      engine.arrive(() -> begin(engine, chosen, sentMs));
+    }
+
+    private void begin(Engine engine, EngineState chosen, long sentMs) {
+      EngineLoadReport report = engine.report();
+      in(
+          NETWORK_MS,
+          () -> {
+            chosen.onFirstBytes(nowMs - sentMs, nowMs);
+            chosen.onLoad(report, nowMs);
+          });
+      long runMs = random.nextLong(MIN_RUN_MS, MAX_RUN_MS);
+      in(runMs, engine::leave);
+      in(runMs + NETWORK_MS, chosen::onEnd);
+    }
+
+    void tick() {
+      if (dead) {
+        return;
+      }
+      peers.expire(nowMs);
+      OwnCalls.notePeers(table, peers);
+      int active = peers.active(nowMs).size();
+      Map<Long, Integer> calls = OwnCalls.of(table);
+      tell(pace.onInterval(calls, active, nowMs), calls);
+      in(SendPace.intervalMs(active), this::tick);
+    }
+
+    private void tell(SendPace.Receivers whom, Map<Long, Integer> calls) {
+      if (whom == SendPace.Receivers.NONE) {
+        return;
+      }
+      int holdMs = SendPace.holdMs(peers.active(nowMs).size());
+      byte[] bytes = new LoadDatagram(id, 1, ++sequence, holdMs, calls).encode();
+      for (Gateway peer : gateways) {
+        if (peer != this && random.nextDouble() >= conditions.lossShare()) {
+          datagrams++;
+          in(NETWORK_MS, () -> peer.hear(bytes));
+        }
+      }
+    }
+
+    private void hear(byte[] bytes) {
+      LoadDatagram.decode(ByteBuffer.wrap(bytes)).ifPresent(told -> peers.accept(told, nowMs));
+      OwnCalls.notePeers(table, peers);
+    }
+  }
+
+  private final Conditions conditions;
+  private final SplittableRandom random;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atMs));
+  private final Map<String, Engine> engines = new HashMap<>();
+  private final List<Gateway> gateways = new ArrayList<>();
+  private long nowMs;
+  private int requests;
+  private int foundFull;
+  private int datagrams;
+
+  private LoadSimulation(Conditions conditions) {
+    this.conditions = conditions;
+    this.random = new SplittableRandom(conditions.seed());
+    for (int i = 0; i < ENGINES; i++) {
+      Engine engine = new Engine(i);
+      engines.put(engine.instance.id(), engine);
+    }
+    Set<Long> ids = new HashSet<>();
+    for (int i = 0; i < conditions.gateways(); i++) {
+      gateways.add(new Gateway(i));
+      ids.add((long) i);
+    }
+    gateways.forEach(gateway -> gateway.peers.setKnown(ids));
+  }
+
+  /** Plays all crests. */
+  static Outcome play(Conditions conditions) {
+    return new LoadSimulation(conditions).play();
+  }
+
+  private void in(long delayMs, Runnable action) {
+    events.add(new Event(nowMs + delayMs, action));
+  }
+
+  private Outcome play() {
+    if (conditions.shared()) {
+      gateways.forEach(gateway -> in(random.nextLong(50), gateway::tick));
+    }
+    for (nowMs = 0; nowMs < LENGTH_MS; nowMs++) {
+      while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
+        events.remove().action().run();
+      }
+      if (conditions.oneDies() && nowMs == DEATH_MS) {
+        gateways.get(0).dead = true;
+      }
+      boolean crest = nowMs % CREST_PERIOD_MS < CREST_MS;
+      if (random.nextDouble() < (crest ? CREST_PER_MS : TROUGH_PER_MS)) {
+        anyGateway().request(crest);
+      }
+    }
+    double seconds = LENGTH_MS / 1_000.0;
+    double receivedPerS = datagrams / seconds / gateways.size();
+    return new Outcome(requests, foundFull, receivedPerS);
+  }
+
+  private Gateway anyGateway() {
+    List<Gateway> alive = gateways.stream().filter(gateway -> !gateway.dead).toList();
+    return alive.get(random.nextInt(alive.size()));
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/load/TestSharedLoad.java
@@ -0,0 +1,37 @@
+package io.pathdeck.fleet.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.fleet.load.LoadSimulation.Conditions;
+import io.pathdeck.fleet.load.LoadSimulation.Outcome;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** In crests, callers wait where a full engine is chosen while another has room. */
+class TestSharedLoad {
+  private static final int SEEDS = 5;
+
+  /** The sum over some seeds. */
+  private static Outcome play(int gateways, boolean shared, double lossShare, boolean oneDies) {
+    int requests = 0;
+    int foundFull = 0;
+    double receivedPerS = 0;
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      Outcome outcome =
+          LoadSimulation.play(new Conditions(gateways, shared, lossShare, oneDies, seed));
+      requests += outcome.requests();
+      foundFull += outcome.foundFull();
+      receivedPerS = Math.max(receivedPerS, outcome.receivedPerS());
+    }
+    return new Outcome(requests, foundFull, receivedPerS);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"4, 0, false", "4, 0.05, true", "12, 0, false", "12, 0.05, true", "40, 0.05, true"})
+  void sharedCountsFindRoomInCrests(int gateways, double lossShare, boolean oneDies) {
+    Outcome alone = play(gateways, false, 0, oneDies);
+    Outcome shared = play(gateways, true, lossShare, oneDies);
+    assertThat(shared.share()).isLessThan(alone.share() / 2);
+    assertThat(shared.receivedPerS()).isLessThanOrEqualTo(200);
+  }
+}
