--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import io.pathdeck.fleet.adapter.CallerCall;
 import io.pathdeck.fleet.adapter.CallerProtocol;
 import io.pathdeck.fleet.engine.EngineChoice;
+import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.TrafficSplit;
@@ -55,6 +56,8 @@
   private CallerKeys keys = CallerKeys.NONE;
   private long keysVersion = RouteTable.NO_VERSION;
   private boolean callersCompete;
+  private Runnable regularCheck = () -> {};
+  private Runnable callStarted = () -> {};
 
   /**
    * Creates a gateway.
@@ -106,12 +109,27 @@
       EventLoop eventLoop, EngineTable engines, QueueMetrics queueMetrics) {
     return new RequestDispatcher(
         engines,
-        new RequestDispatcher.Switch(() -> callersCompete, engine -> false),
+        new RequestDispatcher.Switch(() -> callersCompete, EngineState::tellsPace),
         (delayMs, action) -> eventLoop.schedule(action, delayMs, TimeUnit.MILLISECONDS),
         () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
         queueMetrics);
   }
 
+  /** The engines and what this gateway knows of them; to be used on the event loop only. */
+  EngineTable engines() {
+    return shared.engines();
+  }
+
+  /** Calls {@code check} on the event loop with each check of engines for silence. */
+  void onRegularCheck(Runnable check) {
+    regularCheck = check;
+  }
+
+  /** Calls {@code heard} on the event loop when a request was given to an engine. */
+  void onCallStarted(Runnable heard) {
+    callStarted = heard;
+  }
+
   /** Follows what is known of the fleet. */
   void onChange(FleetView changed) {
     if (changed.engines() != null) {
@@ -130,6 +148,7 @@
   }
 
   private void checkSilence() {
+    regularCheck.run();
     long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     for (RequestForwarder forwarder : new ArrayList<>(shared.active())) {
       forwarder.checkSilence(nowMs);
@@ -261,6 +280,7 @@
         new RequestPermission(caller, () -> isStillAllowed(request, caller));
     new RequestForwarder(shared, exchange, request, route, service, version, permission, nowMs)
         .start();
+    callStarted.run();
   }
 
   /** Whether the newest configuration has a route for the request and a tenant for its key. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
@@ -17,6 +17,8 @@
  * @param drainMs how long a planned stop may take
  * @param minDrainMs how long a planned stop serves on at least, until callers have heard of it
  * @param cores processor time that the gateway may use, in cores; 0 when not told
+ * @param shareLoad whether calls under way are told to the zone's gateways also when no engine says
+ *     that it shares its machine
  */
 public record GatewaySettings(
     FleetSettings fleet,
@@ -25,7 +27,8 @@
     HttpLimits limits,
     int drainMs,
     int minDrainMs,
-    double cores) {
+    double cores,
+    boolean shareLoad) {
   private static final double MAX_CORES = 1_024;
 
   /** The limits of the settings, each replaced where a configuration states one. */
@@ -58,7 +61,11 @@
             reader.integer("drain_timeout_ms", 7_400, 100, 600_000),
             reader.integer("drain_min_ms", 3_000, 0, 600_000),
             reader.decimal(
-                "cores", FleetProcess.CORES_UNKNOWN, FleetProcess.CORES_UNKNOWN, MAX_CORES));
+                "cores", FleetProcess.CORES_UNKNOWN, FleetProcess.CORES_UNKNOWN, MAX_CORES),
+            reader.bool("share_load", false));
+    if (settings.shareLoad() && settings.fleet().tls().isEnabled()) {
+      reader.problem("share_load", "must be false with TLS, which does not cover datagrams");
+    }
     return reader.finish(settings);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
@@ -252,7 +252,7 @@
     long nowMs = clockMs.getAsLong();
     return new EngineRoom(
         engine.instance().slots(),
-        engine.inFlight(),
+        engine.inFlight() + engine.peerCalls(),
         engine.estimatedLoad(nowMs),
         engine.loadAgeMs(nowMs));
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/queue/EngineRoom.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/queue/EngineRoom.java
@@ -4,11 +4,11 @@
  * What is known of the room at an engine.
  *
  * @param slots requests that it runs at once; 0 when not known
- * @param ownLoad requests of this process on it
+ * @param toldLoad requests on it of this process and of peers that tell theirs
  * @param load requests on it, as far as known
  * @param loadAgeMs how old the engine's own word on its load is; negative when there is none
  */
-public record EngineRoom(int slots, int ownLoad, double load, long loadAgeMs) {
+public record EngineRoom(int slots, int toldLoad, double load, long loadAgeMs) {
   /**
    * How long an engine's word holds. A place is held for some hundred milliseconds, so most of the
    * requests that were told are still there.
@@ -17,9 +17,9 @@
 
   /** Whether the load can be relied on. */
   private boolean isKnown() {
-    boolean fullOfOwn = ownLoad > slots;
+    boolean fullOfTold = toldLoad > slots;
     boolean fresh = loadAgeMs >= 0 && loadAgeMs <= FRESH_MS;
-    return slots > 0 && (fullOfOwn || fresh);
+    return slots > 0 && (fullOfTold || fresh);
   }
 
   /**
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestGatewaySettings.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestGatewaySettings.java
@@ -61,4 +61,15 @@
   void limitsThatAConfigurationDoesNotStateStay() {
     assertThat(settings().limitsUnder(CallerLimits.NONE)).isEqualTo(settings().limits());
   }
+
+  @Test
+  void loadIsSharedUnaskedOnlyWhereEnginesSayThatTheyShareMachines() {
+    assertThat(settings().shareLoad()).isFalse();
+    assertThat(read("share_load: true\n").value().shareLoad()).isTrue();
+  }
+
+  @Test
+  void aSwitchThatIsNoBooleanIsRefused() {
+    assertThat(read("share_load: often\n").isOk()).isFalse();
+  }
 }
