Slack of batch items is a class of its own

Change: ItemSlack (run times, slack by engine, order of starts, whether a move helps) and ItemStart left it; nothing acts differently.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -33,7 +33,6 @@
 import io.pathdeck.protocol.message.ProposeReply;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -65,9 +64,6 @@
    */
   private static final long QUARANTINE_PAUSE_MS = 2_000;
 
-  /** What an item needs to spare to be moved: the pause after a stop and a step or two. */
-  private static final long MOVE_SLACK_MS = 2 * YIELD_PAUSE_MS;
-
   private static final int MAX_DOUBLINGS = 10;
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
@@ -81,14 +77,6 @@
    */
   private static final int MOST_UNPLACED = 8;
 
-  /** What became of an item that was to start. */
-  private enum Start {
-    STARTED,
-    /** The engines with room are too slow for the item; others may start there. */
-    NO_ENGINE_IN_TIME,
-    NO_ROOM
-  }
-
   private final GroupRuntime group;
   private final BatchStateMachine state;
   private final ControllerClock clock;
@@ -100,7 +88,7 @@
   private final BatchWindow window = new BatchWindow();
   private final EngineTable engines = new EngineTable(REPORT_HALF_LIFE_MS);
   private final TrafficSplit split = new TrafficSplit();
-  private final RunTimeEstimate runTimes = new RunTimeEstimate();
+  private final ItemSlack slack;
   private final ItemRuns runs = new ItemRuns();
   private FleetView view = FleetView.UNKNOWN;
   private long term;
@@ -121,6 +109,7 @@
       Executor consensus) {
     this.group = group;
     this.state = state;
+    this.slack = new ItemSlack(state::timeMs);
     this.clock = clock;
     this.eventLoop = eventLoop;
     EngineLiveness liveness = new EngineLiveness(eventLoop, transport, protocol);
@@ -193,31 +182,13 @@
     }
   }
 
-  /** For how long an item can wait and still be done when it is due. */
-  private long slackMs(ItemRun run, long nowMs) {
-    return slackMs(run, run.relativePace(), nowMs);
-  }
-
-  /** The same on an engine where work takes {@code relativePace} times as long as usual. */
-  private long slackMs(ItemRun run, double relativePace, long nowMs) {
-    long usualMs = runTimes.remainingMs(run.item.outputTokens(), run.ranMs(nowMs));
-    return run.dueMs() - state.timeMs() - Math.round(usualMs * relativePace);
-  }
-
-  /** Urgent items first, overdue ones last; among equals the one with the least slack. */
-  private static Comparator<ItemRun> startOrder(ToLongFunction<ItemRun> slack) {
-    return Comparator.<ItemRun, ItemUrgency>comparing(run -> ItemUrgency.of(slack.applyAsLong(run)))
-        .thenComparingLong(slack);
-  }
-
   /** Stops items of an engine on which requests wait, those that would start last first. */
   private void yieldItems(EngineState engine, EngineLoadReport load, int count) {
     long nowMs = clock.monotonicMs();
-    ToLongFunction<ItemRun> slack = run -> slackMs(run, nowMs);
     runs.all().stream()
         .filter(run -> run.isRunning() && run.engine() == engine)
-        .filter(run -> window.mayYield(ItemUrgency.of(slack.applyAsLong(run)), load))
-        .sorted(startOrder(slack).reversed())
+        .filter(run -> window.mayYield(slack.urgency(run, nowMs), load))
+        .sorted(slack.startOrder(nowMs).reversed())
         .limit(count)
         .map(ItemRun::stream)
         .toList()
@@ -347,7 +318,7 @@
         waiting.add(run);
       }
     }
-    waiting.sort(startOrder(run -> slackMs(run, nowMs)));
+    waiting.sort(slack.startOrder(nowMs));
     Set<String> fullServices = new HashSet<>();
     int unplaced = 0;
     Map<String, ServicePace> paces = new HashMap<>();
@@ -361,9 +332,9 @@
         continue;
       }
       ServicePace pace = paces.computeIfAbsent(service, name -> engines.pace(name, nowMs));
-      Start start = startItem(run, service, pace, nowMs);
-      unplaced += start == Start.NO_ENGINE_IN_TIME ? 1 : 0;
-      if (start == Start.NO_ROOM || unplaced > MOST_UNPLACED) {
+      ItemStart start = startItem(run, service, pace, nowMs);
+      unplaced += start == ItemStart.NO_ENGINE_IN_TIME ? 1 : 0;
+      if (start == ItemStart.NO_ROOM || unplaced > MOST_UNPLACED) {
         fullServices.add(service);
       }
     }
@@ -380,25 +351,25 @@
   }
 
   /** Starts an item where it is best placed. */
-  private Start startItem(ItemRun run, String service, ServicePace pace, long nowMs) {
-    ItemUrgency urgency = ItemUrgency.of(slackMs(run, nowMs));
+  private ItemStart startItem(ItemRun run, String service, ServicePace pace, long nowMs) {
+    ItemUrgency urgency = slack.urgency(run, nowMs);
     List<EngineState> open = open(service, pace, urgency, nowMs);
     if (open.isEmpty()) {
-      return Start.NO_ROOM;
+      return ItemStart.NO_ROOM;
     }
-    ToLongFunction<EngineState> slackAt = engine -> slackMs(run, pace.relative(engine), nowMs);
+    ToLongFunction<EngineState> slackAt = engine -> slack.ofMs(run, pace.relative(engine), nowMs);
     List<EngineState> preferred = ItemPlacement.among(open, pace, urgency, slackAt);
     Optional<Placement> chosen = choice.choose(preferred, pace, Prompt.UNKNOWN, nowMs);
     if (chosen.isEmpty()) {
-      return Start.NO_ENGINE_IN_TIME;
+      return ItemStart.NO_ENGINE_IN_TIME;
     }
     EngineState engine = chosen.get().engine();
     startOn(run, engine, pace.relative(engine), nowMs);
-    return Start.STARTED;
+    return ItemStart.STARTED;
   }
 
   private void startOn(ItemRun run, EngineState engine, double relativePace, long nowMs) {
-    long slackMs = slackMs(run, relativePace, nowMs);
+    long slackMs = slack.ofMs(run, relativePace, nowMs);
     long ofTerm = term;
     ItemStream[] started = new ItemStream[1];
     ItemStream stream =
@@ -419,7 +390,7 @@
    */
   private void moveFromSlowEngine(long nowMs) {
     for (ItemRun run : runs.all()) {
-      if (run.isRunning() && wouldBeInTimeElsewhere(run, nowMs) && mayLeave(run, nowMs)) {
+      if (run.isRunning() && slack.isInTimeElsewhere(run, nowMs) && mayLeave(run, nowMs)) {
         ItemStream stream = run.stream();
         eventLoop.execute(stream::leaveEngine);
         return;
@@ -427,10 +398,6 @@
     }
   }
 
-  private boolean wouldBeInTimeElsewhere(ItemRun run, long nowMs) {
-    return slackMs(run, nowMs) < 0 && slackMs(run, 1, nowMs) >= MOVE_SLACK_MS;
-  }
-
   private boolean mayLeave(ItemRun run, long nowMs) {
     String service = run.engine().instance().service();
     ServicePace pace = engines.pace(service, nowMs);
@@ -510,9 +477,7 @@
   }
 
   private void onWhole(ItemRun run, long nowMs) {
-    if (run.beganAtFirstEvent()) {
-      runTimes.onWhole(run.item.outputTokens(), run.ranMs(nowMs));
-    }
+    slack.onWhole(run, nowMs);
     list(run, run.decideWhole(), "whole");
   }
 
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
@@ -0,0 +1,67 @@
+package io.pathdeck.fleet.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.SubmitBatch;
+import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.state.BatchStateMachine;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** An item of 1,000 tokens that is due 18 s after it came and runs 3.4 s on a usual engine. */
+class TestItemSlack {
+  private static final long TARGET_MS = 18_000;
+  private static final long OUTPUT_TOKENS = 1_000;
+  private static final int WHOLE_ITEMS = 400;
+  private static final double SLOW = 2.7;
+
+  private final BatchStateMachine machine = new BatchStateMachine();
+  private final BatchItem item = new BatchItem("i", "/p", Map.of(), new byte[0], 100, 1_000);
+  private long logTimeMs;
+  private final ItemSlack slack = new ItemSlack(() -> logTimeMs);
+
+  TestItemSlack() {
+    SubmitBatch job = new SubmitBatch("j", "", "r", "h", List.of(item), 3, TARGET_MS, 60_000, 0);
+    machine.apply(new CommandEnvelope("", 0, 1, job));
+    logTimeMs = run().job.submittedAtMs();
+    for (int i = 0; i < WHOLE_ITEMS; i++) {
+      ItemRun whole = run();
+      whole.onStart(new ItemStream(-1, outcome -> {}), engine(), SLOW, 0);
+      slack.onWhole(whole, Math.round(3_400 * SLOW));
+    }
+  }
+
+  private ItemRun run() {
+    return new ItemRun(machine.job("j").orElseThrow(), item, 0, 1);
+  }
+
+  private static EngineState engine() {
+    EngineTable table = new EngineTable(500);
+    table.update(Map.of("e", new EngineInstance("e", "s", "h:1", "z", 8, false)));
+    return table.find("e");
+  }
+
+  @Test
+  void runTimesAreLearntAsOnAUsualEngine() {
+    assertThat(item.outputTokens()).isEqualTo(OUTPUT_TOKENS);
+    assertThat(slack.ofMs(run(), 0)).isBetween(14_590L, 14_610L);
+    assertThat(slack.ofMs(run(), SLOW, 0)).isBetween(8_810L, 8_830L);
+  }
+
+  @Test
+  void itemThatTurnsOutTooLateWhereItRunsIsInTimeElsewhere() {
+    ItemRun run = run();
+    run.onStart(new ItemStream(-1, outcome -> {}), engine(), 1, 0);
+    logTimeMs += TARGET_MS - 6_000;
+    assertThat(slack.isInTimeElsewhere(run, 0)).as("not known to be slow").isFalse();
+    run.onPace(SLOW);
+    assertThat(slack.isInTimeElsewhere(run, 0)).isTrue();
+    logTimeMs += 2_500;
+    assertThat(slack.isInTimeElsewhere(run, 0)).as("too late for a move").isFalse();
+  }
+}
