A repetition of last-known knowledge is small, and a file that lacks a list is not told

Cause: found by reading the change: each repetition, many a second, carried the list of processes and the requests in quarantine; a file that decodes but lacks a list would have ended the start of the coordinator. Change: repetitions carry neither; such a file counts as none. Tested: TestLastKnownAnswers (9), TestLastKnownFleet (5), TestViewFreshness (8): passed.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownAnswers.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownAnswers.java
@@ -1,10 +1,14 @@
 package io.pathdeck.fleet.coordinator;
 
+import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.ProcessListDelta;
+import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
 import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -41,30 +45,39 @@
 
   /** The list of engines with a sequence, by which processes that know it can be told apart. */
   private static FleetUpdate counted(FleetUpdate update) {
-    return withLists(update, update.routes(), engines(update, true));
+    return copy(
+        update,
+        update.routes(),
+        engines(true, update.engines().changed()),
+        update.processes(),
+        update.quarantine());
   }
 
-  private static EngineListDelta engines(FleetUpdate update, boolean full) {
+  private static EngineListDelta engines(boolean full, List<EngineInstance> changed) {
     return new EngineListDelta(
         FleetUpdate.NO_LEADERS_EPOCH,
         full,
-        full ? update.engines().changed() : new ArrayList<>(),
+        changed,
         new ArrayList<>(),
         FleetUpdate.NO_LEADERS_SEQUENCE);
   }
 
-  private static FleetUpdate withLists(
-      FleetUpdate update, RouteTable routes, EngineListDelta engines) {
+  private static FleetUpdate copy(
+      FleetUpdate update,
+      RouteTable routes,
+      EngineListDelta engines,
+      ProcessListDelta processes,
+      QuarantineList quarantine) {
     return new FleetUpdate(
         routes,
         engines,
-        update.processes(),
+        processes,
         update.jobsFounders(),
         update.jobsGroups(),
         update.assignedGroup(),
         update.leavingMembers(),
         update.contendedTenants(),
-        update.quarantine());
+        quarantine);
   }
 
   /**
@@ -83,8 +96,12 @@
     return heartbeat.routeVersion() >= known.routes().version();
   }
 
+  /** The lists are left out: a repetition goes to each process many times in a second. */
   private static FleetUpdate repetition(FleetUpdate known) {
-    return withLists(known, null, engines(known, false));
+    ProcessListDelta noProcesses =
+        new ProcessListDelta(
+            FleetUpdate.NO_LEADERS_EPOCH, false, new ArrayList<>(), new ArrayList<>(), 0);
+    return copy(known, null, engines(false, new ArrayList<>()), noProcesses, null);
   }
 
   /** What a leader that has not read the list of engines tells of it; null for nothing. */
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -118,12 +118,18 @@
       byte[] bytes = Base64.getDecoder().decode(text);
       Result<FleetUpdate, ObjectCodec.CodecError> decoded =
           ObjectCodec.decode(bytes, FleetUpdate.class);
-      return decoded.isOk() ? Optional.of(decoded.value()) : Optional.empty();
+      return decoded.isOk()
+          ? Optional.of(decoded.value()).filter(LastKnownFleet::isWhole)
+          : Optional.empty();
     } catch (IllegalArgumentException e) {
       return Optional.empty();
     }
   }
 
+  private static boolean isWhole(FleetUpdate update) {
+    return update.routes() != null && update.engines() != null && update.processes() != null;
+  }
+
   @Override
   public void close() {
     closed = true;
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownAnswers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownAnswers.java
@@ -71,6 +71,9 @@
     assertThat(told.routes()).isNull();
     assertThat(told.engines().full()).isFalse();
     assertThat(told.engines().changed()).isEmpty();
+    assertThat(told.processes().full()).isFalse();
+    assertThat(told.processes().changed()).isEmpty();
+    assertThat(told.quarantine()).isNull();
   }
 
   @Test
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -4,6 +4,7 @@
 
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.codec.ObjectCodec;
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.FleetProcess;
@@ -14,6 +15,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -91,4 +93,24 @@
       assertThat(new LastKnownFleet(folder()).atStart()).isEmpty();
     }
   }
+
+  @Test
+  void fileThatLacksAListCountsAsNone() throws IOException, InterruptedException {
+    write(view());
+    FleetUpdate whole = new LastKnownFleet(folder()).atStart().orElseThrow();
+    FleetUpdate withoutEngines =
+        new FleetUpdate(
+            whole.routes(),
+            null,
+            whole.processes(),
+            List.of(),
+            List.of(),
+            0,
+            List.of(),
+            List.of(),
+            null);
+    byte[] encoded = ObjectCodec.encode(withoutEngines);
+    Files.writeString(path.resolve(FILE), Base64.getEncoder().encodeToString(encoded));
+    assertThat(new LastKnownFleet(folder()).atStart()).isEmpty();
+  }
 }
