--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineLoadReport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineLoadReport.java
@@ -27,4 +27,9 @@
   public EngineLoadReport(int running, int waiting, int slots) {
     this(running, waiting, slots, EngineInstance.BORN_UNKNOWN);
   }
+
+  /** Whether the engine says how long work takes there now: it shares its machine with others. */
+  public boolean tellsPace() {
+    return paceInHundredths != PACE_UNKNOWN;
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -121,7 +121,7 @@
     int known = inFlight + peerCalls;
     othersAtReport = Math.max(0, report.running() + report.waiting() - known);
     reportedAtMs = nowMs;
-    if (report.paceInHundredths() != EngineLoadReport.PACE_UNKNOWN) {
+    if (report.tellsPace()) {
       pace.onTold(report.paceInHundredths(), nowMs);
     }
   }
