Items that a new leader takes over count what is recorded of them, and start by and by

Slack was reckoned as if an item that a leader takes over had all of its output left: one with 106 of about 137 events recorded and 8 s left counted as urgent, so it took the larger share and did not yield. Change: events that were recorded before count as the time that events take (learnt from running items, a token's time at first), and a new leader's share grows over 4 s. Ruled out: requests waiting at gateways (median 0 ms), gateways' processors (each served 110 to 168 requests in 3.5 s). Tests: TestItemSlack, TestRunTimeEstimate, TestBatchWindow have the cases; the five test classes of items pass.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -269,7 +269,7 @@
   }
 
   private void learnPace(ItemRun run, long nowMs) {
-    run.tellPace(nowMs);
+    slack.onEvents(run, nowMs);
     EngineState engine = run.engine();
     run.onPace(engines.pace(engine.instance().service(), nowMs).relative(engine));
   }
@@ -344,9 +344,11 @@
   private List<EngineState> open(
       String service, ServicePace pace, ItemUrgency urgency, long nowMs) {
     int groups = Math.max(1, view.jobsFounders().size());
+    long leadingForMs = nowMs - leadsSinceMs;
+    double share = window.shareAfter(leadingForMs) / groups;
     return engines.usable(service, Set.of(), nowMs).stream()
-        .filter(engine -> window.knowsLoad(engine, nowMs - leadsSinceMs, nowMs))
-        .filter(engine -> window.hasRoom(engine, pace.isSlow(engine), urgency, groups, nowMs))
+        .filter(engine -> window.knowsLoad(engine, leadingForMs, nowMs))
+        .filter(engine -> window.hasRoom(engine, pace.isSlow(engine), urgency, share, nowMs))
         .toList();
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
@@ -33,17 +33,29 @@
   /** How long a new leader waits for reports, which it asks for every 300 ms. */
   private static final long FIRST_REPORT_WAIT_MS = 1_500;
 
+  /** The callers whom a loss of power turned away have come back by then. */
+  private static final long RAMP_MS = 4_000;
+
+  /**
+   * The part of its share that a leader's items take after it has led for {@code leadingForMs}. A
+   * new leader has all unfinished items to start at once and finds engines that look free; after a
+   * loss of power all callers come back in the same seconds.
+   */
+  double shareAfter(long leadingForMs) {
+    return Math.min(1, leadingForMs / (double) RAMP_MS);
+  }
+
   /**
    * Whether another item may start on the engine.
    *
    * @param slow whether the engine takes so long that online requests avoid it
-   * @param groups how many groups of batch jobs share the engines, each by its own count
+   * @param part the part of the items' share that this process may take, up to 1
    */
-  boolean hasRoom(EngineState engine, boolean slow, ItemUrgency urgency, int groups, long nowMs) {
+  boolean hasRoom(EngineState engine, boolean slow, ItemUrgency urgency, double part, long nowMs) {
     int slots = engine.instance().slots() > 0 ? engine.instance().slots() : DEFAULT_SLOTS;
     double usualShare = slow ? SLOW_ENGINE_SHARE : USUAL_SHARE;
     double share = urgency == ItemUrgency.URGENT ? URGENT_SHARE : usualShare;
-    boolean withinShare = engine.inFlight() < Math.max(1, slots * share / groups);
+    boolean withinShare = engine.inFlight() < Math.max(1, slots * share * part);
     return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - FREE_SHARE);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -22,6 +22,7 @@
   private final long knownSinceMs;
   private final long leastAgeWhenKnownMs;
   private final boolean beganAtFirstEvent;
+  private final long eventsBefore;
   private String unrecordedText = "";
   private long recordedEvent;
   private long lastEvent;
@@ -57,6 +58,7 @@
     this.recordedEvent = job.progress(item.id()).lastEvent();
     this.lastEvent = recordedEvent;
     this.beganAtFirstEvent = recordedEvent == BatchProgress.NO_EVENT;
+    this.eventsBefore = recordedEvent - BatchProgress.NO_EVENT;
   }
 
   /** When the item is due, in the time of the log. */
@@ -120,18 +122,35 @@
     }
   }
 
+  /** Hears in which time a usual engine would have brought events. */
+  interface EventTimeListener {
+    void onEvents(long events, long usualMs);
+  }
+
+  /**
+   * The events that were recorded before this store knew the item as leader. Without them an item
+   * that is nearly whole would look as if all of it were left, and urgent, after each change of the
+   * leader.
+   */
+  long eventsBefore() {
+    return eventsBefore;
+  }
+
   /**
-   * Tells the engine's pace the events since the last time. The first events of a send only begin a
-   * span, because the item waited and its prompt was read before them.
+   * Tells the engine's pace and {@code eventTimes} the events since the last time. The first events
+   * of a send only begin a span, because the item waited and its prompt was read before them.
    */
-  void tellPace(long nowMs) {
+  void tellPace(long nowMs, EventTimeListener eventTimes) {
     if (engine == null || lastEvent <= pacedEvent) {
       return;
     }
     if (pacedMs <= startedMs) {
       tellMomentaryPace();
     } else {
-      engine.pace().onStream(lastEvent - pacedEvent, nowMs - pacedMs, nowMs);
+      long events = lastEvent - pacedEvent;
+      long spanMs = nowMs - pacedMs;
+      engine.pace().onStream(events, spanMs, nowMs);
+      eventTimes.onEvents(events, Math.round(spanMs / relativePace));
     }
     pacedEvent = lastEvent;
     pacedMs = nowMs;
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
@@ -23,6 +23,13 @@
     }
   }
 
+  /**
+   * An item that runs has brought more events: they tell its engine's pace and how long they take.
+   */
+  void onEvents(ItemRun run, long nowMs) {
+    run.tellPace(nowMs, runTimes::onEvents);
+  }
+
   /** The slack of an item where it runs, or on a usual engine. */
   long ofMs(ItemRun run, long nowMs) {
     return ofMs(run, run.relativePace(), nowMs);
@@ -30,7 +37,8 @@
 
   /** The slack on an engine where work takes {@code relativePace} times as long as usual. */
   long ofMs(ItemRun run, double relativePace, long nowMs) {
-    long usualMs = runTimes.remainingMs(run.item.outputTokens(), run.ranMs(nowMs));
+    long ranMs = runTimes.ofEventsMs(run.eventsBefore()) + run.ranMs(nowMs);
+    long usualMs = runTimes.remainingMs(run.item.outputTokens(), ranMs);
     return run.dueMs() - logTimeMs.getAsLong() - Math.round(usualMs * relativePace);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RunTimeEstimate.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RunTimeEstimate.java
@@ -9,7 +9,14 @@
   private static final double NEW_WEIGHT = 0.05;
   private static final long DEFAULT_MS = 5_000;
 
+  /** An event carries one token at least. */
+  private static final double FIRST_MS_PER_EVENT = FIRST_MS_PER_TOKEN;
+
+  /** Some events a look, so that a few looks at a few items tell. */
+  private static final double NEW_EVENTS_WEIGHT = 0.2;
+
   private double msPerToken = FIRST_MS_PER_TOKEN;
+  private double msPerEvent = FIRST_MS_PER_EVENT;
 
   /**
    * An item with this output became whole after it had run for {@code ranMs} in all, counted as on
@@ -21,6 +28,18 @@
     }
   }
 
+  /** A running item brought {@code events} over {@code spanMs}, counted as on a usual engine. */
+  void onEvents(long events, long spanMs) {
+    if (events > 0 && spanMs > 0) {
+      msPerEvent += (spanMs / (double) events - msPerEvent) * NEW_EVENTS_WEIGHT;
+    }
+  }
+
+  /** How long an item ran on a usual engine for these events. */
+  long ofEventsMs(long events) {
+    return Math.round(events * msPerEvent);
+  }
+
   /** How much longer an item with this output runs on a usual engine after {@code ranMs}. */
   long remainingMs(long outputTokens, long ranMs) {
     long wholeMs = outputTokens > 0 ? Math.round(outputTokens * msPerToken) : DEFAULT_MS;
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchWindow.java
@@ -112,4 +112,18 @@
   private boolean mayYield(long slackMs, int waiting) {
     return window.mayYield(ItemUrgency.of(slackMs), new EngineLoadReport(12, waiting, 12));
   }
+
+  /**
+   * All unfinished items of a new leader wait at once, and after a loss of power all callers do.
+   */
+  @Test
+  void newLeaderStartsItemsByAndBy() {
+    assertThat(window.shareAfter(0)).isZero();
+    assertThat(window.shareAfter(2_000)).isEqualTo(0.5);
+    assertThat(window.shareAfter(60_000)).isEqualTo(1);
+    engine.onStart(NOW_MS);
+    assertThat(window.hasRoom(engine, false, ItemUrgency.PATIENT, 0.1, NOW_MS)).isFalse();
+    engine.onEnd();
+    assertThat(window.hasRoom(engine, false, ItemUrgency.PATIENT, 0, NOW_MS)).isTrue();
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -95,11 +95,11 @@
     ItemRun run = run();
     run.onStart(new ItemStream(-1, outcome -> {}), engine, 1, 1_000);
     run.keep(new ItemEvents(-1, 9, "first"));
-    run.tellPace(1_700);
+    run.tellPace(1_700, (events, usualMs) -> {});
     assertThat(engine.pace().msPerEvent()).as("it may have waited").isZero();
     run.keep(new ItemEvents(9, 19, "next"));
-    run.tellPace(2_400);
-    run.tellPace(9_000);
+    run.tellPace(2_400, (events, usualMs) -> {});
+    run.tellPace(9_000, (events, usualMs) -> {});
     assertThat(engine.pace().msPerEvent()).isEqualTo(70);
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
@@ -5,8 +5,10 @@
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.List;
@@ -64,4 +66,26 @@
     logTimeMs += 2_500;
     assertThat(slack.isInTimeElsewhere(run, 0)).as("too late for a move").isFalse();
   }
+
+  @Test
+  void itemThatIsNearlyWholeWhenALeaderTakesItOverCanWait() {
+    BatchProgress progress = new BatchProgress("j", "i", -1, 99, "recorded");
+    machine.apply(new CommandEnvelope("", 0, 2, new RecordBatchProgress(List.of(progress))));
+    logTimeMs += TARGET_MS - 5_000;
+    for (int i = 0; i < 30; i++) {
+      teachEventTime();
+    }
+    assertThat(slack.ofMs(run(), 0)).as("600 of 3,400 ms are left").isBetween(4_300L, 4_500L);
+    assertThat(slack.urgency(run(), 0)).isEqualTo(ItemUrgency.PATIENT);
+  }
+
+  /** 25 events in 700 ms. */
+  private void teachEventTime() {
+    ItemRun other = run();
+    other.onStart(new ItemStream(99, outcome -> {}), engine(), 1, 0);
+    other.keep(new ItemEvents(99, 100, "first"));
+    slack.onEvents(other, 100);
+    other.keep(new ItemEvents(100, 125, "more"));
+    slack.onEvents(other, 800);
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestRunTimeEstimate.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestRunTimeEstimate.java
@@ -34,4 +34,14 @@
     assertThat(estimate.remainingMs(1_000, 0)).isEqualTo(before);
     assertThat(estimate.remainingMs(0, 0)).isPositive();
   }
+
+  @Test
+  void eventsCountAsTheTimeThatTheyTook() {
+    assertThat(estimate.ofEventsMs(100)).as("a token each at least").isEqualTo(400);
+    for (int i = 0; i < 30; i++) {
+      estimate.onEvents(25, 700);
+    }
+    estimate.onEvents(0, 700);
+    assertThat(estimate.ofEventsMs(100)).isBetween(2_780L, 2_800L);
+  }
 }
