Frames between processes may be compressed

Cause: bytes between zones cost, and bodies, events and results of batch items are most of what the processes of a fleet send each other; an update of the fleet with nothing new is a tenth (model in TypicalTraffic, table in docs/design/bytes-between-zones.md).

Change: a frame carries a flag that its content is deflated (level 1, each frame for itself). compress_peer_frames_from_bytes, read by all roles, says from which size a sender does so; the default 0 sends the same bytes as before. Every process understands compressed frames whatever its setting. The restored length is bounded and checked; strange bytes are counted as frame-rejected, now at clients too, and close the connection. A sample spares long bodies that do not get smaller. No template sets it.

Not measured: a deployment with the setting on.

--- a/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
@@ -3,6 +3,7 @@
 import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.common.settings.TlsSettings;
+import io.pathdeck.protocol.transport.FrameCompression;
 import java.util.List;
 import java.util.Optional;
 
@@ -14,6 +15,7 @@
  * @param seeds coordinators as they stood when the settings were written
  * @param toleratedLosses how many machines with data may be lost at once
  * @param limitWindowMs the span over which tenants' limits on requests hold
+ * @param peerCompression which frames to other processes are compressed
  * @param metricsListen where the process serves its metrics; empty when it does not
  */
 public record FleetSettings(
@@ -23,9 +25,11 @@
     List<HostPort> seeds,
     int toleratedLosses,
     long limitWindowMs,
+    FrameCompression peerCompression,
     Optional<HostPort> metricsListen,
     TlsSettings tls) {
   private static final int MAX_TOLERATED = 4;
+  private static final int MAX_COMPRESS_FROM_BYTES = 1024 * 1024;
   private static final int MAX_PORT = 65_535;
   private static final double DEFAULT_LIMIT_WINDOW_S = 5;
   private static final double MIN_LIMIT_WINDOW_S = 0.5;
@@ -47,6 +51,7 @@
             seeds,
             reader.integer("tolerated_losses", 1, 0, MAX_TOLERATED),
             limitWindowMs(reader),
+            peerCompression(reader),
             reader.has("metrics_listen")
                 ? Optional.of(reader.address("metrics_listen"))
                 : Optional.empty(),
@@ -67,6 +72,11 @@
     return Math.round(seconds * MILLIS_PER_SECOND);
   }
 
+  private static FrameCompression peerCompression(SettingsReader reader) {
+    return new FrameCompression(
+        reader.integer("compress_peer_frames_from_bytes", 0, 0, MAX_COMPRESS_FROM_BYTES));
+  }
+
   /** The addresses of the seeds. */
   public List<String> seedAddresses() {
     return seeds.stream().map(HostPort::toString).toList();
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -91,7 +91,7 @@
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
     EventLoop eventLoop = eventLoops.next();
-    PeerPool pool = resources.push(new PeerPool(eventLoops, tls));
+    PeerPool pool = resources.push(new PeerPool(eventLoops, tls, fleet.peerCompression()));
     Set<String> contacts = new HashSet<>(founders.value());
     contacts.addAll(fleet.seedAddresses());
     contacts.forEach(address -> pool.learn(MemberIds.of(address), address));
@@ -187,6 +187,7 @@
             fleet.listen(),
             eventLoops,
             tls,
+            fleet.peerCompression(),
             (message, reply) -> route(message, reply, host, membership[0])));
     resources.push(host);
     host.start(membership[0]);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -54,7 +54,7 @@
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
     EventLoop eventLoop = eventLoops.next();
-    PeerPool pool = resources.push(new PeerPool(eventLoops, tls));
+    PeerPool pool = resources.push(new PeerPool(eventLoops, tls, fleet.peerCompression()));
     long life = System.nanoTime();
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
     TenantLimiter limiter =
--- a/fleet/src/main/java/io/pathdeck/fleet/member/PeerPool.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/PeerPool.java
@@ -4,6 +4,7 @@
 import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.control.PeerLink;
 import io.pathdeck.control.PeerLinks;
+import io.pathdeck.protocol.transport.FrameCompression;
 import io.pathdeck.protocol.transport.PeerClient;
 import io.pathdeck.protocol.transport.TransportTls;
 import java.util.Map;
@@ -14,13 +15,15 @@
 public final class PeerPool implements PeerLinks, AutoCloseable {
   private final EventLoopGroup eventLoops;
   private final TransportTls tls;
+  private final FrameCompression compression;
   private final Map<String, PeerClient> clients = new ConcurrentHashMap<>();
   private final Map<Integer, String> addresses = new ConcurrentHashMap<>();
 
   /** An empty pool. */
-  public PeerPool(EventLoopGroup eventLoops, TransportTls tls) {
+  public PeerPool(EventLoopGroup eventLoops, TransportTls tls, FrameCompression compression) {
     this.eventLoops = eventLoops;
     this.tls = tls;
+    this.compression = compression;
   }
 
   @Override
@@ -53,7 +56,8 @@
     return HostPort.parse(address)
         .map(
             parsed ->
-                clients.computeIfAbsent(address, key -> new PeerClient(parsed, eventLoops, tls)));
+                clients.computeIfAbsent(
+                    address, key -> new PeerClient(parsed, eventLoops, tls, compression)));
   }
 
   /** How many one-way messages were dropped for want of a connection or of room in it. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -84,7 +84,7 @@
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
     eventLoop = eventLoops.next();
-    pool = resources.push(new PeerPool(eventLoops, tls));
+    pool = resources.push(new PeerPool(eventLoops, tls, fleet.peerCompression()));
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
     follower = contacts.follower(eventLoop, () -> describe(mayFound));
     follower.onChange(this::onChange);
@@ -94,7 +94,8 @@
     if (!recovered.isOk()) {
       return recovered;
     }
-    resources.push(new PeerServer(fleet.listen(), eventLoops, tls, this::route));
+    resources.push(
+        new PeerServer(fleet.listen(), eventLoops, tls, fleet.peerCompression(), this::route));
     MemberMetrics.serve(fleet, eventLoops, follower, this::status, pool, resources);
     resources.push(follower);
     follower.start();
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/FrameCodec.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/FrameCodec.java
@@ -7,24 +7,58 @@
 import io.pathdeck.common.result.Result;
 import io.pathdeck.protocol.codec.ObjectCodec;
 import io.pathdeck.protocol.message.Message;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 
-/** Turns the content of a length-prefixed frame into a {@link Frame} and back. */
+/**
+ * Turns the content of a length-prefixed frame into a {@link Frame} and back.
+ *
+ * <p>A flag beside the frame's kind tells that the body is compressed. It begins then with the
+ * length that it has when restored, which is bounded like that of every other frame.
+ */
 final class FrameCodec extends ByteToMessageCodec<Frame> {
   /** The largest frame accepted. */
   static final int MAX_FRAME_LENGTH = 16 * 1024 * 1024;
 
   private static final int HEADER_LENGTH = 1 + 1 + Long.BYTES;
+  private static final int MAX_BODY_LENGTH = MAX_FRAME_LENGTH - HEADER_LENGTH;
+  private static final int COMPRESSED_FLAG = 0x40;
   private static final Frame.Kind[] KINDS = Frame.Kind.values();
 
+  private final FrameCompression compression;
+
+  FrameCodec(FrameCompression compression) {
+    this.compression = compression;
+  }
+
   @Override
   protected void encode(ChannelHandlerContext context, Frame frame, ByteBuf out) {
     byte[] body = ObjectCodec.encode(frame.message());
-    out.writeInt(HEADER_LENGTH + body.length);
+    Optional<byte[]> deflated = deflated(body);
+    if (deflated.isEmpty()) {
+      writeHeader(frame, body.length, 0, out);
+      out.writeBytes(body);
+      return;
+    }
+    writeHeader(frame, Integer.BYTES + deflated.get().length, COMPRESSED_FLAG, out);
+    out.writeInt(body.length);
+    out.writeBytes(deflated.get());
+  }
+
+  /** The compressed body, where that is wanted and makes the frame smaller. */
+  private Optional<byte[]> deflated(byte[] body) {
+    return compression.appliesTo(body)
+        ? BodyDeflater.deflate(body, body.length - Integer.BYTES - 1)
+        : Optional.empty();
+  }
+
+  private static void writeHeader(Frame frame, int contentLength, int flags, ByteBuf out) {
+    out.writeInt(HEADER_LENGTH + contentLength);
     out.writeByte(Frame.VERSION);
-    out.writeByte(frame.kind().ordinal());
+    out.writeByte(frame.kind().ordinal() | flags);
     out.writeLong(frame.correlationId());
-    out.writeBytes(body);
   }
 
   @Override
@@ -48,17 +82,35 @@
     if (version != Frame.VERSION) {
       throw new CorruptedFrameException("frame version " + version);
     }
-    int kind = in.readByte();
+    int kindAndFlags = in.readByte();
+    int kind = kindAndFlags & ~COMPRESSED_FLAG;
     if (kind < 0 || kind >= KINDS.length) {
       throw new CorruptedFrameException("frame kind " + kind);
     }
     long correlationId = in.readLong();
-    byte[] body = new byte[length - HEADER_LENGTH];
-    in.readBytes(body);
+    byte[] content = new byte[length - HEADER_LENGTH];
+    in.readBytes(content);
+    byte[] body = (kindAndFlags & COMPRESSED_FLAG) == 0 ? content : inflated(content);
     Result<Message, ObjectCodec.CodecError> message = ObjectCodec.decode(body, Message.class);
     if (!message.isOk()) {
       throw new CorruptedFrameException("frame body: " + message.error().reason());
     }
     return new Frame(KINDS[kind], correlationId, message.value());
   }
+
+  private static byte[] inflated(byte[] content) {
+    if (content.length < Integer.BYTES) {
+      throw new CorruptedFrameException("compressed frame of " + content.length + " bytes");
+    }
+    int length = ByteBuffer.wrap(content).getInt();
+    if (length > MAX_BODY_LENGTH) {
+      throw new CorruptedFrameException("compressed frame of a body of " + length + " bytes");
+    }
+    byte[] deflated = Arrays.copyOfRange(content, Integer.BYTES, content.length);
+    Result<byte[], BodyDeflater.InflateError> body = BodyDeflater.inflate(deflated, length);
+    if (!body.isOk()) {
+      throw new CorruptedFrameException("compressed frame: " + body.error().reason());
+    }
+    return body.value();
+  }
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
@@ -12,6 +12,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
@@ -67,8 +68,14 @@
 
   private record Pending(CompletableFuture<Result<Message, TransportError>> reply) {}
 
-  /** Prepares a client of {@code address}; it connects with the first message. */
+  /** Prepares a client of {@code address} that compresses no frames. */
   public PeerClient(HostPort address, EventLoopGroup eventLoops, TransportTls tls) {
+    this(address, eventLoops, tls, FrameCompression.OFF);
+  }
+
+  /** Prepares a client of {@code address}; it connects with the first message. */
+  public PeerClient(
+      HostPort address, EventLoopGroup eventLoops, TransportTls tls, FrameCompression compression) {
     this.address = address;
     this.eventLoop = eventLoops.next();
     this.bootstrap =
@@ -91,7 +98,7 @@
                                         ssl.newHandler(
                                             created.alloc(), address.host(), address.port())));
                     created.pipeline().addLast(new FlushConsolidationHandler());
-                    created.pipeline().addLast(new FrameCodec());
+                    created.pipeline().addLast(new FrameCodec(compression));
                     created.pipeline().addLast(new ReplyHandler());
                   }
                 });
@@ -266,7 +273,13 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      EVENTS.log(EventCode.CONNECTION_FAILED, "peer", address, "reason", String.valueOf(cause));
+      boolean strangeBytes = cause instanceof CorruptedFrameException;
+      EVENTS.log(
+          strangeBytes ? EventCode.FRAME_REJECTED : EventCode.CONNECTION_FAILED,
+          "peer",
+          address,
+          "reason",
+          String.valueOf(cause));
       context.close();
     }
   }
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerServer.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerServer.java
@@ -25,13 +25,25 @@
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final MessageHandler handler;
   private final TransportTls tls;
+  private final FrameCompression compression;
   private final Channel channel;
 
-  /** Binds {@code address} and hands every message to {@code handler}. */
+  /** Binds {@code address} and hands every message to {@code handler}; replies are sent plain. */
   public PeerServer(
       HostPort address, EventLoopGroup eventLoops, TransportTls tls, MessageHandler handler) {
+    this(address, eventLoops, tls, FrameCompression.OFF, handler);
+  }
+
+  /** Binds {@code address} and hands every message to {@code handler}. */
+  public PeerServer(
+      HostPort address,
+      EventLoopGroup eventLoops,
+      TransportTls tls,
+      FrameCompression compression,
+      MessageHandler handler) {
     this.handler = handler;
     this.tls = tls;
+    this.compression = compression;
     this.channel =
         new ServerBootstrap()
             .group(eventLoops)
@@ -54,7 +66,7 @@
     protected void initChannel(SocketChannel child) {
       tls.server().ifPresent(ssl -> child.pipeline().addLast(ssl.newHandler(child.alloc())));
       child.pipeline().addLast(new FlushConsolidationHandler());
-      child.pipeline().addLast(new FrameCodec());
+      child.pipeline().addLast(new FrameCodec(compression));
       child.pipeline().addLast(new InboundHandler());
     }
   }
