Bound what a gateway keeps in memory for its callers

Cause: a gateway bounded the request bodies it holds (one upload and eight bodies) and 4 MiB of each stream, but not the sum of streams to slow readers nor answers that are collected whole; and it read an engine's answer as fast as the engine wrote, however slowly the caller took it.

Change: `memory_budget_mb` (gateways; default 0: as before). HeldMemory counts for each connection; MemoryBudget adds up for tenant and process and gives up the largest holding of the tenant that holds most, truthfully: 503 with a time to come back where surely nothing has run, else 502 or a closed connection. With it, reading from an engine pauses (ReadPause) while more than 128 KiB wait for the caller, for 1.5 s at most. TestExchangeHandler: the handler gets what one connection holds of the budget instead of the budget; what is checked is unchanged.

Tested: TestMemoryBudget, TestReadPause, TestPausedReading, TestSlowCallers (loopback: readers that stop, large bodies, collected answers), TestGatewaySettings, TestExchangeHandler, TestServerStop, TestPlatformEndToEnd.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineAnswer.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineAnswer.java
@@ -22,4 +22,12 @@
     EngineLoadReport load,
     long idleTimeoutMs,
     long retryAfterMs,
-    HttpHeaders headers) {}
+    HttpHeaders headers) {
+  private static final int SUCCESS_FROM = 200;
+  private static final int SUCCESS_TO = 300;
+
+  /** Whether the engine did what it was asked for. */
+  public boolean isSuccess() {
+    return status >= SUCCESS_FROM && status < SUCCESS_TO;
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -119,6 +119,14 @@
     owner.keep(this);
   }
 
+  void pauseReading() {
+    context.channel().config().setAutoRead(false);
+  }
+
+  void resumeReading() {
+    context.channel().config().setAutoRead(true);
+  }
+
   void close() {
     closing = true;
     current = null;
@@ -219,6 +227,7 @@
     PendingCall ended = current;
     current = null;
     callsEnded++;
+    resumeReading();
     if (isReusable()) {
       usedBefore = true;
       idleSinceNs = System.nanoTime();
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/PendingCall.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/PendingCall.java
@@ -44,6 +44,20 @@
     }
   }
 
+  @Override
+  public void pauseReading() {
+    if (!over && connection != null) {
+      connection.pauseReading();
+    }
+  }
+
+  @Override
+  public void resumeReading() {
+    if (!over && connection != null) {
+      connection.resumeReading();
+    }
+  }
+
   @Override
   public void cancel() {
     if (!over) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -28,10 +28,12 @@
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.transport.TransportTls;
 import io.pathdeck.serving.http.ApiError;
+import io.pathdeck.serving.http.HeldMemory;
 import io.pathdeck.serving.http.HttpExchange;
 import io.pathdeck.serving.http.HttpServer;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 
 /** A gateway: forwards callers' requests to engines; keeps no durable state. */
 public final class GatewayProcess implements FleetMemberProcess {
@@ -94,6 +96,7 @@
                 eventLoops,
                 settings.limits(),
                 Optional.empty(),
+                memory(settings, metrics.memory()),
                 gateway::handle));
     resources.push(
         new HttpServer(
@@ -115,6 +118,13 @@
     resources.push(follower);
   }
 
+  private static Supplier<HeldMemory> memory(GatewaySettings settings, MemoryMetrics metrics) {
+    if (settings.memoryBudgetMb() == 0) {
+      return HttpServer.bodiesOnly(settings.limits());
+    }
+    return new MemoryBudget(settings.memoryBudgetBytes(), metrics)::open;
+  }
+
   private LoadExchange exchange(EventLoop eventLoop, long life, LoadMetrics metrics) {
     FleetSettings fleet = settings.fleet();
     return new LoadExchange(
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param cores processor time that the gateway may use, in cores; 0 when not told
  * @param shareLoad whether calls under way are told to the zone's gateways also when no engine says
  *     that it shares its machine
+ * @param memoryBudgetMb the most that is kept in memory for callers; 0 bounds request bodies only
  */
 public record GatewaySettings(
     FleetSettings fleet,
@@ -28,8 +29,16 @@
     int drainMs,
     int minDrainMs,
     double cores,
-    boolean shareLoad) {
+    boolean shareLoad,
+    int memoryBudgetMb) {
   private static final double MAX_CORES = 1_024;
+  private static final int MAX_BUDGET_MB = 65_536;
+  private static final long BYTES_PER_MB = 1 << 20;
+
+  /** The most that is kept in memory for callers; 0 bounds request bodies only. */
+  long memoryBudgetBytes() {
+    return memoryBudgetMb * BYTES_PER_MB;
+  }
 
   /** The limits of the settings, each replaced where a configuration states one. */
   HttpLimits limitsUnder(CallerLimits stated) {
@@ -62,10 +71,14 @@
             reader.integer("drain_min_ms", 3_000, 0, 600_000),
             reader.decimal(
                 "cores", FleetProcess.CORES_UNKNOWN, FleetProcess.CORES_UNKNOWN, MAX_CORES),
-            reader.bool("share_load", false));
+            reader.bool("share_load", false),
+            reader.integer("memory_budget_mb", 0, 0, MAX_BUDGET_MB));
     if (settings.shareLoad() && settings.fleet().tls().isEnabled()) {
       reader.problem("share_load", "must be false with TLS, which does not cover datagrams");
     }
+    if (settings.memoryBudgetMb() > 0 && settings.memoryBudgetBytes() < maxBody) {
+      reader.problem("memory_budget_mb", "must hold a body of max_body_bytes, or be 0");
+    }
     return reader.finish(settings);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -16,7 +16,6 @@
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -30,13 +29,16 @@
  * at another engine after the last whole event, when its route allows that.
  */
 final class RequestForwarder implements Dispatchable {
-  private static final int SUCCESS_FROM = 200;
-  private static final int SUCCESS_TO = 300;
   private static final int SERVER_ERROR = 500;
 
   /** For how long coordinators hold a request back after they found that engines end under it. */
   private static final long QUARANTINE_RETRY_AFTER_MS = 600_000;
 
+  private static final String MEMORY_SHORT = "memory for callers is short";
+
+  /** Callers that come back sooner find the memory in use by the same slow ones. */
+  private static final long MEMORY_RETRY_AFTER_MS = 1_000;
+
   private static final long NOT_WAITING = -1;
 
   private final ForwardingContext shared;
@@ -96,6 +98,8 @@
   void start() {
     shared.active().add(this);
     exchange.onVanished(this::onCallerLeft);
+    exchange.memory().belongTo(permission.caller().tenantName(), this::giveUpForMemory);
+    exchange.onPartWritten(() -> isHeldBack(nowMs()));
     long waitMs = Math.max(0, deadlineMs - nowMs());
     timeout = shared.eventLoop().schedule(this::onDeadline, waitMs, TimeUnit.MILLISECONDS);
     sendToNextEngine();
@@ -161,7 +165,10 @@
   }
 
   private void afterFailure(boolean didNotRun, String reason) {
-    attempt = null;
+    if (attempt != null) {
+      attempt.collected.drop();
+      attempt = null;
+    }
     if (didNotRun) {
       budget.onNotRun();
     }
@@ -177,7 +184,7 @@
 
   /** Called regularly: an engine that is silent for too long is given up where that is allowed. */
   void checkSilence(long nowMs) {
-    if (finished || attempt == null) {
+    if (finished || attempt == null || isHeldBack(nowMs)) {
       return;
     }
     long limit = shared.silenceLimit().limitMs(request.promptTokens());
@@ -193,8 +200,37 @@
     }
   }
 
+  /** Whether the answer is not read now since the caller takes it slowly. */
+  private boolean isHeldBack(long nowMs) {
+    boolean paused = attempt != null && attempt.pacing.isPaused();
+    if (paused && attempt.pacing.update(nowMs)) {
+      attempt.lastProgressMs = nowMs;
+    }
+    return paused && attempt.pacing.isPaused();
+  }
+
   // ---- ends
 
+  private void stop(String reason) {
+    cancelAttempt();
+    finishWithoutEngine(reason);
+  }
+
+  /** Frees what the request keeps in memory; returns whether it is rejected as not run. */
+  private boolean giveUpForMemory() {
+    if (finished) {
+      exchange.breakOff();
+      return false;
+    }
+    boolean notRun = !headSent && !budget.mayHaveRun();
+    if (notRun) {
+      refuse(MEMORY_SHORT, MEMORY_RETRY_AFTER_MS);
+    } else {
+      stop(MEMORY_SHORT);
+    }
+    return notRun;
+  }
+
   private void finishWithoutEngine(String reason) {
     if (headSent) {
       log.failed(reason, "after_event", lastEventId);
@@ -278,7 +314,8 @@
   /** One send of the request to one engine. */
   private final class Attempt implements EngineListener {
     private final EngineUse use;
-    private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
+    private final CollectedAnswer collected = new CollectedAnswer(exchange.memory());
+    private final AnswerPacing pacing = new AnswerPacing(exchange, shared.metrics().memory());
     private EngineTransport.Handle handle;
     private EngineAnswer answer;
     private EventScanner scanner;
@@ -311,16 +348,13 @@
               Math.max(1, deadlineMs - lastProgressMs),
               lastEventId);
       handle = shared.transport().start(call, this);
+      pacing.begin(handle);
     }
 
     private boolean isStream() {
       return route.kind() == RouteKind.STREAM;
     }
 
-    private boolean isSuccess() {
-      return answer.status() >= SUCCESS_FROM && answer.status() < SUCCESS_TO;
-    }
-
     private void heard() {
       lastProgressMs = nowMs();
       use.onHeard(lastProgressMs);
@@ -337,7 +371,7 @@
       shared.silenceLimit().onFirstBytes(waitMs);
       shared.dispatcher().onFirstBytes(service, use);
       answer = head;
-      if (isSuccess() && isStream() && !headSent) {
+      if (answer.isSuccess() && isStream() && !headSent) {
         headSent = true;
         firstMs = lastProgressMs - startMs;
         exchange.startStream(head.status(), head.headers());
@@ -350,8 +384,10 @@
         return;
       }
       heard();
-      if (!isSuccess() || !isStream()) {
-        collected.writeBytes(part);
+      if (!answer.isSuccess() || !isStream()) {
+        if (!collected.add(part)) {
+          stop(MEMORY_SHORT);
+        }
         return;
       }
       byte[] events = scanner.feed(part);
@@ -360,10 +396,10 @@
         use.onEvent(lastEventId, lastProgressMs);
         if (!exchange.write(events)) {
           log.callerTooSlow();
-          cancelAttempt();
-          finishWithoutEngine("the caller reads too slowly");
+          stop("the caller reads too slowly");
           return;
         }
+        pacing.update(lastProgressMs);
       }
       if (scanner.problem() != null) {
         giveUp(scanner.problem());
@@ -376,7 +412,7 @@
         return;
       }
       end();
-      if (isSuccess()) {
+      if (answer.isSuccess()) {
         onSuccessEnd();
       } else {
         onRefusalOrError();
@@ -402,16 +438,8 @@
 
     private void logServed() {
       log.served(
-          new RequestLog.Served(
-              routesVersion,
-              engine().instance().id(),
-              use.believedLoad(),
-              use.loadAgeMs(),
-              engine().pace().msPerEvent(),
-              waitedMs,
-              firstMs,
-              nowMs() - startMs,
-              lastEventId));
+          RequestLog.Served.by(
+              use, routesVersion, waitedMs, firstMs, nowMs() - startMs, lastEventId));
     }
 
     private void onRefusalOrError() {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -27,7 +27,27 @@
       long waitedMs,
       long firstMs,
       long totalMs,
-      long lastEvent) {}
+      long lastEvent) {
+    /** Served by the engine of {@code use}. */
+    static Served by(
+        EngineUse use,
+        long routesVersion,
+        long waitedMs,
+        long firstMs,
+        long totalMs,
+        long lastEvent) {
+      return new Served(
+          routesVersion,
+          use.engine().instance().id(),
+          use.believedLoad(),
+          use.loadAgeMs(),
+          use.engine().pace().msPerEvent(),
+          waitedMs,
+          firstMs,
+          totalMs,
+          lastEvent);
+    }
+  }
 
   private final String requestId;
   private final String route;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestMetrics.java
@@ -36,6 +36,7 @@
   private final Map<RouteKind, OfKind> kinds = new EnumMap<>(RouteKind.class);
   private final LongAdder attempts = new LongAdder();
   private final QueueMetrics queue = new QueueMetrics();
+  private final MemoryMetrics memory = new MemoryMetrics();
 
   RequestMetrics() {
     for (RouteKind kind : RouteKind.values()) {
@@ -48,6 +49,11 @@
     return queue;
   }
 
+  /** What is counted of the memory that is kept for callers. */
+  MemoryMetrics memory() {
+    return memory;
+  }
+
   void onAttempt() {
     attempts.increment();
   }
@@ -65,6 +71,7 @@
   void bindTo(MeterRegistry registry) {
     FunctionCounter.builder("pathdeck.attempts", attempts, LongAdder::sum).register(registry);
     queue.bindTo(registry);
+    memory.bindTo(registry);
     kinds.forEach((kind, counts) -> bindKind(registry, kind, counts));
   }
 
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestPausedReading.java
@@ -0,0 +1,125 @@
+package io.pathdeck.fleet.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import io.pathdeck.fleet.adapter.EngineAnswer;
+import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.fleet.adapter.EngineTenant;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A call whose answer is not read for a while, on a connection that is used again. */
+class TestPausedReading {
+  private static final EngineInstance ENGINE = new EngineInstance("e", "s", "h:1", "z", 4, false);
+
+  private final EventLoop eventLoop = new DefaultEventLoop();
+  private final EngineProtocol protocol = new AnyAnswer();
+  private final EngineConnection connection =
+      new EngineConnection(new NettyEngineTransport(eventLoop, protocol), protocol, ENGINE);
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
+  private int ended;
+
+  private static final class AnyAnswer implements EngineProtocol {
+    @Override
+    public FullHttpRequest write(EngineCall call) {
+      return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri());
+    }
+
+    @Override
+    public EngineAnswer read(HttpResponse head) {
+      return new EngineAnswer(
+          head.status().code(), "r", true, false, false, null, 0, 0, new DefaultHttpHeaders());
+    }
+
+    @Override
+    public String reportPath() {
+      return "/load";
+    }
+
+    @Override
+    public Optional<EngineLoadReport> readReport(byte[] body) {
+      return Optional.empty();
+    }
+  }
+
+  private PendingCall send() {
+    EngineCall call =
+        new EngineCall(
+            ENGINE,
+            HttpMethod.GET,
+            "/",
+            "h",
+            "r",
+            new EngineTenant.AsSent(),
+            new DefaultHttpHeaders(),
+            new byte[0],
+            1_000,
+            -1);
+    PendingCall pending = new PendingCall(call, new Counting());
+    connection.send(pending);
+    return pending;
+  }
+
+  private final class Counting implements EngineListener {
+    @Override
+    public void onHead(EngineAnswer answer) {}
+
+    @Override
+    public void onBody(byte[] part) {}
+
+    @Override
+    public void onEnd() {
+      ended++;
+    }
+
+    @Override
+    public void onFailure(EngineFailure failure, String reason) {
+      throw new AssertionError(failure + ": " + reason);
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    channel.finishAndReleaseAll();
+    eventLoop.shutdownGracefully();
+  }
+
+  @Test
+  void readingStopsAndGoesOn() {
+    PendingCall call = send();
+    call.pauseReading();
+    assertThat(channel.config().isAutoRead()).isFalse();
+    call.resumeReading();
+    assertThat(channel.config().isAutoRead()).isTrue();
+  }
+
+  @Test
+  void connectionThatIsKeptAfterAPauseReadsAgain() {
+    PendingCall call = send();
+    call.pauseReading();
+    String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    channel.writeInbound(Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII));
+    assertThat(ended).isEqualTo(1);
+    assertThat(channel.config().isAutoRead()).isTrue();
+    call.pauseReading();
+    assertThat(channel.config().isAutoRead()).as("the call is over").isTrue();
+  }
+}
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestGatewaySettings.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestGatewaySettings.java
@@ -72,4 +72,18 @@
   void aSwitchThatIsNoBooleanIsRefused() {
     assertThat(read("share_load: often\n").isOk()).isFalse();
   }
+
+  @Test
+  void memoryForCallersIsBoundedOnlyWhereSet() {
+    assertThat(settings().memoryBudgetBytes()).isZero();
+    assertThat(read("memory_budget_mb: 48").value().memoryBudgetBytes()).isEqualTo(48L << 20);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"-1", "65537", "much", "3"})
+  void memoryBudgetOutOfBoundsOrBelowOneBodyIsRejectedByName(String value) {
+    Result<GatewaySettings, SettingsError> result = read("memory_budget_mb: " + value);
+    assertThat(result.isOk()).isFalse();
+    assertThat(result.error().problems()).singleElement().asString().contains("memory_budget_mb");
+  }
 }
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestMemoryBudget.java
@@ -0,0 +1,163 @@
+package io.pathdeck.fleet.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.serving.http.HeldMemory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Callers that keep more in a gateway's memory than it may hold. */
+class TestMemoryBudget {
+  private static final long MAX_BYTES = 1_000;
+
+  private final MemoryMetrics metrics = new MemoryMetrics();
+  private final MemoryBudget budget = new MemoryBudget(MAX_BYTES, metrics);
+  private final List<String> givenUp = new ArrayList<>();
+
+  private HeldMemory request(String name, String tenant, boolean notSent) {
+    HeldMemory memory = budget.open();
+    memory.belongTo(
+        tenant,
+        () -> {
+          givenUp.add(name);
+          return notSent;
+        });
+    return memory;
+  }
+
+  private HeldMemory waiting(String name, String tenant, long bytes) {
+    HeldMemory memory = request(name, tenant, true);
+    assertThat(memory.tryHoldBody(bytes)).isTrue();
+    return memory;
+  }
+
+  @Test
+  void allIsKeptUpToTheBound() {
+    waiting("a", "t", 600);
+    waiting("b", "u", 400);
+    assertThat(givenUp).isEmpty();
+    assertThat(budget.heldBytes()).isEqualTo(MAX_BYTES);
+  }
+
+  @Test
+  void largestOfTheTenantThatHoldsMostGoesFirst() {
+    waiting("small", "flood", 200);
+    waiting("large", "flood", 350);
+    waiting("largest of all", "quiet", 400);
+    waiting("new", "quiet", 100);
+    assertThat(givenUp).containsExactly("large");
+    assertThat(budget.heldBytes("quiet")).isEqualTo(500);
+    assertThat(budget.heldBytes()).isEqualTo(700);
+  }
+
+  @Test
+  void floodRejectsItselfAndNobodyElse() {
+    waiting("quiet", "quiet", 100);
+    for (int i = 0; i < 500; i++) {
+      request("flood", "flood", true).tryHoldBody(90);
+    }
+    assertThat(givenUp).doesNotContain("quiet");
+    assertThat(budget.heldBytes()).isBetween(MAX_BYTES - 100, MAX_BYTES);
+    assertThat(metrics.rejected()).isEqualTo(490);
+    assertThat(metrics.brokenOff()).isZero();
+  }
+
+  @Test
+  void askingRequestThatIsTheCostliestIsRefusedAndNotTold() {
+    waiting("a", "t", 300);
+    HeldMemory large = request("large", "u", true);
+    assertThat(large.tryHoldBody(800)).isFalse();
+    assertThat(givenUp).isEmpty();
+    assertThat(budget.heldBytes()).isEqualTo(300);
+    assertThat(metrics.rejected()).isEqualTo(1);
+  }
+
+  @Test
+  void whatMayHaveRunIsBrokenOffAndNotCountedAsRejected() {
+    HeldMemory stream = request("stream", "t", false);
+    assertThat(stream.tryHoldAnswer(900)).isTrue();
+    waiting("a", "u", 200);
+    assertThat(givenUp).containsExactly("stream");
+    assertThat(metrics.brokenOff()).isEqualTo(1);
+    assertThat(metrics.rejected()).isZero();
+  }
+
+  @Test
+  void requestThatCannotBeGivenUpStaysAndCountsOn() {
+    HeldMemory job = waiting("job", "t", 900);
+    job.cannotBeGivenUp();
+    assertThat(request("new", "u", true).tryHoldBody(200)).isFalse();
+    assertThat(job.tryHoldAnswer(200)).isFalse();
+    assertThat(givenUp).isEmpty();
+    assertThat(budget.heldBytes()).isEqualTo(900);
+  }
+
+  @Test
+  void partsThatSlowReadersTakeLaterAreReleasedOnce() {
+    HeldMemory stream = request("stream", "t", false);
+    stream.tryHoldAnswer(900);
+    waiting("a", "u", 200);
+    stream.releaseAnswer(900);
+    assertThat(budget.heldBytes()).isEqualTo(200);
+  }
+
+  @Test
+  void connectionOfARequestThatWasGivenUpHoldsAgainAfterItsEnd() {
+    HeldMemory memory = waiting("first", "t", 900);
+    waiting("other", "u", 200);
+    assertThat(memory.tryHoldAnswer(1)).as("before its end").isFalse();
+    memory.releaseAll();
+    assertThat(memory.tryHoldBody(100)).isTrue();
+    assertThat(budget.heldBytes()).isEqualTo(300);
+    assertThat(budget.heldBytes("")).as("of a tenant not known yet").isEqualTo(100);
+  }
+
+  @Test
+  void ownersMayFreeMoreWhileTheyGiveUp() {
+    HeldMemory second = waiting("second", "t", 300);
+    HeldMemory first = budget.open();
+    first.belongTo(
+        "t",
+        () -> {
+          second.releaseAll();
+          return true;
+        });
+    first.tryHoldBody(500);
+    waiting("new", "u", 300);
+    assertThat(budget.heldBytes()).isEqualTo(300);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void boundHoldsUnderAnyMixOfBodiesAnswersAndEnds(long seed) {
+    Random random = new Random(seed);
+    List<HeldMemory> requests = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      requests.add(request("r" + i, "t" + i % 7, i % 2 == 0));
+    }
+    for (int step = 0; step < 20_000; step++) {
+      int chosen = random.nextInt(requests.size());
+      act(requests.get(chosen), random, chosen);
+      assertThat(budget.heldBytes()).isBetween(0L, MAX_BYTES);
+    }
+    requests.forEach(HeldMemory::releaseAll);
+    assertThat(budget.heldBytes()).isZero();
+    assertThat(metrics.rejected() + metrics.brokenOff()).isPositive();
+  }
+
+  private static void act(HeldMemory memory, Random random, int chosen) {
+    switch (random.nextInt(4)) {
+      case 0 -> memory.tryHoldBody(random.nextInt(300));
+      case 1 -> memory.tryHoldAnswer(random.nextInt(300));
+      case 2 -> memory.releaseAnswer(random.nextInt(300));
+      default -> {
+        memory.releaseAll();
+        memory.belongTo("t" + chosen % 7, () -> chosen % 2 == 0);
+      }
+    }
+  }
+}
--- a/serving/src/main/java/io/pathdeck/serving/http/BodyBudget.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/BodyBudget.java
@@ -26,4 +26,47 @@
   void release(long bytes) {
     held.addAndGet(-bytes);
   }
+
+  /** What one connection holds of the budget; answers do not count. */
+  HeldMemory forConnection() {
+    return new Bodies();
+  }
+
+  private final class Bodies implements HeldMemory {
+    private long reservedBytes;
+
+    @Override
+    public boolean countsAnswers() {
+      return false;
+    }
+
+    @Override
+    public boolean tryHoldBody(long bytes) {
+      boolean reserved = tryReserve(bytes);
+      if (reserved) {
+        reservedBytes += bytes;
+      }
+      return reserved;
+    }
+
+    @Override
+    public boolean tryHoldAnswer(long bytes) {
+      return true;
+    }
+
+    @Override
+    public void releaseAnswer(long bytes) {}
+
+    @Override
+    public void releaseAll() {
+      release(reservedBytes);
+      reservedBytes = 0;
+    }
+
+    @Override
+    public void belongTo(String tenant, Owner owner) {}
+
+    @Override
+    public void cannotBeGivenUp() {}
+  }
 }
--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -27,8 +27,11 @@
   private static final int MAX_PIPELINED_MESSAGES = 64;
   private static final long RETRY_AFTER_MS = 2_000;
 
+  /** Who sends a request is known only when it was read. */
+  private static final String NO_TENANT_YET = "";
+
   private final HttpLimits limits;
-  private final BodyBudget budget;
+  private final HeldMemory memory;
   private final Consumer<HttpExchange> dispatcher;
   private final ArrayDeque<Object> pipelined = new ArrayDeque<>();
   private ChannelHandlerContext context;
@@ -38,11 +41,8 @@
   private ScheduledFuture<?> readTimeout;
   private boolean rejected;
 
-  /** What this connection holds of the budget. */
-  private long reservedBytes;
-
-  ExchangeHandler(HttpLimits limits, BodyBudget budget, Consumer<HttpExchange> dispatcher) {
-    this.budget = budget;
+  ExchangeHandler(HttpLimits limits, HeldMemory memory, Consumer<HttpExchange> dispatcher) {
+    this.memory = memory;
     this.limits = limits;
     this.dispatcher = dispatcher;
   }
@@ -85,6 +85,7 @@
   private void acceptHead(HttpRequest head) {
     request = head;
     body = Unpooled.compositeBuffer(1024);
+    memory.belongTo(NO_TENANT_YET, this::rejectForWantOfMemory);
     if (head.decoderResult().isFailure()) {
       reject(ApiError.invalid("bad_request", "the request is not valid HTTP"));
       return;
@@ -115,25 +116,29 @@
       return;
     }
     int length = data.readableBytes();
-    if (!budget.tryReserve(length)) {
+    if (!memory.tryHoldBody(length)) {
       data.release();
-      reject(
-          ApiError.unavailable("overloaded", "too many large requests at a time", RETRY_AFTER_MS));
+      rejectForWantOfMemory();
       return;
     }
-    reservedBytes += length;
     body.addComponent(true, data);
     if (content instanceof LastHttpContent) {
       dispatch();
     }
   }
 
+  private boolean rejectForWantOfMemory() {
+    reject(ApiError.unavailable("overloaded", "too many large requests at a time", RETRY_AFTER_MS));
+    return true;
+  }
+
   private void dispatch() {
     cancelReadTimeout();
+    memory.cannotBeGivenUp();
     byte[] bytes = new byte[body.readableBytes()];
     body.readBytes(bytes);
     releaseBody();
-    exchange = new HttpExchange(context.channel(), request, bytes, this::onExchangeEnd);
+    exchange = new HttpExchange(context.channel(), request, bytes, memory, this::onExchangeEnd);
     request = null;
     dispatcher.accept(exchange);
   }
@@ -142,12 +147,13 @@
   private void reject(ApiError error) {
     rejected = true;
     cancelReadTimeout();
-    HttpExchange failed = new HttpExchange(context.channel(), request, new byte[0], () -> {});
+    HttpExchange failed =
+        new HttpExchange(context.channel(), request, new byte[0], memory, () -> {});
     request.headers().set(HttpHeaderNames.CONNECTION, "close");
     failed.closeAfterResponse();
     failed.sendError(error);
     releaseBody();
-    releaseBudget();
+    memory.releaseAll();
   }
 
   /** Asks the caller to close the connection after the response in progress, if it can be told. */
@@ -168,14 +174,9 @@
     context.executor().execute(this::nextExchange);
   }
 
-  private void releaseBudget() {
-    budget.release(reservedBytes);
-    reservedBytes = 0;
-  }
-
   private void nextExchange() {
     exchange = null;
-    releaseBudget();
+    memory.releaseAll();
     if (context.channel().isActive()) {
       startReadTimeout();
       while (!pipelined.isEmpty() && exchange == null) {
@@ -225,7 +226,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     cancelReadTimeout();
     releaseBody();
-    releaseBudget();
+    memory.releaseAll();
     pipelined.forEach(ReferenceCountUtil::release);
     pipelined.clear();
     if (exchange != null) {
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -38,6 +38,7 @@
   private final Channel channel;
   private final HttpRequest request;
   private final byte[] body;
+  private final HeldMemory memory;
   private final QueryStringDecoder uri;
   private final Runnable onEnd;
   private volatile Runnable onEndedObserver = () -> {};
@@ -46,11 +47,14 @@
   private volatile boolean streaming;
   private volatile boolean closeAfter;
   private volatile Runnable onVanished = () -> {};
+  private volatile Runnable onPartWritten = () -> {};
 
-  HttpExchange(Channel channel, HttpRequest request, byte[] body, Runnable onEnd) {
+  HttpExchange(
+      Channel channel, HttpRequest request, byte[] body, HeldMemory memory, Runnable onEnd) {
     this.channel = channel;
     this.request = request;
     this.body = body;
+    this.memory = memory;
     this.uri = new QueryStringDecoder(request.uri());
     this.onEnd = onEnd;
     this.closeAfter = !HttpUtil.isKeepAlive(request);
@@ -88,6 +92,11 @@
     return body;
   }
 
+  /** What is kept in memory for this request and its answer. */
+  public HeldMemory memory() {
+    return memory;
+  }
+
   /** Runs {@code action} if the caller disconnects before the response has ended. */
   public void onVanished(Runnable action) {
     onVanished = action;
@@ -230,13 +239,32 @@
     if (pendingBytes.addAndGet(part.length) > MAX_PENDING_BYTES) {
       return false;
     }
+    if (!memory.tryHoldAnswer(part.length)) {
+      return false;
+    }
     ByteBuf buffer = Unpooled.wrappedBuffer(part);
     channel
         .writeAndFlush(new DefaultHttpContent(buffer))
-        .addListener(future -> pendingBytes.addAndGet(-part.length));
+        .addListener(future -> partWritten(part.length));
     return true;
   }
 
+  private void partWritten(int length) {
+    pendingBytes.addAndGet(-length);
+    memory.releaseAnswer(length);
+    onPartWritten.run();
+  }
+
+  /** How many bytes of a streamed response the caller has not taken yet. */
+  public int pendingBytes() {
+    return pendingBytes.get();
+  }
+
+  /** Runs {@code action} on the event loop whenever the caller has taken a part of a stream. */
+  public void onPartWritten(Runnable action) {
+    onPartWritten = action;
+  }
+
   /** Runs {@code action} once all that was written so far has left this process. */
   public void whenWritten(Runnable action) {
     channel
@@ -264,6 +292,12 @@
     }
   }
 
+  /** Closes the connection, also while an ended response waits for a slow caller. */
+  public void breakOff() {
+    abort();
+    channel.close();
+  }
+
   private void finish(Object last) {
     if (closeAfter && last instanceof HttpResponse response) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpServer.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Serves HTTP/1.1 and hands each whole request to a handler.
@@ -42,7 +43,7 @@
 
   private static final long DRAIN_POLL_MS = 20;
 
-  private final BodyBudget bodyBudget;
+  private final Supplier<HeldMemory> memory;
   private volatile HttpLimits limits;
   private final Optional<SslContext> tls;
   private final Consumer<HttpExchange> handler;
@@ -58,8 +59,19 @@
       HttpLimits limits,
       Optional<SslContext> tls,
       Consumer<HttpExchange> handler) {
+    this(address, eventLoops, limits, tls, bodiesOnly(limits), handler);
+  }
+
+  /** Binds {@code address}; {@code memory} counts what each connection holds. */
+  public HttpServer(
+      HostPort address,
+      EventLoopGroup eventLoops,
+      HttpLimits limits,
+      Optional<SslContext> tls,
+      Supplier<HeldMemory> memory,
+      Consumer<HttpExchange> handler) {
     this.limits = limits;
-    this.bodyBudget = new BodyBudget(limits.maxUploadBytes() + 8L * limits.maxBodyBytes());
+    this.memory = memory;
     this.tls = tls;
     this.handler = handler;
     this.channel =
@@ -74,6 +86,12 @@
             .channel();
   }
 
+  /** Bounds request bodies only. */
+  public static Supplier<HeldMemory> bodiesOnly(HttpLimits limits) {
+    BodyBudget budget = new BodyBudget(limits.maxUploadBytes() + 8L * limits.maxBodyBytes());
+    return budget::forConnection;
+  }
+
   /** Sets the limits of connections that come from now on. */
   public void setLimits(HttpLimits newLimits) {
     limits = newLimits;
@@ -155,7 +173,9 @@
               .setMaxHeaderSize(current.maxHeaderBytes());
       child.pipeline().addLast(new FlushConsolidationHandler(64, true));
       child.pipeline().addLast(new HttpServerCodec(decoder));
-      child.pipeline().addLast(new ExchangeHandler(current, bodyBudget, HttpServer.this::dispatch));
+      child
+          .pipeline()
+          .addLast(new ExchangeHandler(current, memory.get(), HttpServer.this::dispatch));
     }
   }
 
--- a/serving/src/test/java/io/pathdeck/serving/http/TestExchangeHandler.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestExchangeHandler.java
@@ -19,7 +19,8 @@
 
   private EmbeddedChannel connect(BodyBudget budget) {
     return new EmbeddedChannel(
-        new HttpServerCodec(), new ExchangeHandler(LIMITS, budget, dispatched::add));
+        new HttpServerCodec(),
+        new ExchangeHandler(LIMITS, budget.forConnection(), dispatched::add));
   }
 
   private static ByteBuf post(String path, int announced, int sent) {
