--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -12,8 +12,8 @@
 
   /**
    * How long an engine that has ended gets nothing, not even when no other is left: the list shows
-   * its end and its return some seconds late. Without it 1,755 sends of one day met a refused
-   * connection, and requests were refused after five of them.
+   * its end and its return some seconds late, and a request that meets some refused connections is
+   * refused itself.
    */
   private static final long ENDED_PAUSE_MS = 1_000;
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -36,8 +36,7 @@
 
   /**
    * Short, since each gateway hears of an engine seldom: where a report counts for longer, all
-   * avoid engines that have become free. In crests of 458 requests a second on 300 slots 619 of
-   * 7,247 requests came late, 771 and 766 with 500 ms (one play and two).
+   * avoid engines that have become free.
    */
   private static final long REPORT_HALF_LIFE_MS = 250;
 
--- a/fleet/src/main/java/io/pathdeck/fleet/limit/TenantLedger.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/limit/TenantLedger.java
@@ -34,8 +34,7 @@
   private static final double STALENESS_ALLOWANCE = 1.05;
 
   /**
-   * The same in requests, for tenants of few requests: without it 1 of 97 requests inside a limit
-   * of 3 a second was refused at 47 gateways, with it none (LimitWaysTable).
+   * The same in requests, for tenants of few requests, of which a share is less than one request.
    */
   private static final double STALENESS_ALLOWANCE_REQUESTS = 2;
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchWindow.java
@@ -16,9 +16,8 @@
   private static final int DEFAULT_SLOTS = 8;
 
   /**
-   * From this many waiting requests on an engine is too full for the batch items it runs. On a day
-   * of crests and no faults 1,409 of 7,247 online requests came late when two had to wait, 1,074
-   * with one; no item came late in either (one play each).
+   * From this many waiting requests on an engine is too full for the batch items it runs: a request
+   * that waits may come late, and an item that is stopped goes on elsewhere.
    */
   private static final int CROWDED = 1;
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemUrgency.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemUrgency.java
@@ -12,7 +12,7 @@
    */
   OVERDUE;
 
-  /** With less than this to spare an item is urgent; found by plays of refundnet-cz, scale-2. */
+  /** With less than this to spare an item is urgent: a few stops and the way to other engines. */
   private static final long URGENT_SLACK_MS = 4_000;
 
   /**
--- a/fleet/src/main/java/io/pathdeck/fleet/store/LoadPolls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/LoadPolls.java
@@ -10,8 +10,8 @@
  * of the engines must be known. Confined to the consensus thread.
  *
  * <p>Engines that run items are asked twice as often as the others: until a report shows that a
- * request waits, no item makes room for it. On a day of crests and no faults 771 of 7,247 online
- * requests came late, 1,074 with 300 ms for all; it costs 1.8 times the reports (one play each).
+ * request waits, no item makes room for it, and half of a usual objective of callers of 300 ms is
+ * what a request can wait.
  */
 final class LoadPolls {
   static final long RUNNING_INTERVAL_MS = 150;
