Peers hear of each call that starts, also of retries and of requests that waited

Cause: the start of a call was told from Gateway.forward, right after the request was handed over: a request that waits in the queue was no call yet, and its later send, a retry or a resumption was told only at the next interval of 50 ms or more. Change: RequestForwarder tells it where the call begins. Tested: TestSlowCallers (waiting requests start no call; sent ones do), TestSharedLoadEndToEnd, TestLoadExchange, TestRequestDispatcher, TestPlatformEndToEnd pass.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingContext.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingContext.java
@@ -6,7 +6,11 @@
 import io.pathdeck.fleet.engine.EngineTransport;
 import java.util.Set;
 
-/** What the forwarders of a gateway share. */
+/**
+ * What the forwarders of a gateway share.
+ *
+ * @param callStarted hears that a request was given to an engine, be it for the first time or again
+ */
 record ForwardingContext(
     EventLoop eventLoop,
     EngineTransport transport,
@@ -16,4 +20,5 @@
     SilenceLimit silenceLimit,
     RequestMetrics metrics,
     RequestDispatcher dispatcher,
+    Runnable callStarted,
     Set<RequestForwarder> active) {}
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -96,6 +96,7 @@
             new SilenceLimit(ForwardingSettings.DEFAULT),
             metrics,
             dispatcher(eventLoop, engines, metrics.queue()),
+            () -> callStarted.run(),
             new HashSet<>());
     eventLoop.scheduleWithFixedDelay(
         this::checkSilence,
@@ -279,7 +280,6 @@
         new RequestPermission(caller, () -> isStillAllowed(request, caller));
     new RequestForwarder(shared, exchange, request, route, service, version, permission, nowMs)
         .start();
-    callStarted.run();
   }
 
   /** Whether the newest configuration has a route for the request and a tenant for its key. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -334,6 +334,7 @@
     void begin() {
       tried.add(engine().instance().id());
       use.begin();
+      shared.callStarted().run();
       scanner = new EventScanner(lastEventId);
       EngineCall call =
           new EngineCall(
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -73,6 +73,7 @@
   private final AtomicLong mostHeldBytes = new AtomicLong();
   private final AtomicLong bytesOfEngine = new AtomicLong();
   private final AtomicLong callsCut = new AtomicLong();
+  private final AtomicLong callsStarted = new AtomicLong();
   private final EngineTable engines = new EngineTable(250);
   private final Map<String, Long> lengths = new ConcurrentHashMap<>();
   private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
@@ -133,6 +134,7 @@
             new SilenceLimit(ForwardingSettings.DEFAULT),
             metrics,
             dispatcher,
+            callsStarted::incrementAndGet,
             new HashSet<>());
     eventLoop.scheduleWithFixedDelay(this::check, 20, 20, TimeUnit.MILLISECONDS);
     serverPort = freePort();
@@ -390,6 +392,7 @@
     assertThat(heads).hasSize(1);
     assertThat(heads.get(0)).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after: 1.000");
     assertThat(metrics.memory().brokenOff()).isZero();
+    assertThat(callsStarted.get()).as("what waits is no call under way").isZero();
   }
 
   private void fillEngine() {
@@ -404,5 +407,6 @@
     assertThat(heads).hasSize(1);
     assertThat(heads.get(0)).startsWith("HTTP/1.1 502").doesNotContainIgnoringCase("retry-after");
     assertThat(metrics.memory().rejected()).isZero();
+    assertThat(callsStarted.get()).isPositive();
   }
 }
