--- a/common/src/main/java/io/pathdeck/common/settings/SettingsReader.java
+++ b/common/src/main/java/io/pathdeck/common/settings/SettingsReader.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -178,6 +179,20 @@
     return addresses;
   }
 
+  /** A map of texts; empty when the key is absent. */
+  public Map<String, String> textMap(String key) {
+    JsonNode node = lookup(key);
+    Map<String, String> entries = new LinkedHashMap<>();
+    if (node == null || node.isNull()) {
+      return entries;
+    }
+    if (!node.isObject()) {
+      return invalid(key, node, "a map of texts", entries);
+    }
+    node.properties().forEach(entry -> entries.put(entry.getKey(), entry.getValue().asText()));
+    return entries;
+  }
+
   private <T> T parsed(
       String key, String expected, Function<String, Optional<T>> parser, T placeholder) {
     JsonNode node = lookup(key);
--- a/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/FleetSettings.java
@@ -3,6 +3,7 @@
 import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.common.settings.TlsSettings;
+import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.transport.FrameCompression;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +16,8 @@
  * @param listen the address at which other processes reach this one
  * @param seeds addresses of coordinators to contact first
  * @param toleratedLosses how many machines with data may be lost at once
+ * @param toleratedZones how many zones may be lost at once
+ * @param topology the zones of the fleet and their regions
  * @param limitWindowMs time window of the tenants' rate limits
  * @param peerCompression which frames to other processes are compressed
  * @param metricsListen the address that serves metrics; empty to serve none
@@ -26,11 +29,14 @@
     HostPort listen,
     List<HostPort> seeds,
     int toleratedLosses,
+    int toleratedZones,
+    Topology topology,
     long limitWindowMs,
     FrameCompression peerCompression,
     Optional<HostPort> metricsListen,
     TlsSettings tls) {
   private static final int MAX_TOLERATED_LOSSES = 4;
+  private static final int MAX_TOLERATED_ZONES = 2;
   private static final int MAX_COMPRESS_FROM_BYTES = 1024 * 1024;
   private static final int MAX_PORT = 65_535;
   private static final double DEFAULT_LIMIT_WINDOW_S = 5;
@@ -52,12 +58,19 @@
             reader.address("listen"),
             seeds,
             reader.integer("tolerated_losses", 1, 0, MAX_TOLERATED_LOSSES),
+            reader.integer("tolerated_zones", 0, 0, MAX_TOLERATED_ZONES),
+            Topology.of(reader.textMap("zones")),
             limitWindowMs(reader),
             peerCompression(reader),
             reader.has("metrics_listen")
                 ? Optional.of(reader.address("metrics_listen"))
                 : Optional.empty(),
             TlsSettings.read(reader));
+    boolean zoneUnknown =
+        !settings.topology().zones().isEmpty() && !settings.topology().hasZone(settings.zone());
+    if (zoneUnknown) {
+      reader.problem("zones", "must name the zone " + settings.zone());
+    }
     boolean trusted = reader.bool("trusted_network", false);
     boolean loopback = settings.listen().isLoopback();
     if (!loopback && !trusted && !settings.tls().isEnabled()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/DirectoryProtocol.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/DirectoryProtocol.java
@@ -7,8 +7,14 @@
 /** Parses queries for the addresses of gateways and encodes the responses. */
 public interface DirectoryProtocol {
 
-  /** A query from a caller; {@code zone} is the caller's zone, empty if not given. */
-  record Query(String zone) {}
+  /**
+   * A query from a caller; the parts that it does not give are empty.
+   *
+   * @param host the host that the caller sends requests to
+   * @param region the caller's region
+   * @param zone the caller's zone
+   */
+  record Query(String host, String region, String zone) {}
 
   /** Parses a query; empty for other calls. */
   Optional<Query> read(HttpExchange exchange);
--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/OperatorRequest.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/OperatorRequest.java
@@ -17,6 +17,9 @@
   /** Reads whether a store has been retired. */
   record ReadRetirement(String name) implements OperatorRequest {}
 
+  /** Evacuates a zone, or takes its evacuation back. */
+  record SetEvacuated(String zone, boolean evacuated) implements OperatorRequest {}
+
   /** A request with invalid content; {@code reason} is returned to the operator. */
   record Invalid(String reason) implements OperatorRequest {}
 
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -10,6 +10,7 @@
 import io.pathdeck.protocol.command.SetStoreLeaving;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
@@ -192,7 +193,8 @@
             groupFor(heartbeat.sender(), nowMs),
             leavingMembers(),
             contendedTenants,
-            quarantineManager.updateFor(heartbeat.quarantineVersion())));
+            quarantineManager.updateFor(heartbeat.quarantineVersion()),
+            evacuatedZonesFor(heartbeat)));
   }
 
   private void recordHeartbeat(FleetHeartbeat heartbeat, long nowMs) {
@@ -286,6 +288,11 @@
     return current.withoutDocument();
   }
 
+  private EvacuatedZones evacuatedZonesFor(FleetHeartbeat heartbeat) {
+    EvacuatedZones current = state.evacuatedZones();
+    return current.version() == heartbeat.evacuationVersion() ? null : current;
+  }
+
   private EngineListDelta enginesFor(FleetHeartbeat heartbeat, long nowMs) {
     if (!enginesKnown) {
       return lastKnownResponder.enginesBeforeFirstRead(heartbeat, nowMs);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -27,11 +27,14 @@
  * use it only shortly after their own start: by then a leader should have answered.
  *
  * <p>A separate thread writes the file, since the disk may hang: at most once every {@value
- * #WRITE_INTERVAL_MS} ms, except for changes of the quarantined requests.
+ * #WRITE_INTERVAL_MS} ms, except for changes of the quarantined requests and the evacuated zones.
  */
 final class LastKnownFleet implements AutoCloseable {
   private static final EventLog EVENTS = EventLog.of(LastKnownFleet.class);
-  private static final String FILE_NAME = "last-known-fleet";
+
+  /** Has another name for each form of the file; files of earlier forms are ignored. */
+  private static final String FILE_NAME = "last-known-fleet-2";
+
   private static final long WRITE_INTERVAL_MS = 1_000;
   private static final long NANOS_PER_MS = 1_000_000;
 
@@ -60,16 +63,20 @@
   }
 
   /**
-   * Saves a view that a leader sent; does not block. A change to the quarantined requests is
-   * written without delay: a gateway that starts with an older list would send a quarantined
-   * request to engines again.
+   * Saves a view that a leader sent; does not block. A change to the quarantined requests or the
+   * evacuated zones is written without delay: a gateway that starts with an older list would send
+   * requests to engines that must not get them.
    */
   void saveAsync(FleetView view) {
     if (!view.isComplete()) {
       return;
     }
     FleetView previous = latestView.getAndSet(view);
-    if (previous != null && !previous.quarantine().equals(view.quarantine())) {
+    boolean isUrgent =
+        previous != null
+            && !(previous.quarantine().equals(view.quarantine())
+                && previous.evacuatedZones().equals(view.evacuatedZones()));
+    if (isUrgent) {
       LockSupport.unpark(writer);
     }
   }
@@ -110,7 +117,8 @@
             FleetProcess.NO_GROUP,
             view.leavingMembers(),
             new ArrayList<>(),
-            view.quarantine());
+            view.quarantine(),
+            view.evacuatedZones());
     return Base64.getEncoder().encodeToString(ObjectCodec.encode(update));
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -51,7 +52,8 @@
         update.routes(),
         engineDelta(true, update.engines().changed()),
         update.processes(),
-        update.quarantine());
+        update.quarantine(),
+        update.evacuatedZones());
   }
 
   private static EngineListDelta engineDelta(boolean full, List<EngineInstance> changed) {
@@ -68,7 +70,8 @@
       RouteTable routes,
       EngineListDelta engines,
       ProcessListDelta processes,
-      QuarantineList quarantine) {
+      QuarantineList quarantine,
+      EvacuatedZones evacuatedZones) {
     return new FleetUpdate(
         routes,
         engines,
@@ -78,7 +81,8 @@
         update.assignedGroup(),
         update.leavingMembers(),
         update.contendedTenants(),
-        quarantine);
+        quarantine,
+        evacuatedZones);
   }
 
   /**
@@ -99,13 +103,14 @@
   }
 
   /**
-   * Omits routes, engines, processes and quarantine, since a process asks several times a second.
+   * Omits routes, engines, processes, quarantine and evacuated zones, since a process asks several
+   * times a second.
    */
   private static FleetUpdate leaderUnknownNotice(FleetUpdate saved) {
     ProcessListDelta noProcesses =
         new ProcessListDelta(
             FleetUpdate.NO_LEADERS_EPOCH, false, new ArrayList<>(), new ArrayList<>(), 0);
-    return copyWith(saved, null, engineDelta(false, new ArrayList<>()), noProcesses, null);
+    return copyWith(saved, null, engineDelta(false, new ArrayList<>()), noProcesses, null, null);
   }
 
   /** Returns the engines that a leader sends before it has read the list; null to send none. */
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which engines may get a request. */
+package io.pathdeck.fleet.eligibility;
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.engine;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.ColdStartLimit;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.nio.charset.StandardCharsets;
 import net.openhft.hashing.LongHashFunction;
@@ -22,6 +23,7 @@
   private static final double WAIT_HALF_LIFE_MS = 400;
 
   private final long reportHalfLifeMs;
+  private final ColdStartLimit coldStartLimit;
   private final EnginePace pace = new EnginePace();
   private final long instanceHash;
   private EngineInstance instance;
@@ -39,7 +41,8 @@
   private long lastReceivedMs;
   private long lastStartMs;
 
-  EngineState(EngineInstance instance, long reportHalfLifeMs) {
+  EngineState(EngineInstance instance, long reportHalfLifeMs, ColdStartLimit coldStartLimit) {
+    this.coldStartLimit = coldStartLimit;
     this.instance = instance;
     this.reportHalfLifeMs = reportHalfLifeMs;
     byte[] lifeId = instance.lifeId().getBytes(StandardCharsets.UTF_8);
@@ -72,6 +75,7 @@
     }
     inFlight++;
     lastStartMs = nowMs;
+    coldStartLimit.onStart(instance, nowMs);
   }
 
   /** Removes a call that ended, successfully or not. */
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -1,25 +1,41 @@
 package io.pathdeck.fleet.engine;
 
+import io.pathdeck.fleet.eligibility.Eligibility;
+import io.pathdeck.fleet.eligibility.EngineEligibility;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** The engines known to this process, by id; confined to one thread. */
 public final class EngineTable {
   private final Map<String, EngineState> engines = new HashMap<>();
   private final long reportHalfLifeMs;
+  private final EngineEligibility eligibility;
 
   /**
    * Creates an empty table.
    *
    * @param reportHalfLifeMs half-life of the weight of an engine's load report
+   * @param eligibility decides which engines may get a request
    */
-  public EngineTable(long reportHalfLifeMs) {
+  public EngineTable(long reportHalfLifeMs, EngineEligibility eligibility) {
     this.reportHalfLifeMs = reportHalfLifeMs;
+    this.eligibility = eligibility;
+  }
+
+  /** Creates an empty table of a fleet without regions and cold engines. */
+  public EngineTable(long reportHalfLifeMs) {
+    this(reportHalfLifeMs, EngineEligibility.withoutPlaces());
+  }
+
+  /** The rules that decide which engines may get a request. */
+  public EngineEligibility eligibility() {
+    return eligibility;
   }
 
   /** Applies the list of engines; engines missing from it get no new calls. */
@@ -47,7 +63,7 @@
     if (known != null) {
       known.onRemoved();
     }
-    engines.put(id, new EngineState(instance, reportHalfLifeMs));
+    engines.put(id, new EngineState(instance, reportHalfLifeMs, eligibility.coldStartLimit()));
   }
 
   /** Marks an engine instance as down; ignored if another instance has replaced it. */
@@ -88,13 +104,11 @@
     return ServicePace.of(ofService, nowMs);
   }
 
-  /** The usable engines of a service, without the ids in {@code excluded}. */
-  public List<EngineState> usable(String service, Set<String> excluded, long nowMs) {
+  /** The engines of a service that may get the request and are not ejected. */
+  public List<EngineState> usable(String service, RequestConstraints constraints, long nowMs) {
     List<EngineState> usable = new ArrayList<>();
-    for (EngineState engine : engines.values()) {
-      EngineInstance instance = engine.instance();
-      boolean candidate = instance.service().equals(service) && !excluded.contains(instance.id());
-      if (candidate && engine.isUsable(nowMs)) {
+    for (EngineState engine : inService(service, constraints, nowMs)) {
+      if (engine.isUsable(nowMs)) {
         usable.add(engine);
       }
     }
@@ -102,18 +116,33 @@
   }
 
   /**
-   * The engines of a service that are not out of service, without the ids in {@code excluded};
-   * unlike {@link #usable}, this includes ejected engines.
+   * The engines of a service that may get the request; unlike {@link #usable}, this includes
+   * ejected engines.
    */
-  public List<EngineState> inService(String service, Set<String> excluded, long nowMs) {
+  public List<EngineState> inService(String service, RequestConstraints constraints, long nowMs) {
     List<EngineState> inService = new ArrayList<>();
     for (EngineState engine : engines.values()) {
-      EngineInstance instance = engine.instance();
-      boolean candidate = instance.service().equals(service) && !excluded.contains(instance.id());
-      if (candidate && !engine.isOutOfService(nowMs)) {
+      boolean ofService = engine.instance().service().equals(service);
+      if (ofService && check(engine, constraints, nowMs) == Eligibility.ELIGIBLE) {
         inService.add(engine);
       }
     }
     return inService;
   }
+
+  /** Counts the engines of a service by whether they may get the request. */
+  public Map<Eligibility, Integer> countByEligibility(
+      String service, RequestConstraints constraints, long nowMs) {
+    Map<Eligibility, Integer> counts = new EnumMap<>(Eligibility.class);
+    for (EngineState engine : engines.values()) {
+      if (engine.instance().service().equals(service)) {
+        counts.merge(check(engine, constraints, nowMs), 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
+
+  private Eligibility check(EngineState engine, RequestConstraints constraints, long nowMs) {
+    return eligibility.check(engine.instance(), engine.isOutOfService(nowMs), constraints, nowMs);
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/AttemptBudget.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/AttemptBudget.java
@@ -1,6 +1,8 @@
 package io.pathdeck.fleet.gateway;
 
 import io.pathdeck.protocol.fleet.RouteSpec;
+import java.util.HashSet;
+import java.util.Set;
 
 /**
  * Decides whether a request may be sent to another engine, based on whether it may have run.
@@ -12,6 +14,7 @@
   private final boolean repeatable;
   private final int maxRuns;
   private final int maxSends;
+  private final Set<String> triedEngineIds = new HashSet<>();
   private int possibleRuns;
   private int sends;
 
@@ -21,7 +24,9 @@
     this.maxSends = Math.max(maxSends, maxRuns);
   }
 
-  void onSend() {
+  /** Records that the request is sent to the engine with this id. */
+  void onSend(String engineId) {
+    triedEngineIds.add(engineId);
     sends++;
     possibleRuns++;
   }
@@ -44,6 +49,11 @@
     return possibleRuns > 0;
   }
 
+  /** Returns the ids of the engines that the request was sent to. */
+  Set<String> triedEngineIds() {
+    return Set.copyOf(triedEngineIds);
+  }
+
   int sends() {
     return sends;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Dispatchable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Dispatchable.java
@@ -1,9 +1,9 @@
 package io.pathdeck.fleet.gateway;
 
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.queue.Rank;
 import java.util.List;
-import java.util.Set;
 
 /** A request to be sent to an engine, immediately or from a queue. */
 interface Dispatchable {
@@ -32,8 +32,8 @@
   /** Returns the current attributes, which change between attempts. */
   DispatchAttributes attributes();
 
-  /** Returns the ids of the engines that the request was already sent to. */
-  Set<String> triedEngineIds();
+  /** Returns what restricts the engines that the request may be sent to now. */
+  RequestConstraints constraints();
 
   /**
    * Sends the request to the best of {@code candidates}; ends it with an error if there are none.
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.fleet.adapter.CallerProtocol;
 import io.pathdeck.fleet.adapter.CallerRequest;
+import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
@@ -13,6 +14,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.StartProgress;
 import io.pathdeck.fleet.queue.TenantPolicies;
+import io.pathdeck.fleet.topology.AllowedRegions;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
@@ -76,6 +78,7 @@
       TenantLimiter limiter,
       EngineTransport transport,
       EngineLoadBalancer loadBalancer,
+      EngineEligibility eligibility,
       RequestMetrics metrics) {
     this.protocol = protocol;
     this.view = view;
@@ -84,7 +87,7 @@
     this.routesConfirmed = routesConfirmed;
     this.batchCalls = batchCalls;
     this.limiter = limiter;
-    EngineTable engines = new EngineTable(REPORT_HALF_LIFE_MS);
+    EngineTable engines = new EngineTable(REPORT_HALF_LIFE_MS, eligibility);
     this.context =
         new ForwardingContext(
             eventLoop,
@@ -131,6 +134,7 @@
 
   /** Applies a change of the fleet's state. */
   void onChange(FleetView newView) {
+    context.engines().eligibility().setEvacuatedZones(newView.evacuatedZones());
     if (newView.engines() != null) {
       context.engines().update(newView.engines());
     }
@@ -279,11 +283,28 @@
     String service = trafficSplit.next(route);
     long version = currentView.routes().version();
     RequestAuthorization authorization =
-        new RequestAuthorization(caller, () -> isStillAllowed(request, caller));
+        new RequestAuthorization(
+            caller, () -> isStillAllowed(request, caller), () -> allowedRegions(request, caller));
     new RequestForwarder(context, exchange, request, route, service, version, authorization, nowMs)
         .start();
   }
 
+  /** Returns the regions that both the route and the tenant allow; none without a route. */
+  private AllowedRegions allowedRegions(CallerRequest.Routed request, CallerIdentity caller) {
+    RouteTable routes = view.get().routes();
+    AllowedRegions ofRoute =
+        routes
+            .match(request.host(), request.path())
+            .map(route -> AllowedRegions.of(route.allowedRegions()))
+            .orElse(AllowedRegions.NOWHERE);
+    AllowedRegions ofTenant =
+        routes
+            .tenant(caller.tenantName())
+            .map(tenant -> AllowedRegions.of(tenant.allowedRegions()))
+            .orElse(AllowedRegions.ANYWHERE);
+    return ofRoute.and(ofTenant);
+  }
+
   /**
    * Returns whether the current configuration still routes the request and maps its key to the same
    * tenant.
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -10,6 +10,8 @@
 import io.pathdeck.fleet.FleetMemberProcess;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.FleetAdapter;
+import io.pathdeck.fleet.eligibility.ColdStartLimit;
+import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLivenessProbe;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
@@ -83,6 +85,7 @@
             limiter,
             transport,
             new EngineLoadBalancer(fleet.zone(), startNs),
+            new EngineEligibility(fleet.topology(), ColdStartLimit.NONE),
             metrics);
     LoadMetrics loadMetrics = new LoadMetrics();
     loadExchange = resources.push(createLoadExchange(eventLoop, startNs, loadMetrics));
@@ -107,7 +110,14 @@
             settings.limits(),
             Optional.empty(),
             this::handleReadinessCheck));
-    fleet
+    startMetrics(eventLoops, metrics, loadMetrics);
+    resources.push(follower);
+  }
+
+  private void startMetrics(
+      EventLoopGroup eventLoops, RequestMetrics metrics, LoadMetrics loadMetrics) {
+    settings
+        .fleet()
         .metricsListen()
         .ifPresent(
             address ->
@@ -117,7 +127,6 @@
                         eventLoops,
                         registry -> bindMetrics(registry, metrics, loadMetrics),
                         this::isReady)));
-    resources.push(follower);
   }
 
   private static Supplier<ConnectionMemory> memoryFactory(
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.gateway;
 
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.queue.EngineCapacity;
@@ -13,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -87,7 +87,7 @@
   /** Sends, queues or rejects a request that is not in the queue. */
   void submit(Dispatchable request) {
     Dispatchable.DispatchAttributes attributes = request.attributes();
-    List<EngineState> candidates = candidates(attributes.service(), request.triedEngineIds());
+    List<EngineState> candidates = candidates(attributes.service(), request.constraints());
     if (!queueingRule.appliesTo(candidates)) {
       request.sendTo(candidates);
       return;
@@ -133,7 +133,7 @@
   private void evict(ServiceState service, Dispatchable request) {
     metrics.onEvicted();
     Dispatchable.DispatchAttributes attributes = request.attributes();
-    List<EngineState> candidates = candidates(attributes.service(), request.triedEngineIds());
+    List<EngineState> candidates = candidates(attributes.service(), request.constraints());
     if (attributes.mayBeRejected()) {
       double waitMs = QueuePolicy.expectedWaitMs(capacities(candidates), service.times);
       reject(service, request, "too many requests wait", Math.round(waitMs));
@@ -221,7 +221,7 @@
   private boolean sendIfReady(ServiceState service, WaitingRequest<Dispatchable> next) {
     Dispatchable request = next.request();
     Dispatchable.DispatchAttributes attributes = request.attributes();
-    List<EngineState> candidates = candidates(attributes.service(), request.triedEngineIds());
+    List<EngineState> candidates = candidates(attributes.service(), request.constraints());
     QueueDecision decision = decide(service, attributes, next.holdUntilMs(), candidates);
     boolean holdExpired = service.queue.hasExpiredHold(clockMs.getAsLong());
     if (decision instanceof QueueDecision.Hold && !holdExpired) {
@@ -250,10 +250,10 @@
     return QueuePolicy.decide(request, capacities(candidates), service.times, clockMs.getAsLong());
   }
 
-  private List<EngineState> candidates(String service, Set<String> excludedIds) {
+  private List<EngineState> candidates(String service, RequestConstraints constraints) {
     long nowMs = clockMs.getAsLong();
-    List<EngineState> usable = engines.usable(service, excludedIds, nowMs);
-    return usable.isEmpty() ? engines.inService(service, excludedIds, nowMs) : usable;
+    List<EngineState> usable = engines.usable(service, constraints, nowMs);
+    return usable.isEmpty() ? engines.inService(service, constraints, nowMs) : usable;
   }
 
   private List<EngineCapacity> capacities(List<EngineState> candidates) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -4,6 +4,7 @@
 import io.pathdeck.fleet.adapter.CallerRequest;
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineResponse;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.fleet.engine.EngineFailure;
 import io.pathdeck.fleet.engine.EngineListener;
 import io.pathdeck.fleet.engine.EngineState;
@@ -16,10 +17,8 @@
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -53,7 +52,6 @@
   private final AttemptBudget budget;
   private final RequestLog log;
   private final RequestAuthorization authorization;
-  private final Set<String> triedEngineIds = new HashSet<>();
   private ScheduledFuture<?> timeout;
   private Attempt attempt;
   private boolean headSent;
@@ -128,8 +126,8 @@
   }
 
   @Override
-  public Set<String> triedEngineIds() {
-    return triedEngineIds;
+  public RequestConstraints constraints() {
+    return new RequestConstraints(budget.triedEngineIds(), authorization.allowedRegions().get());
   }
 
   @Override
@@ -146,7 +144,7 @@
       finishUnserved("no engine left");
       return;
     }
-    budget.onSend();
+    budget.onSend(placement.get().engine().instance().id());
     context.metrics().onAttempt();
     attempt = new Attempt(placement.get(), now);
     attempt.start();
@@ -333,7 +331,6 @@
     }
 
     void start() {
-      triedEngineIds.add(engine().instance().id());
       tracker.begin();
       context.callStartListener().run();
       scanner = new SseEventScanner(lastEventId);
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -8,6 +8,7 @@
 import io.pathdeck.common.result.Result;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
@@ -172,6 +173,7 @@
             processSequence,
             report.jobsGroup(),
             view().quarantine().version(),
+            view().evacuatedZones().version(),
             report.tenantUse());
     long sentNs = System.nanoTime();
     return coordinators
@@ -233,7 +235,8 @@
             update.jobsGroups(),
             update.assignedGroup(),
             update.leavingMembers(),
-            mergeQuarantine(update));
+            mergeQuarantine(update),
+            mergeEvacuatedZones(update));
     if (!changed && next.equals(previous)) {
       return;
     }
@@ -257,6 +260,15 @@
     return keepsCurrent ? current : received;
   }
 
+  /** Returns the received zones unless they are saved ones that are not newer. */
+  private EvacuatedZones mergeEvacuatedZones(FleetUpdate update) {
+    EvacuatedZones current = view().evacuatedZones();
+    EvacuatedZones received = update.evacuatedZones();
+    boolean keepsCurrent =
+        received == null || (update.isLastKnown() && received.version() <= current.version());
+    return keepsCurrent ? current : received;
+  }
+
   private boolean isNewer(RouteTable routes) {
     RouteTable current = view().routes();
     return current == null || routes.version() > current.version();
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.member;
 
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
@@ -27,6 +28,7 @@
  *     FleetProcess#NO_GROUP} if it has none
  * @param leavingMembers ids of stores that are being retired
  * @param quarantine the requests that must not reach engines
+ * @param evacuatedZones the zones whose engines must get nothing new
  */
 public record FleetView(
     RouteTable routes,
@@ -36,7 +38,8 @@
     List<JobsGroupReport> jobsGroups,
     int assignedGroup,
     List<Integer> leavingMembers,
-    QuarantineList quarantine) {
+    QuarantineList quarantine,
+    EvacuatedZones evacuatedZones) {
   /** A view without any information. */
   public static final FleetView EMPTY =
       new FleetView(
@@ -47,7 +50,8 @@
           List.of(),
           FleetProcess.NO_GROUP,
           List.of(),
-          QuarantineList.NONE);
+          QuarantineList.NONE,
+          EvacuatedZones.NONE);
 
   /** Whether the view suffices to forward requests. */
   public boolean isComplete() {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -10,6 +10,7 @@
 import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.fleet.adapter.EngineTenant;
+import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLivenessProbe;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineLoadClient;
@@ -69,7 +70,7 @@
   private final Executor consensusExecutor;
   private final LoadPolls loadPolls;
   private final BooleanSupplier engineListIsRecent;
-  private final EngineTable engines = new EngineTable(REPORT_HALF_LIFE_MS);
+  private final EngineTable engines;
   private final ItemSlack slack;
   private final ItemScheduler scheduler;
   private final ItemRuns runs = new ItemRuns();
@@ -91,10 +92,12 @@
       EngineProtocol protocol,
       EngineCrashReporter reporter,
       EngineLoadBalancer loadBalancer,
+      EngineEligibility eligibility,
       BooleanSupplier engineListIsRecent,
       Executor consensusExecutor) {
     this.group = group;
     this.state = state;
+    this.engines = new EngineTable(REPORT_HALF_LIFE_MS, eligibility);
     this.slack = new ItemSlack(state::logTimeMs);
     this.scheduler = new ItemScheduler(engines, loadBalancer, slack);
     this.clock = clock;
@@ -120,6 +123,7 @@
   /** Applies a new view of the fleet. */
   void onChange(FleetView newView) {
     view = newView;
+    engines.eligibility().setEvacuatedZones(newView.evacuatedZones());
     eventLoop.execute(() -> transport.updateQuarantine(newView.quarantine()));
     if (newView.engines() != null) {
       engines.update(newView.engines());
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.store;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
@@ -9,6 +10,7 @@
 import io.pathdeck.fleet.engine.ServicePace;
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.topology.AllowedRegions;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -70,7 +72,8 @@
         continue;
       }
       ServicePace pace = paces.computeIfAbsent(service, name -> engines.pace(name, nowMs));
-      List<EngineState> available = availableEngines(service, view, nowMs);
+      RequestConstraints constraints = constraints(run, route.get(), view);
+      List<EngineState> available = availableEngines(service, constraints, view, nowMs);
       ItemStartResult result = startItem(run, available, pace, starter, nowMs);
       unplacedItems += result == ItemStartResult.NO_ENGINE_FAST_ENOUGH ? 1 : 0;
       if (result == ItemStartResult.NO_FREE_SLOT || unplacedItems > MAX_UNPLACED_ITEMS) {
@@ -90,12 +93,24 @@
     return startableRuns;
   }
 
+  /** Returns what the item's route and tenant allow. */
+  private static RequestConstraints constraints(ItemRun run, RouteSpec route, FleetView view) {
+    AllowedRegions ofTenant =
+        view.routes()
+            .tenant(run.job.submission().tenant())
+            .map(tenant -> AllowedRegions.of(tenant.allowedRegions()))
+            .orElse(AllowedRegions.ANYWHERE);
+    return new RequestConstraints(
+        Set.of(), AllowedRegions.of(route.allowedRegions()).and(ofTenant));
+  }
+
   /** Returns the engines on which an item may start. */
-  private List<EngineState> availableEngines(String service, FleetView view, long nowMs) {
+  private List<EngineState> availableEngines(
+      String service, RequestConstraints constraints, FleetView view, long nowMs) {
     int groups = Math.max(1, view.jobsFounders().size());
     long leadingForMs = nowMs - leaderSinceMs;
     double share = slotPolicy.rampUpShare(leadingForMs) / groups;
-    return engines.usable(service, Set.of(), nowMs).stream()
+    return engines.usable(service, constraints, nowMs).stream()
         .filter(engine -> slotPolicy.isLoadKnown(engine, leadingForMs, nowMs))
         .filter(engine -> slotPolicy.hasFreeSlot(engine, share, nowMs))
         .toList();
@@ -147,10 +162,21 @@
   private boolean canMove(ItemRun run, FleetView view, long nowMs) {
     String service = run.engine().instance().service();
     ServicePace pace = engines.pace(service, nowMs);
-    return pace.isSlow(run.engine()) && hasFasterEngine(service, pace, view, nowMs);
+    return pace.isSlow(run.engine())
+        && view.routes()
+            .match(run.job.submission().host(), run.item.path())
+            .map(route -> constraints(run, route, view))
+            .filter(constraints -> hasFasterEngine(service, constraints, pace, view, nowMs))
+            .isPresent();
   }
 
-  private boolean hasFasterEngine(String service, ServicePace pace, FleetView view, long nowMs) {
-    return availableEngines(service, view, nowMs).stream().anyMatch(engine -> !pace.isSlow(engine));
+  private boolean hasFasterEngine(
+      String service,
+      RequestConstraints constraints,
+      ServicePace pace,
+      FleetView view,
+      long nowMs) {
+    return availableEngines(service, constraints, view, nowMs).stream()
+        .anyMatch(engine -> !pace.isSlow(engine));
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -13,6 +13,8 @@
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.fleet.eligibility.ColdStartLimit;
+import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.member.FleetView;
@@ -61,7 +63,7 @@
       BatchStateMachine state,
       PeerPool pool,
       EventLoop eventLoop,
-      String zone,
+      FleetSettings fleet,
       EngineProtocol protocol,
       EngineCrashReporter reporter,
       BooleanSupplier engineListIsRecent) {
@@ -79,7 +81,8 @@
             new NettyEngineTransport(eventLoop, protocol),
             protocol,
             reporter,
-            new EngineLoadBalancer(zone, System.nanoTime()),
+            new EngineLoadBalancer(fleet.zone(), System.nanoTime()),
+            new EngineEligibility(fleet.topology(), ColdStartLimit.NONE),
             engineListIsRecent,
             host::execute);
   }
@@ -104,7 +107,7 @@
                     state,
                     pool,
                     eventLoop,
-                    fleet.zone(),
+                    fleet,
                     protocol,
                     reporter,
                     engineListIsRecent));
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -7,6 +7,7 @@
 import io.pathdeck.protocol.codec.ObjectCodec;
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.QuarantineList;
@@ -22,7 +23,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class TestLastKnownFleet {
-  private static final String FILE_NAME = "last-known-fleet";
+  private static final String FILE_NAME = "last-known-fleet-2";
   private static final long VERSION = 7;
   private static final double CORES = 0.27;
   private static final long WRITE_TIMEOUT_MS = 5_000;
@@ -48,7 +49,8 @@
         List.of(),
         0,
         List.of(5),
-        QuarantineList.NONE);
+        QuarantineList.NONE,
+        EvacuatedZones.NONE);
   }
 
   private void write(FleetView view) throws InterruptedException {
@@ -111,6 +113,7 @@
             0,
             List.of(),
             List.of(),
+            null,
             null);
     byte[] encoded = ObjectCodec.encode(withoutEngines);
     Files.writeString(path.resolve(FILE_NAME), Base64.getEncoder().encodeToString(encoded));
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownResponder.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownResponder.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
@@ -42,12 +43,13 @@
         FleetProcess.NO_GROUP,
         List.of(),
         List.of(),
-        QuarantineList.NONE);
+        QuarantineList.NONE,
+        EvacuatedZones.NONE);
   }
 
   private static FleetHeartbeat heartbeat(long routeVersion, long epoch, long sequence) {
     return new FleetHeartbeat(
-        GATEWAY, false, routeVersion, epoch, sequence, NO_EPOCH, 0, null, 0, List.of());
+        GATEWAY, false, routeVersion, epoch, sequence, NO_EPOCH, 0, null, 0, 0, List.of());
   }
 
   private static FleetHeartbeat newProcessHeartbeat() {
@@ -131,6 +133,7 @@
             FleetProcess.NO_GROUP,
             List.of(),
             List.of(),
+            null,
             null);
     assertThat(answer.isLastKnown()).isFalse();
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/HeterogeneousEnginesSimulation.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/HeterogeneousEnginesSimulation.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.engine;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -131,7 +131,7 @@
         nowMs % PEAK_PERIOD_MS < PEAK_DURATION_MS ? PEAK_REQUESTS_PER_MS : OFF_PEAK_REQUESTS_PER_MS;
     schedule(-Math.log(1 - random.nextDouble()) / requestsPerMs, this::arrive);
     int gateway = random.nextInt(GATEWAYS);
-    List<EngineState> usable = tables.get(gateway).usable("s", Set.of(), clockMs());
+    List<EngineState> usable = tables.get(gateway).usable("s", RequestConstraints.NONE, clockMs());
     Placement placement =
         loadBalancers.get(gateway).choose(usable, PROMPT, clockMs()).orElseThrow();
     EngineState state = placement.engine();
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLoadBalancer.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLoadBalancer.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -35,7 +36,9 @@
   }
 
   private Placement place(EngineLoadBalancer balancer, Prompt prompt) {
-    return balancer.choose(table.usable("s", Set.of(), NOW_MS), prompt, NOW_MS).orElseThrow();
+    return balancer
+        .choose(table.usable("s", RequestConstraints.NONE, NOW_MS), prompt, NOW_MS)
+        .orElseThrow();
   }
 
   private static Prompt longPrompt(String prefix) {
@@ -127,12 +130,15 @@
   void skipsDrainingAndFailedEngines() {
     EngineState failedEngine = table.find("a0");
     failedEngine.onFailure(NOW_MS);
-    assertThat(table.usable("s", Set.of(), NOW_MS)).doesNotContain(failedEngine).hasSize(5);
+    assertThat(table.usable("s", RequestConstraints.NONE, NOW_MS))
+        .doesNotContain(failedEngine)
+        .hasSize(5);
     failedEngine.onDataReceived(NOW_MS);
-    assertThat(table.usable("s", Set.of(), NOW_MS + 600)).contains(failedEngine);
+    assertThat(table.usable("s", RequestConstraints.NONE, NOW_MS + 600)).contains(failedEngine);
     failedEngine.update(new EngineInstance("a0", "s", "h:1", "a", 10, true));
-    assertThat(table.usable("s", Set.of(), NOW_MS + 600)).doesNotContain(failedEngine);
-    assertThat(table.inService("s", Set.of(), NOW_MS)).doesNotContain(failedEngine);
+    assertThat(table.usable("s", RequestConstraints.NONE, NOW_MS + 600))
+        .doesNotContain(failedEngine);
+    assertThat(table.inService("s", RequestConstraints.NONE, NOW_MS)).doesNotContain(failedEngine);
   }
 
   @Test
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineRestart.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineRestart.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Tests an engine that goes down and restarts with the same id and address. */
@@ -23,8 +23,8 @@
   }
 
   private boolean isOffered(long nowMs) {
-    return !table.usable("s", Set.of(), nowMs).isEmpty()
-        || !table.inService("s", Set.of(), nowMs).isEmpty();
+    return !table.usable("s", RequestConstraints.NONE, nowMs).isEmpty()
+        || !table.inService("s", RequestConstraints.NONE, nowMs).isEmpty();
   }
 
   @Test
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestAttemptBudget.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestAttemptBudget.java
@@ -35,7 +35,7 @@
   void unrepeatableRequestIsNotRetried() {
     for (RouteKind kind : List.of(RouteKind.UNSAFE, RouteKind.STREAM)) {
       AttemptBudget budget = new AttemptBudget(route(kind, 3, false), MAX_SENDS);
-      budget.onSend();
+      budget.onSend("e");
       assertThat(budget.mayRetry()).isFalse();
       assertThat(budget.mayHaveRun()).isTrue();
     }
@@ -44,7 +44,7 @@
   @Test
   void refusedRequestMayBeRetried() {
     AttemptBudget budget = new AttemptBudget(route(RouteKind.UNSAFE, 1, false), MAX_SENDS);
-    budget.onSend();
+    budget.onSend("e");
     budget.onNotRun();
     assertThat(budget.mayRetry()).isTrue();
     assertThat(budget.mayHaveRun()).isFalse();
@@ -53,9 +53,9 @@
   @Test
   void runsAreBoundedByMaxAttempts() {
     AttemptBudget budget = new AttemptBudget(route(RouteKind.STREAM, 2, true), MAX_SENDS);
-    budget.onSend();
+    budget.onSend("e");
     assertThat(budget.mayRetry()).isTrue();
-    budget.onSend();
+    budget.onSend("e");
     assertThat(budget.mayRetry()).isFalse();
   }
 
@@ -64,7 +64,7 @@
     AttemptBudget budget = new AttemptBudget(route(RouteKind.SAFE, 2, false), MAX_SENDS);
     for (int i = 0; i < MAX_SENDS; i++) {
       assertThat(budget.mayRetry()).isTrue();
-      budget.onSend();
+      budget.onSend("e");
       budget.onNotRun();
     }
     assertThat(budget.mayRetry()).isFalse();
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestRequestDispatcher.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestRequestDispatcher.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.Placement;
@@ -11,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Uses one full engine, and requests that are due 300 ms after their arrival. */
@@ -54,8 +54,8 @@
     }
 
     @Override
-    public Set<String> triedEngineIds() {
-      return Set.of();
+    public RequestConstraints constraints() {
+      return RequestConstraints.NONE;
     }
 
     @Override
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -19,6 +19,7 @@
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
+import io.pathdeck.fleet.topology.AllowedRegions;
 import io.pathdeck.protocol.fleet.CallerTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteKind;
@@ -202,7 +203,8 @@
     CallerIdentity caller =
         new CallerIdentity.Authenticated(new CallerTenant(tenant, List.of(), 0, 0, 0));
     long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    RequestAuthorization authorization = new RequestAuthorization(caller, () -> true);
+    RequestAuthorization authorization =
+        new RequestAuthorization(caller, () -> true, () -> AllowedRegions.ANYWHERE);
     new RequestForwarder(context, exchange, request, route, SERVICE, 1, authorization, nowMs)
         .start();
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/load/LoadSimulation.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/load/LoadSimulation.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.load;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
@@ -107,7 +108,7 @@
     }
 
     void request(boolean duringPeak) {
-      List<EngineState> usable = table.usable("s", Set.of(), nowMs);
+      List<EngineState> usable = table.usable("s", RequestConstraints.NONE, nowMs);
       EngineState chosen =
           loadBalancer.choose(usable, Prompt.UNKNOWN, nowMs).orElseThrow().engine();
       chosen.onStart(nowMs);
--- a/fleet/src/test/java/io/pathdeck/fleet/load/TestLoadExchange.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/load/TestLoadExchange.java
@@ -106,7 +106,8 @@
             unknown.jobsGroups(),
             unknown.assignedGroup(),
             unknown.leavingMembers(),
-            unknown.quarantine());
+            unknown.quarantine(),
+            unknown.evacuatedZones());
     nodes.forEach(node -> runOnEventLoop(() -> node.exchange.onChange(view)));
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/store/MixedLoadSimulation.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/MixedLoadSimulation.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.store;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
@@ -15,7 +16,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -269,7 +269,8 @@
 
   private void sendRequest(boolean isPeak) {
     int gateway = random.nextInt(GATEWAYS);
-    List<EngineState> usableEngines = gatewayTables.get(gateway).usable("s", Set.of(), clockMs());
+    List<EngineState> usableEngines =
+        gatewayTables.get(gateway).usable("s", RequestConstraints.NONE, clockMs());
     Placement placement =
         gatewayBalancers.get(gateway).choose(usableEngines, PROMPT, clockMs()).orElseThrow();
     EngineState state = placement.engine();
@@ -411,7 +412,7 @@
             .toList();
     for (Item item : waitingItems) {
       List<EngineState> available =
-          storeTable.usable("s", Set.of(), clockMs()).stream()
+          storeTable.usable("s", RequestConstraints.NONE, clockMs()).stream()
               .filter(state -> slotPolicy.isLoadKnown(state, leadingForMs, clockMs()))
               .filter(state -> slotPolicy.hasFreeSlot(state, share, clockMs()))
               .toList();
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
@@ -12,6 +12,7 @@
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteKind;
@@ -78,7 +79,8 @@
         List.of(),
         FleetProcess.NO_GROUP,
         List.of(),
-        QuarantineList.NONE);
+        QuarantineList.NONE,
+        EvacuatedZones.NONE);
   }
 
   private void addItem(String id, long runTargetMs) {
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -24,6 +24,7 @@
 import io.pathdeck.protocol.command.LeasesRenewed;
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.PutRouteTable;
+import io.pathdeck.protocol.command.PutRouteTableV1;
 import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
@@ -39,6 +40,7 @@
 import io.pathdeck.protocol.command.SealFile;
 import io.pathdeck.protocol.command.SetEngineDraining;
 import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.command.SetZoneEvacuated;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.command.SubmitJob;
 import io.pathdeck.protocol.command.VersionConflict;
@@ -51,6 +53,7 @@
 import io.pathdeck.protocol.fleet.EngineEnd;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
@@ -64,6 +67,11 @@
 import io.pathdeck.protocol.fleet.RouteTarget;
 import io.pathdeck.protocol.fleet.ServiceLimits;
 import io.pathdeck.protocol.fleet.TenantUse;
+import io.pathdeck.protocol.legacy.CallerTenantV1;
+import io.pathdeck.protocol.legacy.FleetRecordV1;
+import io.pathdeck.protocol.legacy.RouteSpecV1;
+import io.pathdeck.protocol.legacy.RouteTableV1;
+import io.pathdeck.protocol.legacy.ServiceLimitsV1;
 import io.pathdeck.protocol.message.AdmissionReply;
 import io.pathdeck.protocol.message.AdmissionRequest;
 import io.pathdeck.protocol.message.ConfigurationHeartbeat;
@@ -134,6 +142,7 @@
 import io.pathdeck.protocol.snapshot.BatchJobRecord;
 import io.pathdeck.protocol.snapshot.ClaimRecord;
 import io.pathdeck.protocol.snapshot.DedupRecord;
+import io.pathdeck.protocol.snapshot.EvacuationRecord;
 import io.pathdeck.protocol.snapshot.FileChunkRecord;
 import io.pathdeck.protocol.snapshot.FileRecord;
 import io.pathdeck.protocol.snapshot.FleetRecord;
@@ -151,7 +160,8 @@
 
 /**
  * The types that may be encoded. A type's position is its identifier on the wire and on disk, so
- * new types are only added at the end.
+ * new types are only added at the end. Stored records keep their components: a form that grows
+ * moves to {@code protocol.legacy} and keeps its position there.
  */
 final class RegisteredTypes {
   /** Identifiers below this one belong to the codec's own types. */
@@ -256,9 +266,9 @@
           QueueRecord.class,
           RouteKind.class,
           RouteTarget.class,
-          RouteSpec.class,
-          ServiceLimits.class,
-          RouteTable.class,
+          RouteSpecV1.class,
+          ServiceLimitsV1.class,
+          RouteTableV1.class,
           EngineInstance.class,
           FleetRole.class,
           FleetProcess.class,
@@ -268,7 +278,7 @@
           FleetUpdate.class,
           BatchItem.class,
           BatchResult.class,
-          PutRouteTable.class,
+          PutRouteTableV1.class,
           FoundJobsGroups.class,
           SetStoreLeaving.class,
           SubmitBatch.class,
@@ -287,14 +297,14 @@
           Ping.class,
           EngineListDelta.class,
           ProcessListDelta.class,
-          FleetRecord.class,
+          FleetRecordV1.class,
           BatchJobRecord.class,
           BatchProgress.class,
           BatchOutcome.class,
           RecordBatchProgress.class,
           CallerLimits.class,
           TimeoutNow.class,
-          CallerTenant.class,
+          CallerTenantV1.class,
           TenantUse.class,
           AdmissionRequest.class,
           AdmissionReply.class,
@@ -305,7 +315,16 @@
           EngineEndNoted.class,
           QuarantineRequests.class,
           ReleaseRequests.class,
-          QuarantineRecord.class);
+          QuarantineRecord.class,
+          RouteSpec.class,
+          ServiceLimits.class,
+          CallerTenant.class,
+          RouteTable.class,
+          PutRouteTable.class,
+          FleetRecord.class,
+          EvacuatedZones.class,
+          SetZoneEvacuated.class,
+          EvacuationRecord.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
@@ -2,4 +2,10 @@
 
 /** A command of the group that keeps the fleet's configuration. */
 public sealed interface FleetCommand extends Command
-    permits PutRouteTable, FoundJobsGroups, SetStoreLeaving, QuarantineRequests, ReleaseRequests {}
+    permits PutRouteTable,
+        PutRouteTableV1,
+        FoundJobsGroups,
+        SetStoreLeaving,
+        QuarantineRequests,
+        ReleaseRequests,
+        SetZoneEvacuated {}
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/EngineInstance.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/EngineInstance.java
@@ -7,6 +7,7 @@
  * @param slots requests that it runs at once
  * @param draining it is leaving and must get nothing new
  * @param bornMs when this life began, in Unix milliseconds; {@link #BORN_UNKNOWN} when not told
+ * @param coldLeftMs how much longer the engine is cold, as of the list's reading; 0 when warm
  */
 public record EngineInstance(
     String id,
@@ -15,7 +16,8 @@
     String zone,
     int slots,
     boolean draining,
-    long bornMs) {
+    long bornMs,
+    long coldLeftMs) {
   /** The start of an engine that does not tell it: its id alone tells its lives apart. */
   public static final long BORN_UNKNOWN = 0;
 
@@ -25,6 +27,18 @@
     this(id, service, address, zone, slots, draining, BORN_UNKNOWN);
   }
 
+  /** A warm engine. */
+  public EngineInstance(
+      String id,
+      String service,
+      String address,
+      String zone,
+      int slots,
+      boolean draining,
+      long bornMs) {
+    this(id, service, address, zone, slots, draining, bornMs, 0);
+  }
+
   /** Differs for each life of an engine as far as it can be told apart from others. */
   public String lifeId() {
     return bornMs == BORN_UNKNOWN ? id : id + '@' + bornMs;
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteSpec.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteSpec.java
@@ -17,6 +17,7 @@
  * @param retainMs when an item of a batch job may be given up after its submission
  * @param maxQueuedTokens the most tokens of unfinished items of each tenant; 0: no limit
  * @param anonymous whether callers need no key
+ * @param allowedRegions the regions that may serve and store its requests; empty: all
  */
 public record RouteSpec(
     String name,
@@ -34,9 +35,49 @@
     long runTargetMs,
     long retainMs,
     long maxQueuedTokens,
-    boolean anonymous) {
+    boolean anonymous,
+    List<String> allowedRegions) {
   public RouteSpec {
     targets = new ArrayList<>(targets);
+    allowedRegions = new ArrayList<>(allowedRegions);
+  }
+
+  /** A route that all regions may serve. */
+  public RouteSpec(
+      String name,
+      String host,
+      String pathPrefix,
+      RouteKind kind,
+      long timeoutMs,
+      long targetMs,
+      int priority,
+      List<RouteTarget> targets,
+      int maxAttempts,
+      boolean sticky,
+      boolean resumable,
+      long gapTargetMs,
+      long runTargetMs,
+      long retainMs,
+      long maxQueuedTokens,
+      boolean anonymous) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        timeoutMs,
+        targetMs,
+        priority,
+        targets,
+        maxAttempts,
+        sticky,
+        resumable,
+        gapTargetMs,
+        runTargetMs,
+        retainMs,
+        maxQueuedTokens,
+        anonymous,
+        List.of());
   }
 
   /** Whether a request of this route may run on more than one engine. */
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetHeartbeat.java
@@ -17,6 +17,7 @@
  * @param processSequence up to where it knows the list of processes
  * @param jobsGroup set by the leader of a jobs group
  * @param quarantineVersion the version of the list of requests in quarantine that it has
+ * @param evacuationVersion the version of the evacuated zones that it has
  * @param tenantUse what a gateway has admitted of limited tenants
  */
 public record FleetHeartbeat(
@@ -29,6 +30,7 @@
     long processSequence,
     JobsGroupReport jobsGroup,
     long quarantineVersion,
+    long evacuationVersion,
     List<TenantUse> tenantUse)
     implements Message {
   public FleetHeartbeat {
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -1,6 +1,7 @@
 package io.pathdeck.protocol.message;
 
 import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
@@ -26,6 +27,8 @@
  * @param leavingMembers ids of store processes that are being emptied
  * @param contendedTenants tenants near their limit, whose requests the leader admits one by one
  * @param quarantine the requests that must not reach engines; null when the asker knows them
+ * @param evacuatedZones the zones whose engines must get nothing new; null when the asker knows
+ *     them
  */
 public record FleetUpdate(
     RouteTable routes,
@@ -36,7 +39,8 @@
     int assignedGroup,
     List<Integer> leavingMembers,
     List<String> contendedTenants,
-    QuarantineList quarantine)
+    QuarantineList quarantine,
+    EvacuatedZones evacuatedZones)
     implements Message {
   /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
   public static final long NO_LEADERS_EPOCH = -1;
--- a/protocol/src/test/java/io/pathdeck/protocol/transport/TypicalTraffic.java
+++ b/protocol/src/test/java/io/pathdeck/protocol/transport/TypicalTraffic.java
@@ -229,7 +229,7 @@
   private static Message heartbeat() {
     List<TenantUse> uses =
         IntStream.range(0, 10).mapToObj(tenant -> new TenantUse("tenant-" + tenant, 3)).toList();
-    return new FleetHeartbeat(process(), false, 12, 7, 4_000, 7, 900, null, 0, uses);
+    return new FleetHeartbeat(process(), false, 12, 7, 4_000, 7, 900, null, 0, 0, uses);
   }
 
   private static Message update(RouteTable routes) {
@@ -248,6 +248,7 @@
         0,
         List.of(),
         List.of("tenant-1"),
+        null,
         null);
   }
 
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -6,21 +6,26 @@
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.PutRouteTable;
+import io.pathdeck.protocol.command.PutRouteTableV1;
 import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.ReleaseRequests;
 import io.pathdeck.protocol.command.RouteTableHeld;
 import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.command.SetZoneEvacuated;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.legacy.FleetRecordV1;
 import io.pathdeck.protocol.query.NotFound;
 import io.pathdeck.protocol.query.Query;
 import io.pathdeck.protocol.query.QueryResult;
 import io.pathdeck.protocol.query.ReadRouteTable;
 import io.pathdeck.protocol.query.RouteTableResult;
+import io.pathdeck.protocol.snapshot.EvacuationRecord;
 import io.pathdeck.protocol.snapshot.FleetRecord;
 import io.pathdeck.protocol.snapshot.QuarantineRecord;
 import java.util.ArrayList;
@@ -34,8 +39,8 @@
 
 /**
  * The state of a fleet's configuration group: the route table with the highest version, the
- * founding members of the groups that keep batch jobs, the stores that are leaving, and the
- * requests that must not reach engines.
+ * founding members of the groups that keep batch jobs, the stores that are leaving, the requests
+ * that must not reach engines, and the evacuated zones.
  *
  * <p>Every command is idempotent, so results need not be stored for resends.
  */
@@ -49,6 +54,7 @@
   private final Map<Integer, SetStoreLeaving> leavingStores = new LinkedHashMap<>();
   private final LinkedHashSet<RequestFingerprint> quarantinedRequests = new LinkedHashSet<>();
   private long quarantineVersion;
+  private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
 
   /** The route table; empty until the first one is stored. */
   public Optional<RouteTable> routeTable() {
@@ -80,6 +86,11 @@
     return quarantineVersion;
   }
 
+  /** The zones whose engines must get nothing new. */
+  public EvacuatedZones evacuatedZones() {
+    return evacuatedZones;
+  }
+
   @Override
   public long logTimeMs() {
     return clock.nowMs();
@@ -97,6 +108,13 @@
     if (command instanceof PutRouteTable put) {
       return putRouteTable(put.table());
     }
+    if (command instanceof PutRouteTableV1 put) {
+      return putRouteTable(put.table().toCurrent());
+    }
+    if (command instanceof SetZoneEvacuated setEvacuated) {
+      setEvacuated(setEvacuated.zone(), setEvacuated.evacuated());
+      return new Done();
+    }
     if (command instanceof FoundJobsGroups found) {
       if (jobsFounders.isEmpty()) {
         jobsFounders = List.copyOf(found.groups());
@@ -130,6 +148,19 @@
     }
   }
 
+  private void setEvacuated(String zone, boolean evacuated) {
+    if (evacuatedZones.contains(zone) == evacuated) {
+      return;
+    }
+    List<String> zones = new ArrayList<>(evacuatedZones.zones());
+    if (evacuated) {
+      zones.add(zone);
+    } else {
+      zones.remove(zone);
+    }
+    evacuatedZones = new EvacuatedZones(evacuatedZones.version() + 1, zones);
+  }
+
   private CommandResult putRouteTable(RouteTable proposed) {
     if (routeTable == null || proposed.version() > routeTable.version()) {
       routeTable = proposed;
@@ -155,6 +186,7 @@
             new ArrayList<>(jobsFounders),
             new ArrayList<>(leavingStores.values())));
     records.add(new QuarantineRecord(quarantine()));
+    records.add(new EvacuationRecord(evacuatedZones));
     return records.iterator();
   }
 
@@ -163,18 +195,29 @@
     leavingStores.clear();
     quarantinedRequests.clear();
     quarantineVersion = QuarantineList.NONE.version();
+    evacuatedZones = EvacuatedZones.NONE;
     while (records.hasNext()) {
       Object record = records.next();
+      if (record instanceof EvacuationRecord evacuation) {
+        evacuatedZones = evacuation.evacuatedZones();
+      }
       if (record instanceof QuarantineRecord quarantineRecord) {
         quarantineVersion = quarantineRecord.quarantine().version();
         quarantinedRequests.addAll(quarantineRecord.quarantine().requests());
       }
       if (record instanceof FleetRecord fleet) {
-        clock.restore(fleet.clockMs());
-        routeTable = fleet.table();
-        jobsFounders = List.copyOf(fleet.jobsFounders());
-        fleet.leaving().forEach(store -> leavingStores.put(store.memberId(), store));
+        restore(fleet);
+      }
+      if (record instanceof FleetRecordV1 fleet) {
+        restore(fleet.toCurrent());
       }
     }
   }
+
+  private void restore(FleetRecord fleet) {
+    clock.restore(fleet.clockMs());
+    routeTable = fleet.table();
+    jobsFounders = List.copyOf(fleet.jobsFounders());
+    fleet.leaving().forEach(store -> leavingStores.put(store.memberId(), store));
+  }
 }
