--- a/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
@@ -6,8 +6,10 @@
 import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.raft.RaftMessage;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
@@ -26,6 +28,7 @@
   private final MembershipPolicy policy;
   private final Map<Integer, RaftReplica> replicas = new TreeMap<>();
   private final Map<Integer, Long> commitIndexes = new HashMap<>();
+  private final Map<Integer, List<Byte>> committedCommands = new HashMap<>();
   private final Set<Integer> isolatedIds = new HashSet<>();
 
   /** The total duration of the suspensions of each replica, by which its clock is behind. */
@@ -62,6 +65,12 @@
             nowMs);
     replicas.put(id, replica);
     isolatedIds.remove(id);
+    committedCommands.put(id, new ArrayList<>());
+  }
+
+  /** The first byte of each command that a replica has committed since it started. */
+  List<Byte> committedCommands(int id) {
+    return committedCommands.get(id);
   }
 
   RaftReplica replica(int id) {
@@ -134,6 +143,9 @@
         lastTerm = entry.entry().term();
       }
     }
+    ready.committed().stream()
+        .filter(entry -> entry.command() != null)
+        .forEach(entry -> committedCommands.get(id).add(entry.command()[0]));
     messagesInFlight.addAll(ready.messagesAfterSync());
     if (lastIndex > 0) {
       replica.onSynced(lastIndex, lastTerm, nowMs(id));
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -91,6 +91,7 @@
     for (GroupRuntime group : groups.values()) {
       group.replica().poll(nowMs);
       group.followRole();
+      group.onStep(nowMs);
       group.advanceTimeIfIdle(clock);
       group.logReplication(nowMs);
     }
--- a/control/src/main/java/io/pathdeck/control/GroupRecovery.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRecovery.java
@@ -76,6 +76,7 @@
         replica.lastIndex(),
         "term",
         replica.term());
-    return new GroupRuntime(group, replica, machine, applied, snapshotThresholdBytes);
+    return new GroupRuntime(
+        group, replica, machine, applied, snapshotThresholdBytes, VoterRequirement.none());
   }
 }
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -16,12 +16,15 @@
 import io.pathdeck.protocol.message.QueryReply;
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.query.Query;
+import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.LogEntry;
 import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.state.StateMachine;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 
@@ -34,14 +37,18 @@
 
   private record PendingProposal(long term, ReplySink reply) {}
 
+  private record HeldReply(ReplySink reply, ProposeReply message) {}
+
   private record PendingRead(long index, Runnable answer, ReplySink refusal) {}
 
   private final int group;
   private final RaftReplica replica;
   private final StateMachine stateMachine;
   private final long snapshotThresholdBytes;
+  private final VoterRequirement voterRequirement;
   private final LogTime logTime = new LogTime();
   private final Map<Long, PendingProposal> proposals = new HashMap<>();
+  private final List<HeldReply> heldReplies = new ArrayList<>();
   private final ArrayDeque<PendingRead> reads = new ArrayDeque<>();
   private long appliedIndex;
 
@@ -49,6 +56,8 @@
   private long firstIndexAsLeader;
 
   private long lastProposalMs;
+  private long lastStepMs;
+  private boolean lackOfVotersReported;
   private long snapshotIndex;
   private long lastSnapshotBytes;
   private boolean snapshotRunning;
@@ -60,14 +69,17 @@
    * Creates the runtime of a recovered group.
    *
    * @param snapshotThresholdBytes the least size of the log that is worth a snapshot
+   * @param voterRequirement the voters that the group needs
    */
-  public GroupRuntime(
+  GroupRuntime(
       int group,
       RaftReplica replica,
       StateMachine stateMachine,
       long appliedIndex,
-      long snapshotThresholdBytes) {
+      long snapshotThresholdBytes,
+      VoterRequirement voterRequirement) {
     this.snapshotThresholdBytes = snapshotThresholdBytes;
+    this.voterRequirement = voterRequirement;
     this.group = group;
     this.replica = replica;
     this.stateMachine = stateMachine;
@@ -179,13 +191,47 @@
     CommandResult result = entry.command() == null ? null : applyCommand(entry.command());
     PendingProposal pending = proposals.remove(entry.index());
     if (pending != null && pending.term() == entry.term()) {
-      pending.reply().reply(new ProposeReply(result));
+      acknowledge(pending.reply(), new ProposeReply(result));
     } else if (pending != null) {
       pending.reply().reply(new Unavailable("leadership changed", true));
     }
     answerReads();
   }
 
+  private void acknowledge(ReplySink reply, ProposeReply message) {
+    if (voterRequirement.holdsAcknowledgements(lastStepMs)) {
+      heldReplies.add(new HeldReply(reply, message));
+    } else {
+      reply.reply(message);
+    }
+  }
+
+  /** Sends the acknowledgements that need not wait any longer, and reports a lack of voters. */
+  void onStep(long nowMs) {
+    lastStepMs = nowMs;
+    replica.configurationIfCommitted().ifPresent(voterRequirement::onConfiguration);
+    if (!heldReplies.isEmpty() && !voterRequirement.holdsAcknowledgements(nowMs)) {
+      heldReplies.forEach(held -> held.reply().reply(held.message()));
+      heldReplies.clear();
+    }
+    if (replica.role() == ReplicaRole.LEADER) {
+      reportLackOfVoters(nowMs);
+    }
+  }
+
+  private void reportLackOfVoters(long nowMs) {
+    boolean lacksVoters = voterRequirement.lacksVoters(nowMs);
+    if (lacksVoters != lackOfVotersReported) {
+      lackOfVotersReported = lacksVoters;
+      logVoters(lacksVoters ? EventCode.VOTERS_MISSING : EventCode.VOTERS_COMPLETE);
+    }
+  }
+
+  private void logVoters(EventCode code) {
+    int voters = replica.configuration().map(GroupConfiguration::voterCount).orElse(0);
+    EVENTS.log(code, "group", group, "voters", voters, "needed", voterRequirement.neededVoters());
+  }
+
   private CommandResult applyCommand(byte[] command) {
     Result<CommandEnvelope, ObjectCodec.CodecError> decoded =
         ObjectCodec.decode(command, CommandEnvelope.class);
@@ -214,6 +260,7 @@
         replica.term(),
         "leader",
         replica.leaderId());
+    lackOfVotersReported = false;
     if (role == ReplicaRole.LEADER) {
       firstIndexAsLeader = replica.lastIndex();
     } else {
@@ -222,6 +269,8 @@
           .values()
           .forEach(pending -> pending.reply().reply(new Unavailable("leadership lost", true)));
       proposals.clear();
+      heldReplies.forEach(held -> held.reply().reply(new Unavailable("leadership lost", true)));
+      heldReplies.clear();
       reads.forEach(read -> read.refusal().reply(new Unavailable("leadership lost", false)));
       reads.clear();
     }
@@ -285,5 +334,6 @@
   void onSnapshotInstalled(long index) {
     appliedIndex = index;
     snapshotIndex = index;
+    voterRequirement.onSnapshot();
   }
 }
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -8,6 +8,7 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.consensus.JoinSettings;
+import io.pathdeck.consensus.MembershipPolicy;
 import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.RaftSettings;
 import io.pathdeck.consensus.RecoveredState;
@@ -153,7 +154,23 @@
         "term",
         replica.term());
     return new GroupRuntime(
-        number, replica, options.stateMachine(), applied, options.snapshotThresholdBytes());
+        number,
+        replica,
+        options.stateMachine(),
+        applied,
+        options.snapshotThresholdBytes(),
+        voterRequirement(options.joinSettings().policy(), snapshot, nowMs));
+  }
+
+  private static VoterRequirement voterRequirement(
+      MembershipPolicy policy, Optional<SnapshotMetadata> snapshot, long nowMs) {
+    if (!policy.open()) {
+      return VoterRequirement.none();
+    }
+    VoterRequirement requirement =
+        new VoterRequirement(policy.minVoters(), snapshot.isPresent(), nowMs);
+    snapshot.map(SnapshotMetadata::configuration).ifPresent(requirement::onConfiguration);
+    return requirement;
   }
 
   /** Starts the threads. */
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -187,7 +187,11 @@
     FleetProcess self = describeSelf(folder.incarnation());
     FleetFollower follower =
         contacts.createFollower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
-    follower.setChangeListener(view -> saveIfConfirmed(view, follower, lastKnownFleet));
+    follower.setChangeListener(
+        view -> {
+          learnCoordinators(view, host, pool);
+          saveIfConfirmed(view, follower, lastKnownFleet);
+        });
     lastKnownFleet.start();
     resources.push(
         new PeerServer(
@@ -234,6 +238,19 @@
         self.incarnation());
   }
 
+  /**
+   * Adds the coordinators of the view to those asked for admission: the leader, which alone admits
+   * members, need not be one of the seeds.
+   */
+  private static void learnCoordinators(FleetView view, ReplicaHost host, PeerPool pool) {
+    Set<Integer> memberIds = new HashSet<>();
+    for (FleetProcess coordinator : view.withRole(FleetRole.COORDINATOR)) {
+      pool.learn(coordinator.memberId(), coordinator.peerAddress());
+      memberIds.add(coordinator.memberId());
+    }
+    host.execute(() -> host.group().replica().addContacts(memberIds));
+  }
+
   /**
    * Saves a view only if a leader confirmed it: the last-known state of another coordinator may be
    * older than the file.
