--- a/control/src/main/java/io/pathdeck/control/ControllerStatus.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerStatus.java
@@ -10,7 +10,11 @@
 /** A snapshot of the groups for operators and probes. */
 public record ControllerStatus(List<GroupView> groups) {
 
-  /** One group as this controller sees it. */
+  /**
+   * One group as this controller sees it.
+   *
+   * @param neededVoters the voters that the tolerated losses need; 0 if the members are configured
+   */
   public record GroupView(
       int group,
       ReplicaRole role,
@@ -19,6 +23,7 @@
       long commitIndex,
       long appliedIndex,
       List<MemberView> members,
+      int neededVoters,
       ReplicationStatistics replication) {}
 
   /** One member and how much of the log it has synced, as far as the leader knows. */
@@ -49,6 +54,7 @@
               group.replica().commitIndex(),
               group.appliedIndex(),
               members,
+              group.neededVoters(),
               group.replica().statistics()));
     }
     return new ControllerStatus(views);
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -100,6 +100,11 @@
     return stateMachine;
   }
 
+  /** The voters that the tolerated losses need; 0 if the members are configured. */
+  public int neededVoters() {
+    return voterRequirement.neededVoters();
+  }
+
   public long appliedIndex() {
     return appliedIndex;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
@@ -51,6 +51,8 @@
     registerGroupGauge(registry, status, "pathdeck.group.commit.index", GroupView::commitIndex);
     registerGroupGauge(registry, status, "pathdeck.group.applied.index", GroupView::appliedIndex);
     registerGroupGauge(registry, status, "pathdeck.group.members", view -> view.members().size());
+    registerGroupGauge(registry, status, "pathdeck.group.voters", FleetMetrics::countVoters);
+    registerGroupGauge(registry, status, "pathdeck.group.voters.needed", GroupView::neededVoters);
     registerGroupGauge(
         registry,
         status,
@@ -63,6 +65,10 @@
         view -> view.replication().entryBytesResent());
   }
 
+  private static double countVoters(GroupView view) {
+    return view.members().stream().filter(member -> member.member().voter()).count();
+  }
+
   /** Registers a counter of dropped messages to other processes. */
   public static void bindPeers(MeterRegistry registry, PeerPool pool) {
     FunctionCounter.builder("pathdeck.peer.messages.dropped", pool, PeerPool::droppedMessages)
