--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
@@ -75,7 +75,7 @@
     if (file.isEmpty()) {
       return Optional.empty();
     }
-    Object first = new RecordIterator(file.get()).next();
+    Object first = new RecordReader(file.get()).next();
     if (first instanceof SnapshotHeaderRecord header) {
       return Optional.of(
           new SnapshotMetadata(header.index(), header.term(), header.configuration()));
@@ -88,7 +88,10 @@
     Path file =
         newestFile(group).orElseThrow(() -> new IOException("no snapshot of group " + group));
     List<Object> records = new ArrayList<>();
-    new RecordIterator(file).forEachRemaining(records::add);
+    RecordReader reader = new RecordReader(file);
+    while (reader.hasNext()) {
+      records.add(reader.next());
+    }
     Object last = records.remove(records.size() - 1);
     records.remove(0);
     boolean complete = last instanceof SnapshotEndRecord end && end.records() == records.size();
@@ -155,29 +158,32 @@
   }
 
   /** Reads the records of a snapshot file one by one. */
-  private static final class RecordIterator implements Iterator<Object> {
+  private static final class RecordReader {
     private final ByteBuffer content;
     private final Path file;
 
-    RecordIterator(Path file) throws IOException {
+    RecordReader(Path file) throws IOException {
       this.file = file;
       try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
         this.content = channel.map(FileChannel.MapMode.READ_ONLY, 0, channel.size());
       }
     }
 
-    @Override
-    public boolean hasNext() {
+    boolean hasNext() {
       return content.hasRemaining();
     }
 
-    @Override
-    public Object next() {
+    Object next() throws IOException {
       byte[] frame = FrameFormat.readFrame(content);
       if (frame == null) {
-        throw new IllegalStateException(file + " is damaged at offset " + content.position());
+        throw new IOException(file + " is damaged at offset " + content.position());
+      }
+      Result<Object, ObjectCodec.CodecError> decoded = ObjectCodec.decode(frame, Object.class);
+      if (!decoded.isOk()) {
+        throw new IOException(
+            file + " holds a record of an unknown form: " + decoded.error().reason());
       }
-      return ObjectCodec.decode(frame, Object.class).value();
+      return decoded.value();
     }
   }
 }
--- a/control/src/main/java/io/pathdeck/control/GroupRecovery.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRecovery.java
@@ -77,6 +77,12 @@
         "term",
         replica.term());
     return new GroupRuntime(
-        group, replica, machine, applied, snapshotThresholdBytes, VoterRequirement.none());
+        group,
+        replica,
+        machine,
+        applied,
+        snapshotThresholdBytes,
+        VoterRequirement.none(),
+        ReplicaHost::haltAfterFailure);
   }
 }
--- a/control/src/main/java/io/pathdeck/control/GroupRuntime.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRuntime.java
@@ -46,6 +46,7 @@
   private final StateMachine stateMachine;
   private final long snapshotThresholdBytes;
   private final VoterRequirement voterRequirement;
+  private final Runnable unknownFormHandler;
   private final LogTime logTime = new LogTime();
   private final Map<Long, PendingProposal> proposals = new HashMap<>();
   private final List<HeldReply> heldReplies = new ArrayList<>();
@@ -70,6 +71,8 @@
    *
    * @param snapshotThresholdBytes the least size of the log that is worth a snapshot
    * @param voterRequirement the voters that the group needs
+   * @param unknownFormHandler called before an entry is applied that this version cannot read; ends
+   *     the process, since a replica that skipped the entry would differ from the others
    */
   GroupRuntime(
       int group,
@@ -77,7 +80,9 @@
       StateMachine stateMachine,
       long appliedIndex,
       long snapshotThresholdBytes,
-      VoterRequirement voterRequirement) {
+      VoterRequirement voterRequirement,
+      Runnable unknownFormHandler) {
+    this.unknownFormHandler = unknownFormHandler;
     this.snapshotThresholdBytes = snapshotThresholdBytes;
     this.voterRequirement = voterRequirement;
     this.group = group;
@@ -188,12 +193,12 @@
   // ---- applying
 
   void apply(LogEntry entry) {
-    appliedIndex = entry.index();
     if (entry.configuration() != null) {
       EVENTS.log(
           EventCode.MEMBERSHIP_CHANGED, "group", group, "members", entry.configuration().members());
     }
-    CommandResult result = entry.command() == null ? null : applyCommand(entry.command());
+    CommandResult result = entry.command() == null ? null : applyCommand(entry);
+    appliedIndex = entry.index();
     PendingProposal pending = proposals.remove(entry.index());
     if (pending != null && pending.term() == entry.term()) {
       acknowledge(pending.reply(), new ProposeReply(result));
@@ -237,9 +242,16 @@
     EVENTS.log(code, "group", group, "voters", voters, "needed", voterRequirement.neededVoters());
   }
 
-  private CommandResult applyCommand(byte[] command) {
+  private CommandResult applyCommand(LogEntry entry) {
     Result<CommandEnvelope, ObjectCodec.CodecError> decoded =
-        ObjectCodec.decode(command, CommandEnvelope.class);
+        ObjectCodec.decode(entry.command(), CommandEnvelope.class);
+    if (!decoded.isOk()) {
+      String reason = decoded.error().reason();
+      EVENTS.log(
+          EventCode.ENTRY_UNREADABLE, "group", group, "index", entry.index(), "reason", reason);
+      unknownFormHandler.run();
+      throw new IllegalStateException("entry " + entry.index() + " is of an unknown form");
+    }
     return stateMachine.apply(decoded.value());
   }
 
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -112,7 +112,7 @@
     }
     try {
       return Result.ok(new ReplicaHost(options, folder, log.value(), recovered, links));
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return Result.err(new StorageError.Io("recover", e.toString()));
     }
   }
@@ -159,7 +159,8 @@
         options.stateMachine(),
         applied,
         options.snapshotThresholdBytes(),
-        voterRequirement(options.joinSettings().policy(), snapshot, nowMs));
+        voterRequirement(options.joinSettings().policy(), snapshot, nowMs),
+        ReplicaHost::haltAfterFailure);
   }
 
   private static VoterRequirement voterRequirement(
@@ -264,8 +265,11 @@
     rings.events().wakeConsumer();
   }
 
-  /** What is durable is unknown after a failed sync, so the process ends without any more steps. */
-  private static void haltAfterFailure() {
+  /**
+   * Ends the process without any more steps: what is durable is unknown after a failed sync, and an
+   * entry that cannot be read must not be skipped.
+   */
+  static void haltAfterFailure() {
     Runtime.getRuntime().halt(STORAGE_FAILURE_EXIT_CODE);
   }
 
--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -215,6 +215,8 @@
         clock.restore(header.clockMs());
       } else if (next instanceof BatchJobRecord saved) {
         jobs.put(saved.submission().jobId(), BatchJob.restore(saved));
+      } else {
+        throw StateMachine.unknownRecord(next);
       }
     }
   }
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -200,16 +200,15 @@
       Object record = records.next();
       if (record instanceof EvacuationRecord evacuation) {
         evacuatedZones = evacuation.evacuatedZones();
-      }
-      if (record instanceof QuarantineRecord quarantineRecord) {
+      } else if (record instanceof QuarantineRecord quarantineRecord) {
         quarantineVersion = quarantineRecord.quarantine().version();
         quarantinedRequests.addAll(quarantineRecord.quarantine().requests());
-      }
-      if (record instanceof FleetRecord fleet) {
+      } else if (record instanceof FleetRecord fleet) {
         restore(fleet);
-      }
-      if (record instanceof FleetRecordV1 fleet) {
+      } else if (record instanceof FleetRecordV1 fleet) {
         restore(fleet.toCurrent());
+      } else {
+        throw StateMachine.unknownRecord(record);
       }
     }
   }
--- a/state/src/main/java/io/pathdeck/state/StateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/StateMachine.java
@@ -32,6 +32,16 @@
   /** Captures the state quickly; the returned records are unaffected by later commands. */
   Iterator<Object> captureSnapshot();
 
-  /** Replaces the state with the records of a snapshot. */
+  /**
+   * Replaces the state with the records of a snapshot.
+   *
+   * @throws IllegalArgumentException if the snapshot holds a record of an unknown type
+   */
   void restoreSnapshot(Iterator<Object> records);
+
+  /** Returns the exception for a record that a state machine cannot restore. */
+  static IllegalArgumentException unknownRecord(Object record) {
+    return new IllegalArgumentException(
+        "the snapshot holds a record of an unknown type: " + record.getClass().getSimpleName());
+  }
 }
