A jobs group that lacks a zone takes its stores in again

Cause: while a zone was away, stores of other zones took the places of its members. The zone's stores, back with empty disks, found the group complete, and the group lost its quorum with one of the remaining zones, though the settings state that a zone may be lost.

Change: where zones may be lost, a group that would lose its quorum with a zone admits waiting stores of zones that have room beside its full size. No change otherwise.

Checked: TestToleratedJobsGroupLosses, TestJobsGroupRegistry, TestJobsGroupFounding pass; groupWithoutMembersOfAZoneTakesThemInAgain needs the change.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -180,6 +180,7 @@
             state,
             host.clock(),
             fleet.minGroupSize(),
+            fleet.toleratedZones(),
             fleet.limitWindowMs(),
             poller::setPolling,
             lastKnownFleet.recoveredUpdate());
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -79,6 +79,7 @@
    * @param state the replicated fleet state
    * @param clock the clock of the consensus thread
    * @param minGroupSize minimum number of stores in a jobs group
+   * @param toleratedZones number of zones that may be lost at once
    * @param limitWindowMs time window of the tenants' rate limits
    * @param leadershipListener called when this coordinator starts or stops leading
    * @param savedUpdate the fleet state saved before the restart of this coordinator
@@ -88,6 +89,7 @@
       FleetStateMachine state,
       ControllerClock clock,
       int minGroupSize,
+      int toleratedZones,
       long limitWindowMs,
       Consumer<Boolean> leadershipListener,
       Optional<FleetUpdate> savedUpdate) {
@@ -98,7 +100,8 @@
     this.minGroupSize = minGroupSize;
     this.tenantAdmission = new TenantAdmission(group, state, limitWindowMs);
     this.quarantineManager = new QuarantineManager(group, state, clock);
-    this.jobsGroups = new JobsGroupRegistry(JobsGroupFounding.targetSize(minGroupSize));
+    this.jobsGroups =
+        new JobsGroupRegistry(JobsGroupFounding.targetSize(minGroupSize), toleratedZones);
     this.leadershipListener = leadershipListener;
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.raft.Member;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -32,6 +33,7 @@
   static final long REPLACEMENT_DELAY_MS = 4_000;
 
   private final int targetSize;
+  private final boolean zonesMayBeLost;
   private final Map<Integer, JobsGroupReport> reportByGroup = new TreeMap<>();
   private final Map<Integer, Integer> assignedGroupByMemberId = new HashMap<>();
   private final Map<Integer, Long> incompleteSinceMsByGroup = new HashMap<>();
@@ -42,9 +44,11 @@
    * Creates an empty registry.
    *
    * @param targetSize number of members that a group should have
+   * @param toleratedZones number of zones that may be lost at once
    */
-  JobsGroupRegistry(int targetSize) {
+  JobsGroupRegistry(int targetSize, int toleratedZones) {
     this.targetSize = targetSize;
+    this.zonesMayBeLost = toleratedZones > 0;
   }
 
   /** Discards all state; called when the leadership of this coordinator begins or ends. */
@@ -126,10 +130,17 @@
       Collection<FleetProcess> processes,
       Set<Integer> leavingMemberIds,
       long nowMs) {
-    Map<Integer, Integer> sizes = countStoresByGroup(foundedGroups, processes, leavingMemberIds);
-    updateIncompleteSince(sizes, nowMs);
-    Optional<Integer> smallestGroup = sizes.keySet().stream().min(Comparator.comparing(sizes::get));
-    if (smallestGroup.isEmpty() || sizes.get(smallestGroup.get()) >= targetSize) {
+    Map<Integer, List<FleetProcess>> members =
+        listStoresByGroup(foundedGroups, processes, leavingMemberIds);
+    updateIncompleteSince(members, nowMs);
+    Optional<Integer> groupOfOwnZone = groupThatLacksZone(members, store.zone());
+    if (groupOfOwnZone.isPresent() && nowMs - leaderSinceMs >= REPLACEMENT_DELAY_MS) {
+      assignedGroupByMemberId.put(store.memberId(), groupOfOwnZone.get());
+      return groupOfOwnZone.get();
+    }
+    Optional<Integer> smallestGroup =
+        members.keySet().stream().min(Comparator.comparing(group -> members.get(group).size()));
+    if (smallestGroup.isEmpty() || members.get(smallestGroup.get()).size() >= targetSize) {
       waitingMemberIds.add(store.memberId());
       return FleetProcess.NO_GROUP;
     }
@@ -146,28 +157,63 @@
     return group;
   }
 
-  /** Counts the live stores that belong or are assigned to each group, except retiring ones. */
-  private Map<Integer, Integer> countStoresByGroup(
+  /**
+   * Returns a complete group that would lose its quorum with one zone because it has too many
+   * members there, and that lacks members of {@code zone}. Such a group arises when members of a
+   * lost zone were replaced from other zones.
+   */
+  private Optional<Integer> groupThatLacksZone(
+      Map<Integer, List<FleetProcess>> members, String zone) {
+    if (!zonesMayBeLost) {
+      return Optional.empty();
+    }
+    return members.keySet().stream()
+        .filter(group -> members.get(group).size() >= targetSize)
+        .filter(group -> countInZone(members.get(group), zone) < maxPerZone())
+        .filter(group -> exceedsZoneLimit(members.get(group)))
+        .findFirst();
+  }
+
+  private boolean exceedsZoneLimit(List<FleetProcess> stores) {
+    int quorum = stores.size() / 2 + 1;
+    return stores.stream()
+        .map(FleetProcess::zone)
+        .distinct()
+        .anyMatch(zone -> stores.size() - countInZone(stores, zone) < quorum);
+  }
+
+  /** The members of one zone that a group of the target size may lose. */
+  private int maxPerZone() {
+    return (targetSize - 1) / 2;
+  }
+
+  private static int countInZone(List<FleetProcess> stores, String zone) {
+    return (int) stores.stream().filter(store -> store.zone().equals(zone)).count();
+  }
+
+  /** Returns the live stores that belong or are assigned to each group, except retiring ones. */
+  private Map<Integer, List<FleetProcess>> listStoresByGroup(
       List<JobsGroupFounders> foundedGroups,
       Collection<FleetProcess> processes,
       Set<Integer> leavingMemberIds) {
-    Map<Integer, Integer> sizes = new TreeMap<>();
-    foundedGroups.forEach(founders -> sizes.put(founders.group(), 0));
+    Map<Integer, List<FleetProcess>> members = new TreeMap<>();
+    foundedGroups.forEach(founders -> members.put(founders.group(), new ArrayList<>()));
     for (FleetProcess process : processes) {
       boolean isCounted =
           process.role() == FleetRole.STORE && !leavingMemberIds.contains(process.memberId());
       if (isCounted) {
         knownGroupOf(process, foundedGroups)
-            .ifPresent(group -> sizes.merge(group, 1, Integer::sum));
+            .ifPresent(
+                group -> members.computeIfAbsent(group, key -> new ArrayList<>()).add(process));
       }
     }
-    return sizes;
+    return members;
   }
 
-  private void updateIncompleteSince(Map<Integer, Integer> sizes, long nowMs) {
-    sizes.forEach(
-        (group, size) -> {
-          if (size >= targetSize) {
+  private void updateIncompleteSince(Map<Integer, List<FleetProcess>> members, long nowMs) {
+    members.forEach(
+        (group, stores) -> {
+          if (stores.size() >= targetSize) {
             incompleteSinceMsByGroup.remove(group);
           } else {
             incompleteSinceMsByGroup.putIfAbsent(group, nowMs);
