--- a/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
@@ -31,6 +31,9 @@
   private final Map<Integer, List<Byte>> committedCommands = new HashMap<>();
   private final Set<Integer> isolatedIds = new HashSet<>();
 
+  /** Replicas that reach each other, but none of the rest. */
+  private Set<Integer> cutOffIds = Set.of();
+
   /** The total duration of the suspensions of each replica, by which its clock is behind. */
   private final Map<Integer, Long> suspendedMs = new HashMap<>();
 
@@ -85,6 +88,11 @@
     isolatedIds.remove(id);
   }
 
+  /** Cuts the connections between {@code ids} and all others; an empty set heals the cut. */
+  void cutOff(Set<Integer> ids) {
+    cutOffIds = Set.copyOf(ids);
+  }
+
   /** Stops a replica and its clock; messages to it are lost. */
   void suspend(int id) {
     suspendedIds.add(id);
@@ -124,7 +132,8 @@
       boolean lost =
           isolatedIds.contains(to)
               || suspendedIds.contains(to)
-              || isolatedIds.contains(message.header().from());
+              || isolatedIds.contains(message.header().from())
+              || cutOffIds.contains(to) != cutOffIds.contains(message.header().from());
       if (!lost && replicas.containsKey(to)) {
         replicas.get(to).receive(message, nowMs(to));
         processReady(to, replicas.get(to));
--- a/consensus/src/test/java/io/pathdeck/consensus/TestToleratedLosses.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/TestToleratedLosses.java
@@ -20,6 +20,7 @@
   private static final int ZONES = 3;
   private static final byte BEFORE = 1;
   private static final byte AFTER = 2;
+  private static final byte LOST = 3;
   private static final long FORMATION_MS = 6_000;
   private static final long RECOVERY_MS = 6_000;
 
@@ -96,6 +97,27 @@
             id -> assertThat(group.committedCommands(id)).isEqualTo(List.of(BEFORE, AFTER)));
   }
 
+  /** Callers still reach the zone's leader, which must acknowledge nothing and answer no read. */
+  @Test
+  void leaderInCutOffZoneAcknowledgesNothing() {
+    InMemoryGroup group = groupOfSix();
+    commit(group, BEFORE);
+    int leaderId = group.leader().orElseThrow().leaderId();
+    int neighborId = leaderId > ZONES ? leaderId - ZONES : leaderId + ZONES;
+    group.cutOff(Set.of(leaderId, neighborId));
+    assertThat(group.replica(leaderId).propose(new byte[] {LOST}, group.nowMs())).isPresent();
+    group.runFor(RECOVERY_MS);
+    assertThat(group.committedCommands(leaderId)).isEqualTo(List.of(BEFORE));
+    assertThat(group.replica(leaderId).readIndex(group.nowMs())).isEmpty();
+    commit(group, AFTER);
+    group.cutOff(Set.of());
+    group.runFor(RECOVERY_MS);
+    assertThat(group.voters()).isEqualTo(MEMBERS);
+    assertThat(MEMBERS)
+        .allSatisfy(
+            id -> assertThat(group.committedCommands(id)).isEqualTo(List.of(BEFORE, AFTER)));
+  }
+
   @Test
   void silentMembersAreRemovedOnlyWhileTwoMoreLossesAreTolerated() {
     InMemoryGroup group = groupOfSix();
