--- a/common/src/main/java/io/pathdeck/common/settings/SettingsReader.java
+++ b/common/src/main/java/io/pathdeck/common/settings/SettingsReader.java
@@ -179,11 +179,12 @@
     return addresses;
   }
 
-  /** A map of texts; empty when the key is absent. */
+  /** A map of texts; empty when the key is absent or has no value. */
   public Map<String, String> textMap(String key) {
     JsonNode node = lookup(key);
     Map<String, String> entries = new LinkedHashMap<>();
-    if (node == null || node.isNull()) {
+    boolean isEmpty = node == null || (node.isTextual() && node.asText().isBlank());
+    if (isEmpty) {
       return entries;
     }
     if (!node.isObject()) {
