Evacuation of a zone: operators' call, its effect and what is left

Cause: the evacuated zones were replicated, but no operator could set them, a process that woke from a suspension sent by its old view, and an order that the network delivered late could undo a newer one.

Change: EvacuationEndpoint (POST, DELETE and a status at any coordinator, 404 for unknown zones, acknowledged once committed). SetZoneEvacuated names the version that it is based on and is answered with the zones that are held; nothing was stored in its earlier form. A gateway holds requests back while no report sent since a suspension has ended; a connection or an item start that took more than 1 s after the choice of its engine is not used. Requests without an eligible engine are refused at once, with the reason and a time to come back (NoEligibleEngine; RequestForwarder gave QueueWait away for it). Items leave the share of slots to online requests that the evacuated engines had. A coordinator without a leader tells saved evacuations also to a process whose routes are current. EngineEligibility tells when an evacuation of a zone ended.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/OperatorProtocol.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/OperatorProtocol.java
@@ -9,4 +9,7 @@
 
   /** Encodes whether a store has been retired. */
   byte[] writeRetirement(boolean retired);
+
+  /** Encodes which zones are evacuated. */
+  byte[] writeEvacuations(EvacuationStatus status);
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/OperatorRequest.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/OperatorRequest.java
@@ -20,6 +20,9 @@
   /** Evacuates a zone, or takes its evacuation back. */
   record SetEvacuated(String zone, boolean evacuated) implements OperatorRequest {}
 
+  /** Reads which zones are evacuated. */
+  record ReadEvacuations() implements OperatorRequest {}
+
   /** A request with invalid content; {@code reason} is returned to the operator. */
   record Invalid(String reason) implements OperatorRequest {}
 
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -206,7 +206,11 @@
     follower.start();
     OperatorEndpoint operators =
         new OperatorEndpoint(
-            adapter.operators(), contacts.client(), follower::view, fleet.minGroupSize());
+            adapter.operators(),
+            contacts.client(),
+            follower::view,
+            fleet.minGroupSize(),
+            fleet.topology());
     startHttpServer(settings.operatorsListen(), eventLoops, operators::handle);
     MemberMetrics.serve(
         fleet,
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
@@ -87,7 +87,7 @@
 
   /**
    * Returns the answer while no leader is known, or empty to send none. A process with the same or
-   * newer routes only gets a notice that no leader is known.
+   * newer routes and evacuated zones only gets a notice that no leader is known.
    */
   Optional<FleetUpdate> answerWithoutLeader(FleetHeartbeat heartbeat, long nowMs) {
     boolean inWindow = nowMs - servingSinceMs < ANSWER_WINDOW_MS;
@@ -95,11 +95,12 @@
       return Optional.empty();
     }
     return savedUpdate.map(
-        saved -> hasCurrentRoutes(heartbeat, saved) ? leaderUnknownNotice(saved) : saved);
+        saved -> hasCurrentState(heartbeat, saved) ? leaderUnknownNotice(saved) : saved);
   }
 
-  private static boolean hasCurrentRoutes(FleetHeartbeat heartbeat, FleetUpdate saved) {
-    return heartbeat.routeVersion() >= saved.routes().version();
+  private static boolean hasCurrentState(FleetHeartbeat heartbeat, FleetUpdate saved) {
+    return heartbeat.routeVersion() >= saved.routes().version()
+        && heartbeat.evacuationVersion() >= saved.evacuatedZones().version();
   }
 
   /**
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
@@ -8,6 +8,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.GroupCallError;
 import io.pathdeck.fleet.member.GroupClient;
+import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.RouteTableHeld;
@@ -32,23 +33,26 @@
 final class OperatorEndpoint {
   private static final EventLog EVENTS = EventLog.of(OperatorEndpoint.class);
   static final long CALL_TIMEOUT_MS = 1_500;
-  private static final long ATTEMPT_TIMEOUT_MS = 700;
+  static final long ATTEMPT_TIMEOUT_MS = 700;
   private static final String JSON = "application/json";
 
   private final OperatorProtocol protocol;
   private final GroupClient coordinators;
   private final Supplier<FleetView> view;
   private final int minGroupSize;
+  private final EvacuationEndpoint evacuations;
 
   OperatorEndpoint(
       OperatorProtocol protocol,
       GroupClient coordinators,
       Supplier<FleetView> view,
-      int minGroupSize) {
+      int minGroupSize,
+      Topology topology) {
     this.protocol = protocol;
     this.coordinators = coordinators;
     this.view = view;
     this.minGroupSize = minGroupSize;
+    this.evacuations = new EvacuationEndpoint(protocol, coordinators, view, topology);
   }
 
   void handle(HttpExchange exchange) {
@@ -61,6 +65,10 @@
       retireStore(exchange, retireRequest.name());
     } else if (request instanceof OperatorRequest.ReadRetirement readRequest) {
       readRetirement(exchange, readRequest.name());
+    } else if (request instanceof OperatorRequest.SetEvacuated setRequest) {
+      evacuations.set(exchange, setRequest);
+    } else if (request instanceof OperatorRequest.ReadEvacuations) {
+      evacuations.read(exchange);
     } else if (request instanceof OperatorRequest.Invalid invalid) {
       rejectInvalid(exchange, invalid.reason());
     } else {
@@ -194,8 +202,7 @@
         .thenAccept(handler);
   }
 
-  private static void sendUnavailable(
-      HttpExchange exchange, Result<Message, GroupCallError> result) {
+  static void sendUnavailable(HttpExchange exchange, Result<Message, GroupCallError> result) {
     String reason = result.isOk() ? "unexpected answer" : result.error().reason();
     exchange.sendError(ApiError.failed(503, "no_leader", reason, true));
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -31,6 +31,13 @@
  */
 public final class NettyEngineTransport implements EngineTransport {
   private static final int CONNECT_TIMEOUT_MS = 400;
+
+  /**
+   * How long after the choice of an engine a call may still be sent; only a suspended process
+   * exceeds it. Meanwhile the engine may have become one that must get nothing.
+   */
+  private static final long MAX_CHOICE_AGE_MS = 1_000;
+
   private static final long SWEEP_INTERVAL_MS = 1_000;
   private static final Deque<EngineConnection> NO_CONNECTIONS = new ArrayDeque<>(0);
 
@@ -125,6 +132,9 @@
     }
     openConnectionCounts.merge(connection.lifeId(), 1, Integer::sum);
     future.channel().closeFuture().addListener(closed -> onConnectionClosed(connection.lifeId()));
+    if (!pending.isDone() && pending.ageMs() > MAX_CHOICE_AGE_MS) {
+      pending.fail(EngineFailure.NOT_SENT, "the process was suspended while it connected");
+    }
     if (pending.isDone()) {
       connection.keepUnused();
     } else {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/PendingCall.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/PendingCall.java
@@ -1,11 +1,13 @@
 package io.pathdeck.fleet.engine;
 
 import io.pathdeck.fleet.adapter.EngineCall;
+import java.util.concurrent.TimeUnit;
 
 /** A call in progress and its listener; confined to the event loop. */
 final class PendingCall implements EngineTransport.Handle {
   private final EngineCall call;
   private final EngineListener listener;
+  private final long createdNs = System.nanoTime();
   private EngineConnection connection;
   private boolean done;
 
@@ -22,6 +24,11 @@
     return listener;
   }
 
+  /** How long ago the engine was chosen. */
+  long ageMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdNs);
+  }
+
   boolean isDone() {
     return done;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingContext.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingContext.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.gateway;
 
 import io.netty.channel.EventLoop;
+import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
@@ -20,4 +21,11 @@
     RequestMetrics metrics,
     RequestDispatcher dispatcher,
     Runnable callStartListener,
-    Set<RequestForwarder> activeRequests) {}
+    Set<RequestForwarder> activeRequests) {
+
+  /** Returns why no engine of the service may get the request. */
+  NoEligibleEngine noEligibleEngine(String service, RequestConstraints constraints, long nowMs) {
+    return NoEligibleEngine.of(
+        engines.countByEligibility(service, constraints, nowMs), settings.refusedRetryAfterMs());
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -122,6 +122,11 @@
     return context.engines();
   }
 
+  /** Sets a condition under which requests are held back, since the view may be out of date. */
+  void setSendingPaused(BooleanSupplier condition) {
+    context.dispatcher().setSendingPaused(condition);
+  }
+
   /** Sets an action that runs on the event loop before each silence check. */
   void setPeriodicCheck(Runnable action) {
     periodicCheck = action;
@@ -134,7 +139,8 @@
 
   /** Applies a change of the fleet's state. */
   void onChange(FleetView newView) {
-    context.engines().eligibility().setEvacuatedZones(newView.evacuatedZones());
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    context.engines().eligibility().setEvacuatedZones(newView.evacuatedZones(), nowMs);
     if (newView.engines() != null) {
       context.engines().update(newView.engines());
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -87,6 +87,7 @@
             new EngineLoadBalancer(fleet.zone(), startNs),
             new EngineEligibility(fleet.topology(), ColdStartLimit.NONE),
             metrics);
+    gateway.setSendingPaused(follower::isResuming);
     LoadMetrics loadMetrics = new LoadMetrics();
     loadExchange = resources.push(createLoadExchange(eventLoop, startNs, loadMetrics));
     if (!fleet.tls().isEnabled()) {
@@ -172,6 +173,7 @@
     metrics.bindTo(registry);
     loadMetrics.bindTo(registry);
     FleetMetrics.bindView(registry, follower);
+    FleetMetrics.bindEvacuations(registry, settings.fleet().topology(), follower);
   }
 
   public static GatewayProcess start(
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
@@ -11,9 +11,11 @@
 import io.pathdeck.fleet.queue.ServiceTimes;
 import io.pathdeck.fleet.queue.WaitingRequest;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -68,6 +70,8 @@
   private final LongSupplier clockMs;
   private final QueueMetrics metrics;
   private final Map<String, ServiceState> services = new HashMap<>();
+  private final Set<Dispatchable> heldBack = new LinkedHashSet<>();
+  private BooleanSupplier sendingPaused = () -> false;
   private boolean checkScheduled;
   private boolean dispatchScheduled;
 
@@ -84,11 +88,21 @@
     this.metrics = metrics;
   }
 
+  /** Sets a condition under which nothing is sent, since the known state may be out of date. */
+  void setSendingPaused(BooleanSupplier condition) {
+    sendingPaused = condition;
+  }
+
   /** Sends, queues or rejects a request that is not in the queue. */
   void submit(Dispatchable request) {
+    if (sendingPaused.getAsBoolean()) {
+      heldBack.add(request);
+      scheduleCheck();
+      return;
+    }
     Dispatchable.DispatchAttributes attributes = request.attributes();
     List<EngineState> candidates = candidates(attributes.service(), request.constraints());
-    if (!queueingRule.appliesTo(candidates)) {
+    if (candidates.isEmpty() || !queueingRule.appliesTo(candidates)) {
       request.sendTo(candidates);
       return;
     }
@@ -158,6 +172,7 @@
 
   /** Removes a request whose caller disconnected or whose deadline passed. */
   void remove(Dispatchable request) {
+    heldBack.remove(request);
     ServiceState service = services.get(request.attributes().service());
     if (service != null && service.queue.remove(request)) {
       updateWaitingGauge();
@@ -195,15 +210,30 @@
   }
 
   private boolean hasWaitingRequests() {
-    return services.values().stream().anyMatch(service -> !service.queue.isEmpty());
+    return !heldBack.isEmpty()
+        || services.values().stream().anyMatch(service -> !service.queue.isEmpty());
   }
 
   private void dispatchAll() {
+    if (sendingPaused.getAsBoolean()) {
+      scheduleCheck();
+      return;
+    }
+    releaseHeldBack();
     for (ServiceState service : List.copyOf(services.values())) {
       dispatch(service);
     }
   }
 
+  /** Submits one request after the other, since each may end others that are still held back. */
+  private void releaseHeldBack() {
+    while (!heldBack.isEmpty() && !sendingPaused.getAsBoolean()) {
+      Dispatchable oldest = heldBack.iterator().next();
+      heldBack.remove(oldest);
+      submit(oldest);
+    }
+  }
+
   /**
    * Sends queued requests in order while an engine has capacity or the hold time of any request has
    * expired. Requests ahead of an expired one are sent first, since engines queue in order of
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -38,8 +38,6 @@
   /** Earlier retries would find the memory still in use by the same slow callers. */
   private static final long MEMORY_RETRY_AFTER_MS = 1_000;
 
-  private static final long NOT_WAITING = -1;
-
   private final ForwardingContext context;
   private final HttpExchange exchange;
   private final CallerRequest.Routed request;
@@ -52,14 +50,13 @@
   private final AttemptBudget budget;
   private final RequestLog log;
   private final RequestAuthorization authorization;
+  private final QueueWait wait = new QueueWait();
   private ScheduledFuture<?> timeout;
   private Attempt attempt;
   private boolean headSent;
   private long timeToFirstByteMs;
   private long lastEventId;
   private boolean finished;
-  private long waitingSinceMs = NOT_WAITING;
-  private long waitedMs;
 
   RequestForwarder(
       ForwardingContext context,
@@ -106,7 +103,7 @@
   // ---- attempts
 
   private void sendToNextEngine() {
-    waitingSinceMs = nowMs();
+    wait.begin(nowMs());
     context.dispatcher().submit(this);
   }
 
@@ -133,15 +130,15 @@
   @Override
   public void sendTo(List<EngineState> candidates) {
     long now = nowMs();
-    boolean wasQueued = now > waitingSinceMs;
-    endWait(now);
+    boolean wasQueued = wait.end(now);
     if (wasQueued && !authorization.stillAllowed().getAsBoolean()) {
       finishUnserved("the configuration does not allow the request any more");
       return;
     }
     Optional<Placement> placement = context.loadBalancer().choose(candidates, prompt, now);
     if (placement.isEmpty()) {
-      finishUnserved("no engine left");
+      NoEligibleEngine cause = context.noEligibleEngine(service, constraints(), now);
+      finishUnserved(cause.reason(), cause.retryAfterMs());
       return;
     }
     budget.onSend(placement.get().engine().instance().id());
@@ -155,13 +152,6 @@
     refuse(reason, retryAfterMs);
   }
 
-  private void endWait(long nowMs) {
-    if (waitingSinceMs != NOT_WAITING) {
-      waitedMs += nowMs - waitingSinceMs;
-      waitingSinceMs = NOT_WAITING;
-    }
-  }
-
   private void retryOrFinish(boolean didNotRun, String reason) {
     if (attempt != null) {
       attempt.body.discard();
@@ -230,6 +220,10 @@
   }
 
   private void finishUnserved(String reason) {
+    finishUnserved(reason, context.settings().refusedRetryAfterMs());
+  }
+
+  private void finishUnserved(String reason, long retryAfterMs) {
     if (headSent) {
       log.failed(reason, "after_event", lastEventId);
       finish(RequestMetrics.Outcome.FAILED);
@@ -237,7 +231,7 @@
     } else if (budget.mayHaveRun()) {
       fail(502, "engine_failed", reason);
     } else {
-      refuse(reason, context.settings().refusedRetryAfterMs());
+      refuse(reason, retryAfterMs);
     }
   }
 
@@ -248,8 +242,8 @@
   }
 
   private void refuse(String reason, long retryAfterMs) {
-    endWait(nowMs());
-    log.refused(reason, waitedMs);
+    wait.end(nowMs());
+    log.refused(reason, wait.totalMs());
     finish(RequestMetrics.Outcome.REFUSED);
     Refusals.unavailable(exchange, reason, retryAfterMs);
   }
@@ -438,7 +432,12 @@
     private void logServed() {
       log.served(
           RequestLog.Served.by(
-              tracker, routesVersion, waitedMs, timeToFirstByteMs, nowMs() - startMs, lastEventId));
+              tracker,
+              routesVersion,
+              wait.totalMs(),
+              timeToFirstByteMs,
+              nowMs() - startMs,
+              lastEventId));
     }
 
     private void onErrorResponse() {
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -111,6 +111,15 @@
     return view().isComplete() && freshness.isUsable(System.nanoTime());
   }
 
+  /**
+   * Whether this process was suspended and has not heard since then what changed meanwhile. False
+   * for a process that is cut off from the coordinators, which continues with its last view.
+   * Thread-safe.
+   */
+  public boolean isResuming() {
+    return freshness.isReportOverdue(System.nanoTime());
+  }
+
   /** Returns how far this process has got in obtaining a view of the fleet. Thread-safe. */
   public StartProgress startProgress() {
     return freshness.startProgress(createdNs, System.nanoTime());
@@ -154,6 +163,9 @@
   }
 
   private long intervalMs() {
+    if (isResuming()) {
+      return 0;
+    }
     boolean hasLeadersEngines = engineEpoch != FleetUpdate.NO_LEADERS_EPOCH;
     boolean followsLeader = hasLeadersEngines && view().isComplete();
     return reportInterval.intervalMs(followsLeader, System.nanoTime());
@@ -183,6 +195,7 @@
 
   private void onAnswer(Result<Message, GroupCallError> result, long sentNs) {
     boolean answered = result.isOk() && result.value() instanceof FleetUpdate;
+    freshness.onReportEnded(sentNs);
     if (answered != connected) {
       connected = answered;
       EventCode code = answered ? EventCode.COORDINATORS_REACHED : EventCode.COORDINATORS_LOST;
@@ -209,12 +222,18 @@
   private void onLastKnown(FleetUpdate update) {
     coordinators.tryNextCandidate();
     freshness.onLastKnownReceived(System.nanoTime());
-    boolean hasNewerRoutes = update.routes() != null && isNewer(update.routes());
-    if (hasNewerRoutes && !freshness.hasLeaderAnswered()) {
+    if (hasNewerState(update) && !freshness.hasLeaderAnswered()) {
       applyUpdate(update);
     }
   }
 
+  private boolean hasNewerState(FleetUpdate update) {
+    boolean hasNewerZones =
+        update.evacuatedZones() != null
+            && update.evacuatedZones().version() > view().evacuatedZones().version();
+    return hasNewerZones || (update.routes() != null && isNewer(update.routes()));
+  }
+
   private static String reason(Result<Message, GroupCallError> result) {
     return result.isOk() ? "unexpected answer" : result.error().reason();
   }
@@ -236,7 +255,8 @@
             update.assignedGroup(),
             update.leavingMembers(),
             mergeQuarantine(update),
-            mergeEvacuatedZones(update));
+            mergeEvacuatedZones(
+                previous.evacuatedZones(), update.evacuatedZones(), update.isLastKnown()));
     if (!changed && next.equals(previous)) {
       return;
     }
@@ -244,10 +264,24 @@
       boolean fromLeader = !update.isLastKnown();
       EVENTS.log(EventCode.ROUTES_UPDATED, "version", routes.version(), "from_leader", fromLeader);
     }
+    if (!next.evacuatedZones().equals(previous.evacuatedZones())) {
+      logEvacuatedZones(next.evacuatedZones(), !update.isLastKnown());
+    }
     view.publish(next);
     changeListener.accept(next);
   }
 
+  private static void logEvacuatedZones(EvacuatedZones zones, boolean fromLeader) {
+    EVENTS.log(
+        EventCode.EVACUATED_ZONES_UPDATED,
+        "version",
+        zones.version(),
+        "zones",
+        zones.zones(),
+        "from_leader",
+        fromLeader);
+  }
+
   /**
    * Returns the received list unless it is a saved one that is not newer: coordinators may have
    * saved different ones.
@@ -261,11 +295,9 @@
   }
 
   /** Returns the received zones unless they are saved ones that are not newer. */
-  private EvacuatedZones mergeEvacuatedZones(FleetUpdate update) {
-    EvacuatedZones current = view().evacuatedZones();
-    EvacuatedZones received = update.evacuatedZones();
-    boolean keepsCurrent =
-        received == null || (update.isLastKnown() && received.version() <= current.version());
+  static EvacuatedZones mergeEvacuatedZones(
+      EvacuatedZones current, EvacuatedZones received, boolean isSaved) {
+    boolean keepsCurrent = received == null || (isSaved && received.version() <= current.version());
     return keepsCurrent ? current : received;
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
@@ -35,6 +35,13 @@
    */
   static final long LAST_KNOWN_MAX_MS = 900;
 
+  /**
+   * Maximum age of the latest report that was answered or given up. Longer than two reports that
+   * get no answer and the interval between them, so that only a process that did not run exceeds
+   * it.
+   */
+  static final long REPORT_OVERDUE_MS = 3_000;
+
   private final long processStartNs;
   private volatile long lastConfirmedNs;
   private volatile long firstConfirmedNs;
@@ -42,6 +49,8 @@
   private volatile long lastKnownFirstNs;
   private volatile long lastKnownLatestNs;
   private volatile boolean lastKnownReceived;
+  private volatile long lastEndedReportNs;
+  private volatile boolean reportEnded;
 
   /** Creates the state of a process that has received no view yet. */
   ViewFreshness(long processStartNs) {
@@ -57,6 +66,20 @@
     }
   }
 
+  /** Records that a report sent at {@code sentNs} was answered or given up. */
+  void onReportEnded(long sentNs) {
+    lastEndedReportNs = sentNs;
+    reportEnded = true;
+  }
+
+  /**
+   * Whether no recent report has ended, as after a suspension of the process: changes may have come
+   * into force meanwhile, and the coordinators have not been asked since.
+   */
+  boolean isReportOverdue(long nowNs) {
+    return reportEnded && nowNs - lastEndedReportNs >= millisToNanos(REPORT_OVERDUE_MS);
+  }
+
   /** Records that a coordinator without a leader sent its last-known state, possibly again. */
   void onLastKnownReceived(long nowNs) {
     lastKnownLatestNs = nowNs;
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/FleetMetrics.java
@@ -7,7 +7,9 @@
 import io.pathdeck.control.ControllerStatus;
 import io.pathdeck.control.ControllerStatus.GroupView;
 import io.pathdeck.fleet.member.FleetFollower;
+import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.fleet.topology.Topology;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
@@ -32,6 +34,31 @@
         .register(registry);
   }
 
+  /** Registers gauges of the evacuated zones that a process acts on. */
+  public static void bindEvacuations(
+      MeterRegistry registry, Topology topology, FleetFollower follower) {
+    for (String zone : topology.zones()) {
+      Gauge.builder("pathdeck.zone.evacuated", follower, source -> isEvacuated(source, zone))
+          .tag("zone", zone)
+          .register(registry);
+    }
+    Gauge.builder("pathdeck.engines.evacuated", follower, FleetMetrics::countEvacuatedEngines)
+        .register(registry);
+  }
+
+  private static double isEvacuated(FleetFollower follower, String zone) {
+    return follower.view().evacuatedZones().contains(zone) ? 1 : 0;
+  }
+
+  private static double countEvacuatedEngines(FleetFollower follower) {
+    FleetView view = follower.view();
+    return view.engines() == null
+        ? 0
+        : view.engines().values().stream()
+            .filter(engine -> view.evacuatedZones().contains(engine.zone()))
+            .count();
+  }
+
   private static double routesVersion(FleetFollower follower) {
     return follower.view().routes() == null ? Double.NaN : follower.view().routes().version();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
@@ -46,6 +46,7 @@
                         eventLoops,
                         registry -> {
                           FleetMetrics.bindView(registry, follower);
+                          FleetMetrics.bindEvacuations(registry, settings.topology(), follower);
                           FleetMetrics.bindGroup(registry, status);
                           FleetMetrics.bindPeers(registry, pool);
                           processMetrics.accept(registry);
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -123,7 +123,7 @@
   /** Applies a new view of the fleet. */
   void onChange(FleetView newView) {
     view = newView;
-    engines.eligibility().setEvacuatedZones(newView.evacuatedZones());
+    engines.eligibility().setEvacuatedZones(newView.evacuatedZones(), clock.monotonicMs());
     eventLoop.execute(() -> transport.updateQuarantine(newView.quarantine()));
     if (newView.engines() != null) {
       engines.update(newView.engines());
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchSlotPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchSlotPolicy.java
@@ -1,7 +1,9 @@
 package io.pathdeck.fleet.store;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.Eligibility;
 import io.pathdeck.fleet.engine.EngineState;
+import java.util.Map;
 
 /**
  * Decides how many slots of an engine batch items may take: all that online requests leave, except
@@ -13,7 +15,7 @@
  */
 final class BatchSlotPolicy {
   /** Covers the requests that arrive before a load report shows them and an item yields. */
-  private static final double RESERVED_SHARE = 0.125;
+  static final double RESERVED_SHARE = 0.125;
 
   private static final int DEFAULT_SLOTS = 8;
 
@@ -43,14 +45,29 @@
     return Math.min(1, leadingForMs / (double) RAMP_UP_MS);
   }
 
+  /**
+   * Returns the fraction of an engine's slots that items leave to online requests. While engines
+   * are in evacuated zones, the others have to bear the online requests of those.
+   *
+   * @param counts the number of the service's engines by their eligibility
+   */
+  double reservedShare(Map<Eligibility, Integer> counts) {
+    int evacuated = counts.getOrDefault(Eligibility.ZONE_EVACUATED, 0);
+    int outOfService = counts.getOrDefault(Eligibility.OUT_OF_SERVICE, 0);
+    int inService = counts.values().stream().mapToInt(Integer::intValue).sum() - outOfService;
+    return evacuated == 0
+        ? RESERVED_SHARE
+        : Math.max(RESERVED_SHARE, evacuated / (double) inService);
+  }
+
   /**
    * Whether another item may start on the engine. Items of this process take at most {@code
-   * maxShare} of its slots, but may always take one.
+   * maxShare} of its slots, but may always take one while {@code reservedShare} of them is free.
    */
-  boolean hasFreeSlot(EngineState engine, double maxShare, long nowMs) {
+  boolean hasFreeSlot(EngineState engine, double maxShare, double reservedShare, long nowMs) {
     int slots = slots(engine);
     boolean withinShare = engine.inFlight() < Math.max(1, slots * maxShare);
-    return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - RESERVED_SHARE);
+    return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - reservedShare);
   }
 
   /**
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -110,9 +110,11 @@
     int groups = Math.max(1, view.jobsFounders().size());
     long leadingForMs = nowMs - leaderSinceMs;
     double share = slotPolicy.rampUpShare(leadingForMs) / groups;
+    double reservedShare =
+        slotPolicy.reservedShare(engines.countByEligibility(service, constraints, nowMs));
     return engines.usable(service, constraints, nowMs).stream()
         .filter(engine -> slotPolicy.isLoadKnown(engine, leadingForMs, nowMs))
-        .filter(engine -> slotPolicy.hasFreeSlot(engine, share, nowMs))
+        .filter(engine -> slotPolicy.hasFreeSlot(engine, share, reservedShare, nowMs))
         .toList();
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -22,6 +22,12 @@
   private static final int INTERNAL_SERVER_ERROR = 500;
   private static final long DEFAULT_RETRY_AFTER_MS = 100;
 
+  /**
+   * How long after the choice of an engine the item may still be sent there; only a suspended
+   * process exceeds it. Meanwhile the engine may have become one that must get nothing.
+   */
+  private static final long MAX_CHOICE_AGE_MS = 1_000;
+
   private final Consumer<ItemOutcome> listener;
   private final SseEventScanner scanner;
   private final ByteArrayOutputStream undrainedData = new ByteArrayOutputStream();
@@ -45,6 +51,9 @@
   }
 
   void start(EngineTransport transport, EngineCall call) {
+    if (!over && nowMs() - lastReceivedMs > MAX_CHOICE_AGE_MS) {
+      finish(ItemOutcome.Kind.REFUSED, "the process was suspended before the start");
+    }
     if (!over) {
       handle = transport.start(call, this);
     }
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -26,6 +26,7 @@
   private static final String FILE_NAME = "last-known-fleet-2";
   private static final long VERSION = 7;
   private static final double CORES = 0.27;
+  private static final EvacuatedZones EVACUATED = new EvacuatedZones(3, List.of("z"));
   private static final long WRITE_TIMEOUT_MS = 5_000;
 
   @TempDir private Path path;
@@ -50,7 +51,7 @@
         0,
         List.of(5),
         QuarantineList.NONE,
-        EvacuatedZones.NONE);
+        EVACUATED);
   }
 
   private void write(FleetView view) throws InterruptedException {
@@ -78,6 +79,7 @@
     assertThat(update.processes().changed()).extracting(FleetProcess::name).containsExactly("g");
     assertThat(update.processes().changed()).extracting(FleetProcess::cores).containsExactly(CORES);
     assertThat(update.leavingMembers()).containsExactly(5);
+    assertThat(update.evacuatedZones()).isEqualTo(EVACUATED);
   }
 
   @Test
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownResponder.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownResponder.java
@@ -31,6 +31,10 @@
       new LastKnownResponder(Optional.of(lastKnown()), SERVING_SINCE_MS);
 
   private static FleetUpdate lastKnown() {
+    return lastKnown(EvacuatedZones.NONE);
+  }
+
+  private static FleetUpdate lastKnown(EvacuatedZones evacuatedZones) {
     RouteTable routes =
         new RouteTable(
             VERSION, List.of(), List.of(), CallerLimits.NONE, List.of(), new byte[0], new byte[0]);
@@ -44,7 +48,7 @@
         List.of(),
         List.of(),
         QuarantineList.NONE,
-        EvacuatedZones.NONE);
+        evacuatedZones);
   }
 
   private static FleetHeartbeat heartbeat(long routeVersion, long epoch, long sequence) {
@@ -146,4 +150,14 @@
     assertThat(emptyResponder.enginesBeforeFirstRead(newProcessHeartbeat(), SERVING_SINCE_MS))
         .isNull();
   }
+
+  @Test
+  void sendsEvacuatedZonesToProcessWithOlderOnes() {
+    EvacuatedZones saved = new EvacuatedZones(1, List.of("a"));
+    LastKnownResponder withZones =
+        new LastKnownResponder(Optional.of(lastKnown(saved)), SERVING_SINCE_MS);
+    FleetHeartbeat outdated = heartbeat(VERSION, NO_EPOCH, LIST_SEQUENCE);
+    assertThat(withZones.answerWithoutLeader(outdated, SERVING_SINCE_MS))
+        .hasValueSatisfying(answer -> assertThat(answer.evacuatedZones()).isEqualTo(saved));
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestRequestDispatcher.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestRequestDispatcher.java
@@ -9,6 +9,7 @@
 import io.pathdeck.fleet.engine.Placement;
 import io.pathdeck.fleet.queue.Rank;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,9 @@
   private final List<String> sent = new ArrayList<>();
   private final List<String> rejected = new ArrayList<>();
   private boolean hasTenantPolicies = true;
+  private final List<String> withoutEngine = new ArrayList<>();
   private boolean enginesReportPace;
+  private boolean paused;
   private long nowMs = 1_000;
   private final RequestDispatcher dispatcher =
       new RequestDispatcher(
@@ -60,6 +63,10 @@
 
     @Override
     public void sendTo(List<EngineState> candidates) {
+      if (candidates.isEmpty()) {
+        withoutEngine.add(name);
+        return;
+      }
       sent.add(name);
       candidates.get(0).onStart(nowMs);
     }
@@ -199,4 +206,56 @@
     runTimers();
     assertThat(sent).hasSize(256).contains("small").doesNotContainAnyElementsOf(rejected);
   }
+
+  private void evacuate(String zone) {
+    engines.eligibility().setEvacuatedZones(new EvacuatedZones(1, List.of(zone)), nowMs);
+  }
+
+  @Test
+  void queuedRequestIsNotSentToEvacuatedZone() {
+    fillEngine();
+    submit("a", "t");
+    evacuate("z");
+    runTimers();
+    assertThat(sent).isEmpty();
+    assertThat(withoutEngine).containsExactly("a");
+  }
+
+  @Test
+  void newRequestIsNotQueuedWithoutEligibleEngine() {
+    fillEngine();
+    submit("queued", "t");
+    evacuate("z");
+    submit("new", "t");
+    assertThat(withoutEngine).containsExactly("new");
+  }
+
+  @Test
+  void nothingIsSentWhilePaused() {
+    engines.update(Map.of("e", new EngineInstance("e", SERVICE, "h:1", "z", SLOTS, false)));
+    dispatcher.setSendingPaused(() -> paused);
+    paused = true;
+    submit("a", "t");
+    FakeRequest left = submit("left", "t");
+    dispatcher.remove(left);
+    runTimers();
+    assertThat(sent).isEmpty();
+    paused = false;
+    runTimers();
+    assertThat(sent).containsExactly("a");
+  }
+
+  @Test
+  void queuedRequestIsNotSentWhilePaused() {
+    fillEngine();
+    submit("a", "t");
+    dispatcher.setSendingPaused(() -> paused);
+    paused = true;
+    nowMs += DUE_AFTER_MS;
+    freeSlot(100);
+    assertThat(sent).isEmpty();
+    paused = false;
+    runTimers();
+    assertThat(sent).containsExactly("a");
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
@@ -104,4 +104,16 @@
     assertThat(duringStartup.startProgress(START_NS, after(120)))
         .isEqualTo(new StartProgress(StartProgress.Phase.LIST_MISSING, 20));
   }
+
+  @Test
+  void reportIsOverdueAfterSuspensionUntilOneSentSinceHasEnded() {
+    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS))).isFalse();
+    afterStartup.onReportEnded(START_NS);
+    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS - 1))).isFalse();
+    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS))).isTrue();
+    afterStartup.onReportEnded(after(1));
+    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS + 1))).isTrue();
+    afterStartup.onReportEnded(after(ViewFreshness.REPORT_OVERDUE_MS));
+    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS + 1))).isFalse();
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/MixedLoadSimulation.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/MixedLoadSimulation.java
@@ -414,7 +414,10 @@
       List<EngineState> available =
           storeTable.usable("s", RequestConstraints.NONE, clockMs()).stream()
               .filter(state -> slotPolicy.isLoadKnown(state, leadingForMs, clockMs()))
-              .filter(state -> slotPolicy.hasFreeSlot(state, share, clockMs()))
+              .filter(
+                  state ->
+                      slotPolicy.hasFreeSlot(
+                          state, share, BatchSlotPolicy.RESERVED_SHARE, clockMs()))
               .toList();
       if (available.isEmpty()) {
         return;
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchSlotPolicy.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestBatchSlotPolicy.java
@@ -27,7 +27,7 @@
 
   private int startableItems() {
     int items = 0;
-    while (policy.hasFreeSlot(engine, 1, NOW_MS)) {
+    while (policy.hasFreeSlot(engine, 1, BatchSlotPolicy.RESERVED_SHARE, NOW_MS)) {
       engine.onStart(NOW_MS);
       items++;
     }
@@ -109,8 +109,8 @@
     assertThat(policy.rampUpShare(2_000)).isEqualTo(0.5);
     assertThat(policy.rampUpShare(60_000)).isEqualTo(1);
     engine.onStart(NOW_MS);
-    assertThat(policy.hasFreeSlot(engine, 0.05, NOW_MS)).isFalse();
+    assertThat(policy.hasFreeSlot(engine, 0.05, BatchSlotPolicy.RESERVED_SHARE, NOW_MS)).isFalse();
     engine.onEnd();
-    assertThat(policy.hasFreeSlot(engine, 0, NOW_MS)).isTrue();
+    assertThat(policy.hasFreeSlot(engine, 0, BatchSlotPolicy.RESERVED_SHARE, NOW_MS)).isTrue();
   }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
@@ -144,4 +144,35 @@
         .containsExactly("late", "deferrable");
     assertThat(scheduler.itemsToYield(runs, engine(), load(8, 9), NOW_MS)).hasSize(3);
   }
+
+  private void evacuate(String zone) {
+    engines.eligibility().setEvacuatedZones(new EvacuatedZones(1, List.of(zone)), NOW_MS);
+  }
+
+  @Test
+  void noItemStartsInEvacuatedZone() {
+    report(0, 0);
+    evacuate("z");
+    startItems();
+    assertThat(startedItems).isEmpty();
+  }
+
+  @Test
+  void itemsLeaveSlotsToRequestsOfEvacuatedZones() {
+    EngineInstance evacuated = new EngineInstance("other", "s", "h:2", "y", 8, false);
+    engines.update(Map.of("e", view.engines().get("e"), "other", evacuated));
+    report(2, 0);
+    evacuate("y");
+    startItems();
+    assertThat(startedItems).containsExactly("urgent", "deferrable");
+  }
+
+  @Test
+  void itemGoesOnInEvacuatedZone() {
+    report(0, 0);
+    startItems();
+    evacuate("z");
+    assertThat(scheduler.itemToMove(runs, view, NOW_MS)).isEmpty();
+    assertThat(scheduler.itemsToYield(runs, engine(), load(3, 0), NOW_MS)).isEmpty();
+  }
 }
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemStreamStart.java
@@ -0,0 +1,29 @@
+package io.pathdeck.fleet.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class TestItemStreamStart {
+  private static final long SUSPENDED_MS = 1_100;
+
+  /** The engine was chosen before the suspension, and may have to get nothing since. */
+  @Test
+  void itemIsNotSentAfterSuspension() throws Exception {
+    List<ItemOutcome.Kind> outcomes = new ArrayList<>();
+    List<String> sent = new ArrayList<>();
+    ItemStream stream = new ItemStream(-1, outcome -> outcomes.add(outcome.kind()));
+    TimeUnit.MILLISECONDS.sleep(SUSPENDED_MS);
+    stream.start(
+        (call, listener) -> {
+          sent.add("item");
+          return () -> {};
+        },
+        null);
+    assertThat(sent).isEmpty();
+    assertThat(outcomes).containsExactly(ItemOutcome.Kind.REFUSED);
+  }
+}
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -15,6 +15,7 @@
 import io.pathdeck.protocol.command.DeclarationApplied;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.EndBatch;
+import io.pathdeck.protocol.command.EvacuatedZonesHeld;
 import io.pathdeck.protocol.command.FileStored;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.ItemsLeased;
@@ -324,7 +325,8 @@
           FleetRecord.class,
           EvacuatedZones.class,
           SetZoneEvacuated.class,
-          EvacuationRecord.class);
+          EvacuationRecord.class,
+          EvacuatedZonesHeld.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/CommandResult.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/CommandResult.java
@@ -7,6 +7,7 @@
         ClaimGranted,
         DeclarationApplied,
         Done,
+        EvacuatedZonesHeld,
         FileStored,
         ItemsLeased,
         JobAccepted,
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -4,6 +4,7 @@
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.Done;
+import io.pathdeck.protocol.command.EvacuatedZonesHeld;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.PutRouteTableV1;
@@ -111,9 +112,8 @@
     if (command instanceof PutRouteTableV1 put) {
       return putRouteTable(put.table().toCurrent());
     }
-    if (command instanceof SetZoneEvacuated setEvacuated) {
-      setEvacuated(setEvacuated.zone(), setEvacuated.evacuated());
-      return new Done();
+    if (command instanceof SetZoneEvacuated order) {
+      return setEvacuated(order);
     }
     if (command instanceof FoundJobsGroups found) {
       if (jobsFounders.isEmpty()) {
@@ -148,17 +148,19 @@
     }
   }
 
-  private void setEvacuated(String zone, boolean evacuated) {
-    if (evacuatedZones.contains(zone) == evacuated) {
-      return;
-    }
-    List<String> zones = new ArrayList<>(evacuatedZones.zones());
-    if (evacuated) {
-      zones.add(zone);
-    } else {
-      zones.remove(zone);
+  /** Applies an order unless the zones have changed since its sender read them. */
+  private CommandResult setEvacuated(SetZoneEvacuated order) {
+    boolean isOutdated = order.basedOnVersion() != evacuatedZones.version();
+    if (!isOutdated && evacuatedZones.contains(order.zone()) != order.evacuated()) {
+      List<String> zones = new ArrayList<>(evacuatedZones.zones());
+      if (order.evacuated()) {
+        zones.add(order.zone());
+      } else {
+        zones.remove(order.zone());
+      }
+      evacuatedZones = new EvacuatedZones(evacuatedZones.version() + 1, zones);
     }
-    evacuatedZones = new EvacuatedZones(evacuatedZones.version() + 1, zones);
+    return new EvacuatedZonesHeld(evacuatedZones);
   }
 
   private CommandResult putRouteTable(RouteTable proposed) {
--- a/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -5,13 +5,16 @@
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.EvacuatedZonesHeld;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.ReleaseRequests;
 import io.pathdeck.protocol.command.RouteTableHeld;
 import io.pathdeck.protocol.command.SetStoreLeaving;
+import io.pathdeck.protocol.command.SetZoneEvacuated;
 import io.pathdeck.protocol.fleet.CallerLimits;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RequestFingerprint;
@@ -108,4 +111,43 @@
     assertThat(machine.isQuarantined(new RequestFingerprint(599, "r599"))).isTrue();
     assertThat(machine.isQuarantined(new RequestFingerprint(0, "r0"))).isFalse();
   }
+
+  private static SetZoneEvacuated order(String zone, boolean evacuated, long basedOnVersion) {
+    return new SetZoneEvacuated(zone, evacuated, basedOnVersion);
+  }
+
+  @Test
+  void repeatedEvacuationIsHeldOnce() {
+    EvacuatedZones one = new EvacuatedZones(1, List.of("a"));
+    assertThat(apply(order("a", true, 0))).isEqualTo(new EvacuatedZonesHeld(one));
+    assertThat(apply(order("a", true, 0))).isEqualTo(new EvacuatedZonesHeld(one));
+    assertThat(apply(order("a", true, 1))).isEqualTo(new EvacuatedZonesHeld(one));
+    apply(order("b", true, 1));
+    assertThat(machine.evacuatedZones()).isEqualTo(new EvacuatedZones(2, List.of("a", "b")));
+  }
+
+  @Test
+  void lateCopyOfAnOrderUndoesNothing() {
+    apply(order("a", true, 0));
+    apply(order("a", false, 1));
+    EvacuatedZones none = new EvacuatedZones(2, List.of());
+    assertThat(apply(order("a", true, 0))).isEqualTo(new EvacuatedZonesHeld(none));
+    assertThat(machine.evacuatedZones()).isEqualTo(none);
+  }
+
+  @Test
+  void lastCommittedOfOppositeOrdersHolds() {
+    apply(order("a", true, 0));
+    apply(order("a", false, 1));
+    apply(order("a", true, 2));
+    assertThat(machine.evacuatedZones().contains("a")).isTrue();
+  }
+
+  @Test
+  void evacuatedZonesSurviveSnapshot() {
+    apply(order("a", true, 0));
+    FleetStateMachine restored = new FleetStateMachine();
+    restored.restoreSnapshot(machine.captureSnapshot());
+    assertThat(restored.evacuatedZones()).isEqualTo(new EvacuatedZones(1, List.of("a")));
+  }
 }
