Cold engines get no more than they take, from all gateways together

Cause: an engine that has just started takes only a stated rate of requests.

Change: package warmup. ColdEngines keeps how long each life of an engine is cold (list, Cold-Ms in answers, new lives, engines that were down, zones whose evacuation ends). GatewayShares divides the requests of an engine by rank among the gateways without messages; ColdStartBudget limits a gateway to its share and raises the limit in steps after the cold time; WarmEnginesOnly keeps items off cold engines. ColdEngineQueue holds a request while the limit lets it through in time and rejects it at once otherwise.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineResponse.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineResponse.java
@@ -13,6 +13,7 @@
  * @param load the load of the engine; null if not given
  * @param idleTimeoutMs how long the engine keeps an idle connection open; 0 if not given
  * @param retryAfterMs how long to wait before a retry; 0 if not given
+ * @param coldLeftMs how much longer the engine is cold; {@link #COLD_UNKNOWN} if not given
  * @param headers the headers to return to the caller
  */
 public record EngineResponse(
@@ -24,10 +25,19 @@
     EngineLoadReport load,
     long idleTimeoutMs,
     long retryAfterMs,
+    long coldLeftMs,
     HttpHeaders headers) {
+  /** The value of {@code coldLeftMs} if the engine does not tell it. */
+  public static final long COLD_UNKNOWN = -1;
+
   private static final int MIN_SUCCESS_STATUS = 200;
   private static final int MIN_REDIRECT_STATUS = 300;
 
+  /** Whether the engine tells how much longer it is cold. */
+  public boolean tellsColdTime() {
+    return coldLeftMs != COLD_UNKNOWN;
+  }
+
   /** Whether the status is 2xx. */
   public boolean isSuccess() {
     return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/ColdStartLimit.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/ColdStartLimit.java
@@ -5,20 +5,24 @@
 /** Limits the requests that this process sends to cold engines; confined to one thread. */
 public interface ColdStartLimit {
   /** Engines are never cold. */
-  ColdStartLimit NONE =
-      new ColdStartLimit() {
-        @Override
-        public boolean allows(EngineInstance engine, long nowMs) {
-          return true;
-        }
-
-        @Override
-        public void onStart(EngineInstance engine, long nowMs) {}
-      };
+  ColdStartLimit NONE = (engine, nowMs) -> true;
 
   /** Whether this process may send the engine one more request now. */
   boolean allows(EngineInstance engine, long nowMs);
 
   /** Counts a request that this process sends to the engine. */
-  void onStart(EngineInstance engine, long nowMs);
+  default void onStart(EngineInstance engine, long nowMs) {}
+
+  /** Applies how much longer the engine is cold, as it says itself; 0 if it is warm. */
+  default void onColdTold(EngineInstance engine, long coldLeftMs, long nowMs) {}
+
+  /** Applies that the engine is down; it is cold when it comes back. */
+  default void onDown(EngineInstance engine, long nowMs) {}
+
+  /**
+   * Returns how many requests this process could send the engine from now until {@code untilMs}.
+   */
+  default int sendsAllowedUntil(EngineInstance engine, long untilMs, long nowMs) {
+    return allows(engine, nowMs) ? Integer.MAX_VALUE : 0;
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLoadClient.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLoadClient.java
@@ -9,7 +9,6 @@
 import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.io.ByteArrayOutputStream;
-import java.util.function.BiConsumer;
 
 /** Requests load reports from engines; confined to the event loop. */
 public final class EngineLoadClient {
@@ -18,13 +17,22 @@
 
   private final EngineTransport transport;
   private final EngineProtocol protocol;
-  private final BiConsumer<String, EngineLoadReport> listener;
+  private final ReportListener listener;
 
-  /** Creates a client that passes each report with the engine's id to {@code listener}. */
+  /** Receives the reports. */
+  public interface ReportListener {
+    /**
+     * Handles the report of an engine.
+     *
+     * @param coldLeftMs how much longer the engine is cold; {@link EngineResponse#COLD_UNKNOWN} if
+     *     it does not tell
+     */
+    void onReport(String engineId, EngineLoadReport report, long coldLeftMs);
+  }
+
+  /** Creates a client that passes each report to {@code listener}. */
   public EngineLoadClient(
-      EngineTransport transport,
-      EngineProtocol protocol,
-      BiConsumer<String, EngineLoadReport> listener) {
+      EngineTransport transport, EngineProtocol protocol, ReportListener listener) {
     this.transport = transport;
     this.protocol = protocol;
     this.listener = listener;
@@ -32,7 +40,7 @@
 
   /** Requests the load of one engine; the listener is not called if the request fails. */
   public void fetch(EngineInstance engine) {
-    transport.start(reportCall(protocol, engine), new ReportListener(engine.id()));
+    transport.start(reportCall(protocol, engine), new ReportReader(engine.id()));
   }
 
   /** Creates the call that requests an engine's load. */
@@ -50,18 +58,18 @@
         -1);
   }
 
-  private final class ReportListener implements EngineListener {
+  private final class ReportReader implements EngineListener {
     private final String engineId;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private int status;
+    private EngineResponse head;
 
-    ReportListener(String engineId) {
+    ReportReader(String engineId) {
       this.engineId = engineId;
     }
 
     @Override
     public void onHead(EngineResponse response) {
-      status = response.status();
+      head = response;
     }
 
     @Override
@@ -71,10 +79,10 @@
 
     @Override
     public void onEnd() {
-      if (status == OK) {
+      if (head.status() == OK) {
         protocol
             .readReport(body.toByteArray())
-            .ifPresent(report -> listener.accept(engineId, report));
+            .ifPresent(report -> listener.onReport(engineId, report, head.coldLeftMs()));
       }
     }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -174,6 +174,12 @@
   /** Stops all calls to the instance for a short time, because it is down. */
   public void onDown(long nowMs) {
     downUntilMs = nowMs + DOWN_PAUSE_MS;
+    coldStartLimit.onDown(instance, nowMs);
+  }
+
+  /** Applies how much longer the engine is cold, as it says itself; 0 if it is warm. */
+  public void onColdTold(long coldLeftMs, long nowMs) {
+    coldStartLimit.onColdTold(instance, coldLeftMs, nowMs);
   }
 
   /** Whether the engine is in service and not ejected. */
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /** The engines known to this process, by id; confined to one thread. */
 public final class EngineTable {
@@ -142,6 +143,25 @@
     return counts;
   }
 
+  /**
+   * Returns how many requests this process could send until {@code untilMs} to the engines of a
+   * service that only its limit of cold engines keeps from getting the request; empty if there are
+   * none.
+   */
+  public OptionalLong coldSendsUntil(
+      String service, RequestConstraints constraints, long untilMs, long nowMs) {
+    boolean anyCold = false;
+    long sends = 0;
+    for (EngineState engine : engines.values()) {
+      boolean ofService = engine.instance().service().equals(service);
+      if (ofService && check(engine, constraints, nowMs) == Eligibility.COLD_LIMIT_REACHED) {
+        anyCold = true;
+        sends += eligibility.coldStartLimit().sendsAllowedUntil(engine.instance(), untilMs, nowMs);
+      }
+    }
+    return anyCold ? OptionalLong.of(sends) : OptionalLong.empty();
+  }
+
   private Eligibility check(EngineState engine, RequestConstraints constraints, long nowMs) {
     return eligibility.check(engine.instance(), engine.isOutOfService(nowMs), constraints, nowMs);
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/AttemptTracker.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/AttemptTracker.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.gateway;
 
 import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.Placement;
 import io.pathdeck.fleet.engine.StreamTiming;
@@ -57,6 +58,14 @@
     engine.onDataReceived(nowMs);
   }
 
+  /** Records the head of the response, which may tell how long the engine is cold. */
+  long onHead(long prefillTokensPerMs, EngineResponse head, long nowMs) {
+    if (head.tellsColdTime() && !head.wrongInstance()) {
+      engine.onColdTold(head.coldLeftMs(), nowMs);
+    }
+    return onFirstBytes(prefillTokensPerMs, head.load(), nowMs);
+  }
+
   /**
    * Records the start of the response. Returns how long the request waited at the engine, excluding
    * the estimated time to process its prompt.
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -10,7 +10,6 @@
 import io.pathdeck.fleet.FleetMemberProcess;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.FleetAdapter;
-import io.pathdeck.fleet.eligibility.ColdStartLimit;
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLivenessProbe;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
@@ -25,6 +24,8 @@
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
+import io.pathdeck.fleet.warmup.ColdStartBudget;
+import io.pathdeck.fleet.warmup.ColdStartMetrics;
 import io.pathdeck.protocol.client.RetryTimer;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
@@ -34,6 +35,7 @@
 import io.pathdeck.serving.http.HttpExchange;
 import io.pathdeck.serving.http.HttpServer;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
@@ -48,6 +50,8 @@
   private final FleetFollower follower;
   private final Gateway gateway;
   private final LoadExchange loadExchange;
+  private final ColdStartMetrics coldStartMetrics = new ColdStartMetrics();
+  private final ColdStartBudget coldStartBudget;
   private final HttpServer callerServer;
   private final AtomicBoolean stopping = new AtomicBoolean();
 
@@ -72,6 +76,7 @@
     follower.setContentionListener(limiter::onContendedTenants);
     JobsGroupLocator jobs = new JobsGroupLocator(pool, RetryTimer.on(eventLoops), follower::view);
     RequestMetrics metrics = new RequestMetrics();
+    coldStartBudget = new ColdStartBudget(fleet.name(), follower::isConfirmed, coldStartMetrics);
     QuarantiningTransport transport = createEngineTransport(eventLoop);
     gateway =
         new Gateway(
@@ -85,12 +90,12 @@
             limiter,
             transport,
             new EngineLoadBalancer(fleet.zone(), startNs),
-            new EngineEligibility(fleet.topology(), ColdStartLimit.NONE),
+            new EngineEligibility(fleet.topology(), coldStartBudget),
             metrics);
     LoadMetrics loadMetrics = new LoadMetrics();
     loadExchange = resources.push(createLoadExchange(eventLoop, startNs, loadMetrics));
+    gateway.setPeriodicCheck(this::checkPeriodically);
     if (!fleet.tls().isEnabled()) {
-      gateway.setPeriodicCheck(loadExchange::openIfNeeded);
       gateway.setCallStartListener(loadExchange::onCallStarted);
     }
     follower.setChangeListener(view -> onChange(view, transport));
@@ -114,6 +119,17 @@
     resources.push(follower);
   }
 
+  private void checkPeriodically() {
+    coldStartBudget.onTick(nowMs());
+    if (!settings.fleet().tls().isEnabled()) {
+      loadExchange.openIfNeeded();
+    }
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
   private void startMetrics(
       EventLoopGroup eventLoops, RequestMetrics metrics, LoadMetrics loadMetrics) {
     settings
@@ -160,6 +176,7 @@
 
   private void onChange(FleetView view, QuarantiningTransport transport) {
     transport.updateQuarantine(view.quarantine());
+    coldStartBudget.onChange(view, nowMs());
     gateway.onChange(view);
     loadExchange.onChange(view);
     if (view.routes() != null) {
@@ -171,6 +188,7 @@
       MeterRegistry registry, RequestMetrics metrics, LoadMetrics loadMetrics) {
     metrics.bindTo(registry);
     loadMetrics.bindTo(registry);
+    coldStartMetrics.bindTo(registry);
     FleetMetrics.bindView(registry, follower);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/QueueMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/QueueMetrics.java
@@ -12,6 +12,8 @@
   private final LongAdder sentAfterWait = new LongAdder();
   private final LongAdder rejectedTooLate = new LongAdder();
   private final LongAdder evicted = new LongAdder();
+  private final LongAdder heldForColdEngines = new LongAdder();
+  private final LongAdder rejectedForColdEngines = new LongAdder();
 
   void setWaiting(int requests) {
     waiting.set(requests);
@@ -29,11 +31,21 @@
     evicted.increment();
   }
 
+  void onHeldForColdEngines() {
+    heldForColdEngines.increment();
+  }
+
+  void onRejectedForColdEngines() {
+    rejectedForColdEngines.increment();
+  }
+
   void bindTo(MeterRegistry registry) {
     Gauge.builder("pathdeck.requests.waiting", waiting, AtomicInteger::get).register(registry);
     counter(registry, "pathdeck.requests.sent.after.wait", sentAfterWait);
     counter(registry, "pathdeck.requests.rejected.hopeless", rejectedTooLate);
     counter(registry, "pathdeck.requests.given.way", evicted);
+    counter(registry, "pathdeck.requests.held.cold", heldForColdEngines);
+    counter(registry, "pathdeck.requests.rejected.cold", rejectedForColdEngines);
   }
 
   private static void counter(MeterRegistry registry, String name, LongAdder count) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
@@ -68,6 +68,7 @@
   private final LongSupplier clockMs;
   private final QueueMetrics metrics;
   private final Map<String, ServiceState> services = new HashMap<>();
+  private final ColdEngineQueue coldEngineQueue;
   private boolean checkScheduled;
   private boolean dispatchScheduled;
 
@@ -82,12 +83,18 @@
     this.timer = timer;
     this.clockMs = clockMs;
     this.metrics = metrics;
+    this.coldEngineQueue = new ColdEngineQueue(engines, metrics, this::rejectForColdEngines);
   }
 
   /** Sends, queues or rejects a request that is not in the queue. */
   void submit(Dispatchable request) {
     Dispatchable.DispatchAttributes attributes = request.attributes();
     List<EngineState> candidates = candidates(attributes.service(), request.constraints());
+    if (candidates.isEmpty() && coldEngineQueue.offer(request, clockMs.getAsLong())) {
+      scheduleCheck();
+      return;
+    }
+    coldEngineQueue.remove(request);
     if (!queueingRule.appliesTo(candidates)) {
       request.sendTo(candidates);
       return;
@@ -156,8 +163,15 @@
     request.reject(reason, retryAfterMs);
   }
 
+  private void rejectForColdEngines(Dispatchable request, long expectedWaitMs) {
+    ServiceState service =
+        services.computeIfAbsent(request.attributes().service(), name -> new ServiceState());
+    reject(service, request, "cold engines can take no more", expectedWaitMs);
+  }
+
   /** Removes a request whose caller disconnected or whose deadline passed. */
   void remove(Dispatchable request) {
+    coldEngineQueue.remove(request);
     ServiceState service = services.get(request.attributes().service());
     if (service != null && service.queue.remove(request)) {
       updateWaitingGauge();
@@ -195,13 +209,16 @@
   }
 
   private boolean hasWaitingRequests() {
-    return services.values().stream().anyMatch(service -> !service.queue.isEmpty());
+    return !coldEngineQueue.isEmpty()
+        || services.values().stream().anyMatch(service -> !service.queue.isEmpty());
   }
 
   private void dispatchAll() {
+    coldEngineQueue.release(this::submit, clockMs.getAsLong());
     for (ServiceState service : List.copyOf(services.values())) {
       dispatch(service);
     }
+    scheduleCheck();
   }
 
   /**
@@ -235,7 +252,10 @@
     if (clockMs.getAsLong() > next.waitingSinceMs()) {
       metrics.onSentAfterWait();
     }
-    request.sendTo(preferred(candidates));
+    boolean isHeld = candidates.isEmpty() && coldEngineQueue.offer(request, clockMs.getAsLong());
+    if (!isHeld) {
+      request.sendTo(preferred(candidates));
+    }
     return true;
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -366,7 +366,7 @@
       }
       recordProgress();
       long prefillTokensPerMs = context.settings().prefillTokensPerMs();
-      long waitMs = tracker.onFirstBytes(prefillTokensPerMs, head.load(), lastProgressMs);
+      long waitMs = tracker.onHead(prefillTokensPerMs, head, lastProgressMs);
       context.silenceTimeout().onFirstBytes(waitMs);
       context.dispatcher().onFirstBytes(service, tracker);
       response = head;
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -9,6 +9,7 @@
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLivenessProbe;
@@ -116,7 +117,8 @@
         new EngineLoadClient(
             transport,
             protocol,
-            (engineId, load) -> consensusExecutor.execute(() -> onReport(engineId, load)));
+            (engineId, load, coldLeftMs) ->
+                consensusExecutor.execute(() -> onReport(engineId, load, coldLeftMs)));
     this.loadPolls = new LoadPolls(engine -> eventLoop.execute(() -> loadClient.fetch(engine)));
   }
 
@@ -158,7 +160,7 @@
     }
   }
 
-  private void onReport(String engineId, EngineLoadReport load) {
+  private void onReport(String engineId, EngineLoadReport load, long coldLeftMs) {
     EngineState engine = engines.find(engineId);
     if (engine == null) {
       return;
@@ -168,6 +170,9 @@
     }
     long nowMs = clock.monotonicMs();
     engine.onLoadReport(load, nowMs);
+    if (coldLeftMs != EngineResponse.COLD_UNKNOWN) {
+      engine.onColdTold(coldLeftMs, nowMs);
+    }
     scheduler.itemsToYield(runs.all(), engine, load, nowMs).stream()
         .map(ItemRun::stream)
         .forEach(stream -> eventLoop.execute(stream::yieldSlot));
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -13,7 +13,6 @@
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.EngineProtocol;
-import io.pathdeck.fleet.eligibility.ColdStartLimit;
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
@@ -21,6 +20,7 @@
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
+import io.pathdeck.fleet.warmup.WarmEnginesOnly;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.message.Message;
@@ -53,6 +53,7 @@
   private final PeerPool pool;
   private final BatchResultReads reads;
   private final JobSubmissions submissions;
+  private final WarmEnginesOnly warmEnginesOnly = new WarmEnginesOnly();
   private final BatchRunner runner;
   private final ResourceStack resources = new ResourceStack();
   private volatile JobsGroupReport report;
@@ -82,7 +83,7 @@
             protocol,
             reporter,
             new EngineLoadBalancer(fleet.zone(), System.nanoTime()),
-            new EngineEligibility(fleet.topology(), ColdStartLimit.NONE),
+            new EngineEligibility(fleet.topology(), warmEnginesOnly),
             engineListIsRecent,
             host::execute);
   }
@@ -177,6 +178,7 @@
         .ifPresent(founders -> group.replica().bootstrap(founders, host.clock().monotonicMs()));
     group.replica().addContacts(members.stream().map(Member::id).collect(Collectors.toSet()));
     group.replica().setLeaving(Set.copyOf(view.leavingMembers()));
+    warmEnginesOnly.onChange(view, host.clock().monotonicMs());
     runner.onChange(view);
   }
 
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdStartBudget.java
@@ -0,0 +1,111 @@
+package io.pathdeck.fleet.warmup;
+
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.fleet.eligibility.ColdStartLimit;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The limit of a gateway: all gateways together send a cold engine at most the requests that its
+ * service allows, and an engine that has turned warm gets more in steps. Performs no I/O; confined
+ * to one thread.
+ */
+public final class ColdStartBudget implements ColdStartLimit {
+  private static final EventLog EVENTS = EventLog.of(ColdStartBudget.class);
+  private static final int UNLIMITED = Integer.MAX_VALUE;
+  private static final long RATE_PERIOD_MS = 1_000;
+
+  private final GatewayShares shares;
+  private final BooleanSupplier isConfirmed;
+  private final ColdStartMetrics metrics;
+  private final ColdEngines engines = new ColdEngines();
+  private boolean suspended;
+
+  /**
+   * Creates the limit of a gateway.
+   *
+   * @param gatewayName the gateway's name in the list of processes
+   * @param isConfirmed whether the leading coordinator has answered within {@value
+   *     GatewayShares#CONFIRMATION_VALID_MS} ms
+   */
+  public ColdStartBudget(
+      String gatewayName, BooleanSupplier isConfirmed, ColdStartMetrics metrics) {
+    this.shares = new GatewayShares(gatewayName);
+    this.isConfirmed = isConfirmed;
+    this.metrics = metrics;
+  }
+
+  /** Applies a change of the fleet's state; call before engines are chosen from it. */
+  public void onChange(FleetView view, long nowMs) {
+    shares.onChange(view, nowMs);
+    engines.onChange(view, nowMs);
+  }
+
+  /** Call several times a second. */
+  public void onTick(long nowMs) {
+    boolean confirmed = isConfirmed.getAsBoolean();
+    shares.onTick(confirmed, nowMs);
+    int cold = engines.countCold(nowMs);
+    metrics.setColdEngines(cold);
+    boolean nowSuspended = cold > 0 && !confirmed;
+    if (nowSuspended != suspended) {
+      suspended = nowSuspended;
+      EventCode code = nowSuspended ? EventCode.COLD_SENDS_SUSPENDED : EventCode.COLD_SENDS_RESUMED;
+      EVENTS.log(code, "cold_engines", cold);
+    }
+  }
+
+  @Override
+  public boolean allows(EngineInstance engine, long nowMs) {
+    return sendsAllowedUntil(engine, nowMs, nowMs) > 0;
+  }
+
+  @Override
+  public int sendsAllowedUntil(EngineInstance engine, long untilMs, long nowMs) {
+    ColdRule rule = engines.rule(engine);
+    ColdEngine known = engines.find(engine);
+    if (rule == null || known == null) {
+      return UNLIMITED;
+    }
+    if (known.takeDown()) {
+      engines.assumeCold(engine, known, rule, "back", nowMs);
+    }
+    int limit = known.limit(rule, untilMs);
+    if (limit == UNLIMITED) {
+      return UNLIMITED;
+    }
+    if (!shares.isUsable(isConfirmed.getAsBoolean(), rule.windowMs(), nowMs)) {
+      return known.isCold(untilMs) ? 0 : UNLIMITED;
+    }
+    int sent = known.sends().countAfter(untilMs - rule.windowMs());
+    return Math.max(0, known.share(limit, shares) - sent);
+  }
+
+  @Override
+  public void onStart(EngineInstance engine, long nowMs) {
+    ColdRule rule = engines.rule(engine);
+    ColdEngine known = engines.find(engine);
+    if (rule == null || known == null) {
+      return;
+    }
+    known.sends().onSend(rule.windowMs(), nowMs);
+    if (known.isCold(nowMs)) {
+      metrics.onColdSend(known.sends().countAfter(nowMs - RATE_PERIOD_MS));
+    }
+  }
+
+  @Override
+  public void onColdTold(EngineInstance engine, long coldLeftMs, long nowMs) {
+    engines.onTold(engine, coldLeftMs, nowMs);
+  }
+
+  @Override
+  public void onDown(EngineInstance engine, long nowMs) {
+    ColdEngine known = engines.find(engine);
+    if (known != null) {
+      known.onDown();
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/package-info.java
@@ -0,0 +1,2 @@
+/** Limits what all gateways together send to engines that have just started. */
+package io.pathdeck.fleet.warmup;
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestPausedReading.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestPausedReading.java
@@ -46,7 +46,16 @@
     @Override
     public EngineResponse read(HttpResponse head) {
       return new EngineResponse(
-          head.status().code(), "r", true, false, false, null, 0, 0, new DefaultHttpHeaders());
+          head.status().code(),
+          "r",
+          true,
+          false,
+          false,
+          null,
+          0,
+          0,
+          EngineResponse.COLD_UNKNOWN,
+          new DefaultHttpHeaders());
     }
 
     @Override
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -101,7 +101,16 @@
       String id = head.headers().get("x-id", "");
       int status = head.status().code();
       return new EngineResponse(
-          status, id, true, false, false, null, 0, 0, new DefaultHttpHeaders());
+          status,
+          id,
+          true,
+          false,
+          false,
+          null,
+          0,
+          0,
+          EngineResponse.COLD_UNKNOWN,
+          new DefaultHttpHeaders());
     }
 
     @Override
