--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -8,6 +8,7 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.consensus.JoinSettings;
+import io.pathdeck.consensus.MembershipPolicy;
 import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.RaftSettings;
 import io.pathdeck.consensus.RecoveredState;
@@ -111,7 +112,7 @@
     }
     try {
       return Result.ok(new ReplicaHost(options, folder, log.value(), recovered, links));
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return Result.err(new StorageError.Io("recover", e.toString()));
     }
   }
@@ -153,7 +154,24 @@
         "term",
         replica.term());
     return new GroupRuntime(
-        number, replica, options.stateMachine(), applied, options.snapshotThresholdBytes());
+        number,
+        replica,
+        options.stateMachine(),
+        applied,
+        options.snapshotThresholdBytes(),
+        voterRequirement(options.joinSettings().policy(), snapshot, nowMs),
+        ReplicaHost::haltAfterFailure);
+  }
+
+  private static VoterRequirement voterRequirement(
+      MembershipPolicy policy, Optional<SnapshotMetadata> snapshot, long nowMs) {
+    if (!policy.open()) {
+      return VoterRequirement.none();
+    }
+    VoterRequirement requirement =
+        new VoterRequirement(policy.minVoters(), snapshot.isPresent(), nowMs);
+    snapshot.map(SnapshotMetadata::configuration).ifPresent(requirement::onConfiguration);
+    return requirement;
   }
 
   /** Starts the threads. */
@@ -247,8 +265,11 @@
     rings.events().wakeConsumer();
   }
 
-  /** What is durable is unknown after a failed sync, so the process ends without any more steps. */
-  private static void haltAfterFailure() {
+  /**
+   * Ends the process without any more steps: what is durable is unknown after a failed sync, and an
+   * entry that cannot be read must not be skipped.
+   */
+  static void haltAfterFailure() {
     Runtime.getRuntime().halt(STORAGE_FAILURE_EXIT_CODE);
   }
 
