The regions of jobs groups are kept in the replicated state; frames can be metered

Cause: which group may store a job of a route with allowed regions must be known at any time and to every gateway, also while founders are down; the list of processes has only those that run. Updates to processes bring them. PeerClient takes a meter of its frames.

--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -17,6 +17,7 @@
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.FileStored;
 import io.pathdeck.protocol.command.FoundJobsGroups;
+import io.pathdeck.protocol.command.FoundJobsGroupsInRegions;
 import io.pathdeck.protocol.command.ItemsLeased;
 import io.pathdeck.protocol.command.JobAccepted;
 import io.pathdeck.protocol.command.KeyReserved;
@@ -57,6 +58,7 @@
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.JobsGroupRegions;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.QuarantineList;
@@ -147,6 +149,7 @@
 import io.pathdeck.protocol.snapshot.FileRecord;
 import io.pathdeck.protocol.snapshot.FleetRecord;
 import io.pathdeck.protocol.snapshot.JobRecord;
+import io.pathdeck.protocol.snapshot.JobsGroupRegionsRecord;
 import io.pathdeck.protocol.snapshot.JobsHeaderRecord;
 import io.pathdeck.protocol.snapshot.KeyRecord;
 import io.pathdeck.protocol.snapshot.LeaseRecord;
@@ -324,7 +327,10 @@
           FleetRecord.class,
           EvacuatedZones.class,
           SetZoneEvacuated.class,
-          EvacuationRecord.class);
+          EvacuationRecord.class,
+          JobsGroupRegions.class,
+          FoundJobsGroupsInRegions.class,
+          JobsGroupRegionsRecord.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
@@ -5,6 +5,7 @@
     permits PutRouteTable,
         PutRouteTableV1,
         FoundJobsGroups,
+        FoundJobsGroupsInRegions,
         SetStoreLeaving,
         QuarantineRequests,
         ReleaseRequests,
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -4,6 +4,7 @@
 import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.JobsGroupRegions;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.QuarantineList;
@@ -29,6 +30,7 @@
  * @param quarantine the requests that must not reach engines; null when the asker knows them
  * @param evacuatedZones the zones whose engines must get nothing new; null when the asker knows
  *     them
+ * @param jobsGroupRegions the regions of the groups' first members; none in a fleet without regions
  */
 public record FleetUpdate(
     RouteTable routes,
@@ -40,7 +42,8 @@
     List<Integer> leavingMembers,
     List<String> contendedTenants,
     QuarantineList quarantine,
-    EvacuatedZones evacuatedZones)
+    EvacuatedZones evacuatedZones,
+    List<JobsGroupRegions> jobsGroupRegions)
     implements Message {
   /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
   public static final long NO_LEADERS_EPOCH = -1;
@@ -53,6 +56,33 @@
     jobsGroups = new ArrayList<>(jobsGroups);
     leavingMembers = new ArrayList<>(leavingMembers);
     contendedTenants = new ArrayList<>(contendedTenants);
+    jobsGroupRegions = new ArrayList<>(jobsGroupRegions);
+  }
+
+  /** An answer in a fleet without regions. */
+  public FleetUpdate(
+      RouteTable routes,
+      EngineListDelta engines,
+      ProcessListDelta processes,
+      List<JobsGroupFounders> jobsFounders,
+      List<JobsGroupReport> jobsGroups,
+      int assignedGroup,
+      List<Integer> leavingMembers,
+      List<String> contendedTenants,
+      QuarantineList quarantine,
+      EvacuatedZones evacuatedZones) {
+    this(
+        routes,
+        engines,
+        processes,
+        jobsFounders,
+        jobsGroups,
+        assignedGroup,
+        leavingMembers,
+        contendedTenants,
+        quarantine,
+        evacuatedZones,
+        List.of());
   }
 
   /** Whether this is what a coordinator knew before its restart, and not a leader's answer. */
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/FrameCodec.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/FrameCodec.java
@@ -28,9 +28,15 @@
   private static final Frame.Kind[] KINDS = Frame.Kind.values();
 
   private final FrameCompression compression;
+  private final FrameMeter meter;
 
   FrameCodec(FrameCompression compression) {
+    this(compression, FrameMeter.NONE);
+  }
+
+  FrameCodec(FrameCompression compression, FrameMeter meter) {
     this.compression = compression;
+    this.meter = meter;
   }
 
   @Override
@@ -40,11 +46,12 @@
     if (deflated.isEmpty()) {
       writeHeader(frame, body.length, 0, out);
       out.writeBytes(body);
-      return;
+    } else {
+      writeHeader(frame, Integer.BYTES + deflated.get().length, COMPRESSED_FLAG, out);
+      out.writeInt(body.length);
+      out.writeBytes(deflated.get());
     }
-    writeHeader(frame, Integer.BYTES + deflated.get().length, COMPRESSED_FLAG, out);
-    out.writeInt(body.length);
-    out.writeBytes(deflated.get());
+    meter.onFrame(frame.message(), out.readableBytes());
   }
 
   /** The compressed body, where that is wanted and makes the frame smaller. */
@@ -74,7 +81,9 @@
       return;
     }
     in.skipBytes(Integer.BYTES);
-    out.add(readFrame(in, length));
+    Frame frame = readFrame(in, length);
+    meter.onFrame(frame.message(), Integer.BYTES + length);
+    out.add(frame);
   }
 
   private static Frame readFrame(ByteBuf in, int length) {
--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
@@ -73,9 +73,19 @@
     this(address, eventLoops, tls, FrameCompression.OFF);
   }
 
-  /** Prepares a client of {@code address}; it connects with the first message. */
+  /** Prepares a client of {@code address} whose frames nobody counts. */
   public PeerClient(
       HostPort address, EventLoopGroup eventLoops, TransportTls tls, FrameCompression compression) {
+    this(address, eventLoops, tls, compression, FrameMeter.NONE);
+  }
+
+  /** Prepares a client of {@code address}; it connects with the first message. */
+  public PeerClient(
+      HostPort address,
+      EventLoopGroup eventLoops,
+      TransportTls tls,
+      FrameCompression compression,
+      FrameMeter meter) {
     this.address = address;
     this.eventLoop = eventLoops.next();
     this.bootstrap =
@@ -98,7 +108,7 @@
                                         ssl.newHandler(
                                             created.alloc(), address.host(), address.port())));
                     created.pipeline().addLast(new FlushConsolidationHandler());
-                    created.pipeline().addLast(new FrameCodec(compression));
+                    created.pipeline().addLast(new FrameCodec(compression, meter));
                     created.pipeline().addLast(new ReplyHandler());
                   }
                 });
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.FoundJobsGroups;
+import io.pathdeck.protocol.command.FoundJobsGroupsInRegions;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.PutRouteTableV1;
 import io.pathdeck.protocol.command.QuarantineRequests;
@@ -16,6 +17,7 @@
 import io.pathdeck.protocol.command.SetZoneEvacuated;
 import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.JobsGroupRegions;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -27,6 +29,7 @@
 import io.pathdeck.protocol.query.RouteTableResult;
 import io.pathdeck.protocol.snapshot.EvacuationRecord;
 import io.pathdeck.protocol.snapshot.FleetRecord;
+import io.pathdeck.protocol.snapshot.JobsGroupRegionsRecord;
 import io.pathdeck.protocol.snapshot.QuarantineRecord;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -51,6 +54,7 @@
   private final LogClock clock = new LogClock();
   private RouteTable routeTable;
   private List<JobsGroupFounders> jobsFounders = List.of();
+  private List<JobsGroupRegions> jobsGroupRegions = List.of();
   private final Map<Integer, SetStoreLeaving> leavingStores = new LinkedHashMap<>();
   private final LinkedHashSet<RequestFingerprint> quarantinedRequests = new LinkedHashSet<>();
   private long quarantineVersion;
@@ -66,6 +70,11 @@
     return jobsFounders;
   }
 
+  /** The regions of the groups' founding members; empty in a fleet without regions. */
+  public List<JobsGroupRegions> jobsGroupRegions() {
+    return jobsGroupRegions;
+  }
+
   /** The stores that are leaving. */
   public List<SetStoreLeaving> leavingStores() {
     return List.copyOf(leavingStores.values());
@@ -116,9 +125,11 @@
       return new Done();
     }
     if (command instanceof FoundJobsGroups found) {
-      if (jobsFounders.isEmpty()) {
-        jobsFounders = List.copyOf(found.groups());
-      }
+      foundJobsGroups(found.groups(), List.of());
+      return new Done();
+    }
+    if (command instanceof FoundJobsGroupsInRegions found) {
+      foundJobsGroups(found.groups(), found.regions());
       return new Done();
     }
     if (command instanceof SetStoreLeaving setLeaving) {
@@ -136,6 +147,13 @@
     return new Rejected(RejectionCode.INVALID, "not a command of the fleet group");
   }
 
+  private void foundJobsGroups(List<JobsGroupFounders> groups, List<JobsGroupRegions> regions) {
+    if (jobsFounders.isEmpty()) {
+      jobsFounders = List.copyOf(groups);
+      jobsGroupRegions = List.copyOf(regions);
+    }
+  }
+
   private void addToQuarantine(List<RequestFingerprint> added) {
     if (!quarantinedRequests.addAll(added)) {
       return;
@@ -187,6 +205,9 @@
             new ArrayList<>(leavingStores.values())));
     records.add(new QuarantineRecord(quarantine()));
     records.add(new EvacuationRecord(evacuatedZones));
+    if (!jobsGroupRegions.isEmpty()) {
+      records.add(new JobsGroupRegionsRecord(jobsGroupRegions));
+    }
     return records.iterator();
   }
 
@@ -196,10 +217,13 @@
     quarantinedRequests.clear();
     quarantineVersion = QuarantineList.NONE.version();
     evacuatedZones = EvacuatedZones.NONE;
+    jobsGroupRegions = List.of();
     while (records.hasNext()) {
       Object record = records.next();
       if (record instanceof EvacuationRecord evacuation) {
         evacuatedZones = evacuation.evacuatedZones();
+      } else if (record instanceof JobsGroupRegionsRecord groupRegions) {
+        jobsGroupRegions = List.copyOf(groupRegions.regions());
       } else if (record instanceof QuarantineRecord quarantineRecord) {
         quarantineVersion = quarantineRecord.quarantine().version();
         quarantinedRequests.addAll(quarantineRecord.quarantine().requests());
--- a/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -6,6 +6,7 @@
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.FoundJobsGroups;
+import io.pathdeck.protocol.command.FoundJobsGroupsInRegions;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.ReleaseRequests;
@@ -13,6 +14,7 @@
 import io.pathdeck.protocol.command.SetStoreLeaving;
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.JobsGroupRegions;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -74,6 +76,18 @@
     assertThat(machine.jobsFounders()).containsExactly(first);
   }
 
+  @Test
+  void regionsOfJobsGroupsSurviveSnapshot() {
+    JobsGroupRegions regions = new JobsGroupRegions(1, List.of("north"));
+    JobsGroupFounders first = founders(new Member(1, 1, true, "a:1"));
+    apply(new FoundJobsGroupsInRegions(List.of(first), List.of(regions)));
+    apply(new FoundJobsGroups(List.of(founders(new Member(2, 2, true, "b:1")))));
+    FleetStateMachine restored = new FleetStateMachine();
+    restored.restoreSnapshot(machine.captureSnapshot());
+    assertThat(restored.jobsFounders()).containsExactly(first);
+    assertThat(restored.jobsGroupRegions()).containsExactly(regions);
+  }
+
   @Test
   void snapshotRestoresEverything() {
     apply(putRouteTable(5, "five"));
