--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -22,6 +22,7 @@
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.MemberMetrics;
+import io.pathdeck.fleet.traffic.RegionTraffic;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.message.AdmissionRequest;
@@ -66,6 +67,7 @@
   private final CoordinatorSettings settings;
   private final ResourceStack resources = new ResourceStack();
   private final List<HttpServer> servers = new ArrayList<>();
+  private RegionTraffic regionTraffic;
   private CoordinatorContacts contacts;
   private ReplicaHost host;
 
@@ -94,7 +96,10 @@
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
     EventLoop eventLoop = eventLoops.next();
-    PeerPool pool = resources.push(new PeerPool(eventLoops, tls, fleet.peerCompression()));
+    regionTraffic = new RegionTraffic(fleet.zone(), fleet.topology());
+    PeerPool pool =
+        resources.push(
+            new PeerPool(eventLoops, tls, fleet.peerCompression(), regionTraffic::meterOf));
     Set<String> contactAddresses = new HashSet<>(initialMembers.value());
     contactAddresses.addAll(fleet.seedAddresses());
     contactAddresses.forEach(address -> pool.learn(MemberIds.of(address), address));
@@ -180,6 +185,8 @@
             state,
             host.clock(),
             fleet.minGroupSize(),
+            fleet.toleratedZones(),
+            fleet.topology(),
             fleet.limitWindowMs(),
             poller::setPolling,
             lastKnownFleet.recoveredUpdate());
@@ -189,6 +196,7 @@
         contacts.createFollower(eventLoop, () -> new FleetFollower.SelfReport(self, false, null));
     follower.setChangeListener(
         view -> {
+          regionTraffic.onChange(view);
           learnCoordinators(view, host, pool);
           saveIfConfirmed(view, follower, lastKnownFleet);
         });
@@ -204,13 +212,18 @@
     host.start(membership[0]);
     GatewaySelector selector = new GatewaySelector(settings.namedGatewaysShare());
     DirectoryEndpoint directory =
-        new DirectoryEndpoint(adapter.directory(), follower::view, selector);
+        new DirectoryEndpoint(
+            adapter.directory(), follower::view, new GatewayLocator(selector, fleet.topology()));
     startHttpServer(settings.directoryListen(), eventLoops, directory::handle);
     resources.push(follower);
     follower.start();
     OperatorEndpoint operators =
         new OperatorEndpoint(
-            adapter.operators(), contacts.client(), follower::view, fleet.minGroupSize());
+            adapter.operators(),
+            contacts.client(),
+            follower::view,
+            fleet.minGroupSize(),
+            fleet.topology());
     startHttpServer(settings.operatorsListen(), eventLoops, operators::handle);
     MemberMetrics.serve(
         fleet,
@@ -219,7 +232,10 @@
         host::status,
         pool,
         resources,
-        registry -> GatewaySelectionMetrics.bind(registry, follower::view, selector));
+        registry -> {
+          GatewaySelectionMetrics.bind(registry, follower::view, selector);
+          regionTraffic.bindTo(registry);
+        });
     logStarted(self);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/DirectoryEndpoint.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/DirectoryEndpoint.java
@@ -3,7 +3,6 @@
 import io.pathdeck.fleet.adapter.DirectoryProtocol;
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.protocol.fleet.FleetProcess;
-import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
 import java.util.ArrayList;
@@ -12,21 +11,19 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
-/** Lists ready gateways for callers: those in the zone of the caller if there are enough. */
+/** Lists ready gateways for callers. */
 final class DirectoryEndpoint {
   private static final int MAX_ADDRESSES = 64;
-  private static final int MIN_GATEWAYS_IN_ZONE = 2;
   private static final long ADDRESSES_VALID_SECONDS = 2;
 
   private final DirectoryProtocol protocol;
   private final Supplier<FleetView> view;
-  private final GatewaySelector selector;
+  private final GatewayLocator locator;
 
-  DirectoryEndpoint(
-      DirectoryProtocol protocol, Supplier<FleetView> view, GatewaySelector selector) {
+  DirectoryEndpoint(DirectoryProtocol protocol, Supplier<FleetView> view, GatewayLocator locator) {
     this.protocol = protocol;
     this.view = view;
-    this.selector = selector;
+    this.locator = locator;
   }
 
   void handle(HttpExchange exchange) {
@@ -35,7 +32,7 @@
       exchange.sendError(ApiError.notFound("not_found", "no such call"));
       return;
     }
-    List<String> addresses = selectAddresses(query.get().zone());
+    List<String> addresses = selectAddresses(query.get());
     if (addresses.isEmpty()) {
       exchange.sendError(ApiError.unavailable("no_gateway", "no gateway is ready", 1_000));
     } else {
@@ -43,21 +40,9 @@
     }
   }
 
-  private List<String> selectAddresses(String zone) {
-    List<FleetProcess> readyInZone = new ArrayList<>();
-    List<FleetProcess> readyGateways = new ArrayList<>();
-    for (FleetProcess gateway : view.get().withRole(FleetRole.GATEWAY)) {
-      if (!gateway.ready()) {
-        continue;
-      }
-      readyGateways.add(gateway);
-      if (gateway.zone().equals(zone)) {
-        readyInZone.add(gateway);
-      }
-    }
+  private List<String> selectAddresses(DirectoryProtocol.Query query) {
     List<String> addresses = new ArrayList<>();
-    for (FleetProcess gateway :
-        selector.select(readyInZone.size() >= MIN_GATEWAYS_IN_ZONE ? readyInZone : readyGateways)) {
+    for (FleetProcess gateway : locator.locate(view.get(), query)) {
       addresses.add(gateway.serviceAddress());
     }
     Collections.shuffle(addresses);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -6,7 +6,7 @@
 import io.pathdeck.control.ConsensusExtension;
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
-import io.pathdeck.protocol.command.FoundJobsGroups;
+import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.command.SetStoreLeaving;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EngineListDelta;
@@ -55,6 +55,8 @@
   private final FleetStateMachine state;
   private final ControllerClock clock;
   private final int minGroupSize;
+  private final int toleratedZones;
+  private final Topology topology;
   private final TenantAdmission tenantAdmission;
   private final QuarantineManager quarantineManager;
   private final Consumer<Boolean> leadershipListener;
@@ -63,6 +65,7 @@
   private final VersionedList<EngineInstance> engines = new VersionedList<>();
   private final Map<String, Long> lastHeartbeatMs = new HashMap<>();
   private final TreeMap<Integer, FleetProcess> foundingCandidates = new TreeMap<>();
+  private final ReplacementPolicy replacementPolicy;
   private final JobsGroupRegistry jobsGroups;
   private boolean leading;
   private long epoch;
@@ -79,6 +82,8 @@
    * @param state the replicated fleet state
    * @param clock the clock of the consensus thread
    * @param minGroupSize minimum number of stores in a jobs group
+   * @param toleratedZones how many zones may be lost at once
+   * @param topology the zones of the fleet and their regions
    * @param limitWindowMs time window of the tenants' rate limits
    * @param leadershipListener called when this coordinator starts or stops leading
    * @param savedUpdate the fleet state saved before the restart of this coordinator
@@ -88,6 +93,8 @@
       FleetStateMachine state,
       ControllerClock clock,
       int minGroupSize,
+      int toleratedZones,
+      Topology topology,
       long limitWindowMs,
       Consumer<Boolean> leadershipListener,
       Optional<FleetUpdate> savedUpdate) {
@@ -96,9 +103,13 @@
     this.state = state;
     this.clock = clock;
     this.minGroupSize = minGroupSize;
+    this.toleratedZones = toleratedZones;
+    this.topology = topology;
     this.tenantAdmission = new TenantAdmission(group, state, limitWindowMs);
     this.quarantineManager = new QuarantineManager(group, state, clock);
-    this.jobsGroups = new JobsGroupRegistry(JobsGroupFounding.targetSize(minGroupSize));
+    this.replacementPolicy =
+        new ReplacementPolicy(JobsGroupFounding.targetSize(minGroupSize), minGroupSize, topology);
+    this.jobsGroups = new JobsGroupRegistry(replacementPolicy);
     this.leadershipListener = leadershipListener;
   }
 
@@ -194,7 +205,8 @@
             leavingMembers(),
             contendedTenants,
             quarantineManager.updateFor(heartbeat.quarantineVersion()),
-            evacuatedZonesFor(heartbeat)));
+            evacuatedZonesFor(heartbeat),
+            state.jobsGroupRegions()));
   }
 
   private void recordHeartbeat(FleetHeartbeat heartbeat, long nowMs) {
@@ -250,6 +262,7 @@
     if (sender.role() != FleetRole.STORE || nowMs - leaderSinceMs < COLLECTION_PERIOD_MS) {
       return sender.jobsGroup();
     }
+    replacementPolicy.update(state.jobsGroupRegions(), state.routeTable());
     int assignedGroup =
         jobsGroups.groupFor(
             sender, state.jobsFounders(), processes.values(), Set.copyOf(leavingMembers()), nowMs);
@@ -267,9 +280,9 @@
       return;
     }
     foundingProposed = true;
-    List<JobsGroupFounders> groups =
-        JobsGroupFounding.form(foundingCandidates.values(), minGroupSize);
-    for (JobsGroupFounders founders : groups) {
+    JobsFounding founding =
+        JobsFounding.of(foundingCandidates.values(), minGroupSize, toleratedZones, topology);
+    for (JobsGroupFounders founders : founding.groups()) {
       EVENTS.log(
           EventCode.JOBS_GROUP_FOUNDED,
           "group",
@@ -277,7 +290,7 @@
           "members",
           founders.configuration().members());
     }
-    group.propose("", 0, new FoundJobsGroups(groups), reply -> {}, clock);
+    group.propose("", 0, founding.command(), reply -> {}, clock);
   }
 
   private RouteTable routesFor(FleetHeartbeat heartbeat) {
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
@@ -31,20 +31,23 @@
    */
   static final long REPLACEMENT_DELAY_MS = 4_000;
 
-  private final int targetSize;
+  /** A size that a group lacks members for. */
+  private record MissingSize(int group, int size) {}
+
+  private final ReplacementPolicy policy;
   private final Map<Integer, JobsGroupReport> reportByGroup = new TreeMap<>();
   private final Map<Integer, Integer> assignedGroupByMemberId = new HashMap<>();
-  private final Map<Integer, Long> incompleteSinceMsByGroup = new HashMap<>();
+  private final Map<MissingSize, Long> incompleteSinceMs = new HashMap<>();
   private final Set<Integer> waitingMemberIds = new HashSet<>();
   private long leaderSinceMs = Long.MIN_VALUE / 2;
 
   /**
    * Creates an empty registry.
    *
-   * @param targetSize number of members that a group should have
+   * @param policy decides which stores may complete which groups
    */
-  JobsGroupRegistry(int targetSize) {
-    this.targetSize = targetSize;
+  JobsGroupRegistry(ReplacementPolicy policy) {
+    this.policy = policy;
   }
 
   /** Discards all state; called when the leadership of this coordinator begins or ends. */
@@ -52,7 +55,7 @@
     leaderSinceMs = nowMs;
     reportByGroup.clear();
     assignedGroupByMemberId.clear();
-    incompleteSinceMsByGroup.clear();
+    incompleteSinceMs.clear();
     waitingMemberIds.clear();
   }
 
@@ -127,16 +130,27 @@
       Set<Integer> leavingMemberIds,
       long nowMs) {
     Map<Integer, Integer> sizes = countStoresByGroup(foundedGroups, processes, leavingMemberIds);
-    updateIncompleteSince(sizes, nowMs);
-    Optional<Integer> smallestGroup = sizes.keySet().stream().min(Comparator.comparing(sizes::get));
-    if (smallestGroup.isEmpty() || sizes.get(smallestGroup.get()) >= targetSize) {
+    sizes.forEach((group, size) -> updateIncompleteSince(group, size, store, nowMs));
+    Optional<Integer> groupToComplete =
+        sizes.keySet().stream()
+            .filter(group -> sizes.get(group) < policy.sizeFor(group, store))
+            .filter(
+                group ->
+                    policy.isInRegionOf(group, store)
+                        || !hasNearerStore(group, foundedGroups, processes, leavingMemberIds))
+            .min(
+                Comparator.<Integer, Boolean>comparing(group -> !policy.isInRegionOf(group, store))
+                    .thenComparing(sizes::get));
+    if (groupToComplete.isEmpty()) {
       waitingMemberIds.add(store.memberId());
       return FleetProcess.NO_GROUP;
     }
-    int group = smallestGroup.get();
+    int group = groupToComplete.get();
+    long incompleteSince =
+        incompleteSinceMs.get(new MissingSize(group, policy.sizeFor(group, store)));
     boolean lostMemberMayReturn =
         waitingMemberIds.contains(store.memberId())
-            && nowMs - incompleteSinceMsByGroup.get(group) < REPLACEMENT_DELAY_MS;
+            && nowMs - incompleteSince < REPLACEMENT_DELAY_MS;
     boolean membersMayStillStart = nowMs - leaderSinceMs < REPLACEMENT_DELAY_MS;
     if (lostMemberMayReturn || membersMayStillStart) {
       return FleetProcess.NO_GROUP;
@@ -146,6 +160,19 @@
     return group;
   }
 
+  /** Whether a store of the group's regions waits, which should complete the group. */
+  private boolean hasNearerStore(
+      int group,
+      List<JobsGroupFounders> foundedGroups,
+      Collection<FleetProcess> processes,
+      Set<Integer> leavingMemberIds) {
+    return processes.stream()
+        .filter(process -> process.role() == FleetRole.STORE)
+        .filter(process -> !leavingMemberIds.contains(process.memberId()))
+        .filter(process -> policy.isInRegionOf(group, process))
+        .anyMatch(process -> knownGroupOf(process, foundedGroups).isEmpty());
+  }
+
   /** Counts the live stores that belong or are assigned to each group, except retiring ones. */
   private Map<Integer, Integer> countStoresByGroup(
       List<JobsGroupFounders> foundedGroups,
@@ -164,14 +191,12 @@
     return sizes;
   }
 
-  private void updateIncompleteSince(Map<Integer, Integer> sizes, long nowMs) {
-    sizes.forEach(
-        (group, size) -> {
-          if (size >= targetSize) {
-            incompleteSinceMsByGroup.remove(group);
-          } else {
-            incompleteSinceMsByGroup.putIfAbsent(group, nowMs);
-          }
-        });
+  private void updateIncompleteSince(int group, int size, FleetProcess store, long nowMs) {
+    MissingSize missing = new MissingSize(group, policy.sizeFor(group, store));
+    if (size >= missing.size()) {
+      incompleteSinceMs.remove(missing);
+    } else {
+      incompleteSinceMs.putIfAbsent(missing, nowMs);
+    }
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -118,7 +118,8 @@
             view.leavingMembers(),
             new ArrayList<>(),
             view.quarantine(),
-            view.evacuatedZones());
+            view.evacuatedZones(),
+            view.jobsGroupRegions());
     return Base64.getEncoder().encodeToString(ObjectCodec.encode(update));
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
@@ -82,7 +82,8 @@
         update.leavingMembers(),
         update.contendedTenants(),
         quarantine,
-        evacuatedZones);
+        evacuatedZones,
+        update.jobsGroupRegions());
   }
 
   /**
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
@@ -8,6 +8,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.GroupCallError;
 import io.pathdeck.fleet.member.GroupClient;
+import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.RouteTableHeld;
@@ -39,12 +40,15 @@
   private final GroupClient coordinators;
   private final Supplier<FleetView> view;
   private final int minGroupSize;
+  private final Topology topology;
 
   OperatorEndpoint(
       OperatorProtocol protocol,
       GroupClient coordinators,
       Supplier<FleetView> view,
-      int minGroupSize) {
+      int minGroupSize,
+      Topology topology) {
+    this.topology = topology;
     this.protocol = protocol;
     this.coordinators = coordinators;
     this.view = view;
@@ -74,7 +78,7 @@
   }
 
   private void putRoutes(HttpExchange exchange, RouteTable table) {
-    Optional<String> problem = RouteTableValidator.findProblem(table);
+    Optional<String> problem = RouteTableValidator.findProblem(table, topology);
     if (problem.isPresent()) {
       rejectInvalid(exchange, problem.get());
       return;
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/RouteTableValidator.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/RouteTableValidator.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.coordinator;
 
+import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.fleet.CallerTenant;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -7,6 +8,7 @@
 import io.pathdeck.protocol.fleet.ServiceLimits;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -16,13 +18,19 @@
 final class RouteTableValidator {
   private RouteTableValidator() {}
 
-  /** Returns the first problem of the configuration; empty if it is valid. */
-  static Optional<String> findProblem(RouteTable table) {
+  /**
+   * Returns the first problem of the configuration; empty if it is valid.
+   *
+   * @param topology the regions that routes and tenants may name; any, if it has none
+   */
+  static Optional<String> findProblem(RouteTable table, Topology topology) {
     Set<String> services =
         table.services().stream().map(ServiceLimits::name).collect(Collectors.toSet());
     Set<String> hostsAndPrefixes = new HashSet<>();
     for (RouteSpec route : table.routes()) {
-      Optional<String> problem = findProblem(route, services);
+      Optional<String> problem =
+          findProblem(route, services)
+              .or(() -> findUnknownRegion(route.allowedRegions(), topology));
       if (problem.isPresent()) {
         return problem.map(found -> "route " + route.name() + ": " + found);
       }
@@ -31,16 +39,30 @@
             "route " + route.name() + ": another route has the same host and prefix");
       }
     }
-    return findTenantProblem(table);
+    return findTenantProblem(table, topology);
   }
 
-  private static Optional<String> findTenantProblem(RouteTable table) {
+  private static Optional<String> findUnknownRegion(List<String> regions, Topology topology) {
+    if (topology.regions().isEmpty()) {
+      return Optional.empty();
+    }
+    return regions.stream()
+        .filter(region -> !topology.regions().contains(region))
+        .findFirst()
+        .map(region -> "unknown region " + region);
+  }
+
+  private static Optional<String> findTenantProblem(RouteTable table, Topology topology) {
     Map<String, String> ownerByKeyDigest = new HashMap<>();
     Set<String> names = new HashSet<>();
     for (CallerTenant tenant : table.tenants()) {
       if (!names.add(tenant.name())) {
         return Optional.of("tenant " + tenant.name() + " is declared twice");
       }
+      Optional<String> unknownRegion = findUnknownRegion(tenant.allowedRegions(), topology);
+      if (unknownRegion.isPresent()) {
+        return unknownRegion.map(found -> "tenant " + tenant.name() + ": " + found);
+      }
       for (String digest : tenant.keyDigests()) {
         String other = ownerByKeyDigest.putIfAbsent(digest, tenant.name());
         if (other != null && !other.equals(tenant.name())) {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
@@ -22,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * Calls engines over persistent HTTP/1.1 connections; confined to one event loop.
@@ -37,13 +39,26 @@
   private final EventLoop eventLoop;
   private final EngineProtocol protocol;
   private final Bootstrap bootstrap;
+  private final Function<EngineInstance, Optional<ChannelHandler>> meters;
   private final Map<String, Deque<EngineConnection>> idleConnections = new HashMap<>();
   private final Map<String, Integer> openConnectionCounts = new HashMap<>();
   private final IdleTimeouts idleTimeouts = new IdleTimeouts();
   private long connectionsOpened;
 
-  /** Creates a transport on {@code eventLoop}. */
+  /** Creates a transport on {@code eventLoop} whose bytes nobody counts. */
   public NettyEngineTransport(EventLoop eventLoop, EngineProtocol protocol) {
+    this(eventLoop, protocol, engine -> Optional.empty());
+  }
+
+  /**
+   * Creates a transport on {@code eventLoop}; {@code meters} returns what counts the bytes of a
+   * connection.
+   */
+  public NettyEngineTransport(
+      EventLoop eventLoop,
+      EngineProtocol protocol,
+      Function<EngineInstance, Optional<ChannelHandler>> meters) {
+    this.meters = meters;
     this.eventLoop = eventLoop;
     this.protocol = protocol;
     this.bootstrap =
@@ -109,6 +124,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
+                meters.apply(pending.call().engine()).ifPresent(channel.pipeline()::addLast);
                 channel.pipeline().addLast(new HttpRequestEncoder());
                 channel.pipeline().addLast(new HttpResponseDecoder());
                 channel.pipeline().addLast(connection);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
@@ -7,6 +7,7 @@
 import io.pathdeck.fleet.adapter.CallerRequest;
 import io.pathdeck.fleet.gateway.JobsGroupLocator.JobsGroup;
 import io.pathdeck.fleet.member.GroupCallError;
+import io.pathdeck.fleet.topology.AllowedRegions;
 import io.pathdeck.protocol.command.BatchAccepted;
 import io.pathdeck.protocol.command.BatchCommand;
 import io.pathdeck.protocol.command.CommandResult;
@@ -51,6 +52,8 @@
   private static final long QUOTA_RETRY_AFTER_MS = 1_000;
   private static final long RETRY_AFTER_MS = 300;
   private static final int MAX_PAGE_BYTES = 900_000;
+  private static final int MIN_PAGE_BYTES = 1;
+  private static final long NO_REGION_RETRY_AFTER_MS = 1_000;
   private static final int MAX_ITEMS = 200;
   private static final String JSON = "application/json";
 
@@ -62,32 +65,84 @@
     this.protocol = protocol;
   }
 
-  void submit(HttpExchange exchange, CallerRequest.Routed request, RouteSpec route, String tenant) {
+  /**
+   * Stores a job in a group whose stores all stand in the allowed regions.
+   *
+   * @param regionsChanged whether the allowed regions have changed so recently that another group
+   *     may have accepted the job before
+   */
+  void submit(
+      HttpExchange exchange,
+      CallerRequest.Routed request,
+      RouteSpec route,
+      String tenant,
+      AllowedRegions allowedRegions,
+      boolean regionsChanged) {
     Result<List<BatchItem>, String> items = protocol.readItems(exchange.body());
     if (!items.isOk() || items.value().isEmpty() || items.value().size() > MAX_ITEMS) {
       String reason = items.isOk() ? "a job has 1 to " + MAX_ITEMS + " items" : items.error();
       exchange.sendError(ApiError.invalid("invalid_job", reason));
       return;
     }
-    Optional<JobsGroup> group = groups.groupOf(request.requestId());
-    if (group.isEmpty()) {
+    if (!groups.areGroupsKnown()) {
       refuseUnknownGroups(exchange);
       return;
     }
-    SubmitBatch command =
-        new SubmitBatch(
-            request.requestId(),
-            tenant,
-            route.name(),
-            route.host(),
-            items.value(),
-            route.maxAttempts(),
-            route.runTargetMs(),
-            route.retainMs(),
-            group.get().shareOf(route.maxQueuedTokens()));
+    Optional<JobsGroup> group = groups.groupFor(request.requestId(), allowedRegions);
+    if (group.isEmpty()) {
+      String reason = "no group of stores lies within the allowed regions";
+      Refusals.unavailable(exchange, reason, NO_REGION_RETRY_AFTER_MS);
+      return;
+    }
+    SubmitBatch command = submission(request, route, tenant, items.value(), group.get());
+    if (regionsChanged) {
+      submitUnlessHeld(exchange, request, group.get(), command);
+    } else {
+      propose(exchange, request, group.get(), command);
+    }
+  }
+
+  private static SubmitBatch submission(
+      CallerRequest.Routed request,
+      RouteSpec route,
+      String tenant,
+      List<BatchItem> items,
+      JobsGroup group) {
+    return new SubmitBatch(
+        request.requestId(),
+        tenant,
+        route.name(),
+        route.host(),
+        items,
+        route.maxAttempts(),
+        route.runTargetMs(),
+        route.retainMs(),
+        group.shareOf(route.maxQueuedTokens()));
+  }
+
+  /** Accepts the job if a group holds it already, else proposes it. */
+  private void submitUnlessHeld(
+      HttpExchange exchange, CallerRequest.Routed request, JobsGroup group, SubmitBatch command) {
+    query(
+        request.requestId(),
+        new ReadBatchResults(request.requestId(), command.tenant(), 0, MIN_PAGE_BYTES, 0),
+        0,
+        result -> {
+          if (!result.isOk()) {
+            Refusals.unavailable(exchange, result.error().reason(), RETRY_AFTER_MS);
+          } else if (result.value() instanceof BatchResults) {
+            exchange.send(202, JSON, new byte[0]);
+          } else {
+            propose(exchange, request, group, command);
+          }
+        });
+  }
+
+  private void propose(
+      HttpExchange exchange, CallerRequest.Routed request, JobsGroup group, SubmitBatch command) {
     long startNs = System.nanoTime();
     propose(
-        group.get(),
+        group,
         command,
         result -> {
           log("submit", request.requestId(), result, startNs);
@@ -136,14 +191,14 @@
   }
 
   void end(HttpExchange exchange, CallerRequest.EndJob call, String tenant) {
-    Optional<JobsGroup> group = groups.groupOf(call.jobId());
-    if (group.isEmpty()) {
+    List<JobsGroup> candidates = groups.groupsThatMayHold(call.jobId());
+    if (candidates.isEmpty()) {
       refuseUnknownGroups(exchange);
       return;
     }
     long startNs = System.nanoTime();
-    propose(
-        group.get(),
+    proposeInTurn(
+        candidates,
         new EndBatch(call.jobId(), tenant),
         result -> {
           log("end", call.jobId(), result, startNs);
@@ -159,6 +214,25 @@
         });
   }
 
+  /** Proposes to each group until one does not reject the command. */
+  private static void proposeInTurn(
+      List<JobsGroup> candidates,
+      BatchCommand command,
+      Consumer<Result<CommandResult, GroupCallError>> callback) {
+    List<JobsGroup> others = candidates.subList(1, candidates.size());
+    propose(
+        candidates.get(0),
+        command,
+        result -> {
+          boolean isRejected = result.isOk() && result.value() instanceof Rejected;
+          if (isRejected && !others.isEmpty()) {
+            proposeInTurn(others, command, callback);
+          } else {
+            callback.accept(result);
+          }
+        });
+  }
+
   void readResults(HttpExchange exchange, CallerRequest.ReadResults call, String tenant) {
     long waitMs = Math.max(0, Math.min(MAX_RESULTS_WAIT_MS, call.waitMs()));
     query(
@@ -221,16 +295,45 @@
       Query query,
       long waitMs,
       Consumer<Result<QueryResult, GroupCallError>> callback) {
-    Optional<JobsGroup> group = groups.groupOf(jobId);
-    if (group.isEmpty()) {
+    if (groups.areGroupsKnown()) {
+      query(jobId, query, waitMs, callback);
+    } else {
       refuseUnknownGroups(exchange);
-      return;
     }
-    Message message = new QueryRequest(group.get().group(), query);
+  }
+
+  private void query(
+      String jobId,
+      Query query,
+      long waitMs,
+      Consumer<Result<QueryResult, GroupCallError>> callback) {
+    queryInTurn(groups.groupsThatMayHold(jobId), query, waitMs, callback);
+  }
+
+  /** Queries each group until one does not report the job as missing. */
+  private static void queryInTurn(
+      List<JobsGroup> candidates,
+      Query query,
+      long waitMs,
+      Consumer<Result<QueryResult, GroupCallError>> callback) {
+    List<JobsGroup> others = candidates.subList(1, candidates.size());
+    JobsGroup group = candidates.get(0);
     group
-        .get()
         .client()
-        .call(message, QUERY_TIMEOUT_MS + waitMs, ATTEMPT_TIMEOUT_MS + waitMs)
-        .thenAccept(result -> callback.accept(result.map(reply -> ((QueryReply) reply).result())));
+        .call(
+            new QueryRequest(group.group(), query),
+            QUERY_TIMEOUT_MS + waitMs,
+            ATTEMPT_TIMEOUT_MS + waitMs)
+        .thenAccept(
+            reply -> {
+              Result<QueryResult, GroupCallError> result =
+                  reply.map(message -> ((QueryReply) message).result());
+              boolean isMissing = result.isOk() && result.value() instanceof BatchMissing;
+              if (isMissing && !others.isEmpty()) {
+                queryInTurn(others, query, waitMs, callback);
+              } else {
+                callback.accept(result);
+              }
+            });
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -35,6 +35,7 @@
   private static final EventLog EVENTS = EventLog.of(Gateway.class);
   private static final long SILENCE_CHECK_INTERVAL_MS = 100;
   private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
+  private static final long NO_REGION_RETRY_AFTER_MS = 1_000;
 
   /**
    * Half-life of an engine's load report. An engine's reports reach each gateway seldom; with a
@@ -56,6 +57,7 @@
   private final TenantLimiter limiter;
   private final ForwardingContext context;
   private final TrafficSplit trafficSplit = new TrafficSplit();
+  private final RegionChanges regionChanges = new RegionChanges();
   private CallerKeys keys = CallerKeys.NONE;
   private long keysVersion = RouteTable.NO_VERSION;
   private boolean hasTenantPolicies;
@@ -141,6 +143,7 @@
     if (newView.routes() != null && newView.routes().version() != keysVersion) {
       keysVersion = newView.routes().version();
       keys = CallerKeys.of(newView.routes());
+      regionChanges.onRoutes(newView.routes(), System.nanoTime());
       hasTenantPolicies = TenantPolicies.existIn(newView.routes());
     }
   }
@@ -246,8 +249,18 @@
     if (caller instanceof CallerIdentity.MissingOrUnknownKey) {
       logRefusal(request, "missing or unknown key", currentView);
       refuseUnknownKey(exchange);
+    } else if (allowedRegions(request, caller).allowsNone()) {
+      String reason = "the route and the tenant allow no common region";
+      logRefusal(request, reason, currentView);
+      Refusals.unavailable(exchange, reason, NO_REGION_RETRY_AFTER_MS);
     } else if (route.kind() == RouteKind.BATCH) {
-      batchCalls.submit(exchange, request, route, caller.tenantName());
+      batchCalls.submit(
+          exchange,
+          request,
+          route,
+          caller.tenantName(),
+          allowedRegions(request, caller),
+          regionChanges.isRecent(System.nanoTime()));
     } else if (caller instanceof CallerIdentity.Authenticated authenticated) {
       limiter.admit(
           authenticated.tenant(),
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -14,6 +14,7 @@
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLivenessProbe;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
+import io.pathdeck.fleet.engine.EngineLoadBalancer.RegionPreference;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.load.LoadExchange;
 import io.pathdeck.fleet.load.LoadMetrics;
@@ -25,6 +26,7 @@
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
+import io.pathdeck.fleet.traffic.RegionTraffic;
 import io.pathdeck.protocol.client.RetryTimer;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
@@ -44,6 +46,7 @@
   private final GatewaySettings settings;
   private final FleetAdapter adapter;
   private final ResourceStack resources = new ResourceStack();
+  private final RegionTraffic regionTraffic;
   private final CoordinatorContacts contacts;
   private final FleetFollower follower;
   private final Gateway gateway;
@@ -58,7 +61,10 @@
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
     EventLoop eventLoop = eventLoops.next();
-    PeerPool pool = resources.push(new PeerPool(eventLoops, tls, fleet.peerCompression()));
+    regionTraffic = new RegionTraffic(fleet.zone(), fleet.topology());
+    PeerPool pool =
+        resources.push(
+            new PeerPool(eventLoops, tls, fleet.peerCompression(), regionTraffic::meterOf));
     long startNs = System.nanoTime();
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
     TenantLimiter limiter =
@@ -70,7 +76,8 @@
             () ->
                 new FleetFollower.SelfReport(describe(startNs), false, null, limiter.tenantUses()));
     follower.setContentionListener(limiter::onContendedTenants);
-    JobsGroupLocator jobs = new JobsGroupLocator(pool, RetryTimer.on(eventLoops), follower::view);
+    JobsGroupLocator jobs =
+        new JobsGroupLocator(pool, RetryTimer.on(eventLoops), follower::view, fleet.topology());
     RequestMetrics metrics = new RequestMetrics();
     QuarantiningTransport transport = createEngineTransport(eventLoop);
     gateway =
@@ -84,7 +91,7 @@
             new BatchCalls(jobs, adapter.callers()),
             limiter,
             transport,
-            new EngineLoadBalancer(fleet.zone(), startNs),
+            loadBalancer(fleet, startNs),
             new EngineEligibility(fleet.topology(), ColdStartLimit.NONE),
             metrics);
     LoadMetrics loadMetrics = new LoadMetrics();
@@ -137,6 +144,14 @@
     return new MemoryBudget(settings.memoryBudgetBytes(), metrics)::open;
   }
 
+  private static EngineLoadBalancer loadBalancer(FleetSettings fleet, long seed) {
+    RegionPreference preference =
+        fleet.topology().hasSeveralRegions()
+            ? RegionPreference.OWN_REGION_WHILE_FREE
+            : RegionPreference.BALANCED;
+    return new EngineLoadBalancer(fleet.zone(), fleet.topology(), preference, seed);
+  }
+
   private LoadExchange createLoadExchange(
       EventLoop eventLoop, long incarnation, LoadMetrics metrics) {
     FleetSettings fleet = settings.fleet();
@@ -152,13 +167,16 @@
     EngineCrashReporter reporter =
         new EngineCrashReporter(eventLoop, contacts.client(), follower::reportNow);
     follower.setNewLeaderListener(reporter::onNewLeader);
-    NettyEngineTransport transport = new NettyEngineTransport(eventLoop, adapter.engines());
+    NettyEngineTransport transport =
+        new NettyEngineTransport(
+            eventLoop, adapter.engines(), engine -> regionTraffic.engineMeter(engine.zone()));
     EngineLivenessProbe liveness = new EngineLivenessProbe(eventLoop, transport, adapter.engines());
     return new QuarantiningTransport(
         transport, liveness, reporter, eventLoop, engine -> gateway.onEngineEnded(engine));
   }
 
   private void onChange(FleetView view, QuarantiningTransport transport) {
+    regionTraffic.onChange(view);
     transport.updateQuarantine(view.quarantine());
     gateway.onChange(view);
     loadExchange.onChange(view);
@@ -171,6 +189,7 @@
       MeterRegistry registry, RequestMetrics metrics, LoadMetrics loadMetrics) {
     metrics.bindTo(registry);
     loadMetrics.bindTo(registry);
+    regionTraffic.bindTo(registry);
     FleetMetrics.bindView(registry, follower);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/JobsGroupLocator.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/JobsGroupLocator.java
@@ -4,7 +4,14 @@
 import io.pathdeck.fleet.member.GroupClient;
 import io.pathdeck.fleet.member.JobsPlacement;
 import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.fleet.topology.AllowedRegions;
+import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.client.RetryTimer;
+import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.JobsGroupRegions;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -18,7 +25,7 @@
    * A consensus group that stores batch jobs.
    *
    * @param group its index
-   * @param count how many groups store jobs
+   * @param count how many groups store the jobs of the route
    * @param client sends messages to its members
    */
   record JobsGroup(int group, int count, GroupClient client) {
@@ -35,23 +42,74 @@
   private final PeerPool pool;
   private final RetryTimer timer;
   private final Supplier<FleetView> view;
+  private final Topology topology;
   private final Map<Integer, GroupClient> clients = new ConcurrentHashMap<>();
 
-  JobsGroupLocator(PeerPool pool, RetryTimer timer, Supplier<FleetView> view) {
+  JobsGroupLocator(PeerPool pool, RetryTimer timer, Supplier<FleetView> view, Topology topology) {
+    this.topology = topology;
     this.pool = pool;
     this.timer = timer;
     this.view = view;
   }
 
-  /** Returns the group that stores a job; empty until the number of groups is known. */
-  Optional<JobsGroup> groupOf(String jobId) {
-    int count = view.get().jobsFounders().size();
+  /** Whether the groups are known. */
+  boolean areGroupsKnown() {
+    return !view.get().jobsFounders().isEmpty();
+  }
+
+  /**
+   * Returns the group to store a job; empty if all groups reach beyond the allowed regions, or
+   * until the groups are known.
+   */
+  Optional<JobsGroup> groupFor(String jobId, AllowedRegions allowedRegions) {
+    FleetView currentView = view.get();
+    int count = currentView.jobsFounders().size();
+    List<Integer> permitted =
+        currentView.jobsFounders().stream()
+            .map(JobsGroupFounders::group)
+            .filter(group -> mayStore(group, allowedRegions, currentView))
+            .sorted()
+            .toList();
+    return permitted.isEmpty()
+        ? Optional.empty()
+        : Optional.of(jobsGroup(JobsPlacement.groupOf(jobId, count, permitted), permitted.size()));
+  }
+
+  private boolean mayStore(int group, AllowedRegions allowedRegions, FleetView currentView) {
+    if (allowedRegions.anywhere()) {
+      return true;
+    }
+    Collection<String> regions =
+        currentView.jobsGroupRegions().stream()
+            .filter(known -> known.group() == group)
+            .findFirst()
+            .<Collection<String>>map(JobsGroupRegions::regions)
+            .orElse(topology.regions());
+    return !regions.isEmpty() && allowedRegions.allowsAll(regions);
+  }
+
+  /**
+   * Returns the groups that may hold a job, likeliest first; empty until they are known. Only in a
+   * fleet of several regions a job may be in another group than the first.
+   */
+  List<JobsGroup> groupsThatMayHold(String jobId) {
+    FleetView currentView = view.get();
+    int count = currentView.jobsFounders().size();
     if (count == 0) {
-      return Optional.empty();
+      return List.of();
     }
-    int group = JobsPlacement.groupOf(jobId, count);
-    return Optional.of(
-        new JobsGroup(group, count, clients.computeIfAbsent(group, this::createClient)));
+    int first = JobsPlacement.groupOf(jobId, count);
+    List<JobsGroup> groups = new ArrayList<>(List.of(jobsGroup(first, count)));
+    for (JobsGroupRegions other : currentView.jobsGroupRegions()) {
+      if (other.group() != first) {
+        groups.add(jobsGroup(other.group(), count));
+      }
+    }
+    return groups;
+  }
+
+  private JobsGroup jobsGroup(int group, int count) {
+    return new JobsGroup(group, count, clients.computeIfAbsent(group, this::createClient));
   }
 
   private GroupClient createClient(int group) {
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -236,7 +236,8 @@
             update.assignedGroup(),
             update.leavingMembers(),
             mergeQuarantine(update),
-            mergeEvacuatedZones(update));
+            mergeEvacuatedZones(update),
+            update.jobsGroupRegions());
     if (!changed && next.equals(previous)) {
       return;
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
+import io.pathdeck.protocol.fleet.JobsGroupRegions;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -29,6 +30,7 @@
  * @param leavingMembers ids of stores that are being retired
  * @param quarantine the requests that must not reach engines
  * @param evacuatedZones the zones whose engines must get nothing new
+ * @param jobsGroupRegions the regions of the groups' first members; none in a fleet without regions
  */
 public record FleetView(
     RouteTable routes,
@@ -39,7 +41,8 @@
     int assignedGroup,
     List<Integer> leavingMembers,
     QuarantineList quarantine,
-    EvacuatedZones evacuatedZones) {
+    EvacuatedZones evacuatedZones,
+    List<JobsGroupRegions> jobsGroupRegions) {
   /** A view without any information. */
   public static final FleetView EMPTY =
       new FleetView(
@@ -53,6 +56,30 @@
           QuarantineList.NONE,
           EvacuatedZones.NONE);
 
+  /** Creates a view of a fleet without regions. */
+  public FleetView(
+      RouteTable routes,
+      Map<String, EngineInstance> engines,
+      Map<String, FleetProcess> processes,
+      List<JobsGroupFounders> jobsFounders,
+      List<JobsGroupReport> jobsGroups,
+      int assignedGroup,
+      List<Integer> leavingMembers,
+      QuarantineList quarantine,
+      EvacuatedZones evacuatedZones) {
+    this(
+        routes,
+        engines,
+        processes,
+        jobsFounders,
+        jobsGroups,
+        assignedGroup,
+        leavingMembers,
+        quarantine,
+        evacuatedZones,
+        List.of());
+  }
+
   /** Whether the view suffices to forward requests. */
   public boolean isComplete() {
     return routes != null && engines != null;
--- a/fleet/src/main/java/io/pathdeck/fleet/member/JobsPlacement.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/JobsPlacement.java
@@ -1,5 +1,7 @@
 package io.pathdeck.fleet.member;
 
+import java.util.List;
+
 /**
  * Maps batch jobs to jobs groups.
  *
@@ -19,6 +21,19 @@
     return 1 + Math.floorMod(mixBits(jobId.hashCode()), groups);
   }
 
+  /**
+   * Returns the group of a job that only some groups may store: the one of all groups if it may,
+   * else one of those that may.
+   *
+   * @param jobId the id of the job
+   * @param groups the number of all groups, at least one
+   * @param permitted the numbers of the groups that may store it, ascending; at least one
+   */
+  public static int groupOf(String jobId, int groups, List<Integer> permitted) {
+    int group = groupOf(jobId, groups);
+    return permitted.contains(group) ? group : permitted.get(groupOf(jobId, permitted.size()) - 1);
+  }
+
   /** Spreads hash codes with similar low bits (the finalizer of MurmurHash3). */
   private static int mixBits(int hash) {
     int mixed = hash ^ (hash >>> 16);
--- a/fleet/src/main/java/io/pathdeck/fleet/member/PeerPool.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/PeerPool.java
@@ -5,21 +5,30 @@
 import io.pathdeck.control.PeerLink;
 import io.pathdeck.control.PeerLinks;
 import io.pathdeck.protocol.transport.FrameCompression;
+import io.pathdeck.protocol.transport.FrameMeter;
 import io.pathdeck.protocol.transport.PeerClient;
 import io.pathdeck.protocol.transport.TransportTls;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 
 /** Connections to other processes by address, and the addresses of members. Thread-safe. */
 public final class PeerPool implements PeerLinks, AutoCloseable {
   private final EventLoopGroup eventLoops;
   private final TransportTls tls;
   private final FrameCompression compression;
+  private final Function<String, FrameMeter> meters;
   private final Map<String, PeerClient> clients = new ConcurrentHashMap<>();
   private final Map<Integer, String> addresses = new ConcurrentHashMap<>();
 
-  public PeerPool(EventLoopGroup eventLoops, TransportTls tls, FrameCompression compression) {
+  /** Creates a pool; {@code meters} returns what counts the frames of an address. */
+  public PeerPool(
+      EventLoopGroup eventLoops,
+      TransportTls tls,
+      FrameCompression compression,
+      Function<String, FrameMeter> meters) {
+    this.meters = meters;
     this.eventLoops = eventLoops;
     this.tls = tls;
     this.compression = compression;
@@ -55,7 +64,10 @@
         .map(
             parsed ->
                 clients.computeIfAbsent(
-                    address, key -> new PeerClient(parsed, eventLoops, tls, compression)));
+                    address,
+                    key ->
+                        new PeerClient(
+                            parsed, eventLoops, tls, compression, meters.apply(address))));
   }
 
   /** Returns the number of one-way messages dropped for lack of a connection or of buffer space. */
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
@@ -15,19 +15,9 @@
   private MemberMetrics() {}
 
   /**
-   * Serves the metrics if the settings contain an address; {@code resources} closes the endpoint.
+   * Serves the metrics, together with those that {@code processMetrics} registers, if the settings
+   * contain an address; {@code resources} closes the endpoint.
    */
-  public static void serve(
-      FleetSettings settings,
-      EventLoopGroup eventLoops,
-      FleetFollower follower,
-      Supplier<ControllerStatus> status,
-      PeerPool pool,
-      ResourceStack resources) {
-    serve(settings, eventLoops, follower, status, pool, resources, registry -> {});
-  }
-
-  /** Serves the metrics together with those that {@code processMetrics} registers. */
   public static void serve(
       FleetSettings settings,
       EventLoopGroup eventLoops,
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -16,11 +16,13 @@
 import io.pathdeck.fleet.eligibility.ColdStartLimit;
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
+import io.pathdeck.fleet.engine.EngineLoadBalancer.RegionPreference;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
+import io.pathdeck.fleet.traffic.RegionTraffic;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.message.Message;
@@ -66,6 +68,7 @@
       FleetSettings fleet,
       EngineProtocol protocol,
       EngineCrashReporter reporter,
+      RegionTraffic regionTraffic,
       BooleanSupplier engineListIsRecent) {
     this.number = number;
     this.host = host;
@@ -78,10 +81,12 @@
             state,
             host.clock(),
             eventLoop,
-            new NettyEngineTransport(eventLoop, protocol),
+            new NettyEngineTransport(
+                eventLoop, protocol, engine -> regionTraffic.engineMeter(engine.zone())),
             protocol,
             reporter,
-            new EngineLoadBalancer(fleet.zone(), System.nanoTime()),
+            new EngineLoadBalancer(
+                fleet.zone(), fleet.topology(), RegionPreference.BALANCED, System.nanoTime()),
             new EngineEligibility(fleet.topology(), ColdStartLimit.NONE),
             engineListIsRecent,
             host::execute);
@@ -96,6 +101,7 @@
       EventLoop eventLoop,
       EngineProtocol protocol,
       EngineCrashReporter reporter,
+      RegionTraffic regionTraffic,
       BooleanSupplier engineListIsRecent) {
     BatchStateMachine state = new BatchStateMachine();
     return ReplicaHost.open(options(number, fleet, state), folder, pool)
@@ -110,6 +116,7 @@
                     fleet,
                     protocol,
                     reporter,
+                    regionTraffic,
                     engineListIsRecent));
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -20,6 +20,7 @@
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.MemberMetrics;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
+import io.pathdeck.fleet.traffic.RegionTraffic;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.message.Message;
@@ -48,6 +49,7 @@
   private final ResourceStack resources = new ResourceStack();
   private EventLoop eventLoop;
   private PeerPool pool;
+  private RegionTraffic regionTraffic;
   private CoordinatorContacts contacts;
   private FleetFollower follower;
   private EngineCrashReporter reporter;
@@ -84,7 +86,10 @@
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
     eventLoop = eventLoops.next();
-    pool = resources.push(new PeerPool(eventLoops, tls, fleet.peerCompression()));
+    regionTraffic = new RegionTraffic(fleet.zone(), fleet.topology());
+    pool =
+        resources.push(
+            new PeerPool(eventLoops, tls, fleet.peerCompression(), regionTraffic::meterOf));
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
     follower = contacts.createFollower(eventLoop, () -> selfReport(mayFound));
     follower.setChangeListener(this::onChange);
@@ -96,7 +101,8 @@
     }
     resources.push(
         new PeerServer(fleet.listen(), eventLoops, tls, fleet.peerCompression(), this::route));
-    MemberMetrics.serve(fleet, eventLoops, follower, this::status, pool, resources);
+    MemberMetrics.serve(
+        fleet, eventLoops, follower, this::status, pool, resources, regionTraffic::bindTo);
     resources.push(follower);
     follower.start();
     EVENTS.log(
@@ -169,6 +175,7 @@
             eventLoop,
             adapter.engines(),
             reporter,
+            regionTraffic,
             () -> follower.isConfirmedWithin(maxListAgeMs))
         .map(
             openedReplica -> {
@@ -179,6 +186,7 @@
   }
 
   private void onChange(FleetView view) {
+    regionTraffic.onChange(view);
     if (replica == null && view.assignedGroup() != FleetProcess.NO_GROUP) {
       joinGroup(view.assignedGroup());
     }
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/traffic/package-info.java
@@ -0,0 +1,2 @@
+/** Measurement of the bytes between regions. */
+package io.pathdeck.fleet.traffic;
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestJobsGroupRegistry.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestJobsGroupRegistry.java
@@ -18,7 +18,8 @@
   private static final int NEW_STORE = 40;
   private static final long NOW_MS = 10_000;
 
-  private final JobsGroupRegistry registry = new JobsGroupRegistry(TARGET_SIZE);
+  private final JobsGroupRegistry registry =
+      new JobsGroupRegistry(ReplacementPolicy.withoutRegions(TARGET_SIZE));
   private final List<FleetProcess> liveStores = new ArrayList<>();
   private final List<JobsGroupFounders> foundedGroups = List.of(founders(1, 10), founders(2, 20));
 
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestJobsPlacement.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestJobsPlacement.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -28,4 +29,23 @@
       assertThat(counts[group]).isBetween(JOBS / GROUPS * 9 / 10, JOBS / GROUPS * 11 / 10);
     }
   }
+
+  /** A change of what is permitted must move no job whose group stays permitted. */
+  @Test
+  void jobStaysInItsGroupWhileThatIsPermitted() {
+    SplittableRandom random = new SplittableRandom(17);
+    int[] counts = new int[GROUPS + 1];
+    List<Integer> permitted = List.of(2, 5, 6);
+    for (int job = 0; job < JOBS; job++) {
+      String id = Long.toHexString(random.nextLong());
+      int group = JobsPlacement.groupOf(id, GROUPS);
+      int restricted = JobsPlacement.groupOf(id, GROUPS, permitted);
+      counts[restricted]++;
+      assertThat(restricted).isIn(permitted);
+      assertThat(!permitted.contains(group) || restricted == group).isTrue();
+    }
+    for (int group : permitted) {
+      assertThat(counts[group]).isBetween(JOBS / 3 * 8 / 10, JOBS / 3 * 12 / 10);
+    }
+  }
 }
