--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -256,7 +256,8 @@
             update.leavingMembers(),
             mergeQuarantine(update),
             mergeEvacuatedZones(
-                previous.evacuatedZones(), update.evacuatedZones(), update.isLastKnown()));
+                previous.evacuatedZones(), update.evacuatedZones(), update.isLastKnown()),
+            update.jobsGroupRegions());
     if (!changed && next.equals(previous)) {
       return;
     }
