--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
@@ -32,23 +32,26 @@
    */
   static final long REPLACEMENT_DELAY_MS = 4_000;
 
-  private final int targetSize;
-  private final boolean zonesMayBeLost;
+  /** A size that a group lacks members for. */
+  private record MissingSize(int group, int size) {}
+
+  private final ReplacementPolicy policy;
+  private final ZoneBalance zoneBalance;
   private final Map<Integer, JobsGroupReport> reportByGroup = new TreeMap<>();
   private final Map<Integer, Integer> assignedGroupByMemberId = new HashMap<>();
-  private final Map<Integer, Long> incompleteSinceMsByGroup = new HashMap<>();
+  private final Map<MissingSize, Long> incompleteSinceMs = new HashMap<>();
   private final Set<Integer> waitingMemberIds = new HashSet<>();
   private long leaderSinceMs = Long.MIN_VALUE / 2;
 
   /**
    * Creates an empty registry.
    *
-   * @param targetSize number of members that a group should have
-   * @param toleratedZones number of zones that may be lost at once
+   * @param policy decides which stores may complete which groups
+   * @param zoneBalance finds groups that would not survive the loss of a zone
    */
-  JobsGroupRegistry(int targetSize, int toleratedZones) {
-    this.targetSize = targetSize;
-    this.zonesMayBeLost = toleratedZones > 0;
+  JobsGroupRegistry(ReplacementPolicy policy, ZoneBalance zoneBalance) {
+    this.policy = policy;
+    this.zoneBalance = zoneBalance;
   }
 
   /** Discards all state; called when the leadership of this coordinator begins or ends. */
@@ -56,7 +59,7 @@
     leaderSinceMs = nowMs;
     reportByGroup.clear();
     assignedGroupByMemberId.clear();
-    incompleteSinceMsByGroup.clear();
+    incompleteSinceMs.clear();
     waitingMemberIds.clear();
   }
 
@@ -132,22 +135,35 @@
       long nowMs) {
     Map<Integer, List<FleetProcess>> members =
         listStoresByGroup(foundedGroups, processes, leavingMemberIds);
-    updateIncompleteSince(members, nowMs);
-    Optional<Integer> groupOfOwnZone = groupThatLacksZone(members, store.zone());
+    members.forEach((group, stores) -> updateIncompleteSince(group, stores.size(), store, nowMs));
+    Optional<Integer> groupOfOwnZone =
+        zoneBalance
+            .groupThatLacksZone(members, store.zone())
+            .filter(group -> policy.isInRegionOf(group, store));
     if (groupOfOwnZone.isPresent() && nowMs - leaderSinceMs >= REPLACEMENT_DELAY_MS) {
       assignedGroupByMemberId.put(store.memberId(), groupOfOwnZone.get());
       return groupOfOwnZone.get();
     }
-    Optional<Integer> smallestGroup =
-        members.keySet().stream().min(Comparator.comparing(group -> members.get(group).size()));
-    if (smallestGroup.isEmpty() || members.get(smallestGroup.get()).size() >= targetSize) {
+    Optional<Integer> groupToComplete =
+        members.keySet().stream()
+            .filter(group -> members.get(group).size() < policy.sizeFor(group, store))
+            .filter(
+                group ->
+                    policy.isInRegionOf(group, store)
+                        || !hasNearerStore(group, foundedGroups, processes, leavingMemberIds))
+            .min(
+                Comparator.<Integer, Boolean>comparing(group -> !policy.isInRegionOf(group, store))
+                    .thenComparing(group -> members.get(group).size()));
+    if (groupToComplete.isEmpty()) {
       waitingMemberIds.add(store.memberId());
       return FleetProcess.NO_GROUP;
     }
-    int group = smallestGroup.get();
+    int group = groupToComplete.get();
+    long incompleteSince =
+        incompleteSinceMs.get(new MissingSize(group, policy.sizeFor(group, store)));
     boolean lostMemberMayReturn =
         waitingMemberIds.contains(store.memberId())
-            && nowMs - incompleteSinceMsByGroup.get(group) < REPLACEMENT_DELAY_MS;
+            && nowMs - incompleteSince < REPLACEMENT_DELAY_MS;
     boolean membersMayStillStart = nowMs - leaderSinceMs < REPLACEMENT_DELAY_MS;
     if (lostMemberMayReturn || membersMayStillStart) {
       return FleetProcess.NO_GROUP;
@@ -157,38 +173,17 @@
     return group;
   }
 
-  /**
-   * Returns a complete group that would lose its quorum with one zone because it has too many
-   * members there, and that lacks members of {@code zone}. Such a group arises when members of a
-   * lost zone were replaced from other zones.
-   */
-  private Optional<Integer> groupThatLacksZone(
-      Map<Integer, List<FleetProcess>> members, String zone) {
-    if (!zonesMayBeLost) {
-      return Optional.empty();
-    }
-    return members.keySet().stream()
-        .filter(group -> members.get(group).size() >= targetSize)
-        .filter(group -> countInZone(members.get(group), zone) < maxPerZone())
-        .filter(group -> exceedsZoneLimit(members.get(group)))
-        .findFirst();
-  }
-
-  private boolean exceedsZoneLimit(List<FleetProcess> stores) {
-    int quorum = stores.size() / 2 + 1;
-    return stores.stream()
-        .map(FleetProcess::zone)
-        .distinct()
-        .anyMatch(zone -> stores.size() - countInZone(stores, zone) < quorum);
-  }
-
-  /** The members of one zone that a group of the target size may lose. */
-  private int maxPerZone() {
-    return (targetSize - 1) / 2;
-  }
-
-  private static int countInZone(List<FleetProcess> stores, String zone) {
-    return (int) stores.stream().filter(store -> store.zone().equals(zone)).count();
+  /** Whether a store of the group's regions waits, which should complete the group. */
+  private boolean hasNearerStore(
+      int group,
+      List<JobsGroupFounders> foundedGroups,
+      Collection<FleetProcess> processes,
+      Set<Integer> leavingMemberIds) {
+    return processes.stream()
+        .filter(process -> process.role() == FleetRole.STORE)
+        .filter(process -> !leavingMemberIds.contains(process.memberId()))
+        .filter(process -> policy.isInRegionOf(group, process))
+        .anyMatch(process -> knownGroupOf(process, foundedGroups).isEmpty());
   }
 
   /** Returns the live stores that belong or are assigned to each group, except retiring ones. */
@@ -210,14 +205,12 @@
     return members;
   }
 
-  private void updateIncompleteSince(Map<Integer, List<FleetProcess>> members, long nowMs) {
-    members.forEach(
-        (group, stores) -> {
-          if (stores.size() >= targetSize) {
-            incompleteSinceMsByGroup.remove(group);
-          } else {
-            incompleteSinceMsByGroup.putIfAbsent(group, nowMs);
-          }
-        });
+  private void updateIncompleteSince(int group, int size, FleetProcess store, long nowMs) {
+    MissingSize missing = new MissingSize(group, policy.sizeFor(group, store));
+    if (size >= missing.size()) {
+      incompleteSinceMs.remove(missing);
+    } else {
+      incompleteSinceMs.putIfAbsent(missing, nowMs);
+    }
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
@@ -11,9 +11,11 @@
 import io.pathdeck.fleet.queue.ServiceTimes;
 import io.pathdeck.fleet.queue.WaitingRequest;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -68,6 +70,9 @@
   private final LongSupplier clockMs;
   private final QueueMetrics metrics;
   private final Map<String, ServiceState> services = new HashMap<>();
+  private final ColdEngineQueue coldEngineQueue;
+  private final Set<Dispatchable> heldBack = new LinkedHashSet<>();
+  private BooleanSupplier sendingPaused = () -> false;
   private boolean checkScheduled;
   private boolean dispatchScheduled;
 
@@ -82,13 +87,30 @@
     this.timer = timer;
     this.clockMs = clockMs;
     this.metrics = metrics;
+    this.coldEngineQueue = new ColdEngineQueue(engines, metrics, this::rejectForColdEngines);
+  }
+
+  /** Sets a condition under which nothing is sent, since the known state may be out of date. */
+  void setSendingPaused(BooleanSupplier condition) {
+    sendingPaused = condition;
   }
 
   /** Sends, queues or rejects a request that is not in the queue. */
   void submit(Dispatchable request) {
+    if (sendingPaused.getAsBoolean()) {
+      coldEngineQueue.remove(request);
+      heldBack.add(request);
+      scheduleCheck();
+      return;
+    }
     Dispatchable.DispatchAttributes attributes = request.attributes();
     List<EngineState> candidates = candidates(attributes.service(), request.constraints());
-    if (!queueingRule.appliesTo(candidates)) {
+    if (candidates.isEmpty() && coldEngineQueue.offer(request, clockMs.getAsLong())) {
+      scheduleCheck();
+      return;
+    }
+    coldEngineQueue.remove(request);
+    if (candidates.isEmpty() || !queueingRule.appliesTo(candidates)) {
       request.sendTo(candidates);
       return;
     }
@@ -156,8 +178,16 @@
     request.reject(reason, retryAfterMs);
   }
 
+  private void rejectForColdEngines(Dispatchable request, long expectedWaitMs) {
+    ServiceState service =
+        services.computeIfAbsent(request.attributes().service(), name -> new ServiceState());
+    reject(service, request, "cold engines can take no more", expectedWaitMs);
+  }
+
   /** Removes a request whose caller disconnected or whose deadline passed. */
   void remove(Dispatchable request) {
+    heldBack.remove(request);
+    coldEngineQueue.remove(request);
     ServiceState service = services.get(request.attributes().service());
     if (service != null && service.queue.remove(request)) {
       updateWaitingGauge();
@@ -195,13 +225,31 @@
   }
 
   private boolean hasWaitingRequests() {
-    return services.values().stream().anyMatch(service -> !service.queue.isEmpty());
+    return !heldBack.isEmpty()
+        || !coldEngineQueue.isEmpty()
+        || services.values().stream().anyMatch(service -> !service.queue.isEmpty());
   }
 
   private void dispatchAll() {
+    if (sendingPaused.getAsBoolean()) {
+      scheduleCheck();
+      return;
+    }
+    releaseHeldBack();
+    coldEngineQueue.release(this::submit, clockMs.getAsLong());
     for (ServiceState service : List.copyOf(services.values())) {
       dispatch(service);
     }
+    scheduleCheck();
+  }
+
+  /** Submits one request after the other, since each may end others that are still held back. */
+  private void releaseHeldBack() {
+    while (!heldBack.isEmpty() && !sendingPaused.getAsBoolean()) {
+      Dispatchable oldest = heldBack.iterator().next();
+      heldBack.remove(oldest);
+      submit(oldest);
+    }
   }
 
   /**
@@ -235,7 +283,10 @@
     if (clockMs.getAsLong() > next.waitingSinceMs()) {
       metrics.onSentAfterWait();
     }
-    request.sendTo(preferred(candidates));
+    boolean isHeld = candidates.isEmpty() && coldEngineQueue.offer(request, clockMs.getAsLong());
+    if (!isHeld) {
+      request.sendTo(preferred(candidates));
+    }
     return true;
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/metrics/MemberMetrics.java
@@ -15,19 +15,9 @@
   private MemberMetrics() {}
 
   /**
-   * Serves the metrics if the settings contain an address; {@code resources} closes the endpoint.
+   * Serves the metrics, together with those that {@code processMetrics} registers, if the settings
+   * contain an address; {@code resources} closes the endpoint.
    */
-  public static void serve(
-      FleetSettings settings,
-      EventLoopGroup eventLoops,
-      FleetFollower follower,
-      Supplier<ControllerStatus> status,
-      PeerPool pool,
-      ResourceStack resources) {
-    serve(settings, eventLoops, follower, status, pool, resources, registry -> {});
-  }
-
-  /** Serves the metrics together with those that {@code processMetrics} registers. */
   public static void serve(
       FleetSettings settings,
       EventLoopGroup eventLoops,
@@ -46,6 +36,7 @@
                         eventLoops,
                         registry -> {
                           FleetMetrics.bindView(registry, follower);
+                          FleetMetrics.bindEvacuations(registry, settings.topology(), follower);
                           FleetMetrics.bindGroup(registry, status);
                           FleetMetrics.bindPeers(registry, pool);
                           processMetrics.accept(registry);
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -13,14 +13,16 @@
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.EngineProtocol;
-import io.pathdeck.fleet.eligibility.ColdStartLimit;
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
+import io.pathdeck.fleet.engine.EngineLoadBalancer.RegionPreference;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.MemberIds;
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
+import io.pathdeck.fleet.traffic.RegionTraffic;
+import io.pathdeck.fleet.warmup.WarmEnginesOnly;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.message.Message;
@@ -53,6 +55,7 @@
   private final PeerPool pool;
   private final BatchResultReads reads;
   private final JobSubmissions submissions;
+  private final WarmEnginesOnly warmEnginesOnly = new WarmEnginesOnly();
   private final BatchRunner runner;
   private final ResourceStack resources = new ResourceStack();
   private volatile JobsGroupReport report;
@@ -66,6 +69,7 @@
       FleetSettings fleet,
       EngineProtocol protocol,
       EngineCrashReporter reporter,
+      RegionTraffic regionTraffic,
       BooleanSupplier engineListIsRecent) {
     this.number = number;
     this.host = host;
@@ -78,11 +82,13 @@
             state,
             host.clock(),
             eventLoop,
-            new NettyEngineTransport(eventLoop, protocol),
+            new NettyEngineTransport(
+                eventLoop, protocol, engine -> regionTraffic.engineMeter(engine.zone())),
             protocol,
             reporter,
-            new EngineLoadBalancer(fleet.zone(), System.nanoTime()),
-            new EngineEligibility(fleet.topology(), ColdStartLimit.NONE),
+            new EngineLoadBalancer(
+                fleet.zone(), fleet.topology(), RegionPreference.BALANCED, System.nanoTime()),
+            new EngineEligibility(fleet.topology(), warmEnginesOnly),
             engineListIsRecent,
             host::execute);
   }
@@ -96,6 +102,7 @@
       EventLoop eventLoop,
       EngineProtocol protocol,
       EngineCrashReporter reporter,
+      RegionTraffic regionTraffic,
       BooleanSupplier engineListIsRecent) {
     BatchStateMachine state = new BatchStateMachine();
     return ReplicaHost.open(options(number, fleet, state), folder, pool)
@@ -110,6 +117,7 @@
                     fleet,
                     protocol,
                     reporter,
+                    regionTraffic,
                     engineListIsRecent));
   }
 
@@ -177,6 +185,7 @@
         .ifPresent(founders -> group.replica().bootstrap(founders, host.clock().monotonicMs()));
     group.replica().addContacts(members.stream().map(Member::id).collect(Collectors.toSet()));
     group.replica().setLeaving(Set.copyOf(view.leavingMembers()));
+    warmEnginesOnly.onChange(view, host.clock().monotonicMs());
     runner.onChange(view);
   }
 
