--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestGatewayLocator.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestGatewayLocator.java
@@ -131,6 +131,8 @@
     stopGateways("b2", 0);
     assertThat(zonesNamed("h", "a1")).containsExactly("a1");
     stopGateways("a1", 0);
+    stopGateways("a2", 1);
+    assertThat(zonesNamed("h", "a1")).containsExactly("a2");
     stopGateways("a2", 0);
     assertThat(zonesNamed("h", "a1")).isSubsetOf("c1", "c2").isNotEmpty();
   }
