--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.raft.Member;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -31,20 +32,26 @@
    */
   static final long REPLACEMENT_DELAY_MS = 4_000;
 
-  private final int targetSize;
+  /** A size that a group lacks members for. */
+  private record MissingSize(int group, int size) {}
+
+  private final ReplacementPolicy policy;
+  private final ZoneBalance zoneBalance;
   private final Map<Integer, JobsGroupReport> reportByGroup = new TreeMap<>();
   private final Map<Integer, Integer> assignedGroupByMemberId = new HashMap<>();
-  private final Map<Integer, Long> incompleteSinceMsByGroup = new HashMap<>();
+  private final Map<MissingSize, Long> incompleteSinceMs = new HashMap<>();
   private final Set<Integer> waitingMemberIds = new HashSet<>();
   private long leaderSinceMs = Long.MIN_VALUE / 2;
 
   /**
    * Creates an empty registry.
    *
-   * @param targetSize number of members that a group should have
+   * @param policy decides which stores may complete which groups
+   * @param zoneBalance finds groups that would not survive the loss of a zone
    */
-  JobsGroupRegistry(int targetSize) {
-    this.targetSize = targetSize;
+  JobsGroupRegistry(ReplacementPolicy policy, ZoneBalance zoneBalance) {
+    this.policy = policy;
+    this.zoneBalance = zoneBalance;
   }
 
   /** Discards all state; called when the leadership of this coordinator begins or ends. */
@@ -52,7 +59,7 @@
     leaderSinceMs = nowMs;
     reportByGroup.clear();
     assignedGroupByMemberId.clear();
-    incompleteSinceMsByGroup.clear();
+    incompleteSinceMs.clear();
     waitingMemberIds.clear();
   }
 
@@ -126,17 +133,37 @@
       Collection<FleetProcess> processes,
       Set<Integer> leavingMemberIds,
       long nowMs) {
-    Map<Integer, Integer> sizes = countStoresByGroup(foundedGroups, processes, leavingMemberIds);
-    updateIncompleteSince(sizes, nowMs);
-    Optional<Integer> smallestGroup = sizes.keySet().stream().min(Comparator.comparing(sizes::get));
-    if (smallestGroup.isEmpty() || sizes.get(smallestGroup.get()) >= targetSize) {
+    Map<Integer, List<FleetProcess>> members =
+        listStoresByGroup(foundedGroups, processes, leavingMemberIds);
+    members.forEach((group, stores) -> updateIncompleteSince(group, stores.size(), store, nowMs));
+    Optional<Integer> groupOfOwnZone =
+        zoneBalance
+            .groupThatLacksZone(members, store.zone())
+            .filter(group -> policy.isInRegionOf(group, store));
+    if (groupOfOwnZone.isPresent() && nowMs - leaderSinceMs >= REPLACEMENT_DELAY_MS) {
+      assignedGroupByMemberId.put(store.memberId(), groupOfOwnZone.get());
+      return groupOfOwnZone.get();
+    }
+    Optional<Integer> groupToComplete =
+        members.keySet().stream()
+            .filter(group -> members.get(group).size() < policy.sizeFor(group, store))
+            .filter(
+                group ->
+                    policy.isInRegionOf(group, store)
+                        || !hasNearerStore(group, foundedGroups, processes, leavingMemberIds))
+            .min(
+                Comparator.<Integer, Boolean>comparing(group -> !policy.isInRegionOf(group, store))
+                    .thenComparing(group -> members.get(group).size()));
+    if (groupToComplete.isEmpty()) {
       waitingMemberIds.add(store.memberId());
       return FleetProcess.NO_GROUP;
     }
-    int group = smallestGroup.get();
+    int group = groupToComplete.get();
+    long incompleteSince =
+        incompleteSinceMs.get(new MissingSize(group, policy.sizeFor(group, store)));
     boolean lostMemberMayReturn =
         waitingMemberIds.contains(store.memberId())
-            && nowMs - incompleteSinceMsByGroup.get(group) < REPLACEMENT_DELAY_MS;
+            && nowMs - incompleteSince < REPLACEMENT_DELAY_MS;
     boolean membersMayStillStart = nowMs - leaderSinceMs < REPLACEMENT_DELAY_MS;
     if (lostMemberMayReturn || membersMayStillStart) {
       return FleetProcess.NO_GROUP;
@@ -146,32 +173,44 @@
     return group;
   }
 
-  /** Counts the live stores that belong or are assigned to each group, except retiring ones. */
-  private Map<Integer, Integer> countStoresByGroup(
+  /** Whether a store of the group's regions waits, which should complete the group. */
+  private boolean hasNearerStore(
+      int group,
+      List<JobsGroupFounders> foundedGroups,
+      Collection<FleetProcess> processes,
+      Set<Integer> leavingMemberIds) {
+    return processes.stream()
+        .filter(process -> process.role() == FleetRole.STORE)
+        .filter(process -> !leavingMemberIds.contains(process.memberId()))
+        .filter(process -> policy.isInRegionOf(group, process))
+        .anyMatch(process -> knownGroupOf(process, foundedGroups).isEmpty());
+  }
+
+  /** Returns the live stores that belong or are assigned to each group, except retiring ones. */
+  private Map<Integer, List<FleetProcess>> listStoresByGroup(
       List<JobsGroupFounders> foundedGroups,
       Collection<FleetProcess> processes,
       Set<Integer> leavingMemberIds) {
-    Map<Integer, Integer> sizes = new TreeMap<>();
-    foundedGroups.forEach(founders -> sizes.put(founders.group(), 0));
+    Map<Integer, List<FleetProcess>> members = new TreeMap<>();
+    foundedGroups.forEach(founders -> members.put(founders.group(), new ArrayList<>()));
     for (FleetProcess process : processes) {
       boolean isCounted =
           process.role() == FleetRole.STORE && !leavingMemberIds.contains(process.memberId());
       if (isCounted) {
         knownGroupOf(process, foundedGroups)
-            .ifPresent(group -> sizes.merge(group, 1, Integer::sum));
+            .ifPresent(
+                group -> members.computeIfAbsent(group, key -> new ArrayList<>()).add(process));
       }
     }
-    return sizes;
+    return members;
   }
 
-  private void updateIncompleteSince(Map<Integer, Integer> sizes, long nowMs) {
-    sizes.forEach(
-        (group, size) -> {
-          if (size >= targetSize) {
-            incompleteSinceMsByGroup.remove(group);
-          } else {
-            incompleteSinceMsByGroup.putIfAbsent(group, nowMs);
-          }
-        });
+  private void updateIncompleteSince(int group, int size, FleetProcess store, long nowMs) {
+    MissingSize missing = new MissingSize(group, policy.sizeFor(group, store));
+    if (size >= missing.size()) {
+      incompleteSinceMs.remove(missing);
+    } else {
+      incompleteSinceMs.putIfAbsent(missing, nowMs);
+    }
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
@@ -22,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * Calls engines over persistent HTTP/1.1 connections; confined to one event loop.
@@ -31,19 +33,39 @@
  */
 public final class NettyEngineTransport implements EngineTransport {
   private static final int CONNECT_TIMEOUT_MS = 400;
+
+  /**
+   * How long after the choice of an engine a call may still be sent; only a suspended process
+   * exceeds it. Meanwhile the engine may have become one that must get nothing.
+   */
+  private static final long MAX_CHOICE_AGE_MS = 1_000;
+
   private static final long SWEEP_INTERVAL_MS = 1_000;
   private static final Deque<EngineConnection> NO_CONNECTIONS = new ArrayDeque<>(0);
 
   private final EventLoop eventLoop;
   private final EngineProtocol protocol;
   private final Bootstrap bootstrap;
+  private final Function<EngineInstance, Optional<ChannelHandler>> meters;
   private final Map<String, Deque<EngineConnection>> idleConnections = new HashMap<>();
   private final Map<String, Integer> openConnectionCounts = new HashMap<>();
   private final IdleTimeouts idleTimeouts = new IdleTimeouts();
   private long connectionsOpened;
 
-  /** Creates a transport on {@code eventLoop}. */
+  /** Creates a transport on {@code eventLoop} whose bytes nobody counts. */
   public NettyEngineTransport(EventLoop eventLoop, EngineProtocol protocol) {
+    this(eventLoop, protocol, engine -> Optional.empty());
+  }
+
+  /**
+   * Creates a transport on {@code eventLoop}; {@code meters} returns what counts the bytes of a
+   * connection.
+   */
+  public NettyEngineTransport(
+      EventLoop eventLoop,
+      EngineProtocol protocol,
+      Function<EngineInstance, Optional<ChannelHandler>> meters) {
+    this.meters = meters;
     this.eventLoop = eventLoop;
     this.protocol = protocol;
     this.bootstrap =
@@ -109,6 +131,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
+                meters.apply(pending.call().engine()).ifPresent(channel.pipeline()::addLast);
                 channel.pipeline().addLast(new HttpRequestEncoder());
                 channel.pipeline().addLast(new HttpResponseDecoder());
                 channel.pipeline().addLast(connection);
@@ -125,6 +148,9 @@
     }
     openConnectionCounts.merge(connection.lifeId(), 1, Integer::sum);
     future.channel().closeFuture().addListener(closed -> onConnectionClosed(connection.lifeId()));
+    if (!pending.isDone() && pending.ageMs() > MAX_CHOICE_AGE_MS) {
+      pending.fail(EngineFailure.NOT_SENT, "the process was suspended while it connected");
+    }
     if (pending.isDone()) {
       connection.keepUnused();
     } else {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -13,6 +13,7 @@
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.engine.EngineLivenessProbe;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
+import io.pathdeck.fleet.engine.EngineLoadBalancer.RegionPreference;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.load.LoadExchange;
 import io.pathdeck.fleet.load.LoadMetrics;
@@ -24,6 +25,7 @@
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
+import io.pathdeck.fleet.traffic.RegionTraffic;
 import io.pathdeck.fleet.warmup.ColdStartBudget;
 import io.pathdeck.fleet.warmup.ColdStartMetrics;
 import io.pathdeck.protocol.client.RetryTimer;
@@ -46,6 +48,7 @@
   private final GatewaySettings settings;
   private final FleetAdapter adapter;
   private final ResourceStack resources = new ResourceStack();
+  private final RegionTraffic regionTraffic;
   private final CoordinatorContacts contacts;
   private final FleetFollower follower;
   private final Gateway gateway;
@@ -62,7 +65,10 @@
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
     EventLoop eventLoop = eventLoops.next();
-    PeerPool pool = resources.push(new PeerPool(eventLoops, tls, fleet.peerCompression()));
+    regionTraffic = new RegionTraffic(fleet.zone(), fleet.topology());
+    PeerPool pool =
+        resources.push(
+            new PeerPool(eventLoops, tls, fleet.peerCompression(), regionTraffic::meterOf));
     long startNs = System.nanoTime();
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
     TenantLimiter limiter =
@@ -74,7 +80,8 @@
             () ->
                 new FleetFollower.SelfReport(describe(startNs), false, null, limiter.tenantUses()));
     follower.setContentionListener(limiter::onContendedTenants);
-    JobsGroupLocator jobs = new JobsGroupLocator(pool, RetryTimer.on(eventLoops), follower::view);
+    JobsGroupLocator jobs =
+        new JobsGroupLocator(pool, RetryTimer.on(eventLoops), follower::view, fleet.topology());
     RequestMetrics metrics = new RequestMetrics();
     coldStartBudget = new ColdStartBudget(fleet.name(), follower::isConfirmed, coldStartMetrics);
     QuarantiningTransport transport = createEngineTransport(eventLoop);
@@ -89,9 +96,10 @@
             new BatchCalls(jobs, adapter.callers()),
             limiter,
             transport,
-            new EngineLoadBalancer(fleet.zone(), startNs),
+            loadBalancer(fleet, startNs),
             new EngineEligibility(fleet.topology(), coldStartBudget),
             metrics);
+    gateway.setSendingPaused(follower::isResuming);
     LoadMetrics loadMetrics = new LoadMetrics();
     loadExchange = resources.push(createLoadExchange(eventLoop, startNs, loadMetrics));
     gateway.setPeriodicCheck(this::checkPeriodically);
@@ -153,6 +161,14 @@
     return new MemoryBudget(settings.memoryBudgetBytes(), metrics)::open;
   }
 
+  private static EngineLoadBalancer loadBalancer(FleetSettings fleet, long seed) {
+    RegionPreference preference =
+        fleet.topology().hasSeveralRegions()
+            ? RegionPreference.OWN_REGION_WHILE_FREE
+            : RegionPreference.BALANCED;
+    return new EngineLoadBalancer(fleet.zone(), fleet.topology(), preference, seed);
+  }
+
   private LoadExchange createLoadExchange(
       EventLoop eventLoop, long incarnation, LoadMetrics metrics) {
     FleetSettings fleet = settings.fleet();
@@ -168,13 +184,16 @@
     EngineCrashReporter reporter =
         new EngineCrashReporter(eventLoop, contacts.client(), follower::reportNow);
     follower.setNewLeaderListener(reporter::onNewLeader);
-    NettyEngineTransport transport = new NettyEngineTransport(eventLoop, adapter.engines());
+    NettyEngineTransport transport =
+        new NettyEngineTransport(
+            eventLoop, adapter.engines(), engine -> regionTraffic.engineMeter(engine.zone()));
     EngineLivenessProbe liveness = new EngineLivenessProbe(eventLoop, transport, adapter.engines());
     return new QuarantiningTransport(
         transport, liveness, reporter, eventLoop, engine -> gateway.onEngineEnded(engine));
   }
 
   private void onChange(FleetView view, QuarantiningTransport transport) {
+    regionTraffic.onChange(view);
     transport.updateQuarantine(view.quarantine());
     coldStartBudget.onChange(view, nowMs());
     gateway.onChange(view);
@@ -189,7 +208,9 @@
     metrics.bindTo(registry);
     loadMetrics.bindTo(registry);
     coldStartMetrics.bindTo(registry);
+    regionTraffic.bindTo(registry);
     FleetMetrics.bindView(registry, follower);
+    FleetMetrics.bindEvacuations(registry, settings.fleet().topology(), follower);
   }
 
   public static GatewayProcess start(
