A stream that has begun times out within a second; callers that leave are logged

Cause: a started stream was given up only when its engine had sent nothing to any call of the gateway for a timeout that follows four times the mean wait to begin, without an upper bound. Each timeout fed that mean, so that beside overload or dark engines it grew past the two seconds after which callers leave; and a stream that hung at an engine which served others never timed out. Nothing was logged when a caller left.

Change: SilenceTimeout decides from how long the call and its engine were silent and whether the response had begun: then the timeout is at most 1 s, holds for the call alone as well, and does not feed the mean wait.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -185,16 +185,14 @@
     if (finished || attempt == null || isReadPaused(nowMs)) {
       return;
     }
-    long timeoutMs = context.silenceTimeout().timeoutMs(request.promptTokens());
-    boolean silent =
-        attempt.engine().silenceMs(nowMs) > timeoutMs && nowMs - attempt.lastProgressMs > timeoutMs;
-    if (!silent) {
+    SilenceTimeout.Silence silence = attempt.silence(nowMs);
+    if (!context.silenceTimeout().isExceeded(silence)) {
       return;
     }
     attempt.engine().onFailure(nowMs);
     if (budget.mayRetry()) {
-      context.silenceTimeout().onTimeout(timeoutMs);
-      attempt.abandon("silent for " + timeoutMs + " ms");
+      context.silenceTimeout().onTimeout(silence);
+      attempt.abandon("silent for " + silence.callMs() + " ms");
     }
   }
 
@@ -269,9 +267,8 @@
     if (finished) {
       return;
     }
-    boolean mayHaveRun = budget.mayHaveRun();
     cancelAttempt();
-    if (headSent || !mayHaveRun) {
+    if (headSent || !budget.mayHaveRun()) {
       finishUnserved("the time is over");
     } else {
       fail(504, "timeout", "the time is over");
@@ -280,6 +277,7 @@
 
   private void onCallerDisconnected() {
     if (!finished) {
+      log.callerLeft(attempt == null ? null : attempt.engine(), lastEventId, nowMs() - startMs);
       cancelAttempt();
       finish(RequestMetrics.Outcome.CALLER_LEFT);
     }
@@ -311,6 +309,7 @@
 
   /** One attempt to serve the request at one engine. */
   private final class Attempt implements EngineListener {
+    private final boolean isStream = route.kind() == RouteKind.STREAM;
     private final AttemptTracker tracker;
     private final BufferedResponse body = new BufferedResponse(exchange.memory());
     private final ResponseFlowControl flowControl =
@@ -350,8 +349,12 @@
       flowControl.attach(handle);
     }
 
-    private boolean isStream() {
-      return route.kind() == RouteKind.STREAM;
+    SilenceTimeout.Silence silence(long nowMs) {
+      return new SilenceTimeout.Silence(
+          request.promptTokens(),
+          response != null,
+          nowMs - lastProgressMs,
+          engine().silenceMs(nowMs));
     }
 
     private void recordProgress() {
@@ -370,7 +373,7 @@
       context.silenceTimeout().onFirstBytes(waitMs);
       context.dispatcher().onFirstBytes(service, tracker);
       response = head;
-      if (response.isSuccess() && isStream() && !headSent) {
+      if (response.isSuccess() && isStream && !headSent) {
         headSent = true;
         timeToFirstByteMs = lastProgressMs - startMs;
         exchange.startStream(head.status(), head.headers());
@@ -383,7 +386,7 @@
         return;
       }
       recordProgress();
-      if (!response.isSuccess() || !isStream()) {
+      if (!response.isSuccess() || !isStream) {
         if (!body.add(part)) {
           cancelAndFinish(MEMORY_EXHAUSTED);
         }
@@ -419,7 +422,7 @@
     }
 
     private void onSuccess() {
-      if (!isStream()) {
+      if (!isStream) {
         timeToFirstByteMs = nowMs() - startMs;
         logServed();
         finishServed();
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -3,11 +3,13 @@
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.fleet.engine.EngineFailure;
+import io.pathdeck.fleet.engine.EngineState;
 import java.util.Locale;
 
 /** Logs events of one request and its attempts. */
 final class RequestLog {
   private static final EventLog EVENTS = EventLog.of(RequestLog.class);
+  private static final String NO_ENGINE = "";
 
   /**
    * Details of a served request.
@@ -140,6 +142,24 @@
         afterEvent);
   }
 
+  /** Logs a caller that left; {@code engine} is the one that it waited for, or null if none. */
+  void callerLeft(EngineState engine, long afterEvent, long totalMs) {
+    EVENTS.log(
+        EventCode.CALLER_LEFT,
+        "request",
+        requestId,
+        "route",
+        route,
+        "engine",
+        engine == null ? NO_ENGINE : engine.instance().id(),
+        "after_event",
+        afterEvent,
+        "total_ms",
+        totalMs,
+        "sends",
+        budget.sends());
+  }
+
   void callerTooSlow() {
     EVENTS.log(EventCode.CALLER_TOO_SLOW, "request", requestId);
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/SilenceTimeout.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/SilenceTimeout.java
@@ -10,12 +10,29 @@
  * the overload.
  */
 final class SilenceTimeout {
+  /**
+   * Maximum timeout of a response that has begun, which waits in no engine's queue any more.
+   * Callers leave a stream after a pause of about two seconds, and the resumed stream needs time to
+   * begin.
+   */
+  static final long MAX_STARTED_TIMEOUT_MS = 1_000;
+
   /** Few requests wait four times the mean. */
   private static final double MEAN_WAIT_MULTIPLE = 4;
 
   /** Weight of the latest wait; the moving average spans about twenty requests. */
   private static final double SMOOTHING_FACTOR = 0.05;
 
+  /**
+   * How long a call has received nothing.
+   *
+   * @param promptTokens the number of tokens of its prompt
+   * @param started whether its response has begun
+   * @param callMs time since the call received data or was sent
+   * @param engineMs time since any call of this gateway received data from the engine
+   */
+  record Silence(long promptTokens, boolean started, long callMs, long engineMs) {}
+
   private final ForwardingSettings settings;
   private double meanWaitMs;
 
@@ -30,11 +47,25 @@
     meanWaitMs += (waitMs - meanWaitMs) * SMOOTHING_FACTOR;
   }
 
-  /** Records a timeout; the request would have waited longer than {@code silentMs}. */
-  void onTimeout(long silentMs) {
-    if (silentMs > meanWaitMs) {
-      onFirstBytes(silentMs);
+  /** Records a timeout; a request without a response would have waited longer than that. */
+  void onTimeout(Silence silence) {
+    long timeoutMs = timeoutMs(silence.promptTokens());
+    if (!silence.started() && timeoutMs > meanWaitMs) {
+      onFirstBytes(timeoutMs);
+    }
+  }
+
+  /**
+   * Whether a call has been silent for too long. An engine that still serves other calls may be
+   * busy, so a call there times out only if its response had begun.
+   */
+  boolean isExceeded(Silence silence) {
+    long timeoutMs = timeoutMs(silence.promptTokens());
+    if (silence.started()) {
+      timeoutMs = Math.min(timeoutMs, MAX_STARTED_TIMEOUT_MS);
     }
+    boolean engineSilent = silence.engineMs() > timeoutMs && silence.callMs() > timeoutMs;
+    return engineSilent || (silence.started() && silence.callMs() > MAX_STARTED_TIMEOUT_MS);
   }
 
   /** Returns the timeout for a prompt of {@code promptTokens} tokens. */
