A connection attempt to another process ends after 300 ms

Cause: after a loss of power gateways start before the coordinators listen. Their first connection request went to a machine that was off; TCP repeats it after a second, the attempt ended after a second too, and the timeout of the call did not count until the connection was made.

Change: the connect timeout of PeerClient is 300 ms instead of 1,000 ms.

--- a/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/transport/PeerClient.java
@@ -37,7 +37,13 @@
  */
 public final class PeerClient implements ControllerEndpoint, AutoCloseable {
   private static final EventLog EVENTS = EventLog.of(PeerClient.class);
-  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  /**
+   * Shorter than the second after which TCP repeats a lost SYN: a machine that was off when the
+   * first one arrived is asked again soon after its start.
+   */
+  private static final int CONNECT_TIMEOUT_MS = 300;
+
   private static final long RECONNECT_DELAY_NS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final long PROBE_AFTER_NS = TimeUnit.MILLISECONDS.toNanos(600);
   private static final long PROBE_TIMEOUT_MS = 1_000;
