The loss of a connection that was used just before is a failure of its engine

Cause: a reused connection that closed before the response was taken for one that the engine closed for being idle, whatever its age, so the engine stayed in use.

Change: only a connection that had been idle for 500 ms counts as closed for idling. Other losses eject the engine as before for new connections.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -36,6 +36,7 @@
 final class EngineConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final EventLog EVENTS = EventLog.of(EngineConnection.class);
   private static final String NO_VALUE = "";
+  private static final long NANOS_PER_MS = 1_000_000;
 
   /** Bounds the memory for {@link #sentRequestIds} to about 23 KB, at 90 bytes per id. */
   private static final int MAX_REQUESTS_PER_CONNECTION = 256;
@@ -43,6 +44,12 @@
   /** Idle connections are closed this long before the engine's own idle timeout. */
   private static final long IDLE_MARGIN_MS = 600;
 
+  /**
+   * Engines keep idle connections for a second or longer. One that was used within this time before
+   * a call was not closed for being idle, so its loss is a failure of the engine.
+   */
+  private static final long MIN_IDLE_TIMEOUT_MS = 500;
+
   private enum ReadState {
     HEAD,
     BODY,
@@ -64,6 +71,7 @@
   private boolean closing;
   private int completedCalls;
   private long idleSinceNs;
+  private boolean sentAfterIdling;
   private long engineIdleTimeoutMs;
 
   EngineConnection(NettyEngineTransport owner, EngineProtocol protocol, EngineInstance engine) {
@@ -96,6 +104,8 @@
       sentRequestIds.add(call.call().requestId());
     }
     call.onSent(this);
+    sentAfterIdling =
+        usedBefore && System.nanoTime() - idleSinceNs >= MIN_IDLE_TIMEOUT_MS * NANOS_PER_MS;
     readState = ReadState.HEAD;
     responseStarted = false;
     requestWrite = context.channel().writeAndFlush(protocol.write(call.call()));
@@ -247,9 +257,9 @@
   }
 
   private void onConnectionLost(String reason) {
-    boolean closedBeforeResponse = usedBefore && !responseStarted;
+    boolean closedForIdling = sentAfterIdling && !responseStarted;
     fail(
-        closedBeforeResponse ? EngineFailure.CLOSED_BEFORE_ANSWER : EngineFailure.CONNECTION_ENDED,
+        closedForIdling ? EngineFailure.CLOSED_BEFORE_ANSWER : EngineFailure.CONNECTION_ENDED,
         reason);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineFailure.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineFailure.java
@@ -8,7 +8,7 @@
   CONNECTION_REFUSED,
   /** The request is quarantined because engines crashed while processing it; it was not sent. */
   QUARANTINED,
-  /** A reused connection closed before any byte of the response; the request may have run. */
+  /** A connection that had been idle closed before the response; the request may have run. */
   CLOSED_BEFORE_ANSWER,
   /** The connection closed before the response was complete; the request may have run. */
   CONNECTION_ENDED,
