--- a/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
@@ -6,8 +6,10 @@
 import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.raft.RaftMessage;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
@@ -26,8 +28,12 @@
   private final MembershipPolicy policy;
   private final Map<Integer, RaftReplica> replicas = new TreeMap<>();
   private final Map<Integer, Long> commitIndexes = new HashMap<>();
+  private final Map<Integer, List<Byte>> committedCommands = new HashMap<>();
   private final Set<Integer> isolatedIds = new HashSet<>();
 
+  /** Replicas that reach each other, but none of the rest. */
+  private Set<Integer> cutOffIds = Set.of();
+
   /** The total duration of the suspensions of each replica, by which its clock is behind. */
   private final Map<Integer, Long> suspendedMs = new HashMap<>();
 
@@ -62,6 +68,12 @@
             nowMs);
     replicas.put(id, replica);
     isolatedIds.remove(id);
+    committedCommands.put(id, new ArrayList<>());
+  }
+
+  /** The first byte of each command that a replica has committed since it started. */
+  List<Byte> committedCommands(int id) {
+    return committedCommands.get(id);
   }
 
   RaftReplica replica(int id) {
@@ -76,6 +88,11 @@
     isolatedIds.remove(id);
   }
 
+  /** Cuts the connections between {@code ids} and all others; an empty set heals the cut. */
+  void cutOff(Set<Integer> ids) {
+    cutOffIds = Set.copyOf(ids);
+  }
+
   /** Stops a replica and its clock; messages to it are lost. */
   void suspend(int id) {
     suspendedIds.add(id);
@@ -115,7 +132,8 @@
       boolean lost =
           isolatedIds.contains(to)
               || suspendedIds.contains(to)
-              || isolatedIds.contains(message.header().from());
+              || isolatedIds.contains(message.header().from())
+              || cutOffIds.contains(to) != cutOffIds.contains(message.header().from());
       if (!lost && replicas.containsKey(to)) {
         replicas.get(to).receive(message, nowMs(to));
         processReady(to, replicas.get(to));
@@ -134,6 +152,9 @@
         lastTerm = entry.entry().term();
       }
     }
+    ready.committed().stream()
+        .filter(entry -> entry.command() != null)
+        .forEach(entry -> committedCommands.get(id).add(entry.command()[0]));
     messagesInFlight.addAll(ready.messagesAfterSync());
     if (lastIndex > 0) {
       replica.onSynced(lastIndex, lastTerm, nowMs(id));
