--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestDispatcher.java
@@ -70,6 +70,7 @@
   private final LongSupplier clockMs;
   private final QueueMetrics metrics;
   private final Map<String, ServiceState> services = new HashMap<>();
+  private final ColdEngineQueue coldEngineQueue;
   private final Set<Dispatchable> heldBack = new LinkedHashSet<>();
   private BooleanSupplier sendingPaused = () -> false;
   private boolean checkScheduled;
@@ -86,6 +87,7 @@
     this.timer = timer;
     this.clockMs = clockMs;
     this.metrics = metrics;
+    this.coldEngineQueue = new ColdEngineQueue(engines, metrics, this::rejectForColdEngines);
   }
 
   /** Sets a condition under which nothing is sent, since the known state may be out of date. */
@@ -96,12 +98,18 @@
   /** Sends, queues or rejects a request that is not in the queue. */
   void submit(Dispatchable request) {
     if (sendingPaused.getAsBoolean()) {
+      coldEngineQueue.remove(request);
       heldBack.add(request);
       scheduleCheck();
       return;
     }
     Dispatchable.DispatchAttributes attributes = request.attributes();
     List<EngineState> candidates = candidates(attributes.service(), request.constraints());
+    if (candidates.isEmpty() && coldEngineQueue.offer(request, clockMs.getAsLong())) {
+      scheduleCheck();
+      return;
+    }
+    coldEngineQueue.remove(request);
     if (candidates.isEmpty() || !queueingRule.appliesTo(candidates)) {
       request.sendTo(candidates);
       return;
@@ -170,9 +178,16 @@
     request.reject(reason, retryAfterMs);
   }
 
+  private void rejectForColdEngines(Dispatchable request, long expectedWaitMs) {
+    ServiceState service =
+        services.computeIfAbsent(request.attributes().service(), name -> new ServiceState());
+    reject(service, request, "cold engines can take no more", expectedWaitMs);
+  }
+
   /** Removes a request whose caller disconnected or whose deadline passed. */
   void remove(Dispatchable request) {
     heldBack.remove(request);
+    coldEngineQueue.remove(request);
     ServiceState service = services.get(request.attributes().service());
     if (service != null && service.queue.remove(request)) {
       updateWaitingGauge();
@@ -211,6 +226,7 @@
 
   private boolean hasWaitingRequests() {
     return !heldBack.isEmpty()
+        || !coldEngineQueue.isEmpty()
         || services.values().stream().anyMatch(service -> !service.queue.isEmpty());
   }
 
@@ -220,9 +236,11 @@
       return;
     }
     releaseHeldBack();
+    coldEngineQueue.release(this::submit, clockMs.getAsLong());
     for (ServiceState service : List.copyOf(services.values())) {
       dispatch(service);
     }
+    scheduleCheck();
   }
 
   /** Submits one request after the other, since each may end others that are still held back. */
@@ -265,7 +283,10 @@
     if (clockMs.getAsLong() > next.waitingSinceMs()) {
       metrics.onSentAfterWait();
     }
-    request.sendTo(preferred(candidates));
+    boolean isHeld = candidates.isEmpty() && coldEngineQueue.offer(request, clockMs.getAsLong());
+    if (!isHeld) {
+      request.sendTo(preferred(candidates));
+    }
     return true;
   }
 
