--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestLostConnections.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestLostConnections.java
@@ -62,7 +62,16 @@
     @Override
     public EngineResponse read(HttpResponse head) {
       return new EngineResponse(
-          head.status().code(), "", true, false, false, null, 0, 0, new DefaultHttpHeaders());
+          head.status().code(),
+          "",
+          true,
+          false,
+          false,
+          null,
+          0,
+          0,
+          EngineResponse.COLD_UNKNOWN,
+          new DefaultHttpHeaders());
     }
 
     @Override
