--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/OperatorEndpoint.java
@@ -41,6 +41,7 @@
   private final Supplier<FleetView> view;
   private final int minGroupSize;
   private final EvacuationEndpoint evacuations;
+  private final Topology topology;
 
   OperatorEndpoint(
       OperatorProtocol protocol,
@@ -48,6 +49,7 @@
       Supplier<FleetView> view,
       int minGroupSize,
       Topology topology) {
+    this.topology = topology;
     this.protocol = protocol;
     this.coordinators = coordinators;
     this.view = view;
@@ -82,7 +84,7 @@
   }
 
   private void putRoutes(HttpExchange exchange, RouteTable table) {
-    Optional<String> problem = RouteTableValidator.findProblem(table);
+    Optional<String> problem = RouteTableValidator.findProblem(table, topology);
     if (problem.isPresent()) {
       rejectInvalid(exchange, problem.get());
       return;
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestToleratedJobsGroupLosses.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestToleratedJobsGroupLosses.java
@@ -80,7 +80,10 @@
   }
 
   private int groupFor(FleetProcess store, int toleratedZones) {
-    JobsGroupRegistry registry = new JobsGroupRegistry(TARGET_SIZE, toleratedZones);
+    JobsGroupRegistry registry =
+        new JobsGroupRegistry(
+            ReplacementPolicy.withoutRegions(TARGET_SIZE),
+            new ZoneBalance(TARGET_SIZE, toleratedZones));
     List<FleetProcess> members = stores.stream().filter(other -> other.jobsGroup() == 1).toList();
     List<JobsGroupFounders> founded = JobsGroupFounding.form(members, MIN_SIZE);
     return registry.groupFor(store, founded, stores, Set.of(), NOW_MS);
