--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/EngineEligibility.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/EngineEligibility.java
@@ -3,9 +3,6 @@
 import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EvacuatedZones;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.OptionalLong;
 
 /**
  * Decides whether an engine may get a request now: the only place that does, for first sends,
@@ -14,7 +11,6 @@
 public final class EngineEligibility {
   private final Topology topology;
   private final ColdStartLimit coldStartLimit;
-  private final Map<String, Long> evacuationEndsMs = new HashMap<>();
   private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
 
   public EngineEligibility(Topology topology, ColdStartLimit coldStartLimit) {
@@ -28,24 +24,10 @@
   }
 
   /** Applies the evacuated zones of the newest view. */
-  public void setEvacuatedZones(EvacuatedZones newZones, long nowMs) {
-    for (String zone : evacuatedZones.zones()) {
-      if (!newZones.contains(zone)) {
-        evacuationEndsMs.put(zone, nowMs);
-      }
-    }
+  public void setEvacuatedZones(EvacuatedZones newZones) {
     evacuatedZones = newZones;
   }
 
-  /**
-   * When this process learned that the latest evacuation of a zone had ended; empty if it has seen
-   * none end. The zone's engines may have turned cold shortly before.
-   */
-  public OptionalLong evacuationEndMs(String zone) {
-    Long endMs = evacuationEndsMs.get(zone);
-    return endMs == null ? OptionalLong.empty() : OptionalLong.of(endMs);
-  }
-
   /** The limit of requests to cold engines. */
   public ColdStartLimit coldStartLimit() {
     return coldStartLimit;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -141,8 +141,7 @@
 
   /** Applies a change of the fleet's state. */
   void onChange(FleetView newView) {
-    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    context.engines().eligibility().setEvacuatedZones(newView.evacuatedZones(), nowMs);
+    context.engines().eligibility().setEvacuatedZones(newView.evacuatedZones());
     if (newView.engines() != null) {
       context.engines().update(newView.engines());
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -125,7 +125,7 @@
   /** Applies a new view of the fleet. */
   void onChange(FleetView newView) {
     view = newView;
-    engines.eligibility().setEvacuatedZones(newView.evacuatedZones(), clock.monotonicMs());
+    engines.eligibility().setEvacuatedZones(newView.evacuatedZones());
     eventLoop.execute(() -> transport.updateQuarantine(newView.quarantine()));
     if (newView.engines() != null) {
       engines.update(newView.engines());
