Software versions of engines in the list of engines and in logs; the attempt that a caller resumes

Cause: no process holds an engine's software version, and no line tells which attempt a caller resumes, so that the hypotheses on the incident (callers that return, resumption within an answer) cannot be told apart. No decision changes.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/CallerRequest.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/CallerRequest.java
@@ -14,6 +14,8 @@
    * @param path the path without the query, as matched by routes
    * @param maxWaitMs how long the caller waits; 0 if not given
    * @param resumeAfter the last event that the caller has; -1 to start from the beginning
+   * @param resumedRequestId the id of the caller's attempt that brought the first event of the
+   *     stream to go on; empty if not given
    * @param promptTokens number of tokens in the prompt; 0 if not given
    * @param outputTokens maximum number of output tokens; 0 if not given
    * @param promptParts the parts of the prompt that other requests may share
@@ -26,12 +28,18 @@
       String path,
       long maxWaitMs,
       long resumeAfter,
+      String resumedRequestId,
       long promptTokens,
       long outputTokens,
       List<PromptPart> promptParts,
       String key,
       HttpHeaders headers)
-      implements CallerRequest {}
+      implements CallerRequest {
+    /** Whether the caller has events of the stream already. */
+    public boolean isResumption() {
+      return resumeAfter >= 0;
+    }
+  }
 
   /** A part of a prompt that other requests may share. */
   record PromptPart(String id, long tokens) {}
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -33,7 +33,7 @@
   private static final EventLog EVENTS = EventLog.of(LastKnownFleet.class);
 
   /** Has another name for each form of the file; files of earlier forms are ignored. */
-  private static final String FILE_NAME = "last-known-fleet-2";
+  private static final String FILE_NAME = "last-known-fleet-3";
 
   private static final long WRITE_INTERVAL_MS = 1_000;
   private static final long NANOS_PER_MS = 1_000_000;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -56,6 +56,10 @@
   private boolean headSent;
   private long timeToFirstByteMs;
   private long lastEventId;
+
+  /** The software version whose engine sent the first event; empty before it is known. */
+  private String begunAt = "";
+
   private boolean finished;
 
   RequestForwarder(
@@ -327,6 +331,9 @@
       tracker.begin();
       context.callStartListener().run();
       scanner = new SseEventScanner(lastEventId);
+      if (isStream && lastEventId >= 0) {
+        log.streamResumed(request.resumedRequestId(), begunAt, lastEventId, engine().instance());
+      }
       EngineCall call =
           new EngineCall(
               engine().instance(),
@@ -389,6 +396,9 @@
       byte[] events = scanner.feed(part);
       if (events.length > 0) {
         lastEventId = scanner.lastId();
+        if (begunAt.isEmpty() && !request.isResumption()) {
+          begunAt = engine().instance().softwareVersion();
+        }
         tracker.onEvent(lastEventId, lastProgressMs);
         if (!exchange.write(events)) {
           log.callerTooSlow();
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -4,6 +4,7 @@
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.fleet.engine.EngineFailure;
 import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.Locale;
 
 /** Logs events of one request and its attempts. */
@@ -16,6 +17,7 @@
    *
    * @param routesVersion the version of the route table that the request was matched with
    * @param engineId the engine that completed the response
+   * @param softwareVersion the software version of that engine
    * @param estimatedLoad the engine's estimated load when it was chosen
    * @param loadAgeMs the age of the load report behind that estimate
    * @param msPerEvent the engine's mean time per event, as measured by this gateway
@@ -27,6 +29,7 @@
   record Served(
       long routesVersion,
       String engineId,
+      String softwareVersion,
       double estimatedLoad,
       long loadAgeMs,
       double msPerEvent,
@@ -44,6 +47,7 @@
       return new Served(
           routesVersion,
           attempt.engine().instance().id(),
+          attempt.engine().instance().softwareVersion(),
           attempt.estimatedLoad(),
           attempt.loadAgeMs(),
           attempt.engine().pace().msPerEvent(),
@@ -75,6 +79,8 @@
         served.routesVersion(),
         "engine",
         served.engineId(),
+        "software_version",
+        served.softwareVersion(),
         "load",
         String.format(Locale.ROOT, "%.1f", served.estimatedLoad()),
         "load_age_ms",
@@ -142,6 +148,32 @@
         afterEvent);
   }
 
+  /**
+   * Logs that a stream goes on after an event.
+   *
+   * @param resumedRequestId the caller's attempt that brought the first event; empty if this
+   *     request did, or if the caller does not tell
+   * @param begunAt the software version that began the stream; empty if it is not known
+   * @param engine the engine at which the stream goes on
+   */
+  void streamResumed(
+      String resumedRequestId, String begunAt, long afterEvent, EngineInstance engine) {
+    EVENTS.log(
+        EventCode.STREAM_RESUMED,
+        "request",
+        requestId,
+        "resumes",
+        resumedRequestId,
+        "begun_at",
+        begunAt,
+        "after",
+        afterEvent,
+        "engine",
+        engine.id(),
+        "software_version",
+        engine.softwareVersion());
+  }
+
   /** Logs a caller that left; {@code engine} is the one that it waited for, or null if none. */
   void callerLeft(EngineState engine, long afterEvent, long totalMs) {
     EVENTS.log(
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class TestLastKnownFleet {
-  private static final String FILE_NAME = "last-known-fleet-2";
+  private static final String FILE_NAME = "last-known-fleet-3";
   private static final long VERSION = 7;
   private static final double CORES = 0.27;
   private static final EvacuatedZones EVACUATED = new EvacuatedZones(3, List.of("z"));
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -208,7 +208,7 @@
             true);
     CallerRequest.Routed request =
         new CallerRequest.Routed(
-            id, "h", exchange.path(), 0, -1, 0, 0, List.of(), "", new DefaultHttpHeaders());
+            id, "h", exchange.path(), 0, -1, "", 0, 0, List.of(), "", new DefaultHttpHeaders());
     CallerIdentity caller =
         new CallerIdentity.Authenticated(new CallerTenant(tenant, List.of(), 0, 0, 0));
     long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
