Online streams go on only at the software version that began them

What callers saw: answers of two software versions, within one answer after an engine ended and over a return after a gateway was killed or stopped. Cause: no process knew an engine's software version, a gateway's knowledge of a stream ended with the gateway, and Resumes was read nowhere. Change: RequestConstraints names the origin (service and software version) of a stream that has events, and EngineEligibility, the one place that decides, refuses engines of another. Within an answer the origin is that of the engine that sent the first event. Over returns, StreamOrigins keeps it: at the send, while the engine works on the first event, a gateway tells three others, chosen by rendezvous hashing of the attempt's id over different zones; a gateway that takes a return asks up to eight; one that stops hands its records over. While a service has a single version, nothing is sent and no return waits: a version that joins begins no streams for 800 ms, so that each gateway whose view a leader confirmed within 600 ms knows it. A stream whose origin nobody knows is refused as not run. Why it works: an origin is there before the first event reaches the caller, outlives the gateway, and no path to an engine has a condition of its own. Messages are new types at the end of the list; no stored form changes.

--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/EngineEligibility.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/EngineEligibility.java
@@ -11,6 +11,7 @@
 public final class EngineEligibility {
   private final Topology topology;
   private final ColdStartLimit coldStartLimit;
+  private final SoftwareVersions softwareVersions = new SoftwareVersions();
   private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
 
   public EngineEligibility(Topology topology, ColdStartLimit coldStartLimit) {
@@ -33,6 +34,11 @@
     return coldStartLimit;
   }
 
+  /** The software versions in the list of engines. */
+  public SoftwareVersions softwareVersions() {
+    return softwareVersions;
+  }
+
   /**
    * Decides for one engine of the request's service.
    *
@@ -40,6 +46,9 @@
    */
   public Eligibility check(
       EngineInstance engine, boolean isOutOfService, RequestConstraints constraints, long nowMs) {
+    if (!constraints.allowsVersionOf(engine)) {
+      return Eligibility.OTHER_SOFTWARE_VERSION;
+    }
     if (constraints.triedEngineIds().contains(engine.id())) {
       return Eligibility.ALREADY_TRIED;
     }
@@ -52,6 +61,9 @@
     if (!constraints.allowedRegions().allows(topology.regionOf(engine.zone()))) {
       return Eligibility.REGION_NOT_ALLOWED;
     }
+    if (constraints.beginsStream() && !softwareVersions.isSettled(engine, nowMs)) {
+      return Eligibility.SOFTWARE_VERSION_NOT_SETTLED;
+    }
     return coldStartLimit.allows(engine, nowMs)
         ? Eligibility.ELIGIBLE
         : Eligibility.COLD_LIMIT_REACHED;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -13,12 +13,14 @@
 import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.StartProgress;
+import io.pathdeck.fleet.origin.StreamOrigins;
 import io.pathdeck.fleet.queue.TenantPolicies;
 import io.pathdeck.fleet.topology.AllowedRegions;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.fleet.StreamOriginRecord;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
 import java.util.ArrayList;
@@ -37,6 +39,12 @@
   private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
   private static final long NO_REGION_RETRY_AFTER_MS = 1_000;
 
+  /** A gateway that did not answer may do so again after a short suspension or cut. */
+  private static final long SILENT_KEEPER_RETRY_AFTER_MS = 500;
+
+  /** Nobody is going to know the origin of a stream that no gateway knows. */
+  private static final long UNKNOWN_ORIGIN_RETRY_AFTER_MS = 2_000;
+
   /**
    * Half-life of an engine's load report. An engine's reports reach each gateway seldom; with a
    * longer half-life, all gateways would avoid engines that have become free.
@@ -55,6 +63,7 @@
   private final BooleanSupplier routesConfirmed;
   private final BatchCalls batchCalls;
   private final TenantLimiter limiter;
+  private final StreamOrigins streamOrigins;
   private final ForwardingContext context;
   private final TrafficSplit trafficSplit = new TrafficSplit();
   private final RegionChanges regionChanges = new RegionChanges();
@@ -81,6 +90,7 @@
       EngineTransport transport,
       EngineLoadBalancer loadBalancer,
       EngineEligibility eligibility,
+      StreamOrigins streamOrigins,
       RequestMetrics metrics) {
     this.protocol = protocol;
     this.view = view;
@@ -89,6 +99,7 @@
     this.routesConfirmed = routesConfirmed;
     this.batchCalls = batchCalls;
     this.limiter = limiter;
+    this.streamOrigins = streamOrigins;
     EngineTable engines = new EngineTable(REPORT_HALF_LIFE_MS, eligibility);
     this.context =
         new ForwardingContext(
@@ -141,10 +152,14 @@
 
   /** Applies a change of the fleet's state. */
   void onChange(FleetView newView) {
-    context.engines().eligibility().setEvacuatedZones(newView.evacuatedZones());
+    EngineEligibility eligibility = context.engines().eligibility();
+    eligibility.setEvacuatedZones(newView.evacuatedZones());
     if (newView.engines() != null) {
+      long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+      eligibility.softwareVersions().onEngines(newView.engines().values(), nowMs);
       context.engines().update(newView.engines());
     }
+    streamOrigins.onChange(newView);
     if (newView.routes() != null && newView.routes().version() != keysVersion) {
       keysVersion = newView.routes().version();
       keys = CallerKeys.of(newView.routes());
@@ -297,13 +312,80 @@
     if (exchange.isEnded()) {
       return;
     }
-    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    String service = trafficSplit.next(route);
-    long version = currentView.routes().version();
     RequestAuthorization authorization =
         new RequestAuthorization(
             caller, () -> isStillAllowed(request, caller), () -> allowedRegions(request, caller));
-    new RequestForwarder(context, exchange, request, route, service, version, authorization, nowMs)
+    if (route.kind() == RouteKind.STREAM && request.isResumption()) {
+      resume(exchange, request, route, authorization, currentView);
+      return;
+    }
+    StreamBinding binding =
+        StreamBinding.ofNew(streamOrigins::record, route, request, caller.tenantName());
+    String service = trafficSplit.next(route);
+    start(exchange, request, route, service, authorization, binding, currentView);
+  }
+
+  /** Goes on with a stream at the software version that began it, or refuses to. */
+  private void resume(
+      HttpExchange exchange,
+      CallerRequest.Routed request,
+      RouteSpec route,
+      RequestAuthorization authorization,
+      FleetView currentView) {
+    long stream =
+        StreamOrigins.streamOf(authorization.caller().tenantName(), request.resumedRequestId());
+    streamOrigins.resolve(
+        stream,
+        route,
+        resolution -> {
+          if (exchange.isEnded()) {
+            return;
+          }
+          if (resolution instanceof StreamOrigins.Resolution.Known known) {
+            resumeAt(known.origin(), exchange, request, route, authorization, currentView);
+          } else if (resolution instanceof StreamOrigins.Resolution.Unknown unknown) {
+            String reason = "it is not known which software version began the stream";
+            logRefusal(request, reason, currentView);
+            Refusals.unavailable(
+                exchange,
+                reason,
+                unknown.mayBeFound()
+                    ? SILENT_KEEPER_RETRY_AFTER_MS
+                    : UNKNOWN_ORIGIN_RETRY_AFTER_MS);
+          }
+        });
+  }
+
+  private void resumeAt(
+      StreamOriginRecord origin,
+      HttpExchange exchange,
+      CallerRequest.Routed request,
+      RouteSpec route,
+      RequestAuthorization authorization,
+      FleetView currentView) {
+    String service = origin.origin().service();
+    if (!route.sendsTo(service)) {
+      String reason = "the route has no requests for the service that began the stream any more";
+      logRefusal(request, reason, currentView);
+      Refusals.unavailable(exchange, reason, UNKNOWN_ORIGIN_RETRY_AFTER_MS);
+      return;
+    }
+    StreamBinding binding = StreamBinding.ofResumed(streamOrigins::record, route, origin);
+    start(exchange, request, route, service, authorization, binding, currentView);
+  }
+
+  private void start(
+      HttpExchange exchange,
+      CallerRequest.Routed request,
+      RouteSpec route,
+      String service,
+      RequestAuthorization authorization,
+      StreamBinding binding,
+      FleetView currentView) {
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    long version = currentView.routes().version();
+    new RequestForwarder(
+            context, exchange, request, route, service, version, authorization, binding, nowMs)
         .start();
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -11,6 +11,7 @@
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.FleetAdapter;
 import io.pathdeck.fleet.eligibility.EngineEligibility;
+import io.pathdeck.fleet.eligibility.SoftwareVersions;
 import io.pathdeck.fleet.engine.EngineLivenessProbe;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineLoadBalancer.RegionPreference;
@@ -23,6 +24,7 @@
 import io.pathdeck.fleet.member.PeerPool;
 import io.pathdeck.fleet.metrics.FleetMetrics;
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
+import io.pathdeck.fleet.origin.StreamOrigins;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
 import io.pathdeck.fleet.traffic.RegionTraffic;
@@ -31,6 +33,7 @@
 import io.pathdeck.protocol.client.RetryTimer;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.transport.PeerServer;
 import io.pathdeck.protocol.transport.TransportTls;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.ConnectionMemory;
@@ -51,6 +54,7 @@
   private final RegionTraffic regionTraffic;
   private final CoordinatorContacts contacts;
   private final FleetFollower follower;
+  private final StreamOrigins streamOrigins;
   private final Gateway gateway;
   private final LoadExchange loadExchange;
   private final ColdStartMetrics coldStartMetrics = new ColdStartMetrics();
@@ -84,6 +88,14 @@
         new JobsGroupLocator(pool, RetryTimer.on(eventLoops), follower::view, fleet.topology());
     RequestMetrics metrics = new RequestMetrics();
     coldStartBudget = new ColdStartBudget(fleet.name(), follower::isConfirmed, coldStartMetrics);
+    EngineEligibility eligibility = new EngineEligibility(fleet.topology(), coldStartBudget);
+    streamOrigins =
+        new StreamOrigins(
+            eventLoop,
+            pool,
+            fleet.name(),
+            eligibility.softwareVersions(),
+            () -> follower.isConfirmedWithin(SoftwareVersions.MAX_VIEW_AGE_MS));
     QuarantiningTransport transport = createEngineTransport(eventLoop);
     gateway =
         new Gateway(
@@ -97,7 +109,8 @@
             limiter,
             transport,
             loadBalancer(fleet, startNs),
-            new EngineEligibility(fleet.topology(), coldStartBudget),
+            eligibility,
+            streamOrigins,
             metrics);
     gateway.setSendingPaused(follower::isResuming);
     LoadMetrics loadMetrics = new LoadMetrics();
@@ -107,6 +120,13 @@
       gateway.setCallStartListener(loadExchange::onCallStarted);
     }
     follower.setChangeListener(view -> onChange(view, transport));
+    resources.push(
+        new PeerServer(
+            fleet.listen(),
+            eventLoops,
+            tls,
+            fleet.peerCompression(),
+            streamOrigins.exchange()::onMessage));
     callerServer =
         resources.push(
             new HttpServer(
@@ -235,7 +255,7 @@
         settings.fleet().zone(),
         0,
         incarnation,
-        loadExchange.address(),
+        settings.fleet().listen().toString(),
         settings.callersListen().toString(),
         isReady(),
         FleetProcess.NO_GROUP,
@@ -274,6 +294,7 @@
     }
     EVENTS.log(EventCode.PROCESS_STOPPING, "role", "gateway", "id", settings.fleet().name());
     follower.reportNow();
+    streamOrigins.handOver();
     callerServer.closeConnectionsAfterResponses();
     boolean drained = awaitMinDrain() && callerServer.drain(remainingDrainMs());
     resources.closeAll();
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/NoEligibleEngine.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/NoEligibleEngine.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.fleet.eligibility.Eligibility;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Why no engine of its service may get a request, and when its caller may come back.
@@ -20,6 +21,13 @@
    * @param usualRetryAfterMs for engines that may soon get requests again
    */
   static NoEligibleEngine of(Map<Eligibility, Integer> counts, long usualRetryAfterMs) {
+    if (counts.keySet().equals(Set.of(Eligibility.OTHER_SOFTWARE_VERSION))) {
+      return new NoEligibleEngine(
+          "no engine of the software version that began the stream", LASTING_RETRY_AFTER_MS);
+    }
+    if (counts.containsKey(Eligibility.SOFTWARE_VERSION_NOT_SETTLED)) {
+      return new NoEligibleEngine("the engines left have just joined", usualRetryAfterMs);
+    }
     if (counts.containsKey(Eligibility.COLD_LIMIT_REACHED)) {
       return new NoEligibleEngine("the engines left are cold", usualRetryAfterMs);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -50,16 +50,13 @@
   private final AttemptBudget budget;
   private final RequestLog log;
   private final RequestAuthorization authorization;
+  private final StreamBinding binding;
   private final QueueWait wait = new QueueWait();
   private ScheduledFuture<?> timeout;
   private Attempt attempt;
   private boolean headSent;
   private long timeToFirstByteMs;
   private long lastEventId;
-
-  /** The software version whose engine sent the first event; empty before it is known. */
-  private String begunAt = "";
-
   private boolean finished;
 
   RequestForwarder(
@@ -70,7 +67,9 @@
       String service,
       long routesVersion,
       RequestAuthorization authorization,
+      StreamBinding binding,
       long nowMs) {
+    this.binding = binding;
     this.routesVersion = routesVersion;
     this.authorization = authorization;
     this.startMs = nowMs;
@@ -128,7 +127,8 @@
 
   @Override
   public RequestConstraints constraints() {
-    return new RequestConstraints(budget.triedEngineIds(), authorization.allowedRegions().get());
+    return new RequestConstraints(
+        budget.triedEngineIds(), authorization.allowedRegions().get(), binding.origin());
   }
 
   @Override
@@ -147,6 +147,7 @@
     }
     budget.onSend(placement.get().engine().instance().id());
     context.metrics().onAttempt();
+    binding.onSend(placement.get().engine().instance());
     attempt = new Attempt(placement.get(), now);
     attempt.start();
   }
@@ -332,7 +333,7 @@
       context.callStartListener().run();
       scanner = new SseEventScanner(lastEventId);
       if (isStream && lastEventId >= 0) {
-        log.streamResumed(request.resumedRequestId(), begunAt, lastEventId, engine().instance());
+        log.streamResumed(request, binding.softwareVersion(), lastEventId, engine().instance());
       }
       EngineCall call =
           new EngineCall(
@@ -396,9 +397,7 @@
       byte[] events = scanner.feed(part);
       if (events.length > 0) {
         lastEventId = scanner.lastId();
-        if (begunAt.isEmpty() && !request.isResumption()) {
-          begunAt = engine().instance().softwareVersion();
-        }
+        binding.onEvent(engine().instance());
         tracker.onEvent(lastEventId, lastProgressMs);
         if (!exchange.write(events)) {
           log.callerTooSlow();
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
+import io.pathdeck.fleet.adapter.CallerRequest;
 import io.pathdeck.fleet.engine.EngineFailure;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.protocol.fleet.EngineInstance;
@@ -151,19 +152,17 @@
   /**
    * Logs that a stream goes on after an event.
    *
-   * @param resumedRequestId the caller's attempt that brought the first event; empty if this
-   *     request did, or if the caller does not tell
    * @param begunAt the software version that began the stream; empty if it is not known
    * @param engine the engine at which the stream goes on
    */
   void streamResumed(
-      String resumedRequestId, String begunAt, long afterEvent, EngineInstance engine) {
+      CallerRequest.Routed request, String begunAt, long afterEvent, EngineInstance engine) {
     EVENTS.log(
         EventCode.STREAM_RESUMED,
         "request",
         requestId,
         "resumes",
-        resumedRequestId,
+        request.resumedRequestId(),
         "begun_at",
         begunAt,
         "after",
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -0,0 +1,190 @@
+package io.pathdeck.fleet.origin;
+
+import io.netty.channel.EventLoop;
+import io.pathdeck.fleet.eligibility.SoftwareVersions;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.fleet.RouteTarget;
+import io.pathdeck.protocol.fleet.StreamOrigin;
+import io.pathdeck.protocol.fleet.StreamOriginRecord;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Records at which software version streams begin and finds it when callers return; confined to the
+ * event loop.
+ *
+ * <p>While a route has a single possible origin, each gateway keeps its records to itself, and a
+ * caller's return needs no question. As soon as there are several, other gateways are told.
+ */
+public final class StreamOrigins {
+  private static final int MIN_VALID_MS = 5_000;
+
+  /** A stream whose caller does not tell which request began it. */
+  private static final long UNNAMED = 0;
+
+  /** How a caller's return is to be handled. */
+  public sealed interface Resolution {
+    /** The stream goes on at its origin. */
+    record Known(StreamOriginRecord origin) implements Resolution {}
+
+    /**
+     * The stream must not go on, since nobody knows its origin.
+     *
+     * @param mayBeFound whether a gateway that did not answer may know it
+     */
+    record Unknown(boolean mayBeFound) implements Resolution {}
+  }
+
+  private final EventLoop eventLoop;
+  private final StreamOriginTable table = new StreamOriginTable();
+  private final StreamOriginExchange exchange;
+  private final SoftwareVersions softwareVersions;
+  private final BooleanSupplier viewIsConfirmed;
+  private Set<String> servicesTold = Set.of();
+
+  /**
+   * Creates an empty record.
+   *
+   * @param softwareVersions the versions in the list of engines
+   * @param viewIsConfirmed whether a leader has confirmed the view of the fleet within {@link
+   *     SoftwareVersions#MAX_VIEW_AGE_MS}
+   */
+  public StreamOrigins(
+      EventLoop eventLoop,
+      PeerPool pool,
+      String selfName,
+      SoftwareVersions softwareVersions,
+      BooleanSupplier viewIsConfirmed) {
+    this.eventLoop = eventLoop;
+    this.exchange = new StreamOriginExchange(eventLoop, pool, selfName, table);
+    this.softwareVersions = softwareVersions;
+    this.viewIsConfirmed = viewIsConfirmed;
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  /** Returns what names a stream to all gateways; an id of another tenant names another stream. */
+  public static long streamOf(String tenant, String requestId) {
+    if (requestId.isEmpty()) {
+      return UNNAMED;
+    }
+    byte[] text = (tenant + '\0' + requestId).getBytes(StandardCharsets.UTF_8);
+    return LongHashFunction.xx3().hashBytes(text);
+  }
+
+  /** Returns for how long a caller of the route may take a stream up again. */
+  static int validMs(RouteSpec route) {
+    long validMs = 2 * route.timeoutMs();
+    return (int) Math.max(MIN_VALID_MS, Math.min(StreamOriginTable.MAX_VALID_MS, validMs));
+  }
+
+  /** What other gateways ask and tell. */
+  public StreamOriginExchange exchange() {
+    return exchange;
+  }
+
+  /** Applies a new view, after the software versions of its engines. */
+  public void onChange(FleetView view) {
+    exchange.onChange(view);
+    if (view.engines() == null) {
+      return;
+    }
+    long nowMs = nowMs();
+    Set<String> severalVersions = new HashSet<>();
+    view.engines().values().forEach(engine -> severalVersions.add(engine.service()));
+    severalVersions.removeIf(
+        service ->
+            softwareVersions.recentVersions(service, StreamOriginTable.MAX_VALID_MS, nowMs).size()
+                < 2);
+    Set<String> joined = new HashSet<>(severalVersions);
+    joined.removeAll(servicesTold);
+    servicesTold = severalVersions;
+    if (!joined.isEmpty()) {
+      exchange.tell(table.matching(origin -> joined.contains(origin.service()), nowMs));
+    }
+  }
+
+  /** Hands all records over to other gateways, since this one stops; thread-safe. */
+  public void handOver() {
+    eventLoop.execute(() -> exchange.tell(table.matching(origin -> true, nowMs())));
+  }
+
+  /** Records where a stream begins or goes on, before the engine is asked for it. */
+  public void record(long stream, StreamOrigin origin, int attempt, RouteSpec route) {
+    StreamOriginRecord added = new StreamOriginRecord(stream, origin, attempt, validMs(route));
+    table.put(added, nowMs());
+    if (possibleOrigins(route, nowMs()).size() > 1) {
+      exchange.tell(List.of(added));
+    }
+  }
+
+  /** Finds where a stream began; {@code callback} runs once, on the event loop. */
+  public void resolve(long stream, RouteSpec route, Consumer<Resolution> callback) {
+    long nowMs = nowMs();
+    Optional<StreamOriginRecord> own = table.find(stream, nowMs);
+    if (own.isPresent()) {
+      callback.accept(new Resolution.Known(own.get()));
+      return;
+    }
+    boolean knowsAllOrigins =
+        viewIsConfirmed.getAsBoolean() && softwareVersions.hasFollowedFor(validMs(route), nowMs);
+    Optional<StreamOriginRecord> onlyOrigin = onlyOrigin(stream, route, nowMs);
+    if (knowsAllOrigins && onlyOrigin.isPresent()) {
+      callback.accept(new Resolution.Known(onlyOrigin.get()));
+      return;
+    }
+    if (stream == UNNAMED) {
+      callback.accept(onlyOriginOrUnknown(viewIsConfirmed.getAsBoolean(), onlyOrigin, false));
+      return;
+    }
+    exchange.find(stream, lookup -> callback.accept(resolution(stream, route, lookup)));
+  }
+
+  private Resolution resolution(long stream, RouteSpec route, StreamOriginExchange.Lookup lookup) {
+    if (lookup.found().isPresent()) {
+      return new Resolution.Known(lookup.found().get());
+    }
+    boolean isListReliable =
+        viewIsConfirmed.getAsBoolean() || lookup.answered() > 0 || lookup.asked() == 0;
+    boolean mayBeFound = lookup.answered() < lookup.asked();
+    return onlyOriginOrUnknown(isListReliable, onlyOrigin(stream, route, nowMs()), mayBeFound);
+  }
+
+  private static Resolution onlyOriginOrUnknown(
+      boolean isListReliable, Optional<StreamOriginRecord> onlyOrigin, boolean mayBeFound) {
+    return onlyOrigin
+        .filter(origin -> isListReliable)
+        .<Resolution>map(Resolution.Known::new)
+        .orElseGet(() -> new Resolution.Unknown(mayBeFound));
+  }
+
+  /** Returns the origin of all streams of the route if there is only one. */
+  private Optional<StreamOriginRecord> onlyOrigin(long stream, RouteSpec route, long nowMs) {
+    Set<StreamOrigin> possible = possibleOrigins(route, nowMs);
+    return possible.size() == 1
+        ? Optional.of(new StreamOriginRecord(stream, possible.iterator().next(), 1, validMs(route)))
+        : Optional.empty();
+  }
+
+  private Set<StreamOrigin> possibleOrigins(RouteSpec route, long nowMs) {
+    Set<StreamOrigin> possible = new HashSet<>();
+    for (RouteTarget target : route.targets()) {
+      for (String version :
+          softwareVersions.recentVersions(target.service(), validMs(route), nowMs)) {
+        possible.add(new StreamOrigin(target.service(), version));
+      }
+    }
+    return possible;
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -101,7 +101,7 @@
             .map(tenant -> AllowedRegions.of(tenant.allowedRegions()))
             .orElse(AllowedRegions.ANYWHERE);
     return new RequestConstraints(
-        Set.of(), AllowedRegions.of(route.allowedRegions()).and(ofTenant));
+        Set.of(), AllowedRegions.of(route.allowedRegions()).and(ofTenant), Optional.empty());
   }
 
   /** Returns the engines on which an item may start. */
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -214,7 +214,10 @@
     long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     RequestAuthorization authorization =
         new RequestAuthorization(caller, () -> true, () -> AllowedRegions.ANYWHERE);
-    new RequestForwarder(context, exchange, request, route, SERVICE, 1, authorization, nowMs)
+    StreamBinding binding =
+        StreamBinding.ofNew((stream, origin, attempt, of) -> {}, route, request, tenant);
+    new RequestForwarder(
+            context, exchange, request, route, SERVICE, 1, authorization, binding, nowMs)
         .start();
   }
 
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -69,6 +69,8 @@
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.RouteTarget;
 import io.pathdeck.protocol.fleet.ServiceLimits;
+import io.pathdeck.protocol.fleet.StreamOrigin;
+import io.pathdeck.protocol.fleet.StreamOriginRecord;
 import io.pathdeck.protocol.fleet.TenantUse;
 import io.pathdeck.protocol.legacy.CallerTenantV1;
 import io.pathdeck.protocol.legacy.FleetRecordV1;
@@ -81,6 +83,7 @@
 import io.pathdeck.protocol.message.ConfigurationUpdate;
 import io.pathdeck.protocol.message.EngineEndNoted;
 import io.pathdeck.protocol.message.EngineEndNotice;
+import io.pathdeck.protocol.message.FindStreamOrigin;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
 import io.pathdeck.protocol.message.NotLeader;
@@ -90,6 +93,8 @@
 import io.pathdeck.protocol.message.QueryReply;
 import io.pathdeck.protocol.message.QueryRequest;
 import io.pathdeck.protocol.message.RaftBatch;
+import io.pathdeck.protocol.message.RecordStreamOrigins;
+import io.pathdeck.protocol.message.StreamOriginReply;
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.model.ClaimState;
 import io.pathdeck.protocol.model.Declaration;
@@ -332,7 +337,12 @@
           EvacuatedZonesHeld.class,
           JobsGroupRegions.class,
           FoundJobsGroupsInRegions.class,
-          JobsGroupRegionsRecord.class);
+          JobsGroupRegionsRecord.class,
+          StreamOrigin.class,
+          StreamOriginRecord.class,
+          RecordStreamOrigins.class,
+          FindStreamOrigin.class,
+          StreamOriginReply.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteSpec.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/RouteSpec.java
@@ -80,6 +80,12 @@
         List.of());
   }
 
+  /** Whether requests of this route go to the service. */
+  public boolean sendsTo(String service) {
+    return targets.stream()
+        .anyMatch(target -> target.service().equals(service) && target.weight() > 0);
+  }
+
   /** Whether a request of this route may run on more than one engine. */
   public boolean isRepeatable() {
     return kind == RouteKind.SAFE || (kind == RouteKind.STREAM && resumable);
--- a/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
@@ -8,6 +8,7 @@
         ConfigurationUpdate,
         EngineEndNotice,
         EngineEndNoted,
+        FindStreamOrigin,
         FleetHeartbeat,
         FleetUpdate,
         NotLeader,
@@ -17,4 +18,6 @@
         QueryReply,
         QueryRequest,
         RaftBatch,
+        RecordStreamOrigins,
+        StreamOriginReply,
         Unavailable {}
