Items go on only at the software version that wrote their events; else they begin anew

What callers saw: a result whose text came from engines of two software versions. Cause: BatchProgress recorded the last event and the text, not who wrote them, and the scheduler started an item after its last event on any engine, after a yield, an engine's end, a change of leader or a restart of the stores. Change: progress has the origin of its events (service and software version), and the state machine joins only events of one origin. Items ask EngineEligibility with that origin. When no engine of it is listed and staying, the leader discards the recorded events through the log (DiscardBatchProgress) and the item begins anew; failed attempts stay counted. The stored forms that grow moved to protocol.legacy (BatchProgressV1, RecordBatchProgressV1, BatchJobRecordV1); their events have no origin, so that such an item begins anew after an upgrade. Why it works: the origin is in the same record as the events, and the log orders a discard after all progress before it.

--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/RequestConstraints.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/RequestConstraints.java
@@ -19,6 +19,11 @@
   public static final RequestConstraints NONE =
       new RequestConstraints(Set.of(), AllowedRegions.ANYWHERE, Optional.empty());
 
+  /** The same for a request that begins a stream. */
+  public RequestConstraints ofNewStream() {
+    return new RequestConstraints(triedEngineIds, allowedRegions, Optional.empty());
+  }
+
   /** Whether the request has no event yet, so that it may begin at any software version. */
   boolean beginsStream() {
     return origin.isEmpty();
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -4,6 +4,7 @@
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -131,6 +132,17 @@
     return inService;
   }
 
+  /** Whether any engine of this origin is listed and not leaving. */
+  public boolean servesOrigin(StreamOrigin origin) {
+    for (EngineState engine : engines.values()) {
+      EngineInstance instance = engine.instance();
+      if (!instance.draining() && StreamOrigin.of(instance).equals(origin)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Counts the engines of a service by whether they may get the request. */
   public Map<Eligibility, Integer> countByEligibility(
       String service, RequestConstraints constraints, long nowMs) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -22,11 +22,13 @@
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
 import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.DiscardBatchProgress;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.message.ProposeReply;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.ArrayList;
@@ -151,6 +153,7 @@
       boolean itemsWait = runs.all().stream().anyMatch(run -> run.mayStart(nowMs));
       loadPolls.onStep(engines.all(), itemsWait, nowMs);
       if (engineListIsRecent.getAsBoolean()) {
+        scheduler.itemsToBeginAnew(runs.all(), view, nowMs).forEach(this::discardProgress);
         scheduler.startItems(runs.all(), view, this::startOn, nowMs);
         scheduler
             .itemToMove(runs.all(), view, nowMs)
@@ -267,17 +270,32 @@
     ItemLog.restarted(run, recordedEvent);
   }
 
+  /** Lets an item begin anew once its recorded events are discarded. */
+  private void discardProgress(ItemRun run) {
+    ItemLog.beginsAnew(run);
+    run.awaitDiscard();
+    Command command = new DiscardBatchProgress(run.job.submission().jobId(), run.item.id());
+    propose(command, List.of(run), run::beginAnew);
+  }
+
   /** Proposes a command; restarts the affected items if it is rejected. */
   private void propose(Command command, List<ItemRun> affectedRuns) {
+    propose(command, affectedRuns, () -> {});
+  }
+
+  private void propose(Command command, List<ItemRun> affectedRuns, Runnable onAccepted) {
     long expectedTerm = term;
     group.propose(
         "",
         0,
         command,
         reply -> {
-          boolean isAccepted =
-              reply instanceof ProposeReply proposed && proposed.result() instanceof Done;
-          if (!isAccepted && expectedTerm == term) {
+          if (expectedTerm != term) {
+            return;
+          }
+          if (reply instanceof ProposeReply proposed && proposed.result() instanceof Done) {
+            onAccepted.run();
+          } else {
             affectedRuns.forEach(this::restart);
           }
         },
@@ -304,6 +322,7 @@
     ItemStream[] streamHolder = new ItemStream[1];
     ItemStream stream =
         new ItemStream(
+            StreamOrigin.of(engine.instance()),
             run.lastEvent(),
             outcome ->
                 consensusExecutor.execute(
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemEvents.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemEvents.java
@@ -1,13 +1,16 @@
 package io.pathdeck.fleet.store;
 
+import io.pathdeck.protocol.fleet.StreamOrigin;
+
 /**
  * Events received by an attempt to run an item.
  *
+ * @param origin the engines that can write what follows
  * @param afterEvent number of the event before the first one; -1 if there is none
  * @param lastEvent number of the last event; {@code afterEvent} if there are no events
  * @param text data of the events, one line each
  */
-record ItemEvents(long afterEvent, long lastEvent, String text) {
+record ItemEvents(StreamOrigin origin, long afterEvent, long lastEvent, String text) {
   boolean isEmpty() {
     return lastEvent == afterEvent;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
@@ -21,6 +21,8 @@
         run.item.id(),
         "engine",
         engine.instance().id(),
+        "software_version",
+        engine.instance().softwareVersion(),
         "load",
         String.format(Locale.ROOT, "%.1f", engine.estimatedLoad(nowMs)),
         "load_age_ms",
@@ -47,6 +49,12 @@
     retried(run, "", "RESTARTED", "what it brought was not recorded", 0, recordedEvent);
   }
 
+  /** Logs an item that begins anew because no engine can write what follows its events. */
+  static void beginsAnew(ItemRun run) {
+    String reason = "no engine of its software version is left";
+    retried(run, "", "BEGINS_ANEW", reason, 0, run.lastEvent());
+  }
+
   private static void retried(
       ItemRun run,
       String engineId,
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -6,6 +6,7 @@
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchJob;
 import io.pathdeck.state.ItemProgress;
 import java.util.Optional;
@@ -26,6 +27,8 @@
   private String unrecordedText = "";
   private long recordedEvent;
   private long lastEvent;
+  private StreamOrigin origin;
+  private boolean discarding;
   private int failures;
   private int unclearResponses;
   private long notBeforeMs;
@@ -53,6 +56,7 @@
     this.knownSinceMs = nowMs;
     this.minAgeWhenKnownMs = (logTimeMs - job.submittedAtMs()) / LogTime.MAX_RATE;
     this.recordedEvent = job.progress(item.id()).lastEvent();
+    this.origin = job.progress(item.id()).origin();
     this.lastEvent = recordedEvent;
     this.startedAtFirstEvent = recordedEvent == BatchProgress.NO_EVENT;
     this.inheritedEvents = recordedEvent - BatchProgress.NO_EVENT;
@@ -64,7 +68,7 @@
   }
 
   boolean mayStart(long nowMs) {
-    return stream == null && !finished && nowMs >= notBeforeMs;
+    return stream == null && !finished && !discarding && nowMs >= notBeforeMs;
   }
 
   boolean isRunning() {
@@ -160,14 +164,37 @@
     return startedAtFirstEvent;
   }
 
-  /** Appends events; returns false if they do not follow the last known event. */
+  /** The engines at which the item can go on; empty if it has no events yet. */
+  Optional<StreamOrigin> origin() {
+    return lastEvent == BatchProgress.NO_EVENT ? Optional.empty() : Optional.of(origin);
+  }
+
+  /** Keeps the item from starting until its recorded events are discarded. */
+  void awaitDiscard() {
+    discarding = true;
+  }
+
+  /** Forgets all events, so that any engine may run the item from its beginning. */
+  void beginAnew() {
+    discarding = false;
+    recordedEvent = BatchProgress.NO_EVENT;
+    lastEvent = BatchProgress.NO_EVENT;
+    unrecordedText = "";
+  }
+
+  /**
+   * Appends events; returns false if they do not follow the last known event or come from another
+   * origin.
+   */
   boolean appendEvents(ItemEvents events) {
     if (events.isEmpty()) {
       return true;
     }
-    if (events.afterEvent() != lastEvent) {
+    boolean hasSameOrigin = origin().map(events.origin()::equals).orElse(true);
+    if (events.afterEvent() != lastEvent || !hasSameOrigin) {
       return false;
     }
+    origin = events.origin();
     unrecordedText = ItemProgress.join(unrecordedText, events.text());
     lastEvent = events.lastEvent();
     return true;
@@ -184,7 +211,7 @@
     }
     String jobId = job.submission().jobId();
     BatchProgress progress =
-        new BatchProgress(jobId, item.id(), recordedEvent, lastEvent, unrecordedText);
+        new BatchProgress(jobId, item.id(), origin, recordedEvent, lastEvent, unrecordedText);
     recordedEvent = lastEvent;
     unrecordedText = "";
     return Optional.of(progress);
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -12,6 +12,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.topology.AllowedRegions;
 import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -38,6 +39,13 @@
     void start(ItemRun run, EngineState engine, double relativePace);
   }
 
+  /** The engines at which an item may start. */
+  private record StartPlace(String service, Optional<StreamOrigin> origin) {
+    StartPlace anyVersion() {
+      return new StartPlace(service, Optional.empty());
+    }
+  }
+
   private final EngineTable engines;
   private final EngineLoadBalancer loadBalancer;
   private final ItemSlack slack;
@@ -57,9 +65,27 @@
 
   // ---- starts
 
+  /** Returns the waiting items that have events, while no engine is left that can go on. */
+  List<ItemRun> itemsToBeginAnew(Collection<ItemRun> runs, FleetView view, long nowMs) {
+    List<ItemRun> toBeginAnew = new ArrayList<>();
+    for (ItemRun run : runs) {
+      if (run.mayStart(nowMs) && run.origin().isPresent() && !canGoOn(run, view)) {
+        toBeginAnew.add(run);
+      }
+    }
+    return toBeginAnew;
+  }
+
+  private boolean canGoOn(ItemRun run, FleetView view) {
+    StreamOrigin origin = run.origin().orElseThrow();
+    Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
+    boolean isRouted = route.isEmpty() || route.get().sendsTo(origin.service());
+    return isRouted && engines.servesOrigin(origin);
+  }
+
   /** Starts waiting items on engines with a free slot, in order of urgency. */
   void startItems(Collection<ItemRun> runs, FleetView view, Starter starter, long nowMs) {
-    Set<String> fullServices = new HashSet<>();
+    Set<StartPlace> fullPlaces = new HashSet<>();
     int unplacedItems = 0;
     Map<String, ServicePace> paces = new HashMap<>();
     for (ItemRun run : startableItems(runs, nowMs)) {
@@ -67,21 +93,28 @@
       if (route.isEmpty()) {
         continue;
       }
-      String service = trafficSplit.next(route.get());
-      if (fullServices.contains(service)) {
+      StartPlace place = placeOf(run, route.get());
+      if (fullPlaces.contains(place) || fullPlaces.contains(place.anyVersion())) {
         continue;
       }
+      String service = place.service();
       ServicePace pace = paces.computeIfAbsent(service, name -> engines.pace(name, nowMs));
       RequestConstraints constraints = constraints(run, route.get(), view);
       List<EngineState> available = availableEngines(service, constraints, view, nowMs);
       ItemStartResult result = startItem(run, available, pace, starter, nowMs);
       unplacedItems += result == ItemStartResult.NO_ENGINE_FAST_ENOUGH ? 1 : 0;
       if (result == ItemStartResult.NO_FREE_SLOT || unplacedItems > MAX_UNPLACED_ITEMS) {
-        fullServices.add(service);
+        fullPlaces.add(place);
       }
     }
   }
 
+  private StartPlace placeOf(ItemRun run, RouteSpec route) {
+    String service =
+        run.origin().map(StreamOrigin::service).orElseGet(() -> trafficSplit.next(route));
+    return new StartPlace(service, run.origin());
+  }
+
   private List<ItemRun> startableItems(Collection<ItemRun> runs, long nowMs) {
     List<ItemRun> startableRuns = new ArrayList<>();
     for (ItemRun run : runs) {
@@ -101,7 +134,7 @@
             .map(tenant -> AllowedRegions.of(tenant.allowedRegions()))
             .orElse(AllowedRegions.ANYWHERE);
     return new RequestConstraints(
-        Set.of(), AllowedRegions.of(route.allowedRegions()).and(ofTenant), Optional.empty());
+        Set.of(), AllowedRegions.of(route.allowedRegions()).and(ofTenant), run.origin());
   }
 
   /** Returns the engines on which an item may start. */
@@ -111,7 +144,8 @@
     long leadingForMs = nowMs - leaderSinceMs;
     double share = slotPolicy.rampUpShare(leadingForMs) / groups;
     double reservedShare =
-        slotPolicy.reservedShare(engines.countByEligibility(service, constraints, nowMs));
+        slotPolicy.reservedShare(
+            engines.countByEligibility(service, constraints.ofNewStream(), nowMs));
     return engines.usable(service, constraints, nowMs).stream()
         .filter(engine -> slotPolicy.isLoadKnown(engine, leadingForMs, nowMs))
         .filter(engine -> slotPolicy.hasFreeSlot(engine, share, reservedShare, nowMs))
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -7,6 +7,7 @@
 import io.pathdeck.fleet.engine.EngineListener;
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.SseEventScanner;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,6 +29,7 @@
    */
   private static final long MAX_CHOICE_AGE_MS = 1_000;
 
+  private final StreamOrigin origin;
   private final Consumer<ItemOutcome> listener;
   private final SseEventScanner scanner;
   private final ByteArrayOutputStream undrainedData = new ByteArrayOutputStream();
@@ -39,7 +41,9 @@
   private volatile boolean over;
   private volatile long lastReceivedMs;
 
-  ItemStream(long resumeAfter, Consumer<ItemOutcome> listener) {
+  /** Creates an attempt at an engine of {@code origin}. */
+  ItemStream(StreamOrigin origin, long resumeAfter, Consumer<ItemOutcome> listener) {
+    this.origin = origin;
     this.scanner = new SseEventScanner(resumeAfter);
     this.lastDrainedEvent = resumeAfter;
     this.listener = listener;
@@ -107,7 +111,7 @@
     undrainedData.reset();
     long afterEvent = lastDrainedEvent;
     lastDrainedEvent = Math.max(afterEvent, scanner.lastId());
-    return new ItemEvents(afterEvent, lastDrainedEvent, text);
+    return new ItemEvents(origin, afterEvent, lastDrainedEvent, text);
   }
 
   /** Whether the attempt has ended; safe from any thread. */
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -11,6 +11,7 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchJob;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.List;
@@ -18,6 +19,8 @@
 import org.junit.jupiter.api.Test;
 
 class TestItemRun {
+  private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1");
+
   private final BatchStateMachine machine = new BatchStateMachine();
   private final BatchItem item = new BatchItem("i", "/p", Map.of(), new byte[0], 100, 40);
 
@@ -40,11 +43,12 @@
   void takesEventsOnceInOrder() {
     ItemRun run = run();
     assertThat(run.startedAtFirstEvent()).isTrue();
-    assertThat(run.appendEvents(new ItemEvents(-1, 3, "a\nb"))).isTrue();
-    assertThat(run.appendEvents(new ItemEvents(3, 4, "c"))).isTrue();
-    assertThat(run.takeUnrecorded()).contains(new BatchProgress("j", "i", -1, 4, "a\nb\nc"));
+    assertThat(run.appendEvents(new ItemEvents(ORIGIN, -1, 3, "a\nb"))).isTrue();
+    assertThat(run.appendEvents(new ItemEvents(ORIGIN, 3, 4, "c"))).isTrue();
+    assertThat(run.takeUnrecorded())
+        .contains(new BatchProgress("j", "i", ORIGIN, -1, 4, "a\nb\nc"));
     assertThat(run.takeUnrecorded()).isEmpty();
-    run.appendEvents(new ItemEvents(4, 5, "d"));
+    run.appendEvents(new ItemEvents(ORIGIN, 4, 5, "d"));
     assertThat(run.finishCompleted()).isEqualTo(new BatchOutcome("i", true, 4, "d"));
     assertThat(run.takeUnrecorded()).isEmpty();
   }
@@ -52,20 +56,20 @@
   @Test
   void rejectsGapsAndDuplicates() {
     ItemRun run = run();
-    run.appendEvents(new ItemEvents(-1, 3, "a"));
-    assertThat(run.appendEvents(new ItemEvents(4, 6, "gap"))).isFalse();
-    assertThat(run.appendEvents(new ItemEvents(-1, 3, "a"))).isFalse();
+    run.appendEvents(new ItemEvents(ORIGIN, -1, 3, "a"));
+    assertThat(run.appendEvents(new ItemEvents(ORIGIN, 4, 6, "gap"))).isFalse();
+    assertThat(run.appendEvents(new ItemEvents(ORIGIN, -1, 3, "a"))).isFalse();
     assertThat(run.lastEvent()).isEqualTo(3);
-    assertThat(run.appendEvents(new ItemEvents(9, 9, ""))).isTrue();
+    assertThat(run.appendEvents(new ItemEvents(ORIGIN, 9, 9, ""))).isTrue();
   }
 
   @Test
   void startsAfterRecordedEvents() {
-    record(new BatchProgress("j", "i", -1, 7, "recorded"));
+    record(new BatchProgress("j", "i", ORIGIN, -1, 7, "recorded"));
     assertThat(run().startedAtFirstEvent()).isFalse();
     ItemRun run = run();
     assertThat(run.lastEvent()).isEqualTo(7);
-    run.appendEvents(new ItemEvents(7, 8, "rest"));
+    run.appendEvents(new ItemEvents(ORIGIN, 7, 8, "rest"));
     assertThat(run.finishCompleted()).isEqualTo(new BatchOutcome("i", true, 7, "rest"));
   }
 
@@ -83,7 +87,7 @@
   @Test
   void runTimeIsNormalizedByPace() {
     ItemRun run = run();
-    ItemStream stream = new ItemStream(-1, outcome -> {});
+    ItemStream stream = new ItemStream(ORIGIN, -1, outcome -> {});
     run.onStart(stream, engine(), 3, 1_000);
     assertThat(run.normalizedRunMs(4_000)).isEqualTo(1_000);
     run.onStop(4_000);
@@ -95,11 +99,11 @@
   void paceExcludesWaitForFirstEvents() {
     EngineState engine = engine();
     ItemRun run = run();
-    run.onStart(new ItemStream(-1, outcome -> {}), engine, 1, 1_000);
-    run.appendEvents(new ItemEvents(-1, 9, "first"));
+    run.onStart(new ItemStream(ORIGIN, -1, outcome -> {}), engine, 1, 1_000);
+    run.appendEvents(new ItemEvents(ORIGIN, -1, 9, "first"));
     run.reportPace(1_700, (events, normalizedMs) -> {});
     assertThat(engine.pace().msPerEvent()).as("may include queueing").isZero();
-    run.appendEvents(new ItemEvents(9, 19, "next"));
+    run.appendEvents(new ItemEvents(ORIGIN, 9, 19, "next"));
     run.reportPace(2_400, (events, normalizedMs) -> {});
     run.reportPace(9_000, (events, normalizedMs) -> {});
     assertThat(engine.pace().msPerEvent()).isEqualTo(70);
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
@@ -19,6 +19,7 @@
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.RouteTarget;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +28,8 @@
 
 /** Schedules urgent, deferrable and late items on one engine with eight slots. */
 class TestItemScheduler {
+  private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1");
+
   private static final long RUN_TARGET_MS = 18_000;
   private static final long URGENT_RUN_TARGET_MS = 6_000;
   private static final long LATE_RUN_TARGET_MS = 1_000;
@@ -110,7 +113,7 @@
   private void start(ItemRun run, EngineState engine, double relativePace) {
     startedItems.add(run.item.id());
     engine.onStart(NOW_MS);
-    run.onStart(new ItemStream(-1, outcome -> {}), engine, relativePace, NOW_MS);
+    run.onStart(new ItemStream(ORIGIN, -1, outcome -> {}), engine, relativePace, NOW_MS);
   }
 
   @Test
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
@@ -10,6 +10,7 @@
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,8 @@
  * Computes the slack of an item that is due 18 s after submission and runs 3.4 s at median pace.
  */
 class TestItemSlack {
+  private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1");
+
   private static final long RUN_TARGET_MS = 18_000;
   private static final long OUTPUT_TOKENS = 1_000;
   private static final int COMPLETED_ITEMS = 400;
@@ -36,7 +39,8 @@
     logTimeMs = run().job.submittedAtMs();
     for (int i = 0; i < COMPLETED_ITEMS; i++) {
       ItemRun completedRun = run();
-      completedRun.onStart(new ItemStream(-1, outcome -> {}), engine(), SLOW_RELATIVE_PACE, 0);
+      completedRun.onStart(
+          new ItemStream(ORIGIN, -1, outcome -> {}), engine(), SLOW_RELATIVE_PACE, 0);
       slack.onItemCompleted(completedRun, Math.round(3_400 * SLOW_RELATIVE_PACE));
     }
   }
@@ -61,7 +65,7 @@
   @Test
   void lateItemCanBeOnTimeElsewhere() {
     ItemRun run = run();
-    run.onStart(new ItemStream(-1, outcome -> {}), engine(), 1, 0);
+    run.onStart(new ItemStream(ORIGIN, -1, outcome -> {}), engine(), 1, 0);
     logTimeMs += RUN_TARGET_MS - 6_000;
     assertThat(slack.canBeOnTimeElsewhere(run, 0)).as("pace not known").isFalse();
     run.setRelativePace(SLOW_RELATIVE_PACE);
@@ -72,7 +76,7 @@
 
   @Test
   void inheritedEventsReduceUrgency() {
-    BatchProgress progress = new BatchProgress("j", "i", -1, 99, "recorded");
+    BatchProgress progress = new BatchProgress("j", "i", ORIGIN, -1, 99, "recorded");
     machine.apply(new CommandEnvelope("", 0, 2, new RecordBatchProgress(List.of(progress))));
     logTimeMs += RUN_TARGET_MS - 5_000;
     for (int i = 0; i < 30; i++) {
@@ -85,10 +89,10 @@
   /** Records 25 events in 700 ms. */
   private void recordEventTime() {
     ItemRun otherRun = run();
-    otherRun.onStart(new ItemStream(99, outcome -> {}), engine(), 1, 0);
-    otherRun.appendEvents(new ItemEvents(99, 100, "first"));
+    otherRun.onStart(new ItemStream(ORIGIN, 99, outcome -> {}), engine(), 1, 0);
+    otherRun.appendEvents(new ItemEvents(ORIGIN, 99, 100, "first"));
     slack.onEvents(otherRun, 100);
-    otherRun.appendEvents(new ItemEvents(100, 125, "more"));
+    otherRun.appendEvents(new ItemEvents(ORIGIN, 100, 125, "more"));
     slack.onEvents(otherRun, 800);
   }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemStreamStart.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemStreamStart.java
@@ -2,12 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class TestItemStreamStart {
+  private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1");
+
   private static final long SUSPENDED_MS = 1_100;
 
   /** The engine was chosen before the suspension, and may have to get nothing since. */
@@ -15,7 +18,7 @@
   void itemIsNotSentAfterSuspension() throws Exception {
     List<ItemOutcome.Kind> outcomes = new ArrayList<>();
     List<String> sent = new ArrayList<>();
-    ItemStream stream = new ItemStream(-1, outcome -> outcomes.add(outcome.kind()));
+    ItemStream stream = new ItemStream(ORIGIN, -1, outcome -> outcomes.add(outcome.kind()));
     TimeUnit.MILLISECONDS.sleep(SUSPENDED_MS);
     stream.start(
         (call, listener) -> {
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -13,6 +13,7 @@
 import io.pathdeck.protocol.command.CompleteClaim;
 import io.pathdeck.protocol.command.CreateFile;
 import io.pathdeck.protocol.command.DeclarationApplied;
+import io.pathdeck.protocol.command.DiscardBatchProgress;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.EvacuatedZonesHeld;
@@ -30,6 +31,7 @@
 import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
+import io.pathdeck.protocol.command.RecordBatchProgressV1;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.ReleaseClaim;
@@ -72,6 +74,8 @@
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.fleet.StreamOriginRecord;
 import io.pathdeck.protocol.fleet.TenantUse;
+import io.pathdeck.protocol.legacy.BatchJobRecordV1;
+import io.pathdeck.protocol.legacy.BatchProgressV1;
 import io.pathdeck.protocol.legacy.CallerTenantV1;
 import io.pathdeck.protocol.legacy.FleetRecordV1;
 import io.pathdeck.protocol.legacy.RouteSpecV1;
@@ -307,10 +311,10 @@
           EngineListDelta.class,
           ProcessListDelta.class,
           FleetRecordV1.class,
-          BatchJobRecord.class,
-          BatchProgress.class,
+          BatchJobRecordV1.class,
+          BatchProgressV1.class,
           BatchOutcome.class,
-          RecordBatchProgress.class,
+          RecordBatchProgressV1.class,
           CallerLimits.class,
           TimeoutNow.class,
           CallerTenantV1.class,
@@ -342,7 +346,11 @@
           StreamOriginRecord.class,
           RecordStreamOrigins.class,
           FindStreamOrigin.class,
-          StreamOriginReply.class);
+          StreamOriginReply.class,
+          BatchProgress.class,
+          RecordBatchProgress.class,
+          DiscardBatchProgress.class,
+          BatchJobRecord.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/BatchCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/BatchCommand.java
@@ -2,4 +2,9 @@
 
 /** A command of a group that keeps batch jobs. */
 public sealed interface BatchCommand extends Command
-    permits SubmitBatch, RecordBatchProgress, ListBatchResults, EndBatch {}
+    permits SubmitBatch,
+        RecordBatchProgressV1,
+        RecordBatchProgress,
+        DiscardBatchProgress,
+        ListBatchResults,
+        EndBatch {}
--- a/protocol/src/test/java/io/pathdeck/protocol/transport/TypicalTraffic.java
+++ b/protocol/src/test/java/io/pathdeck/protocol/transport/TypicalTraffic.java
@@ -23,6 +23,7 @@
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.RouteTarget;
 import io.pathdeck.protocol.fleet.ServiceLimits;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.fleet.TenantUse;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
@@ -53,6 +54,8 @@
  * words, and of random characters, which are the worst case.
  */
 final class TypicalTraffic {
+  private static final StreamOrigin ORIGIN = new StreamOrigin("service", "v1.2");
+
   private static final double ITEMS_PER_SECOND = 13;
   private static final int ITEMS_OF_JOB = 10;
   private static final double JOBS_PER_SECOND = ITEMS_PER_SECOND / ITEMS_OF_JOB;
@@ -178,7 +181,8 @@
   private RecordBatchProgress progress(int items, int events) {
     return new RecordBatchProgress(
         IntStream.range(0, items)
-            .mapToObj(item -> new BatchProgress(id(), id(), 20, 20 + events, events(events)))
+            .mapToObj(
+                item -> new BatchProgress(id(), id(), ORIGIN, 20, 20 + events, events(events)))
             .toList());
   }
 
--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -52,19 +52,23 @@
   }
 
   /**
-   * Records events of an open item if they directly follow the recorded ones; returns whether they
-   * were recorded.
+   * Records events of an open item if they directly follow the recorded ones and come from the same
+   * origin; returns whether they were recorded.
    */
   boolean recordProgress(BatchProgress events) {
     ItemProgress recorded = progress(events.itemId());
-    boolean follows = events.afterEvent() == recorded.lastEvent();
-    if (!openItems.containsKey(events.itemId()) || !follows) {
+    if (!openItems.containsKey(events.itemId()) || !recorded.isFollowedBy(events)) {
       return false;
     }
-    progress.put(events.itemId(), recorded.plus(events.lastEvent(), events.text()));
+    progress.put(events.itemId(), recorded.plus(events));
     return true;
   }
 
+  /** Discards the recorded events of an item, which begins anew. */
+  void discardProgress(String itemId) {
+    progress.remove(itemId);
+  }
+
   /**
    * Adds an outcome unless the item already has one. Returns false if the item remains open because
    * the text of a completed item does not directly follow the recorded events.
@@ -106,7 +110,12 @@
 
   private BatchProgress capture(String itemId, ItemProgress events) {
     return new BatchProgress(
-        submission.jobId(), itemId, BatchProgress.NO_EVENT, events.lastEvent(), events.text());
+        submission.jobId(),
+        itemId,
+        events.origin(),
+        BatchProgress.NO_EVENT,
+        events.lastEvent(),
+        events.text());
   }
 
   /** The job as it was submitted. */
--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -5,11 +5,13 @@
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.DiscardBatchProgress;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
+import io.pathdeck.protocol.command.RecordBatchProgressV1;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.SubmitBatch;
@@ -17,6 +19,8 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.legacy.BatchJobRecordV1;
+import io.pathdeck.protocol.legacy.BatchProgressV1;
 import io.pathdeck.protocol.query.BatchItemBody;
 import io.pathdeck.protocol.query.BatchMissing;
 import io.pathdeck.protocol.query.BatchResults;
@@ -78,7 +82,13 @@
       return submit(submit, nowMs);
     }
     if (command instanceof RecordBatchProgress progress) {
-      return recordProgress(progress);
+      return recordProgress(progress.progress());
+    }
+    if (command instanceof RecordBatchProgressV1 progress) {
+      return recordProgress(progress.progress().stream().map(BatchProgressV1::toCurrent).toList());
+    }
+    if (command instanceof DiscardBatchProgress discard) {
+      return discardProgress(discard);
     }
     if (command instanceof ListBatchResults listResults) {
       return addOutcomes(listResults);
@@ -124,8 +134,8 @@
     return tokens;
   }
 
-  private CommandResult recordProgress(RecordBatchProgress command) {
-    for (BatchProgress events : command.progress()) {
+  private CommandResult recordProgress(List<BatchProgress> progress) {
+    for (BatchProgress events : progress) {
       BatchJob job = jobs.get(events.jobId());
       if (job != null) {
         job.recordProgress(events);
@@ -134,6 +144,14 @@
     return new Done();
   }
 
+  private CommandResult discardProgress(DiscardBatchProgress discard) {
+    BatchJob job = jobs.get(discard.jobId());
+    if (job != null) {
+      job.discardProgress(discard.itemId());
+    }
+    return new Done();
+  }
+
   private CommandResult addOutcomes(ListBatchResults command) {
     BatchJob job = jobs.get(command.jobId());
     if (job == null) {
@@ -215,6 +233,8 @@
         clock.restore(header.clockMs());
       } else if (next instanceof BatchJobRecord saved) {
         jobs.put(saved.submission().jobId(), BatchJob.restore(saved));
+      } else if (next instanceof BatchJobRecordV1 saved) {
+        jobs.put(saved.submission().jobId(), BatchJob.restore(saved.toCurrent()));
       } else {
         throw StateMachine.unknownRecord(next);
       }
--- a/state/src/test/java/io/pathdeck/state/TestBatchProgressProperties.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchProgressProperties.java
@@ -11,6 +11,7 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.query.BatchResults;
 import io.pathdeck.protocol.query.ReadBatchResults;
 import java.util.ArrayDeque;
@@ -29,6 +30,8 @@
  * interleaved or lost, the result is the complete text or none.
  */
 class TestBatchProgressProperties {
+  private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1");
+
   private static final String JOB = "j";
   private static final String ITEM = "i";
   private static final long LAST_EVENT = 9;
@@ -64,7 +67,7 @@
         proposals.add(new ListBatchResults(JOB, List.of(outcome)));
       } else if (lastReceivedEvent > lastRecordedEvent) {
         BatchProgress progress =
-            new BatchProgress(JOB, ITEM, lastRecordedEvent, lastReceivedEvent, text);
+            new BatchProgress(JOB, ITEM, ORIGIN, lastRecordedEvent, lastReceivedEvent, text);
         proposals.add(new RecordBatchProgress(List.of(progress)));
         lastRecordedEvent = lastReceivedEvent;
       }
--- a/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
@@ -7,17 +7,22 @@
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.DiscardBatchProgress;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
+import io.pathdeck.protocol.command.RecordBatchProgressV1;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.StreamOrigin;
+import io.pathdeck.protocol.legacy.BatchJobRecordV1;
+import io.pathdeck.protocol.legacy.BatchProgressV1;
 import io.pathdeck.protocol.query.BatchItemBody;
 import io.pathdeck.protocol.query.BatchMissing;
 import io.pathdeck.protocol.query.BatchResults;
@@ -30,6 +35,8 @@
 import org.junit.jupiter.api.Test;
 
 class TestBatchStateMachine {
+  private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1");
+
   private static final int PAGE_BYTES = 10;
 
   private final BatchStateMachine machine = new BatchStateMachine();
@@ -61,7 +68,7 @@
   private static RecordBatchProgress recordProgress(
       String job, String item, long afterEvent, long lastEvent, String text) {
     return new RecordBatchProgress(
-        List.of(new BatchProgress(job, item, afterEvent, lastEvent, text)));
+        List.of(new BatchProgress(job, item, ORIGIN, afterEvent, lastEvent, text)));
   }
 
   private ItemProgress progressOf(String job, String item) {
@@ -196,6 +203,44 @@
     assertThat(progressOf("a", "a-0")).isEqualTo(ItemProgress.NONE);
   }
 
+  @Test
+  void eventsOfAnotherSoftwareVersionAreNotJoined() {
+    apply(submitJob("a", 1, 0));
+    apply(recordProgress("a", "a-0", -1, 3, "part"));
+    StreamOrigin other = new StreamOrigin(ORIGIN.service(), "v2");
+    BatchProgress mixed = new BatchProgress("a", "a-0", other, 3, 5, "of another");
+    apply(new RecordBatchProgress(List.of(mixed)));
+    assertThat(progressOf("a", "a-0").text()).isEqualTo("part");
+    assertThat(progressOf("a", "a-0").origin()).isEqualTo(ORIGIN);
+  }
+
+  @Test
+  void itemBeginsAnewAfterItsEventsAreDiscarded() {
+    apply(submitJob("a", 1, 0));
+    apply(recordProgress("a", "a-0", -1, 3, "part"));
+    apply(new DiscardBatchProgress("a", "a-0"));
+    assertThat(progressOf("a", "a-0")).isEqualTo(ItemProgress.NONE);
+    apply(addOutcome("a", "a-0", true, "whole"));
+    assertThat(readResults("a", 0).results().get(0).text()).isEqualTo("whole");
+    apply(new DiscardBatchProgress("a", "a-0"));
+    assertThat(readResults("a", 0).results()).as("the result stays").hasSize(1);
+  }
+
+  @Test
+  void eventsRecordedByEarlierReleasesHaveNoOrigin() {
+    apply(submitJob("a", 1, 0));
+    BatchProgressV1 earlier = new BatchProgressV1("a", "a-0", -1, 3, "part");
+    apply(new RecordBatchProgressV1(List.of(earlier)));
+    assertThat(progressOf("a", "a-0").origin()).isEqualTo(StreamOrigin.UNKNOWN);
+    assertThat(progressOf("a", "a-0").lastEvent()).isEqualTo(3);
+    BatchJobRecordV1 saved =
+        new BatchJobRecordV1(submitJob("b", 1, 0), 7, false, List.of(), List.of(earlier));
+    BatchStateMachine restored = new BatchStateMachine();
+    Object decoded = ObjectCodec.decode(ObjectCodec.encode(saved), Object.class).value();
+    restored.restoreSnapshot(List.of(decoded).iterator());
+    assertThat(restored.job("b").orElseThrow().openItems()).containsOnlyKeys("b-0");
+  }
+
   @Test
   void snapshotRestoresEverything() {
     apply(submitJob("a", 3, 500));
