Versions that have left the list are known to processes that start; metrics of streams by software version

Cause: a gateway that starts sees only the versions that are listed now. After the loss of all gateways, or of all power, while the last engine of a version leaves, it would take the version that is left for the only one and go on with streams of the other (found by reading). Change: coordinators remember each version for 60 s after it has left (SoftwareVersions, from the list, other leaders' views and the file of last-known state) and tell it with each answer to a heartbeat. Streams begun, gone on and refused are counted by version and reason, listed engines by version. Of the gateway, RequestStarter (choice of service, returns) and RequestCompletion (log, metrics and answer at the end) are classes of their own.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -199,6 +199,7 @@
           regionTraffic.onChange(view);
           learnCoordinators(view, host, pool);
           saveIfConfirmed(view, follower, lastKnownFleet);
+          host.execute(() -> membership[0].onView(view));
         });
     lastKnownFleet.start();
     resources.push(
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -6,6 +6,8 @@
 import io.pathdeck.control.ConsensusExtension;
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
+import io.pathdeck.fleet.eligibility.SoftwareVersions;
+import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.command.SetStoreLeaving;
 import io.pathdeck.protocol.fleet.EngineInstance;
@@ -63,6 +65,7 @@
   private final LastKnownResponder lastKnownResponder;
   private final VersionedList<FleetProcess> processes = new VersionedList<>();
   private final VersionedList<EngineInstance> engines = new VersionedList<>();
+  private final SoftwareVersions softwareVersions = new SoftwareVersions();
   private final Map<String, Long> lastHeartbeatMs = new HashMap<>();
   private final TreeMap<Integer, FleetProcess> foundingCandidates = new TreeMap<>();
   private final ReplacementPolicy replacementPolicy;
@@ -114,6 +117,18 @@
             replacementPolicy,
             new ZoneBalance(JobsGroupFounding.targetSize(minGroupSize), toleratedZones));
     this.leadershipListener = leadershipListener;
+    savedUpdate.ifPresent(
+        saved ->
+            softwareVersions.onEngines(
+                saved.engines().changed(), saved.retiredOrigins(), clock.monotonicMs()));
+  }
+
+  /** Applies the view that another leader sent, so that this one knows it when it leads. */
+  void onView(FleetView view) {
+    if (!leading && view.engines() != null) {
+      softwareVersions.onEngines(
+          view.engines().values(), view.retiredOrigins(), clock.monotonicMs());
+    }
   }
 
   @Override
@@ -209,7 +224,8 @@
             contendedTenants,
             quarantineManager.updateFor(heartbeat.quarantineVersion()),
             evacuatedZonesFor(heartbeat),
-            state.jobsGroupRegions()));
+            state.jobsGroupRegions(),
+            softwareVersions.retiredOrigins(nowMs)));
   }
 
   private void recordHeartbeat(FleetHeartbeat heartbeat, long nowMs) {
@@ -336,6 +352,7 @@
     if (!leading) {
       return;
     }
+    softwareVersions.onEngines(listedEngines, List.of(), clock.monotonicMs());
     Set<String> listedIds =
         listedEngines.stream().map(EngineInstance::id).collect(Collectors.toSet());
     int changes = 0;
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -119,7 +119,8 @@
             new ArrayList<>(),
             view.quarantine(),
             view.evacuatedZones(),
-            view.jobsGroupRegions());
+            view.jobsGroupRegions(),
+            view.retiredOrigins());
     return Base64.getEncoder().encodeToString(ObjectCodec.encode(update));
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
@@ -83,7 +83,8 @@
         update.contendedTenants(),
         quarantine,
         evacuatedZones,
-        update.jobsGroupRegions());
+        update.jobsGroupRegions(),
+        update.retiredOrigins());
   }
 
   /**
--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
@@ -1,9 +1,12 @@
 package io.pathdeck.fleet.eligibility;
 
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.StreamOrigin;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -44,8 +47,13 @@
   private boolean anyListSeen;
   private long firstListMs;
 
-  /** Applies the list of engines. */
-  public void onEngines(Collection<EngineInstance> engines, long nowMs) {
+  /**
+   * Applies the list of engines.
+   *
+   * @param retired versions that others have seen in the list recently
+   */
+  public void onEngines(
+      Collection<EngineInstance> engines, Collection<StreamOrigin> retired, long nowMs) {
     if (!anyListSeen) {
       anyListSeen = true;
       firstListMs = nowMs;
@@ -54,6 +62,7 @@
     listed = countByVersion(engines);
     listed.forEach((service, versions) -> addVersions(service, versions, nowMs));
     touchListed(nowMs);
+    retired.forEach(origin -> addRetired(origin, nowMs));
     removeForgotten(nowMs);
   }
 
@@ -86,6 +95,18 @@
     }
   }
 
+  private void addRetired(StreamOrigin origin, long nowMs) {
+    services
+        .computeIfAbsent(origin.service(), name -> new TreeMap<>())
+        .computeIfAbsent(
+            origin.softwareVersion(),
+            version -> {
+              Presence presence = new Presence(SETTLED_AT_START);
+              presence.lastListedMs = nowMs;
+              return presence;
+            });
+  }
+
   /** At the first sight of a service, the version of most engines was there before the others. */
   private static String mostCommon(Map<String, Integer> versions) {
     return versions.entrySet().stream()
@@ -127,6 +148,20 @@
     return recent;
   }
 
+  /** Returns the versions that have left the list in the last {@value #RETENTION_MS} ms. */
+  public List<StreamOrigin> retiredOrigins(long nowMs) {
+    List<StreamOrigin> retired = new ArrayList<>();
+    for (String service : services.keySet()) {
+      Set<String> listedVersions = listed.getOrDefault(service, Map.of()).keySet();
+      for (String version : recentVersions(service, RETENTION_MS, nowMs)) {
+        if (!listedVersions.contains(version)) {
+          retired.add(new StreamOrigin(service, version));
+        }
+      }
+    }
+    return retired;
+  }
+
   /** Whether this process has followed the list for at least {@code windowMs}. */
   public boolean hasFollowedFor(long windowMs, long nowMs) {
     return anyListSeen && nowMs - firstListMs >= windowMs;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -10,7 +10,6 @@
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.EngineTransport;
-import io.pathdeck.fleet.engine.TrafficSplit;
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.StartProgress;
 import io.pathdeck.fleet.origin.StreamOrigins;
@@ -20,7 +19,6 @@
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
-import io.pathdeck.protocol.fleet.StreamOriginRecord;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
 import java.util.ArrayList;
@@ -39,12 +37,6 @@
   private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
   private static final long NO_REGION_RETRY_AFTER_MS = 1_000;
 
-  /** A gateway that did not answer may do so again after a short suspension or cut. */
-  private static final long SILENT_KEEPER_RETRY_AFTER_MS = 500;
-
-  /** Nobody is going to know the origin of a stream that no gateway knows. */
-  private static final long UNKNOWN_ORIGIN_RETRY_AFTER_MS = 2_000;
-
   /**
    * Half-life of an engine's load report. An engine's reports reach each gateway seldom; with a
    * longer half-life, all gateways would avoid engines that have become free.
@@ -65,7 +57,7 @@
   private final TenantLimiter limiter;
   private final StreamOrigins streamOrigins;
   private final ForwardingContext context;
-  private final TrafficSplit trafficSplit = new TrafficSplit();
+  private final RequestStarter requestStarter;
   private final RegionChanges regionChanges = new RegionChanges();
   private CallerKeys keys = CallerKeys.NONE;
   private long keysVersion = RouteTable.NO_VERSION;
@@ -113,6 +105,7 @@
             dispatcher(eventLoop, engines, metrics.queue()),
             () -> callStartListener.run(),
             new HashSet<>());
+    this.requestStarter = new RequestStarter(context, streamOrigins);
     eventLoop.scheduleWithFixedDelay(
         this::checkSilence,
         SILENCE_CHECK_INTERVAL_MS,
@@ -156,8 +149,11 @@
     eligibility.setEvacuatedZones(newView.evacuatedZones());
     if (newView.engines() != null) {
       long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-      eligibility.softwareVersions().onEngines(newView.engines().values(), nowMs);
+      eligibility
+          .softwareVersions()
+          .onEngines(newView.engines().values(), newView.retiredOrigins(), nowMs);
       context.engines().update(newView.engines());
+      context.metrics().streams().onEngines(newView.engines().values());
     }
     streamOrigins.onChange(newView);
     if (newView.routes() != null && newView.routes().version() != keysVersion) {
@@ -315,78 +311,7 @@
     RequestAuthorization authorization =
         new RequestAuthorization(
             caller, () -> isStillAllowed(request, caller), () -> allowedRegions(request, caller));
-    if (route.kind() == RouteKind.STREAM && request.isResumption()) {
-      resume(exchange, request, route, authorization, currentView);
-      return;
-    }
-    StreamBinding binding =
-        StreamBinding.ofNew(streamOrigins::record, route, request, caller.tenantName());
-    String service = trafficSplit.next(route);
-    start(exchange, request, route, service, authorization, binding, currentView);
-  }
-
-  /** Goes on with a stream at the software version that began it, or refuses to. */
-  private void resume(
-      HttpExchange exchange,
-      CallerRequest.Routed request,
-      RouteSpec route,
-      RequestAuthorization authorization,
-      FleetView currentView) {
-    long stream =
-        StreamOrigins.streamOf(authorization.caller().tenantName(), request.resumedRequestId());
-    streamOrigins.resolve(
-        stream,
-        route,
-        resolution -> {
-          if (exchange.isEnded()) {
-            return;
-          }
-          if (resolution instanceof StreamOrigins.Resolution.Known known) {
-            resumeAt(known.origin(), exchange, request, route, authorization, currentView);
-          } else if (resolution instanceof StreamOrigins.Resolution.Unknown unknown) {
-            String reason = "it is not known which software version began the stream";
-            logRefusal(request, reason, currentView);
-            Refusals.unavailable(
-                exchange,
-                reason,
-                unknown.mayBeFound()
-                    ? SILENT_KEEPER_RETRY_AFTER_MS
-                    : UNKNOWN_ORIGIN_RETRY_AFTER_MS);
-          }
-        });
-  }
-
-  private void resumeAt(
-      StreamOriginRecord origin,
-      HttpExchange exchange,
-      CallerRequest.Routed request,
-      RouteSpec route,
-      RequestAuthorization authorization,
-      FleetView currentView) {
-    String service = origin.origin().service();
-    if (!route.sendsTo(service)) {
-      String reason = "the route has no requests for the service that began the stream any more";
-      logRefusal(request, reason, currentView);
-      Refusals.unavailable(exchange, reason, UNKNOWN_ORIGIN_RETRY_AFTER_MS);
-      return;
-    }
-    StreamBinding binding = StreamBinding.ofResumed(streamOrigins::record, route, origin);
-    start(exchange, request, route, service, authorization, binding, currentView);
-  }
-
-  private void start(
-      HttpExchange exchange,
-      CallerRequest.Routed request,
-      RouteSpec route,
-      String service,
-      RequestAuthorization authorization,
-      StreamBinding binding,
-      FleetView currentView) {
-    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    long version = currentView.routes().version();
-    new RequestForwarder(
-            context, exchange, request, route, service, version, authorization, binding, nowMs)
-        .start();
+    requestStarter.start(exchange, request, route, authorization, currentView.routes().version());
   }
 
   /** Returns the regions that both the route and the tenant allow; none without a route. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -15,7 +15,6 @@
 import io.pathdeck.fleet.queue.Rank;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
-import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
 import java.util.List;
 import java.util.Optional;
@@ -49,6 +48,7 @@
   private final long deadlineMs;
   private final AttemptBudget budget;
   private final RequestLog log;
+  private final RequestCompletion completion;
   private final RequestAuthorization authorization;
   private final StreamBinding binding;
   private final QueueWait wait = new QueueWait();
@@ -82,6 +82,7 @@
     this.lastEventId = request.resumeAfter();
     this.budget = new AttemptBudget(route, context.settings().maxSends());
     this.log = new RequestLog(request.requestId(), route.name(), budget);
+    this.completion = new RequestCompletion(context.metrics(), exchange, route.kind(), log);
     long timeoutMs = route.timeoutMs();
     if (request.maxWaitMs() > 0) {
       timeoutMs = Math.min(timeoutMs, request.maxWaitMs());
@@ -141,6 +142,7 @@
     }
     Optional<Placement> placement = context.loadBalancer().choose(candidates, prompt, now);
     if (placement.isEmpty()) {
+      binding.onNoEngine();
       NoEligibleEngine cause = context.noEligibleEngine(service, constraints(), now);
       finishUnserved(cause.reason(), cause.retryAfterMs());
       return;
@@ -228,27 +230,20 @@
 
   private void finishUnserved(String reason, long retryAfterMs) {
     if (headSent) {
-      log.failed(reason, "after_event", lastEventId);
-      finish(RequestMetrics.Outcome.FAILED);
-      exchange.abort();
+      cleanUp();
+      completion.abort(reason, lastEventId);
     } else if (budget.mayHaveRun()) {
-      fail(502, "engine_failed", reason);
+      cleanUp();
+      completion.fail(502, "engine_failed", reason);
     } else {
       refuse(reason, retryAfterMs);
     }
   }
 
-  private void fail(int status, String code, String reason) {
-    log.failed(reason, "status", status);
-    finish(RequestMetrics.Outcome.FAILED);
-    exchange.sendError(ApiError.failed(status, code, reason, true));
-  }
-
   private void refuse(String reason, long retryAfterMs) {
     wait.end(nowMs());
-    log.refused(reason, wait.totalMs());
-    finish(RequestMetrics.Outcome.REFUSED);
-    Refusals.unavailable(exchange, reason, retryAfterMs);
+    cleanUp();
+    completion.refuse(reason, wait.totalMs(), retryAfterMs);
   }
 
   /** Ends a request that is quarantined because engines crashed on it; does not retry it. */
@@ -270,7 +265,8 @@
     if (headSent || !budget.mayHaveRun()) {
       finishUnserved("the time is over");
     } else {
-      fail(504, "timeout", "the time is over");
+      cleanUp();
+      completion.fail(504, "timeout", "the time is over");
     }
   }
 
@@ -278,7 +274,8 @@
     if (!finished) {
       log.callerLeft(attempt == null ? null : attempt.engine(), lastEventId, nowMs() - startMs);
       cancelAttempt();
-      finish(RequestMetrics.Outcome.CALLER_LEFT);
+      cleanUp();
+      completion.onCallerLeft();
     }
   }
 
@@ -289,16 +286,6 @@
     }
   }
 
-  private void finish(RequestMetrics.Outcome outcome) {
-    context.metrics().onEnd(route.kind(), outcome);
-    cleanUp();
-  }
-
-  private void finishServed() {
-    context.metrics().onServed(route.kind(), timeToFirstByteMs, nowMs() - startMs);
-    cleanUp();
-  }
-
   private void cleanUp() {
     finished = true;
     timeout.cancel(false);
@@ -334,6 +321,7 @@
       scanner = new SseEventScanner(lastEventId);
       if (isStream && lastEventId >= 0) {
         log.streamResumed(request, binding.softwareVersion(), lastEventId, engine().instance());
+        binding.onResume(headSent);
       }
       EngineCall call =
           new EngineCall(
@@ -397,7 +385,7 @@
       byte[] events = scanner.feed(part);
       if (events.length > 0) {
         lastEventId = scanner.lastId();
-        binding.onEvent(engine().instance());
+        binding.onEvents(engine().instance());
         tracker.onEvent(lastEventId, lastProgressMs);
         if (!exchange.write(events)) {
           log.callerTooSlow();
@@ -427,7 +415,6 @@
     private void onSuccess() {
       if (!isStream) {
         timeToFirstByteMs = nowMs() - startMs;
-        logServed();
         finishServed();
         exchange.send(response.status(), response.headers(), body.toByteArray());
       } else if (scanner.hasPartialEvent()) {
@@ -435,14 +422,14 @@
         retryOrFinish(false, "the stream ended inside an event");
       } else {
         tracker.onStreamCompleted(nowMs());
-        logServed();
         finishServed();
         exchange.endStream();
       }
     }
 
-    private void logServed() {
-      log.served(
+    private void finishServed() {
+      cleanUp();
+      completion.onServed(
           RequestLog.Served.by(
               tracker,
               routesVersion,
@@ -465,8 +452,8 @@
       } else if (headSent) {
         finishUnserved("the engine answered " + response.status());
       } else {
-        finish(RequestMetrics.Outcome.FAILED);
-        exchange.send(response.status(), response.headers(), body.toByteArray());
+        cleanUp();
+        completion.passBack(response, body.toByteArray());
       }
     }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestMetrics.java
@@ -36,6 +36,7 @@
   private final LongAdder attempts = new LongAdder();
   private final QueueMetrics queue = new QueueMetrics();
   private final MemoryMetrics memory = new MemoryMetrics();
+  private final StreamMetrics streams = new StreamMetrics();
 
   RequestMetrics() {
     for (RouteKind kind : RouteKind.values()) {
@@ -51,6 +52,10 @@
     return memory;
   }
 
+  StreamMetrics streams() {
+    return streams;
+  }
+
   void onAttempt() {
     attempts.increment();
   }
@@ -69,6 +74,7 @@
     FunctionCounter.builder("pathdeck.attempts", attempts, LongAdder::sum).register(registry);
     queue.bindTo(registry);
     memory.bindTo(registry);
+    streams.bindTo(registry);
     kinds.forEach((kind, counts) -> bindKind(registry, kind, counts));
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/StreamBinding.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/StreamBinding.java
@@ -19,6 +19,7 @@
   }
 
   private final Recorder recorder;
+  private final StreamMetrics metrics;
   private final RouteSpec route;
   private final long stream;
   private final boolean isRecorded;
@@ -27,12 +28,14 @@
 
   private StreamBinding(
       Recorder recorder,
+      StreamMetrics metrics,
       RouteSpec route,
       long stream,
       boolean isRecorded,
       Optional<StreamOrigin> origin,
       int attempt) {
     this.recorder = recorder;
+    this.metrics = metrics;
     this.route = route;
     this.stream = stream;
     this.isRecorded = isRecorded;
@@ -42,15 +45,22 @@
 
   /** The binding of a request whose response begins with it. */
   static StreamBinding ofNew(
-      Recorder recorder, RouteSpec route, CallerRequest.Routed request, String tenant) {
+      Recorder recorder,
+      StreamMetrics metrics,
+      RouteSpec route,
+      CallerRequest.Routed request,
+      String tenant) {
     long stream = StreamOrigins.streamOf(tenant, request.requestId());
-    return new StreamBinding(recorder, route, stream, route.resumable(), Optional.empty(), 0);
+    return new StreamBinding(
+        recorder, metrics, route, stream, route.resumable(), Optional.empty(), 0);
   }
 
   /** The binding of a request that takes up a stream. */
-  static StreamBinding ofResumed(Recorder recorder, RouteSpec route, StreamOriginRecord record) {
+  static StreamBinding ofResumed(
+      Recorder recorder, StreamMetrics metrics, RouteSpec route, StreamOriginRecord record) {
     return new StreamBinding(
         recorder,
+        metrics,
         route,
         record.stream(),
         route.resumable(),
@@ -81,10 +91,27 @@
     }
   }
 
-  /** Binds the stream to the engine that sent its first event. */
-  void onEvent(EngineInstance engine) {
+  /** Binds the stream to the engine that sent its first event; later events change nothing. */
+  void onEvents(EngineInstance engine) {
     if (origin.isEmpty()) {
       origin = Optional.of(StreamOrigin.of(engine));
+      metrics.onStream(StreamMetrics.Outcome.BEGUN, engine.softwareVersion());
+    }
+  }
+
+  /** Counts that an engine is asked for the rest of the stream. */
+  void onResume(boolean inResponse) {
+    StreamMetrics.Outcome outcome =
+        inResponse
+            ? StreamMetrics.Outcome.RESUMED_IN_RESPONSE
+            : StreamMetrics.Outcome.RESUMED_BY_CALLER;
+    metrics.onStream(outcome, softwareVersion());
+  }
+
+  /** Counts a stream that no engine can go on with. */
+  void onNoEngine() {
+    if (origin.isPresent()) {
+      metrics.onRefused(StreamMetrics.Refusal.NO_ENGINE);
     }
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -257,7 +257,8 @@
             mergeQuarantine(update),
             mergeEvacuatedZones(
                 previous.evacuatedZones(), update.evacuatedZones(), update.isLastKnown()),
-            update.jobsGroupRegions());
+            update.jobsGroupRegions(),
+            update.retiredOrigins());
     if (!changed && next.equals(previous)) {
       return;
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
@@ -9,6 +9,7 @@
 import io.pathdeck.protocol.fleet.JobsGroupReport;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.raft.GroupConfiguration;
 import io.pathdeck.protocol.raft.Member;
 import java.util.LinkedHashSet;
@@ -31,6 +32,7 @@
  * @param quarantine the requests that must not reach engines
  * @param evacuatedZones the zones whose engines must get nothing new
  * @param jobsGroupRegions the regions of the groups' first members; none in a fleet without regions
+ * @param retiredOrigins software versions that have left the list of engines recently
  */
 public record FleetView(
     RouteTable routes,
@@ -42,7 +44,8 @@
     List<Integer> leavingMembers,
     QuarantineList quarantine,
     EvacuatedZones evacuatedZones,
-    List<JobsGroupRegions> jobsGroupRegions) {
+    List<JobsGroupRegions> jobsGroupRegions,
+    List<StreamOrigin> retiredOrigins) {
   /** A view without any information. */
   public static final FleetView EMPTY =
       new FleetView(
@@ -56,7 +59,7 @@
           QuarantineList.NONE,
           EvacuatedZones.NONE);
 
-  /** Creates a view of a fleet without regions. */
+  /** Creates a view of a fleet without regions, whose engines have one software version. */
   public FleetView(
       RouteTable routes,
       Map<String, EngineInstance> engines,
@@ -77,6 +80,7 @@
         leavingMembers,
         quarantine,
         evacuatedZones,
+        List.of(),
         List.of());
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/eligibility/TestEngineEligibility.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/eligibility/TestEngineEligibility.java
@@ -2,9 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.pathdeck.fleet.topology.AllowedRegions;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EvacuatedZones;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class TestEngineEligibility {
@@ -21,4 +25,37 @@
     assertThat(eligibility.check(ENGINE, false, RequestConstraints.NONE, 20))
         .isEqualTo(Eligibility.ELIGIBLE);
   }
+
+  private static RequestConstraints resumed(String softwareVersion) {
+    return new RequestConstraints(
+        Set.of(),
+        AllowedRegions.ANYWHERE,
+        Optional.of(new StreamOrigin(ENGINE.service(), softwareVersion)));
+  }
+
+  @Test
+  void streamGoesOnOnlyAtItsSoftwareVersion() {
+    EngineInstance engine = ENGINE.withSoftwareVersion("v1");
+    assertThat(eligibility.check(engine, false, resumed("v1"), 10)).isEqualTo(Eligibility.ELIGIBLE);
+    assertThat(eligibility.check(engine, false, resumed("v2"), 10))
+        .isEqualTo(Eligibility.OTHER_SOFTWARE_VERSION);
+  }
+
+  @Test
+  void versionThatHasJustJoinedBeginsNoStreams() {
+    SoftwareVersions versions = eligibility.softwareVersions();
+    EngineInstance old = ENGINE.withSoftwareVersion("v1");
+    EngineInstance joined = ENGINE.withSoftwareVersion("v2");
+    versions.onEngines(List.of(old), List.of(), 0);
+    versions.onEngines(List.of(old, joined), List.of(), 1_000);
+    long settledMs = 1_000 + SoftwareVersions.SETTLING_MS;
+    assertThat(eligibility.check(joined, false, RequestConstraints.NONE, settledMs - 1))
+        .isEqualTo(Eligibility.SOFTWARE_VERSION_NOT_SETTLED);
+    assertThat(eligibility.check(old, false, RequestConstraints.NONE, settledMs - 1))
+        .isEqualTo(Eligibility.ELIGIBLE);
+    assertThat(eligibility.check(joined, false, resumed("v2"), settledMs - 1))
+        .isEqualTo(Eligibility.ELIGIBLE);
+    assertThat(eligibility.check(joined, false, RequestConstraints.NONE, settledMs))
+        .isEqualTo(Eligibility.ELIGIBLE);
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestJobsGroupLocator.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestJobsGroupLocator.java
@@ -38,7 +38,8 @@
             List.of(),
             QuarantineList.NONE,
             EvacuatedZones.NONE,
-            regions);
+            regions,
+            List.of());
     return new JobsGroupLocator(null, null, () -> view, topology);
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -215,7 +215,8 @@
     RequestAuthorization authorization =
         new RequestAuthorization(caller, () -> true, () -> AllowedRegions.ANYWHERE);
     StreamBinding binding =
-        StreamBinding.ofNew((stream, origin, attempt, of) -> {}, route, request, tenant);
+        StreamBinding.ofNew(
+            (stream, origin, attempt, of) -> {}, new StreamMetrics(), route, request, tenant);
     new RequestForwarder(
             context, exchange, request, route, SERVICE, 1, authorization, binding, nowMs)
         .start();
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -9,6 +9,7 @@
 import io.pathdeck.protocol.fleet.ProcessListDelta;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -31,6 +32,8 @@
  * @param evacuatedZones the zones whose engines must get nothing new; null when the asker knows
  *     them
  * @param jobsGroupRegions the regions of the groups' first members; none in a fleet without regions
+ * @param retiredOrigins software versions that have left the list of engines so recently that
+ *     callers may still take up streams which began there
  */
 public record FleetUpdate(
     RouteTable routes,
@@ -43,7 +46,8 @@
     List<String> contendedTenants,
     QuarantineList quarantine,
     EvacuatedZones evacuatedZones,
-    List<JobsGroupRegions> jobsGroupRegions)
+    List<JobsGroupRegions> jobsGroupRegions,
+    List<StreamOrigin> retiredOrigins)
     implements Message {
   /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
   public static final long NO_LEADERS_EPOCH = -1;
@@ -57,9 +61,10 @@
     leavingMembers = new ArrayList<>(leavingMembers);
     contendedTenants = new ArrayList<>(contendedTenants);
     jobsGroupRegions = new ArrayList<>(jobsGroupRegions);
+    retiredOrigins = new ArrayList<>(retiredOrigins);
   }
 
-  /** An answer in a fleet without regions. */
+  /** An answer in a fleet without regions, whose engines have one software version. */
   public FleetUpdate(
       RouteTable routes,
       EngineListDelta engines,
@@ -82,6 +87,7 @@
         contendedTenants,
         quarantine,
         evacuatedZones,
+        List.of(),
         List.of());
   }
 
