--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineTable.java
@@ -4,7 +4,6 @@
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.eligibility.RequestConstraints;
 import io.pathdeck.protocol.fleet.EngineInstance;
-import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -132,11 +131,14 @@
     return inService;
   }
 
-  /** Whether any engine of this origin is listed and not leaving. */
-  public boolean servesOrigin(StreamOrigin origin) {
+  /**
+   * Whether any engine that stays may get the request, now or when it is free, warm and up again.
+   */
+  public boolean anyMayServe(RequestConstraints constraints, long nowMs) {
     for (EngineState engine : engines.values()) {
       EngineInstance instance = engine.instance();
-      if (!instance.draining() && StreamOrigin.of(instance).equals(origin)) {
+      Eligibility whenUp = eligibility.check(instance, instance.draining(), constraints, nowMs);
+      if (whenUp == Eligibility.ELIGIBLE || whenUp == Eligibility.COLD_LIMIT_REACHED) {
         return true;
       }
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOriginExchange.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOriginExchange.java
@@ -35,7 +35,7 @@
   static final int MAX_ASKED = 8;
 
   /** Several round trips between zones; callers that return wait for it only if nobody knows. */
-  static final long LOOKUP_TIMEOUT_MS = 150;
+  static final long LOOKUP_TIMEOUT_MS = 250;
 
   private static final int MAX_RECORDS_PER_MESSAGE = 500;
 
@@ -52,7 +52,8 @@
   private final PeerPool pool;
   private final String selfName;
   private final StreamOriginTable table;
-  private List<FleetProcess> peers = List.of();
+  private KeeperRanking peers = new KeeperRanking(List.of());
+  private KeeperRanking readyPeers = peers;
 
   StreamOriginExchange(
       EventLoop eventLoop, PeerPool pool, String selfName, StreamOriginTable table) {
@@ -68,11 +69,13 @@
 
   /** Applies the other gateways of a new view. */
   void onChange(FleetView view) {
-    peers =
+    List<FleetProcess> others =
         view.withRole(FleetRole.GATEWAY).stream()
             .filter(gateway -> !gateway.name().equals(selfName))
             .filter(gateway -> !gateway.peerAddress().isEmpty())
             .toList();
+    peers = new KeeperRanking(others);
+    readyPeers = new KeeperRanking(others.stream().filter(FleetProcess::ready).toList());
   }
 
   /** Handles a message of another gateway; thread-safe. */
@@ -91,16 +94,11 @@
 
   /** Tells the keepers where streams began. */
   void tell(List<StreamOriginRecord> records) {
-    List<FleetProcess> ready = peers.stream().filter(FleetProcess::ready).toList();
     Map<String, List<StreamOriginRecord>> byAddress = new HashMap<>();
     for (StreamOriginRecord each : records) {
-      KeeperRanking.rank(each.stream(), ready).stream()
-          .limit(KEEPERS)
-          .forEach(
-              keeper ->
-                  byAddress
-                      .computeIfAbsent(keeper.peerAddress(), address -> new ArrayList<>())
-                      .add(each));
+      for (FleetProcess keeper : readyPeers.first(each.stream(), KEEPERS)) {
+        byAddress.computeIfAbsent(keeper.peerAddress(), address -> new ArrayList<>()).add(each);
+      }
     }
     byAddress.forEach(this::send);
   }
@@ -117,9 +115,9 @@
   /** Asks the probable keepers of a stream; {@code callback} runs once, on the event loop. */
   void find(long stream, Consumer<Lookup> callback) {
     List<PeerClient> keepers = new ArrayList<>();
-    KeeperRanking.rank(stream, peers).stream()
-        .limit(MAX_ASKED)
-        .forEach(peer -> pool.client(peer.peerAddress()).ifPresent(keepers::add));
+    for (FleetProcess peer : peers.first(stream, MAX_ASKED)) {
+      pool.client(peer.peerAddress()).ifPresent(keepers::add);
+    }
     PendingLookup lookup = new PendingLookup(keepers.size(), callback);
     if (keepers.isEmpty()) {
       lookup.finish(Optional.empty());
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -69,18 +69,21 @@
   List<ItemRun> itemsToBeginAnew(Collection<ItemRun> runs, FleetView view, long nowMs) {
     List<ItemRun> toBeginAnew = new ArrayList<>();
     for (ItemRun run : runs) {
-      if (run.mayStart(nowMs) && run.origin().isPresent() && !canGoOn(run, view)) {
+      if (run.mayStart(nowMs) && run.origin().isPresent() && !canGoOn(run, view, nowMs)) {
         toBeginAnew.add(run);
       }
     }
     return toBeginAnew;
   }
 
-  private boolean canGoOn(ItemRun run, FleetView view) {
-    StreamOrigin origin = run.origin().orElseThrow();
+  private boolean canGoOn(ItemRun run, FleetView view, long nowMs) {
     Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
-    boolean isRouted = route.isEmpty() || route.get().sendsTo(origin.service());
-    return isRouted && engines.servesOrigin(origin);
+    if (route.isEmpty()) {
+      return true;
+    }
+    String service = run.origin().orElseThrow().service();
+    return route.get().sendsTo(service)
+        && engines.anyMayServe(constraints(run, route.get(), view), nowMs);
   }
 
   /** Starts waiting items on engines with a free slot, in order of urgency. */
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
@@ -22,6 +22,7 @@
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -116,6 +117,37 @@
     run.onStart(new ItemStream(ORIGIN, -1, outcome -> {}), engine, relativePace, NOW_MS);
   }
 
+  private void listEngines(EngineInstance... listed) {
+    Map<String, EngineInstance> byId = new HashMap<>();
+    for (EngineInstance each : listed) {
+      byId.put(each.id(), each);
+    }
+    engines.update(byId);
+  }
+
+  private static EngineInstance engineOf(String id, String softwareVersion, boolean draining) {
+    return new EngineInstance(id, ORIGIN.service(), "h:1", "z", 8, draining)
+        .withSoftwareVersion(softwareVersion);
+  }
+
+  @Test
+  void itemWithEventsStartsOnlyAtItsSoftwareVersion() {
+    runs.get(0).appendEvents(new ItemEvents(ORIGIN, -1, 3, "text"));
+    listEngines(engineOf("other", "v2", false), engineOf("same", "v1", false));
+    engines.find("other").onLoadReport(load(0, 0), NOW_MS);
+    engines.find("same").onLoadReport(load(0, 0), NOW_MS);
+    assertThat(scheduler.itemsToBeginAnew(runs, view, NOW_MS)).isEmpty();
+    startItems();
+    assertThat(runs.get(0).engine().instance().id()).isEqualTo("same");
+  }
+
+  @Test
+  void itemBeginsAnewOnceEnginesOfItsSoftwareVersionHaveLeft() {
+    runs.get(0).appendEvents(new ItemEvents(ORIGIN, -1, 3, "text"));
+    listEngines(engineOf("other", "v2", false), engineOf("same", "v1", true));
+    assertThat(scheduler.itemsToBeginAnew(runs, view, NOW_MS)).containsExactly(runs.get(0));
+  }
+
   @Test
   void startsUrgentItemsFirstAndLateItemsLast() {
     report(0, 0);
