Tests: one stub of an engine protocol for three tests

Cause: the same stub stood in TestLostConnections, TestPausedReading and TestSlowCallers. Change: PlainEngineProtocol; no assertion changes.

--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
@@ -0,0 +1,59 @@
+package io.pathdeck.fleet.engine;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.pathdeck.fleet.adapter.EngineCall;
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.adapter.EngineProtocol;
+import io.pathdeck.fleet.adapter.EngineResponse;
+import java.util.Optional;
+
+/** Calls without a body that name their request, and answers that may name it and tell no load. */
+public final class PlainEngineProtocol implements EngineProtocol {
+  private static final String ID = "x-id";
+
+  private final String unnamedId;
+
+  /** Takes an answer that names no request for one to {@code unnamedId}. */
+  public PlainEngineProtocol(String unnamedId) {
+    this.unnamedId = unnamedId;
+  }
+
+  @Override
+  public FullHttpRequest write(EngineCall call) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri());
+    request.headers().set(ID, call.requestId());
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    return request;
+  }
+
+  @Override
+  public EngineResponse read(HttpResponse head) {
+    return new EngineResponse(
+        head.status().code(),
+        head.headers().get(ID, unnamedId),
+        true,
+        false,
+        false,
+        null,
+        0,
+        0,
+        EngineResponse.COLD_UNKNOWN,
+        new DefaultHttpHeaders());
+  }
+
+  @Override
+  public String reportPath() {
+    return "/load";
+  }
+
+  @Override
+  public Optional<EngineLoadReport> readReport(byte[] body) {
+    return Optional.empty();
+  }
+}
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestLostConnections.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestLostConnections.java
@@ -4,17 +4,10 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.fleet.adapter.EngineCall;
-import io.pathdeck.fleet.adapter.EngineLoadReport;
-import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
@@ -24,7 +17,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -44,47 +36,12 @@
   private final EventLoopGroup eventLoops = EventLoops.create(1);
   private final EventLoop eventLoop = eventLoops.next();
   private final NettyEngineTransport transport =
-      new NettyEngineTransport(eventLoop, new FixedProtocol());
+      new NettyEngineTransport(eventLoop, new PlainEngineProtocol(""));
   private ServerSocket server;
   private EngineInstance engine;
   private volatile boolean down;
   private int calls;
 
-  private static final class FixedProtocol implements EngineProtocol {
-    @Override
-    public FullHttpRequest write(EngineCall call) {
-      FullHttpRequest request =
-          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri());
-      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-      return request;
-    }
-
-    @Override
-    public EngineResponse read(HttpResponse head) {
-      return new EngineResponse(
-          head.status().code(),
-          "",
-          true,
-          false,
-          false,
-          null,
-          0,
-          0,
-          EngineResponse.COLD_UNKNOWN,
-          new DefaultHttpHeaders());
-    }
-
-    @Override
-    public String reportPath() {
-      return "/load";
-    }
-
-    @Override
-    public Optional<EngineLoadReport> readReport(byte[] body) {
-      return Optional.empty();
-    }
-  }
-
   private record OutcomeListener(CompletableFuture<String> outcome) implements EngineListener {
     @Override
     public void onHead(EngineResponse response) {}
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestPausedReading.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestPausedReading.java
@@ -6,22 +6,16 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpVersion;
 import io.pathdeck.fleet.adapter.EngineCall;
-import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.adapter.EngineTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -30,45 +24,13 @@
   private static final EngineInstance ENGINE = new EngineInstance("e", "s", "h:1", "z", 4, false);
 
   private final EventLoop eventLoop = new DefaultEventLoop();
-  private final EngineProtocol protocol = new FixedProtocol();
+  private final EngineProtocol protocol = new PlainEngineProtocol("r");
   private final EngineConnection connection =
       new EngineConnection(new NettyEngineTransport(eventLoop, protocol), protocol, ENGINE);
   private final EmbeddedChannel channel =
       new EmbeddedChannel(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
   private int completions;
 
-  private static final class FixedProtocol implements EngineProtocol {
-    @Override
-    public FullHttpRequest write(EngineCall call) {
-      return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri());
-    }
-
-    @Override
-    public EngineResponse read(HttpResponse head) {
-      return new EngineResponse(
-          head.status().code(),
-          "r",
-          true,
-          false,
-          false,
-          null,
-          0,
-          0,
-          EngineResponse.COLD_UNKNOWN,
-          new DefaultHttpHeaders());
-    }
-
-    @Override
-    public String reportPath() {
-      return "/load";
-    }
-
-    @Override
-    public Optional<EngineLoadReport> readReport(byte[] body) {
-      return Optional.empty();
-    }
-  }
-
   private PendingCall send() {
     EngineCall call =
         new EngineCall(
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -4,21 +4,14 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.fleet.adapter.CallerRequest;
-import io.pathdeck.fleet.adapter.EngineCall;
-import io.pathdeck.fleet.adapter.EngineLoadReport;
-import io.pathdeck.fleet.adapter.EngineProtocol;
-import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
+import io.pathdeck.fleet.engine.PlainEngineProtocol;
 import io.pathdeck.fleet.topology.AllowedRegions;
 import io.pathdeck.protocol.fleet.CallerTenant;
 import io.pathdeck.protocol.fleet.EngineInstance;
@@ -86,44 +79,6 @@
   private volatile boolean queueRequests;
   private ForwardingContext context;
 
-  /** Echoes the request id, like the engines of other tests. */
-  private static final class EchoProtocol implements EngineProtocol {
-    @Override
-    public FullHttpRequest write(EngineCall call) {
-      FullHttpRequest request =
-          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri());
-      request.headers().set("x-id", call.requestId());
-      return request;
-    }
-
-    @Override
-    public EngineResponse read(HttpResponse head) {
-      String id = head.headers().get("x-id", "");
-      int status = head.status().code();
-      return new EngineResponse(
-          status,
-          id,
-          true,
-          false,
-          false,
-          null,
-          0,
-          0,
-          EngineResponse.COLD_UNKNOWN,
-          new DefaultHttpHeaders());
-    }
-
-    @Override
-    public String reportPath() {
-      return "/load";
-    }
-
-    @Override
-    public Optional<EngineLoadReport> readReport(byte[] body) {
-      return Optional.empty();
-    }
-  }
-
   @BeforeEach
   void start() throws IOException {
     engine = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -140,7 +95,7 @@
     context =
         new ForwardingContext(
             eventLoop,
-            new NettyEngineTransport(eventLoop, new EchoProtocol()),
+            new NettyEngineTransport(eventLoop, new PlainEngineProtocol("")),
             engines,
             new EngineLoadBalancer("z", 1),
             ForwardingSettings.DEFAULT,
