A store that joins a group while it stops ends

What operators saw: a store that got SIGTERM in the moment in which it was given a jobs group never ended; a build of the users' kind hung in deploy/archive-classes for 8 minutes (seen beside other builds, traced by the threads of the process). Cause: ResourceStack.closeAll held its lock while it closed resources. PeerServer.close waits for the event loop, which waited for that lock to add the replica of the new group. Change: the lock is held only to take the next resource; what is added meanwhile is closed as well.

--- a/common/src/main/java/io/pathdeck/common/duty/ResourceStack.java
+++ b/common/src/main/java/io/pathdeck/common/duty/ResourceStack.java
@@ -17,12 +17,19 @@
     return resource;
   }
 
-  /** Closes everything; a failure to close one resource does not keep the others open. */
+  private synchronized AutoCloseable next() {
+    return resources.poll();
+  }
+
+  /**
+   * Closes everything, also what is added meanwhile; a failure to close one resource does not keep
+   * the others open. Holds no lock while it closes one: that may wait for a thread that adds one.
+   */
   @SuppressWarnings("CatchingUnchecked") // whatever a resource throws, the rest must be closed
-  public synchronized void closeAll() {
-    while (!resources.isEmpty()) {
+  public void closeAll() {
+    for (AutoCloseable resource = next(); resource != null; resource = next()) {
       try {
-        resources.pop().close();
+        resource.close();
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       } catch (Exception e) {
