--- a/fleet/src/main/java/io/pathdeck/fleet/load/LoadExchange.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/load/LoadExchange.java
@@ -31,8 +31,8 @@
  * Exchanges in-flight call counts with the other gateways of the zone and applies theirs to the
  * engine table; confined to the event loop.
  *
- * <p>Until {@link #openIfNeeded} opens the socket, no address is published and nothing is sent.
- * Counts are sent only to gateways that publish an address.
+ * <p>Nothing is sent until {@link #openIfNeeded} opens the socket. A gateway whose socket is not
+ * open yet misses the counts of others.
  */
 public final class LoadExchange implements AutoCloseable {
   private static final EventLog EVENTS = EventLog.of(LoadExchange.class);
@@ -83,11 +83,8 @@
     return LongHashFunction.xx3().hashBytes(name.getBytes(StandardCharsets.UTF_8));
   }
 
-  /**
-   * Returns the address at which peers reach this process; empty while no socket is open.
-   * Thread-safe.
-   */
-  public String address() {
+  /** Returns the address at which this process receives counts; empty while no socket is open. */
+  String address() {
     return channel == null ? "" : self.listen().toString();
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -4,6 +4,7 @@
 import io.pathdeck.fleet.eligibility.SoftwareVersions;
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.fleet.member.PeerPool;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTarget;
 import io.pathdeck.protocol.fleet.StreamOrigin;
@@ -49,7 +50,7 @@
   private final StreamOriginExchange exchange;
   private final SoftwareVersions softwareVersions;
   private final BooleanSupplier viewIsConfirmed;
-  private Set<String> servicesTold = Set.of();
+  private Set<String> servicesOfSeveralVersions = Set.of();
 
   /**
    * Creates an empty record.
@@ -97,21 +98,32 @@
   /** Applies a new view, after the software versions of its engines. */
   public void onChange(FleetView view) {
     exchange.onChange(view);
-    if (view.engines() == null) {
-      return;
+    if (view.engines() != null) {
+      Set<String> severalVersions = servicesOfSeveralVersions(view);
+      Set<String> joined = new HashSet<>(severalVersions);
+      joined.removeAll(servicesOfSeveralVersions);
+      servicesOfSeveralVersions = severalVersions;
+      tellRecordsOf(joined);
     }
+  }
+
+  private Set<String> servicesOfSeveralVersions(FleetView view) {
     long nowMs = nowMs();
-    Set<String> severalVersions = new HashSet<>();
-    view.engines().values().forEach(engine -> severalVersions.add(engine.service()));
-    severalVersions.removeIf(
+    Set<String> services = new HashSet<>();
+    for (EngineInstance engine : view.engines().values()) {
+      services.add(engine.service());
+    }
+    services.removeIf(
         service ->
             softwareVersions.recentVersions(service, StreamOriginTable.MAX_VALID_MS, nowMs).size()
                 < 2);
-    Set<String> joined = new HashSet<>(severalVersions);
-    joined.removeAll(servicesTold);
-    servicesTold = severalVersions;
-    if (!joined.isEmpty()) {
-      exchange.tell(table.matching(origin -> joined.contains(origin.service()), nowMs));
+    return services;
+  }
+
+  /** Tells others of streams that began while their service had a single version. */
+  private void tellRecordsOf(Set<String> services) {
+    if (!services.isEmpty()) {
+      exchange.tell(table.matching(origin -> services.contains(origin.service()), nowMs()));
     }
   }
 
