The decision on a stream without a record is a class of its own

Cause: StreamOrigins mixed the table, the questions to other gateways and the decision, which had no test without a network. Change: OriginKnowledge decides from the possible origins, the age of the view and the answers; no behavior changes.

--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -143,42 +143,28 @@
 
   /** Finds where a stream began; {@code callback} runs once, on the event loop. */
   public void resolve(long stream, RouteSpec route, Consumer<Resolution> callback) {
-    long nowMs = nowMs();
-    Optional<StreamOriginRecord> own = table.find(stream, nowMs);
+    Optional<StreamOriginRecord> own = table.find(stream, nowMs());
     if (own.isPresent()) {
       callback.accept(new Resolution.Known(own.get()));
       return;
     }
-    boolean knowsAllOrigins =
-        viewIsConfirmed.getAsBoolean() && softwareVersions.hasFollowedFor(validMs(route), nowMs);
-    Optional<StreamOriginRecord> onlyOrigin = onlyOrigin(stream, route, nowMs);
-    if (knowsAllOrigins && onlyOrigin.isPresent()) {
-      callback.accept(new Resolution.Known(onlyOrigin.get()));
-      return;
-    }
-    if (stream == UNNAMED) {
-      callback.accept(onlyOriginOrUnknown(viewIsConfirmed.getAsBoolean(), onlyOrigin, false));
-      return;
-    }
-    exchange.find(stream, lookup -> callback.accept(resolution(stream, route, lookup)));
-  }
-
-  private Resolution resolution(long stream, RouteSpec route, StreamOriginExchange.Lookup lookup) {
-    if (lookup.found().isPresent()) {
-      return new Resolution.Known(lookup.found().get());
+    OriginKnowledge knowledge = knowledge(stream, route);
+    Optional<Resolution> certain = knowledge.withoutAsking();
+    if (certain.isPresent()) {
+      callback.accept(certain.get());
+    } else if (stream == UNNAMED) {
+      callback.accept(knowledge.ofUnnamed());
+    } else {
+      exchange.find(stream, lookup -> callback.accept(knowledge(stream, route).after(lookup)));
     }
-    boolean isListReliable =
-        viewIsConfirmed.getAsBoolean() || lookup.answered() > 0 || lookup.asked() == 0;
-    boolean mayBeFound = lookup.answered() < lookup.asked();
-    return onlyOriginOrUnknown(isListReliable, onlyOrigin(stream, route, nowMs()), mayBeFound);
   }
 
-  private static Resolution onlyOriginOrUnknown(
-      boolean isListReliable, Optional<StreamOriginRecord> onlyOrigin, boolean mayBeFound) {
-    return onlyOrigin
-        .filter(origin -> isListReliable)
-        .<Resolution>map(Resolution.Known::new)
-        .orElseGet(() -> new Resolution.Unknown(mayBeFound));
+  private OriginKnowledge knowledge(long stream, RouteSpec route) {
+    long nowMs = nowMs();
+    return new OriginKnowledge(
+        onlyOrigin(stream, route, nowMs),
+        viewIsConfirmed.getAsBoolean(),
+        softwareVersions.hasFollowedFor(validMs(route), nowMs));
   }
 
   /** Returns the origin of all streams of the route if there is only one. */
