A leader that has not read the list of engines confirms no software versions

Cause: a gateway took its view for confirmed by any answer of a leader, also of a new one that has not read the list yet, and might have missed a version that others know from the leader before (by reading). Change: FleetFollower.areEnginesConfirmedWithin counts only answers with the list of a leader.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -95,7 +95,7 @@
             pool,
             fleet.name(),
             eligibility.softwareVersions(),
-            () -> follower.isConfirmedWithin(SoftwareVersions.MAX_VIEW_AGE_MS));
+            () -> follower.areEnginesConfirmedWithin(SoftwareVersions.MAX_VIEW_AGE_MS));
     QuarantiningTransport transport = createEngineTransport(eventLoop);
     gateway =
         new Gateway(
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -36,6 +36,7 @@
   private static final EventLog EVENTS = EventLog.of(FleetFollower.class);
   private static final long CALL_TIMEOUT_MS = 900;
   private static final long ATTEMPT_TIMEOUT_MS = 500;
+  private static final long NEVER = Long.MIN_VALUE;
 
   /** The content of a heartbeat that describes the process; created for each heartbeat. */
   public record SelfReport(
@@ -66,6 +67,7 @@
   private final ViewFreshness freshness = new ViewFreshness(processStartNs());
   private final long createdNs = System.nanoTime();
   private final ReportInterval reportInterval = new ReportInterval(createdNs);
+  private volatile long enginesConfirmedNs = NEVER;
   private boolean connected;
   private boolean closed;
 
@@ -111,6 +113,16 @@
     return view().isComplete() && freshness.isUsable(System.nanoTime());
   }
 
+  /**
+   * Whether a leader that has read the list of engines has answered a report that was sent in the
+   * last {@code maxAgeMs}. Thread-safe.
+   */
+  public boolean areEnginesConfirmedWithin(long maxAgeMs) {
+    long confirmedNs = enginesConfirmedNs;
+    return confirmedNs != NEVER
+        && System.nanoTime() - confirmedNs < TimeUnit.MILLISECONDS.toNanos(maxAgeMs);
+  }
+
   /**
    * Whether this process was suspended and has not heard since then what changed meanwhile. False
    * for a process that is cut off from the coordinators, which continues with its last view.
@@ -209,12 +221,20 @@
         onLastKnown(update);
       } else {
         freshness.onLeaderAnswered(sentNs);
+        if (isListOfLeader(update.engines())) {
+          enginesConfirmedNs = sentNs;
+        }
         contentionListener.accept(update.contendedTenants());
         applyUpdate(update);
       }
     }
   }
 
+  /** A leader that has not read the list yet sends none, or the saved one. */
+  private static boolean isListOfLeader(EngineListDelta engines) {
+    return engines != null && engines.epoch() != FleetUpdate.NO_LEADERS_EPOCH;
+  }
+
   /**
    * Handles the last-known state of a coordinator. Asks another one next, since this one may be cut
    * off from a leader that others know.
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -56,7 +56,7 @@
    * Creates an empty record.
    *
    * @param softwareVersions the versions in the list of engines
-   * @param viewIsConfirmed whether a leader has confirmed the view of the fleet within {@link
+   * @param viewIsConfirmed whether a leader has confirmed the list of engines within {@link
    *     SoftwareVersions#MAX_VIEW_AGE_MS}
    */
   public StreamOrigins(
