--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -198,8 +198,8 @@
         view -> {
           regionTraffic.onChange(view);
           learnCoordinators(view, host, pool);
-          saveIfConfirmed(view, follower, lastKnownFleet);
           host.execute(() -> membership[0].onView(view));
+          saveIfConfirmed(view, follower, lastKnownFleet);
         });
     lastKnownFleet.start();
     resources.push(
@@ -218,14 +218,7 @@
     startHttpServer(settings.directoryListen(), eventLoops, directory::handle);
     resources.push(follower);
     follower.start();
-    OperatorEndpoint operators =
-        new OperatorEndpoint(
-            adapter.operators(),
-            contacts.client(),
-            follower::view,
-            fleet.minGroupSize(),
-            fleet.topology());
-    startHttpServer(settings.operatorsListen(), eventLoops, operators::handle);
+    startOperatorServer(eventLoops, follower, adapter);
     MemberMetrics.serve(
         fleet,
         eventLoops,
@@ -240,6 +233,19 @@
     logStarted(self);
   }
 
+  private void startOperatorServer(
+      EventLoopGroup eventLoops, FleetFollower follower, FleetAdapter adapter) {
+    FleetSettings fleet = settings.fleet();
+    OperatorEndpoint operators =
+        new OperatorEndpoint(
+            adapter.operators(),
+            contacts.client(),
+            follower::view,
+            fleet.minGroupSize(),
+            fleet.topology());
+    startHttpServer(settings.operatorsListen(), eventLoops, operators::handle);
+  }
+
   private static void logStarted(FleetProcess self) {
     EVENTS.log(
         EventCode.PROCESS_STARTED,
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -120,6 +120,15 @@
       gateway.setCallStartListener(loadExchange::onCallStarted);
     }
     follower.setChangeListener(view -> onChange(view, transport));
+    startPeerServer(eventLoops, tls);
+    callerServer = startCallerServer(eventLoops, metrics.memory());
+    startReadinessServer(eventLoops);
+    startMetrics(eventLoops, metrics, loadMetrics);
+    resources.push(follower);
+  }
+
+  private void startPeerServer(EventLoopGroup eventLoops, TransportTls tls) {
+    FleetSettings fleet = settings.fleet();
     resources.push(
         new PeerServer(
             fleet.listen(),
@@ -127,15 +136,20 @@
             tls,
             fleet.peerCompression(),
             streamOrigins.exchange()::onMessage));
-    callerServer =
-        resources.push(
-            new HttpServer(
-                settings.callersListen(),
-                eventLoops,
-                settings.limits(),
-                Optional.empty(),
-                memoryFactory(settings, metrics.memory()),
-                gateway::handle));
+  }
+
+  private HttpServer startCallerServer(EventLoopGroup eventLoops, MemoryMetrics metrics) {
+    return resources.push(
+        new HttpServer(
+            settings.callersListen(),
+            eventLoops,
+            settings.limits(),
+            Optional.empty(),
+            memoryFactory(settings, metrics),
+            gateway::handle));
+  }
+
+  private void startReadinessServer(EventLoopGroup eventLoops) {
     resources.push(
         new HttpServer(
             settings.readinessListen(),
@@ -143,8 +157,6 @@
             settings.limits(),
             Optional.empty(),
             this::handleReadinessCheck));
-    startMetrics(eventLoops, metrics, loadMetrics);
-    resources.push(follower);
   }
 
   private void checkPeriodically() {
