The storage reaches its files through a Disk

They now go through an interface with one implementation, LocalDisk; a process can be started on another one. TestSegmentedLog, TestStoredFolder and TestUnreadableEntry pass.

--- a/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
@@ -3,12 +3,9 @@
 import io.pathdeck.common.result.Result;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
 import java.util.Optional;
 
@@ -19,25 +16,32 @@
 public final class DataFolder {
   private static final String IDENTITY_FILE = "incarnation";
 
+  private final Disk disk;
   private final Path path;
   private final long incarnation;
 
-  private DataFolder(Path path, long incarnation) {
+  private DataFolder(Disk disk, Path path, long incarnation) {
+    this.disk = disk;
     this.path = path;
     this.incarnation = incarnation;
   }
 
-  /** Opens the folder, creating it with a new incarnation when it is missing. */
+  /** Opens a folder of this machine, creating it with a new incarnation when it is missing. */
   public static Result<DataFolder, StorageError> open(Path path) {
+    return open(path, Disk.LOCAL);
+  }
+
+  /** Opens a folder on {@code disk}, creating it with a new incarnation when it is missing. */
+  public static Result<DataFolder, StorageError> open(Path path, Disk disk) {
     try {
       Files.createDirectories(path);
       Path identity = path.resolve(IDENTITY_FILE);
       if (!Files.exists(identity)) {
         long created = new SecureRandom().nextLong() & Long.MAX_VALUE;
-        writeDurably(identity, Long.toString(created).getBytes(StandardCharsets.UTF_8));
+        writeDurably(disk, identity, Long.toString(created).getBytes(StandardCharsets.UTF_8));
       }
       long incarnation = Long.parseLong(Files.readString(identity).trim());
-      return Result.ok(new DataFolder(path, incarnation));
+      return Result.ok(new DataFolder(disk, path, incarnation));
     } catch (IOException | NumberFormatException e) {
       return Result.err(new StorageError.Io("open data folder " + path, e.toString()));
     }
@@ -47,6 +51,10 @@
     return path;
   }
 
+  Disk disk() {
+    return disk;
+  }
+
   /** The random number that distinguishes this folder from any earlier one. */
   public long incarnation() {
     return incarnation;
@@ -55,7 +63,7 @@
   /** Writes a small file of the folder durably. */
   public Result<Void, StorageError> writeFile(String name, String content) {
     try {
-      writeDurably(path.resolve(name), content.getBytes(StandardCharsets.UTF_8));
+      writeDurably(disk, path.resolve(name), content.getBytes(StandardCharsets.UTF_8));
       return Result.ok(null);
     } catch (IOException e) {
       return Result.err(new StorageError.Io("write " + name, e.toString()));
@@ -75,32 +83,18 @@
   /**
    * Writes a file durably and atomically: after a crash the file is either unchanged or complete.
    */
-  static void writeDurably(Path target, byte[] content) throws IOException {
+  static void writeDurably(Disk disk, Path target, byte[] content) throws IOException {
     Path temporary = target.resolveSibling(target.getFileName() + ".tmp");
-    try (FileChannel channel =
-        FileChannel.open(
-            temporary,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE)) {
-      ByteBuffer buffer = ByteBuffer.wrap(content);
-      while (buffer.hasRemaining()) {
-        channel.write(buffer);
-      }
-      channel.force(true);
+    try (DiskFile file = disk.create(temporary)) {
+      file.append(ByteBuffer.wrap(content));
+      file.sync();
     }
-    renameDurably(temporary, target);
+    renameDurably(disk, temporary, target);
   }
 
   /** Renames a synced file to its final name and syncs the folder. */
-  static void renameDurably(Path temporary, Path target) throws IOException {
-    Files.move(temporary, target, StandardCopyOption.ATOMIC_MOVE);
-    syncFolder(target.getParent());
-  }
-
-  static void syncFolder(Path folder) throws IOException {
-    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-      channel.force(true);
-    }
+  static void renameDurably(Disk disk, Path temporary, Path target) throws IOException {
+    disk.rename(temporary, target);
+    disk.syncFolder(target.getParent());
   }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
@@ -12,10 +12,8 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -37,6 +35,7 @@
   private static final long MAX_SEGMENT_LENGTH = 64L * 1024 * 1024;
   private static final String PREFIX = "log-";
 
+  private final Disk disk;
   private final Path folder;
   private final long maxSegmentLength;
 
@@ -45,24 +44,26 @@
 
   private final Map<Integer, HardStateRecord> hardStates = new HashMap<>();
   private final Map<Integer, BootstrapRecord> bootstraps = new HashMap<>();
-  private FileChannel channel;
+  private DiskFile currentFile;
   private Path currentSegment;
   private long nextSequence = 1;
 
-  private SegmentedLog(Path folder, long maxSegmentLength) {
+  private SegmentedLog(Disk disk, Path folder, long maxSegmentLength) {
+    this.disk = disk;
     this.folder = folder;
     this.maxSegmentLength = maxSegmentLength;
   }
 
   /** Opens the log and passes every recovered record to {@code replay} in order. */
-  public static Result<SegmentedLog, StorageError> open(Path folder, Consumer<LogRecord> replay) {
+  public static Result<SegmentedLog, StorageError> open(
+      DataFolder folder, Consumer<LogRecord> replay) {
     return open(folder, MAX_SEGMENT_LENGTH, replay);
   }
 
   /** Opens a log that starts a new segment after {@code maxSegmentLength} bytes. */
   public static Result<SegmentedLog, StorageError> open(
-      Path folder, long maxSegmentLength, Consumer<LogRecord> replay) {
-    SegmentedLog log = new SegmentedLog(folder, maxSegmentLength);
+      DataFolder folder, long maxSegmentLength, Consumer<LogRecord> replay) {
+    SegmentedLog log = new SegmentedLog(folder.disk(), folder.path(), maxSegmentLength);
     try {
       List<Path> files = log.existingSegments();
       for (int i = 0; i < files.size(); i++) {
@@ -75,7 +76,7 @@
       log.roll();
       return Result.ok(log);
     } catch (IOException e) {
-      return Result.err(new StorageError.Io("open log in " + folder, e.toString()));
+      return Result.err(new StorageError.Io("open log in " + folder.path(), e.toString()));
     }
   }
 
@@ -122,27 +123,24 @@
         start,
         "bytes",
         content.limit() - start);
-    try (FileChannel torn = FileChannel.open(file, StandardOpenOption.WRITE)) {
+    try (DiskFile torn = disk.open(file)) {
       torn.truncate(start);
-      torn.force(true);
+      torn.sync();
     }
     return Result.ok(null);
   }
 
   /** Writes and syncs records as one batch. When it returns, they are durable. */
   public void append(List<LogRecord> batch) throws IOException {
-    if (channel.position() >= maxSegmentLength) {
+    if (currentFile.length() >= maxSegmentLength) {
       roll();
     }
     write(batch);
-    channel.force(false);
+    currentFile.sync();
   }
 
   private void write(List<LogRecord> batch) throws IOException {
-    ByteBuffer frame = FrameFormat.frame(encodeBatch(batch));
-    while (frame.hasRemaining()) {
-      channel.write(frame);
-    }
+    currentFile.append(FrameFormat.frame(encodeBatch(batch)));
     batch.forEach(logRecord -> track(currentSegment, logRecord));
   }
 
@@ -161,20 +159,19 @@
    * segments can be deleted.
    */
   private void roll() throws IOException {
-    if (channel != null) {
-      channel.close();
+    if (currentFile != null) {
+      currentFile.close();
     }
     currentSegment = folder.resolve(String.format("%s%012d", PREFIX, nextSequence++));
-    channel =
-        FileChannel.open(currentSegment, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+    currentFile = disk.create(currentSegment);
     segments.put(currentSegment, new HashMap<>());
     List<LogRecord> headRecords = new ArrayList<>(bootstraps.values());
     headRecords.addAll(hardStates.values());
     if (!headRecords.isEmpty()) {
       write(headRecords);
-      channel.force(false);
+      currentFile.sync();
     }
-    DataFolder.syncFolder(folder);
+    disk.syncFolder(folder);
   }
 
   /** Deletes the oldest segments whose entries are all covered by {@code snapshotIndexes}. */
@@ -187,7 +184,7 @@
       if (segment.equals(currentSegment) || !covered) {
         return;
       }
-      Files.deleteIfExists(segment);
+      disk.delete(segment);
       segments.remove(segment);
     }
   }
@@ -221,6 +218,6 @@
 
   @Override
   public void close() throws IOException {
-    channel.close();
+    currentFile.close();
   }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
@@ -10,7 +10,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
-import java.nio.channels.Channels;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,10 +26,12 @@
 public final class SnapshotFiles {
   private static final int BUFFER_LENGTH = 1 << 16;
 
+  private final Disk disk;
   private final Path folder;
 
-  public SnapshotFiles(Path folder) {
-    this.folder = folder;
+  public SnapshotFiles(DataFolder folder) {
+    this.disk = folder.disk();
+    this.folder = folder.path();
   }
 
   /** Writes and syncs a snapshot; when it returns the snapshot is durable. */
@@ -38,13 +39,8 @@
       throws IOException {
     Path target = file(group, metadata.index());
     Path temporary = target.resolveSibling(target.getFileName() + ".tmp");
-    try (FileChannel channel =
-        FileChannel.open(
-            temporary,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE)) {
-      OutputStream out = new BufferedOutputStream(Channels.newOutputStream(channel), BUFFER_LENGTH);
+    try (DiskFile file = disk.create(temporary)) {
+      OutputStream out = new BufferedOutputStream(new FileOutput(file), BUFFER_LENGTH);
       writeRecord(
           out,
           new SnapshotHeaderRecord(
@@ -56,16 +52,16 @@
       }
       writeRecord(out, new SnapshotEndRecord(count));
       out.flush();
-      channel.force(true);
+      file.sync();
     }
-    DataFolder.renameDurably(temporary, target);
+    DataFolder.renameDurably(disk, temporary, target);
     deleteOlder(group, metadata.index());
     return target;
   }
 
   /** Stores a snapshot received from the leader. */
   public void store(int group, SnapshotInstall install) throws IOException {
-    DataFolder.writeDurably(file(group, install.metadata().index()), install.content());
+    DataFolder.writeDurably(disk, file(group, install.metadata().index()), install.content());
     deleteOlder(group, install.metadata().index());
   }
 
@@ -148,7 +144,7 @@
   private void deleteOlder(int group, long index) throws IOException {
     for (Path candidate : files(group)) {
       if (candidate.compareTo(file(group, index)) < 0) {
-        Files.deleteIfExists(candidate);
+        disk.delete(candidate);
       }
     }
   }
@@ -157,6 +153,25 @@
     out.write(FrameFormat.frame(ObjectCodec.encode(value)).array());
   }
 
+  /** Appends to a file. */
+  private static final class FileOutput extends OutputStream {
+    private final DiskFile file;
+
+    FileOutput(DiskFile file) {
+      this.file = file;
+    }
+
+    @Override
+    public void write(int value) throws IOException {
+      write(new byte[] {(byte) value}, 0, 1);
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) throws IOException {
+      file.append(ByteBuffer.wrap(bytes, offset, length));
+    }
+  }
+
   /** Reads the records of a snapshot file one by one. */
   private static final class RecordReader {
     private final ByteBuffer content;
--- a/consensus/src/test/java/io/pathdeck/consensus/storage/TestSegmentedLog.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/storage/TestSegmentedLog.java
@@ -14,6 +14,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -30,8 +31,12 @@
     return new EntryRecord(1, new LogEntry(index, 1, new byte[] {(byte) index}, null));
   }
 
+  private Result<SegmentedLog, StorageError> open(Consumer<LogRecord> replay) {
+    return SegmentedLog.open(DataFolder.open(folder).value(), replay);
+  }
+
   private Path writeLog() throws IOException {
-    Result<SegmentedLog, StorageError> opened = SegmentedLog.open(folder, record -> {});
+    Result<SegmentedLog, StorageError> opened = open(record -> {});
     try (SegmentedLog log = opened.value()) {
       for (long index = 1; index <= BATCHES; index++) {
         log.append(List.of(entry(index), new HardStateRecord(1, index, 2)));
@@ -51,7 +56,7 @@
 
   private List<LogRecord> recover() {
     List<LogRecord> records = new ArrayList<>();
-    Result<SegmentedLog, StorageError> opened = SegmentedLog.open(folder, records::add);
+    Result<SegmentedLog, StorageError> opened = open(records::add);
     assertThat(opened.isOk()).isTrue();
     return records;
   }
@@ -89,7 +94,7 @@
     byte[] content = Files.readAllBytes(segment);
     content[content.length / 3] ^= 0x40;
     Files.write(segment, content);
-    Result<SegmentedLog, StorageError> opened = SegmentedLog.open(folder, record -> {});
+    Result<SegmentedLog, StorageError> opened = open(record -> {});
     assertThat(opened.isOk()).isFalse();
     assertThat(opened.error()).isInstanceOf(StorageError.Damaged.class);
   }
@@ -103,7 +108,7 @@
       byte[] randomBytes = new byte[random.nextInt(300)];
       random.nextBytes(randomBytes);
       Files.write(segment, randomBytes);
-      Result<SegmentedLog, StorageError> opened = SegmentedLog.open(folder, record -> {});
+      Result<SegmentedLog, StorageError> opened = open(record -> {});
       assertThat(opened.isOk() || opened.error() instanceof StorageError.Damaged).isTrue();
     }
   }
--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -63,8 +63,7 @@
       return Result.err(folder.error());
     }
     RecoveredGroups recovered = new RecoveredGroups();
-    Result<SegmentedLog, StorageError> log =
-        SegmentedLog.open(settings.dataFolder(), recovered::replay);
+    Result<SegmentedLog, StorageError> log = SegmentedLog.open(folder.value(), recovered::replay);
     if (!log.isOk()) {
       return Result.err(log.error());
     }
@@ -80,7 +79,7 @@
   private void run(DataFolder folder, SegmentedLog log, RecoveredGroups recovered, TransportTls tls)
       throws IOException {
     ControllerClock clock = ControllerClock.system();
-    SnapshotFiles snapshotFiles = new SnapshotFiles(folder.path());
+    SnapshotFiles snapshotFiles = new SnapshotFiles(folder);
     ControllerRings rings = ControllerRings.create();
     EventLoopGroup eventLoops = EventLoops.create(NETWORK_THREADS);
     resources.push(eventLoops::shutdownGracefully);
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -82,7 +82,7 @@
       RecoveredGroups recovered,
       PeerLinks links)
       throws IOException {
-    SnapshotFiles snapshotFiles = new SnapshotFiles(folder.path());
+    SnapshotFiles snapshotFiles = new SnapshotFiles(folder);
     storageDuty =
         new StorageDuty(log, rings.storage(), this::complete, ReplicaHost::haltAfterFailure);
     snapshotDuty =
@@ -106,7 +106,7 @@
       Options options, DataFolder folder, PeerLinks links) {
     RecoveredGroups recovered = new RecoveredGroups();
     Result<SegmentedLog, StorageError> log =
-        SegmentedLog.open(folder.path(), options.maxSegmentBytes(), recovered::replay);
+        SegmentedLog.open(folder, options.maxSegmentBytes(), recovered::replay);
     if (!log.isOk()) {
       return Result.err(log.error());
     }
--- a/control/src/test/java/io/pathdeck/control/TestStoredFolder.java
+++ b/control/src/test/java/io/pathdeck/control/TestStoredFolder.java
@@ -142,7 +142,7 @@
 
   @Test
   void snapshotWithUnknownRecordDoesNotStart() throws Exception {
-    SnapshotFiles files = new SnapshotFiles(folder);
+    SnapshotFiles files = new SnapshotFiles(DataFolder.open(folder).value());
     SnapshotMetadata stored = files.newestMetadata(GROUP).orElseThrow();
     List<Object> records = new ArrayList<>();
     files.read(GROUP).forEachRemaining(records::add);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -11,6 +11,7 @@
 import io.pathdeck.consensus.JoinSettings;
 import io.pathdeck.consensus.MembershipPolicy;
 import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.consensus.storage.Disk;
 import io.pathdeck.consensus.storage.StorageError;
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.FleetMemberProcess;
@@ -75,10 +76,16 @@
     this.settings = settings;
   }
 
-  /** Recovers the data folder and starts the process. */
+  /** Recovers the data folder on the local disk and starts the process. */
   public static Result<CoordinatorProcess, StorageError> start(
       CoordinatorSettings settings, TransportTls tls, FleetAdapter adapter) {
-    Result<DataFolder, StorageError> folder = DataFolder.open(settings.dataFolder());
+    return start(settings, tls, adapter, Disk.LOCAL);
+  }
+
+  /** Recovers the data folder on {@code disk} and starts the process. */
+  public static Result<CoordinatorProcess, StorageError> start(
+      CoordinatorSettings settings, TransportTls tls, FleetAdapter adapter, Disk disk) {
+    Result<DataFolder, StorageError> folder = DataFolder.open(settings.dataFolder(), disk);
     if (!folder.isOk()) {
       return Result.err(folder.error());
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -8,6 +8,7 @@
 import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.consensus.storage.Disk;
 import io.pathdeck.consensus.storage.StorageError;
 import io.pathdeck.control.ControllerStatus;
 import io.pathdeck.fleet.FleetMemberProcess;
@@ -64,10 +65,16 @@
     this.adapter = adapter;
   }
 
-  /** Recovers the data folder and starts. */
+  /** Recovers the data folder on the local disk and starts. */
   public static Result<StoreProcess, StorageError> start(
       StoreSettings settings, TransportTls tls, FleetAdapter adapter) {
-    Result<DataFolder, StorageError> openResult = DataFolder.open(settings.dataFolder());
+    return start(settings, tls, adapter, Disk.LOCAL);
+  }
+
+  /** Recovers the data folder on {@code disk} and starts. */
+  public static Result<StoreProcess, StorageError> start(
+      StoreSettings settings, TransportTls tls, FleetAdapter adapter, Disk disk) {
+    Result<DataFolder, StorageError> openResult = DataFolder.open(settings.dataFolder(), disk);
     if (!openResult.isOk()) {
       return Result.err(openResult.error());
     }
--- a/testkit/src/main/java/io/pathdeck/testkit/bench/StateBench.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/bench/StateBench.java
@@ -4,6 +4,7 @@
 import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.common.result.Result;
 import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.consensus.storage.SegmentedLog;
 import io.pathdeck.consensus.storage.StorageError;
 import io.pathdeck.protocol.client.ControlPlane;
@@ -105,8 +106,8 @@
   }
 
   private static void segmentedLog(Path path, PrintStream out) throws IOException {
-    Files.createDirectories(path);
-    Result<SegmentedLog, StorageError> opened = SegmentedLog.open(path, logRecord -> {});
+    DataFolder folder = DataFolder.open(path).value();
+    Result<SegmentedLog, StorageError> opened = SegmentedLog.open(folder, logRecord -> {});
     long records = 0;
     long startNs = System.nanoTime();
     try (SegmentedLog log = opened.value()) {
