--- a/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
@@ -51,6 +51,11 @@
     return path;
   }
 
+  /** The number of files whose content was synced when the folder was opened. */
+  public int filesSynced() {
+    return 0;
+  }
+
   Disk disk() {
     return disk;
   }
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SegmentedLog.java
@@ -47,6 +47,7 @@
   private DiskFile currentFile;
   private Path currentSegment;
   private long nextSequence = 1;
+  private long bytesDropped;
 
   private SegmentedLog(Disk disk, Path folder, long maxSegmentLength) {
     this.disk = disk;
@@ -123,6 +124,7 @@
         start,
         "bytes",
         content.limit() - start);
+    bytesDropped += content.limit() - start;
     try (DiskFile torn = disk.open(file)) {
       torn.truncate(start);
       torn.sync();
@@ -130,6 +132,11 @@
     return Result.ok(null);
   }
 
+  /** The length of the torn write that was removed from the end of the log. */
+  public long bytesDropped() {
+    return bytesDropped;
+  }
+
   /** Writes and syncs records as one batch. When it returns, they are durable. */
   public void append(List<LogRecord> batch) throws IOException {
     if (currentFile.length() >= maxSegmentLength) {
--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -67,6 +67,7 @@
     if (!log.isOk()) {
       return Result.err(log.error());
     }
+    recovered.onOpened(folder.value(), log.value());
     ControllerProcess process = new ControllerProcess(settings);
     try {
       process.run(folder.value(), log.value(), recovered, tls);
--- a/control/src/main/java/io/pathdeck/control/GroupRecovery.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRecovery.java
@@ -1,7 +1,5 @@
 package io.pathdeck.control;
 
-import io.pathdeck.common.events.EventCode;
-import io.pathdeck.common.events.EventLog;
 import io.pathdeck.consensus.JoinSettings;
 import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.consensus.RaftSettings;
@@ -31,7 +29,6 @@
     int controllers,
     RaftSettings raftSettings,
     long snapshotThresholdBytes) {
-  private static final EventLog EVENTS = EventLog.of(GroupRecovery.class);
 
   /** Rebuilds the meta group and all jobs partitions. */
   public Map<Integer, GroupRuntime> recover(
@@ -66,16 +63,7 @@
             nowMs,
             nowMs);
     long applied = snapshot.map(SnapshotMetadata::index).orElse(0L);
-    EVENTS.log(
-        EventCode.STATE_RECOVERED,
-        "group",
-        group,
-        "snapshot",
-        applied,
-        "last",
-        replica.lastIndex(),
-        "term",
-        replica.term());
+    RecoveryEvents.log(replica, group, applied, recovered.summary(group));
     return new GroupRuntime(
         group,
         replica,
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -110,6 +110,7 @@
     if (!log.isOk()) {
       return Result.err(log.error());
     }
+    recovered.onOpened(folder, log.value());
     try {
       return Result.ok(new ReplicaHost(options, folder, log.value(), recovered, links));
     } catch (IOException | IllegalArgumentException e) {
@@ -143,16 +144,7 @@
             ProcessStart.monotonicMs(nowMs),
             nowMs);
     long applied = snapshot.map(SnapshotMetadata::index).orElse(0L);
-    EVENTS.log(
-        EventCode.STATE_RECOVERED,
-        "group",
-        number,
-        "snapshot",
-        applied,
-        "last",
-        replica.lastIndex(),
-        "term",
-        replica.term());
+    RecoveryEvents.log(replica, number, applied, recovered.summary(number));
     return new GroupRuntime(
         number,
         replica,
