What is found in a data folder is synced before it is read

Callers lost accepted jobs: a process that was killed leaves frames that are readable but not durable. The next life took the whole log as synced and acknowledged it, and a later loss of power took the frames.

DataFolder.open is the one place that every store, coordinator and controller passes: it syncs each file and then the folder before anything is read, which covers renamed and created files as well. A folder that is created lasts itself, since its parent is synced.

--- a/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
@@ -7,7 +7,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * The folder with the durable state of a process, and its incarnation: a random number stored in
@@ -18,11 +20,13 @@
 
   private final Disk disk;
   private final Path path;
+  private final int filesSynced;
   private final long incarnation;
 
-  private DataFolder(Disk disk, Path path, long incarnation) {
+  private DataFolder(Disk disk, Path path, int filesSynced, long incarnation) {
     this.disk = disk;
     this.path = path;
+    this.filesSynced = filesSynced;
     this.incarnation = incarnation;
   }
 
@@ -31,29 +35,58 @@
     return open(path, Disk.LOCAL);
   }
 
-  /** Opens a folder on {@code disk}, creating it with a new incarnation when it is missing. */
+  /**
+   * Opens a folder on {@code disk}, creating it with a new incarnation when it is missing. All that
+   * is found in it is synced first: a process that was killed leaves writes that are readable but
+   * not durable.
+   */
   public static Result<DataFolder, StorageError> open(Path path, Disk disk) {
     try {
-      Files.createDirectories(path);
+      createDurably(disk, path.toAbsolutePath());
+      int filesSynced = syncContent(disk, path);
       Path identity = path.resolve(IDENTITY_FILE);
       if (!Files.exists(identity)) {
         long created = new SecureRandom().nextLong() & Long.MAX_VALUE;
         writeDurably(disk, identity, Long.toString(created).getBytes(StandardCharsets.UTF_8));
       }
       long incarnation = Long.parseLong(Files.readString(identity).trim());
-      return Result.ok(new DataFolder(disk, path, incarnation));
+      return Result.ok(new DataFolder(disk, path, filesSynced, incarnation));
     } catch (IOException | NumberFormatException e) {
       return Result.err(new StorageError.Io("open data folder " + path, e.toString()));
     }
   }
 
+  private static void createDurably(Disk disk, Path folder) throws IOException {
+    if (Files.isDirectory(folder)) {
+      return;
+    }
+    Path parent = folder.getParent();
+    createDurably(disk, parent);
+    Files.createDirectories(folder);
+    disk.syncFolder(parent);
+  }
+
+  private static int syncContent(Disk disk, Path folder) throws IOException {
+    List<Path> found;
+    try (Stream<Path> files = Files.list(folder)) {
+      found = files.filter(Files::isRegularFile).toList();
+    }
+    for (Path file : found) {
+      try (DiskFile opened = disk.open(file)) {
+        opened.sync();
+      }
+    }
+    disk.syncFolder(folder);
+    return found.size();
+  }
+
   public Path path() {
     return path;
   }
 
   /** The number of files whose content was synced when the folder was opened. */
   public int filesSynced() {
-    return 0;
+    return filesSynced;
   }
 
   Disk disk() {
