A forwarded request, its route and its deadline are a record of their own

No change of behavior; TestSlowCallers, TestRequestDispatcher and the other tests named after gateways, requests and streams (71) pass.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -1,7 +1,6 @@
 package io.pathdeck.fleet.gateway;
 
 import io.netty.util.concurrent.ScheduledFuture;
-import io.pathdeck.fleet.adapter.CallerRequest;
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.eligibility.RequestConstraints;
@@ -10,11 +9,7 @@
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTransport;
 import io.pathdeck.fleet.engine.Placement;
-import io.pathdeck.fleet.engine.Prompt;
 import io.pathdeck.fleet.engine.SseEventScanner;
-import io.pathdeck.fleet.queue.Rank;
-import io.pathdeck.protocol.fleet.RouteKind;
-import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.serving.http.HttpExchange;
 import java.util.List;
 import java.util.Optional;
@@ -38,18 +33,11 @@
   private static final long MEMORY_RETRY_AFTER_MS = 1_000;
 
   private final ForwardingContext context;
+  private final ForwardedRequest request;
   private final HttpExchange exchange;
-  private final CallerRequest.Routed request;
-  private final Prompt prompt;
-  private final RouteSpec route;
-  private final String service;
-  private final long routesVersion;
-  private final long startMs;
-  private final long deadlineMs;
   private final AttemptBudget budget;
   private final RequestLog log;
   private final RequestCompletion completion;
-  private final RequestAuthorization authorization;
   private final StreamBinding binding;
   private final QueueWait wait = new QueueWait();
   private ScheduledFuture<?> timeout;
@@ -59,35 +47,16 @@
   private long lastEventId;
   private boolean finished;
 
-  RequestForwarder(
-      ForwardingContext context,
-      HttpExchange exchange,
-      CallerRequest.Routed request,
-      RouteSpec route,
-      String service,
-      long routesVersion,
-      RequestAuthorization authorization,
-      StreamBinding binding,
-      long nowMs) {
-    this.binding = binding;
-    this.routesVersion = routesVersion;
-    this.authorization = authorization;
-    this.startMs = nowMs;
+  RequestForwarder(ForwardingContext context, ForwardedRequest request, StreamBinding binding) {
     this.context = context;
-    this.exchange = exchange;
     this.request = request;
-    this.prompt = Prompt.of(request.promptTokens(), request.promptParts());
-    this.route = route;
-    this.service = service;
-    this.lastEventId = request.resumeAfter();
-    this.budget = new AttemptBudget(route, context.settings().maxSends());
-    this.log = new RequestLog(request.requestId(), route.name(), budget);
-    this.completion = new RequestCompletion(context.metrics(), exchange, route.kind(), log);
-    long timeoutMs = route.timeoutMs();
-    if (request.maxWaitMs() > 0) {
-      timeoutMs = Math.min(timeoutMs, request.maxWaitMs());
-    }
-    this.deadlineMs = nowMs + Math.max(1, timeoutMs - context.settings().responseMarginMs());
+    this.exchange = request.exchange();
+    this.binding = binding;
+    this.lastEventId = request.call().resumeAfter();
+    this.budget = new AttemptBudget(request.route(), context.settings().maxSends());
+    this.log = new RequestLog(request.call().requestId(), request.route().name(), budget);
+    this.completion =
+        new RequestCompletion(context.metrics(), exchange, request.route().kind(), log);
   }
 
   private static long nowMs() {
@@ -97,9 +66,9 @@
   void start() {
     context.activeRequests().add(this);
     exchange.setDisconnectListener(this::onCallerDisconnected);
-    exchange.memory().setOwner(authorization.caller().tenantName(), this::evict);
+    exchange.memory().setOwner(request.authorization().caller().tenantName(), this::evict);
     exchange.setPartWrittenListener(() -> isReadPaused(nowMs()));
-    long waitMs = Math.max(0, deadlineMs - nowMs());
+    long waitMs = Math.max(0, request.deadlineMs() - nowMs());
     timeout = context.eventLoop().schedule(this::onDeadline, waitMs, TimeUnit.MILLISECONDS);
     sendToNextEngine();
   }
@@ -113,37 +82,28 @@
 
   @Override
   public DispatchAttributes attributes() {
-    Rank rank =
-        new Rank(budget.sends() > 0, authorization.caller().tenantPriority(), route.priority());
-    return new DispatchAttributes(
-        service,
-        authorization.caller().tenantName(),
-        rank,
-        route.targetMs() > 0 ? startMs + route.targetMs() : deadlineMs,
-        deadlineMs,
-        exchange.body().length,
-        RequestWork.of(request),
-        !headSent && !budget.mayHaveRun());
+    return request.attributes(budget, headSent);
   }
 
   @Override
   public RequestConstraints constraints() {
     return new RequestConstraints(
-        budget.triedEngineIds(), authorization.allowedRegions().get(), binding.origin());
+        budget.triedEngineIds(), request.authorization().allowedRegions().get(), binding.origin());
   }
 
   @Override
   public void sendTo(List<EngineState> candidates) {
     long now = nowMs();
     boolean wasQueued = wait.end(now);
-    if (wasQueued && !authorization.stillAllowed().getAsBoolean()) {
+    if (wasQueued && !request.isStillAllowed()) {
       finishUnserved("the configuration does not allow the request any more");
       return;
     }
-    Optional<Placement> placement = context.loadBalancer().choose(candidates, prompt, now);
+    Optional<Placement> placement =
+        context.loadBalancer().choose(candidates, request.prompt(), now);
     if (placement.isEmpty()) {
       binding.onNoEngine();
-      NoEligibleEngine cause = context.noEligibleEngine(service, constraints(), now);
+      NoEligibleEngine cause = context.noEligibleEngine(request.service(), constraints(), now);
       finishUnserved(cause.reason(), cause.retryAfterMs());
       return;
     }
@@ -167,8 +127,8 @@
     if (didNotRun) {
       budget.onNotRun();
     }
-    boolean timeLeft = deadlineMs - nowMs() > 0;
-    if (!authorization.stillAllowed().getAsBoolean()) {
+    boolean timeLeft = request.deadlineMs() - nowMs() > 0;
+    if (!request.isStillAllowed()) {
       finishUnserved("the configuration does not allow the request any more");
     } else if (timeLeft && budget.mayRetry()) {
       sendToNextEngine();
@@ -272,7 +232,8 @@
 
   private void onCallerDisconnected() {
     if (!finished) {
-      log.callerLeft(attempt == null ? null : attempt.engine(), lastEventId, nowMs() - startMs);
+      log.callerLeft(
+          attempt == null ? null : attempt.engine(), lastEventId, nowMs() - request.startMs());
       cancelAttempt();
       cleanUp();
       completion.onCallerLeft();
@@ -295,7 +256,7 @@
 
   /** One attempt to serve the request at one engine. */
   private final class Attempt implements EngineListener {
-    private final boolean isStream = route.kind() == RouteKind.STREAM;
+    private final boolean isStream = request.isStream();
     private final AttemptTracker tracker;
     private final BufferedResponse body = new BufferedResponse(exchange.memory());
     private final ResponseFlowControl flowControl =
@@ -320,28 +281,18 @@
       context.callStartListener().run();
       scanner = new SseEventScanner(lastEventId);
       if (isStream && lastEventId >= 0) {
-        log.streamResumed(request, binding.softwareVersion(), lastEventId, engine().instance());
+        log.streamResumed(
+            request.call(), binding.softwareVersion(), lastEventId, engine().instance());
         binding.onResume(headSent);
       }
-      EngineCall call =
-          new EngineCall(
-              engine().instance(),
-              exchange.method(),
-              exchange.uri(),
-              request.host(),
-              request.requestId(),
-              authorization.caller().toEngineTenant(),
-              request.headers(),
-              exchange.body(),
-              Math.max(1, deadlineMs - lastProgressMs),
-              lastEventId);
+      EngineCall call = request.callTo(engine().instance(), lastEventId, lastProgressMs);
       handle = context.transport().start(call, this);
       flowControl.attach(handle);
     }
 
     SilenceTimeout.Silence silence(long nowMs) {
       return new SilenceTimeout.Silence(
-          request.promptTokens(),
+          request.call().promptTokens(),
           response != null,
           nowMs - lastProgressMs,
           engine().silenceMs(nowMs));
@@ -361,11 +312,11 @@
       long prefillTokensPerMs = context.settings().prefillTokensPerMs();
       long waitMs = tracker.onHead(prefillTokensPerMs, head, lastProgressMs);
       context.silenceTimeout().onFirstBytes(waitMs);
-      context.dispatcher().onFirstBytes(service, tracker);
+      context.dispatcher().onFirstBytes(request.service(), tracker);
       response = head;
       if (response.isSuccess() && isStream && !headSent) {
         headSent = true;
-        timeToFirstByteMs = lastProgressMs - startMs;
+        timeToFirstByteMs = lastProgressMs - request.startMs();
         exchange.startStream(head.status(), head.headers());
       }
     }
@@ -414,7 +365,7 @@
 
     private void onSuccess() {
       if (!isStream) {
-        timeToFirstByteMs = nowMs() - startMs;
+        timeToFirstByteMs = nowMs() - request.startMs();
         finishServed();
         exchange.send(response.status(), response.headers(), body.toByteArray());
       } else if (scanner.hasPartialEvent()) {
@@ -432,10 +383,10 @@
       completion.onServed(
           RequestLog.Served.by(
               tracker,
-              routesVersion,
+              request.routesVersion(),
               wait.totalMs(),
               timeToFirstByteMs,
-              nowMs() - startMs,
+              nowMs() - request.startMs(),
               lastEventId));
     }
 
@@ -489,7 +440,7 @@
     private void end() {
       ended = true;
       tracker.end();
-      context.dispatcher().onSlotFreed(service, tracker);
+      context.dispatcher().onSlotFreed(request.service(), tracker);
     }
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestStarter.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestStarter.java
@@ -130,17 +130,17 @@
 
     private void forward(String service, StreamBinding binding) {
       long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-      new RequestForwarder(
-              context,
+      ForwardedRequest forwarded =
+          ForwardedRequest.arrived(
+              context.settings(),
               exchange,
               request,
               route,
               service,
               routesVersion,
               authorization,
-              binding,
-              nowMs)
-          .start();
+              nowMs);
+      new RequestForwarder(context, forwarded, binding).start();
     }
   }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -172,9 +172,10 @@
     StreamBinding binding =
         StreamBinding.ofNew(
             (stream, origin, attempt, of) -> {}, new StreamMetrics(), route, request, tenant);
-    new RequestForwarder(
-            context, exchange, request, route, SERVICE, 1, authorization, binding, nowMs)
-        .start();
+    ForwardedRequest forwarded =
+        ForwardedRequest.arrived(
+            context.settings(), exchange, request, route, SERVICE, 1, authorization, nowMs);
+    new RequestForwarder(context, forwarded, binding).start();
   }
 
   // ---- engine
