Tell why a batch job could not be read, and from a job's id where it is

A caller whose job "cannot be read" left no trace: 404 of a linearizable read, a group without a leader, a member that did not answer and a gateway that does not know the groups yet looked the same, and nothing led from a job's id to its group and its entry.

--- a/common/src/main/java/io/pathdeck/common/events/EventCode.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventCode.java
@@ -68,6 +68,7 @@
   CALLER_TOO_SLOW(3107, Level.WARN, true),
   REQUEST_SERVED(3108, Level.INFO, true),
   BATCH_CALL(3109, Level.INFO, true),
+  JOB_NOT_READABLE(3117, Level.WARN, true),
   ENGINE_ANSWER_DROPPED(3110, Level.WARN, true),
   ENGINE_CHECKED(3111, Level.INFO, true),
   ENGINE_ENDED_UNDER_REQUEST(3112, Level.WARN, true),
@@ -82,6 +83,7 @@
   ITEM_RETRIED(4001, Level.WARN, true),
   ITEM_STARTED(4004, Level.INFO, true),
   ITEM_LISTED(4005, Level.INFO, true),
+  JOB_ACCEPTED(4016, Level.INFO, true),
   LEASE_REVOKED(4002, Level.INFO),
   PARTITION_UNREACHABLE(4003, Level.WARN),
   STAND_IN_FAULT(9001, Level.INFO);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
@@ -59,10 +59,12 @@
 
   private final JobsGroupLocator groups;
   private final CallerProtocol protocol;
+  private final JobReadFailures readFailures;
 
-  BatchCalls(JobsGroupLocator groups, CallerProtocol protocol) {
+  BatchCalls(JobsGroupLocator groups, CallerProtocol protocol, JobReadFailures readFailures) {
     this.groups = groups;
     this.protocol = protocol;
+    this.readFailures = readFailures;
   }
 
   /**
@@ -123,8 +125,8 @@
   /** Accepts the job if a group holds it already, else proposes it. */
   private void submitUnlessHeld(
       HttpExchange exchange, CallerRequest.Routed request, JobsGroup group, SubmitBatch command) {
-    query(
-        request.requestId(),
+    queryInTurn(
+        groups.groupsThatMayHold(request.requestId()),
         new ReadBatchResults(request.requestId(), command.tenant(), 0, MIN_PAGE_BYTES, 0),
         0,
         result -> {
@@ -145,7 +147,7 @@
         group,
         command,
         result -> {
-          log("submit", request.requestId(), result, startNs);
+          log("submit", request.requestId(), group.group(), result, startNs);
           if (!result.isOk()) {
             onSubmitFailed(exchange, request, result.error());
           } else if (result.value() instanceof BatchAccepted) {
@@ -160,13 +162,19 @@
   }
 
   private static void log(
-      String call, String job, Result<CommandResult, GroupCallError> result, long startNs) {
+      String call,
+      String job,
+      int group,
+      Result<CommandResult, GroupCallError> result,
+      long startNs) {
     EVENTS.log(
         EventCode.BATCH_CALL,
         "call",
         call,
         "job",
         job,
+        "group",
+        group,
         "outcome",
         result.isOk() ? result.value().getClass().getSimpleName() : result.error().reason(),
         "took_ms",
@@ -201,7 +209,7 @@
         candidates,
         new EndBatch(call.jobId(), tenant),
         result -> {
-          log("end", call.jobId(), result, startNs);
+          log("end", call.jobId(), candidates.get(0).group(), result, startNs);
           if (!result.isOk()) {
             exchange.sendError(ApiError.failed(504, "outcome_unknown", "try again", true));
           } else if (result.value() instanceof Done) {
@@ -295,19 +303,21 @@
       Query query,
       long waitMs,
       Consumer<Result<QueryResult, GroupCallError>> callback) {
-    if (groups.areGroupsKnown()) {
-      query(jobId, query, waitMs, callback);
-    } else {
+    long startNs = System.nanoTime();
+    List<JobsGroup> candidates = groups.groupsThatMayHold(jobId);
+    if (candidates.isEmpty()) {
+      readFailures.onGroupsUnknown(jobId, startNs);
       refuseUnknownGroups(exchange);
+      return;
     }
-  }
-
-  private void query(
-      String jobId,
-      Query query,
-      long waitMs,
-      Consumer<Result<QueryResult, GroupCallError>> callback) {
-    queryInTurn(groups.groupsThatMayHold(jobId), query, waitMs, callback);
+    queryInTurn(
+        candidates,
+        query,
+        waitMs,
+        result -> {
+          readFailures.onResult(jobId, candidates, result, startNs);
+          callback.accept(result);
+        });
   }
 
   /** Queries each group until one does not report the job as missing. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -106,7 +106,7 @@
             follower::isUsable,
             follower::startProgress,
             follower::isConfirmed,
-            new BatchCalls(jobs, adapter.callers()),
+            new BatchCalls(jobs, adapter.callers(), metrics.jobReadFailures()),
             limiter,
             transport,
             loadBalancer(fleet, startNs),
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestMetrics.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestMetrics.java
@@ -37,6 +37,7 @@
   private final QueueMetrics queue = new QueueMetrics();
   private final MemoryMetrics memory = new MemoryMetrics();
   private final StreamMetrics streams = new StreamMetrics();
+  private final JobReadFailures jobReadFailures = new JobReadFailures();
 
   RequestMetrics() {
     for (RouteKind kind : RouteKind.values()) {
@@ -56,6 +57,10 @@
     return streams;
   }
 
+  JobReadFailures jobReadFailures() {
+    return jobReadFailures;
+  }
+
   void onAttempt() {
     attempts.increment();
   }
@@ -75,6 +80,7 @@
     queue.bindTo(registry);
     memory.bindTo(registry);
     streams.bindTo(registry);
+    jobReadFailures.bindTo(registry);
     kinds.forEach((kind, counts) -> bindKind(registry, kind, counts));
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
@@ -1,14 +1,17 @@
 package io.pathdeck.fleet.member;
 
 import io.pathdeck.common.result.Result;
+import io.pathdeck.fleet.member.GroupCallError.Cause;
 import io.pathdeck.protocol.client.RetryTimer;
 import io.pathdeck.protocol.message.Message;
 import io.pathdeck.protocol.message.NotLeader;
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.transport.PeerClient;
 import io.pathdeck.protocol.transport.TransportError;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -94,6 +97,8 @@
     private final CompletableFuture<Result<Message, GroupCallError>> outcome;
     private boolean mayHaveRun;
     private String lastFailureReason = "no member is known";
+    private Cause lastCause = Cause.NO_MEMBER_KNOWN;
+    private final Set<String> askedMembers = new LinkedHashSet<>();
 
     Call(
         Message message,
@@ -109,7 +114,10 @@
     void attempt() {
       long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - timer.nowNs());
       if (remainingMs <= 0) {
-        outcome.complete(Result.err(new GroupCallError(lastFailureReason, mayHaveRun)));
+        outcome.complete(
+            Result.err(
+                new GroupCallError(
+                    lastFailureReason, mayHaveRun, lastCause, List.copyOf(askedMembers))));
         return;
       }
       String target = selectTarget();
@@ -119,6 +127,7 @@
         retry();
         return;
       }
+      askedMembers.add(target);
       client
           .get()
           .request(message, Math.min(remainingMs, attemptTimeoutMs))
@@ -127,7 +136,7 @@
 
     private void onResult(String target, Result<Message, TransportError> result) {
       if (!result.isOk()) {
-        lastFailureReason = target + ": " + result.error();
+        onFailure(Cause.UNREACHABLE, target + ": " + result.error());
         mayHaveRun |= result.error().mayHaveRun();
         onTargetFailed(target);
         retry();
@@ -135,10 +144,10 @@
       }
       Message reply = result.value();
       if (reply instanceof NotLeader notLeader) {
-        lastFailureReason = target + ": not the leader";
+        onFailure(Cause.NO_LEADER, target + ": not the leader");
         followRedirect(target, notLeader);
       } else if (reply instanceof Unavailable unavailable) {
-        lastFailureReason = target + ": " + unavailable.reason();
+        onFailure(Cause.LEADER_UNAVAILABLE, target + ": " + unavailable.reason());
         mayHaveRun |= unavailable.mayHaveRun();
         retry();
       } else {
@@ -147,6 +156,11 @@
       }
     }
 
+    private void onFailure(Cause cause, String reason) {
+      lastCause = cause;
+      lastFailureReason = reason;
+    }
+
     private void followRedirect(String target, NotLeader notLeader) {
       String leader = notLeader.leaderAddress();
       if (leader.isEmpty() || leader.equals(target)) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobSubmissions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobSubmissions.java
@@ -1,11 +1,15 @@
 package io.pathdeck.fleet.store;
 
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
+import io.pathdeck.consensus.RaftReplica;
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
 import io.pathdeck.protocol.command.BatchAccepted;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.message.Message;
 import io.pathdeck.protocol.message.ProposeReply;
+import io.pathdeck.protocol.raft.Member;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.ArrayList;
@@ -20,6 +24,8 @@
  * is not appended again, because that would add replication load just when the group is slow.
  */
 final class JobSubmissions {
+  private static final EventLog EVENTS = EventLog.of(JobSubmissions.class);
+
   private final GroupRuntime group;
   private final BatchStateMachine state;
   private final ControllerClock clock;
@@ -53,6 +59,32 @@
   }
 
   private void completeReplies(String jobId, Message result) {
+    if (result instanceof ProposeReply reply && reply.result() instanceof BatchAccepted) {
+      logAccepted(jobId);
+    }
     pendingReplies.remove(jobId).forEach(reply -> reply.reply(result));
   }
+
+  private void logAccepted(String jobId) {
+    RaftReplica replica = group.replica();
+    long index = group.appliedIndex();
+    List<Integer> syncedBy =
+        replica.configuration().stream()
+            .flatMap(configuration -> configuration.members().stream())
+            .map(Member::id)
+            .filter(member -> replica.matchIndex(member) >= index)
+            .toList();
+    EVENTS.log(
+        EventCode.JOB_ACCEPTED,
+        "job",
+        jobId,
+        "group",
+        group.group(),
+        "index",
+        index,
+        "term",
+        replica.term(),
+        "synced_by",
+        syncedBy);
+  }
 }
