--- a/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
@@ -7,6 +7,7 @@
 import io.pathdeck.protocol.raft.RaftMessage;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,8 +26,18 @@
   /** How far each step advances the clock; a message takes one step. */
   static final long STEP_MS = 10;
 
+  /** The time from the start of a process until its replica is recovered. */
+  private static final long RECOVERY_MS = 800;
+
   private final MembershipPolicy policy;
   private final Map<Integer, RaftReplica> replicas = new TreeMap<>();
+
+  /** The records that each replica has written since it started with an empty disk. */
+  private final Map<Integer, List<LogRecord>> disks = new HashMap<>();
+
+  /** The command that any replica has committed at an index. */
+  private final Map<Long, byte[]> committedByIndex = new TreeMap<>();
+
   private final Map<Integer, Long> commitIndexes = new HashMap<>();
   private final Map<Integer, List<Byte>> committedCommands = new HashMap<>();
   private final Set<Integer> isolatedIds = new HashSet<>();
@@ -54,7 +65,18 @@
   }
 
   void start(int id, long incarnation, Set<Integer> founders, Set<Integer> contacts) {
+    disks.put(id, new ArrayList<>());
     JoinSettings settings = new JoinSettings(founders, contacts, "host:" + id, policy);
+    open(id, incarnation, settings, RecoveredState.empty(), id * 31L + incarnation, nowMs);
+  }
+
+  private void open(
+      int id,
+      long incarnation,
+      JoinSettings settings,
+      RecoveredState recovered,
+      long seed,
+      long processStartMs) {
     RaftReplica replica =
         new RaftReplica(
             GROUP,
@@ -62,15 +84,34 @@
             incarnation,
             settings,
             RaftSettings.DEFAULT,
-            RecoveredState.empty(),
-            id * 31L + incarnation,
-            nowMs,
+            recovered,
+            seed,
+            processStartMs,
             nowMs);
     replicas.put(id, replica);
+    suspendedIds.remove(id);
+    suspendedMs.remove(id);
     isolatedIds.remove(id);
     committedCommands.put(id, new ArrayList<>());
   }
 
+  /** Ends a replica; its disk remains. */
+  void stop(int id) {
+    replicas.remove(id);
+  }
+
+  /** Starts a stopped replica from its disk. */
+  void restart(int id, long incarnation) {
+    JoinSettings settings = new JoinSettings(Set.of(), Set.of(), "host:" + id, policy);
+    RecoveredState recovered = RecoveredDisk.recover(disks.get(id));
+    open(id, incarnation, settings, recovered, id * 31L + nowMs, nowMs - RECOVERY_MS);
+  }
+
+  /** The commands that any replica has committed, by index. */
+  Map<Long, byte[]> committedByIndex() {
+    return committedByIndex;
+  }
+
   /** The first byte of each command that a replica has committed since it started. */
   List<Byte> committedCommands(int id) {
     return committedCommands.get(id);
@@ -146,6 +187,7 @@
     messagesInFlight.addAll(ready.messages());
     long lastIndex = 0;
     long lastTerm = 0;
+    disks.get(id).addAll(ready.records());
     for (LogRecord logRecord : ready.records()) {
       if (logRecord instanceof EntryRecord entry) {
         lastIndex = entry.entry().index();
@@ -154,7 +196,14 @@
     }
     ready.committed().stream()
         .filter(entry -> entry.command() != null)
-        .forEach(entry -> committedCommands.get(id).add(entry.command()[0]));
+        .forEach(
+            entry -> {
+              committedCommands.get(id).add(entry.command()[0]);
+              byte[] known = committedByIndex.putIfAbsent(entry.index(), entry.command());
+              if (known != null && !Arrays.equals(known, entry.command())) {
+                throw new AssertionError("two commands were committed at " + entry.index());
+              }
+            });
     messagesInFlight.addAll(ready.messagesAfterSync());
     if (lastIndex > 0) {
       replica.onSynced(lastIndex, lastTerm, nowMs(id));
