A new leader of the coordinators completes a group without reserve at once

What callers see: after "a store is replaced, then all lose power", the loss of one more disk, allowed 4.8 s after the return, leaves a jobs group of three without a quorum for good; every job of it is unreadable.

Cause: a new leader assigns no store during its first 4 s, since lost members may only be restarting.

Change: the delay does not hold for a group whose leader has reported, so that its members have started, and that has fewer live members than the tolerated losses need. Groups that only lack the member that may be retired, and stores of other regions, still wait.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
@@ -23,7 +23,8 @@
  * store saves the number of its group on disk and reports it in heartbeats, from which a new leader
  * learns it. Two leaders may assign a store differently: the store keeps the number that it saved
  * first, and one group then has a member more than it needs. A new leader assigns no replacements
- * during its first {@value #REPLACEMENT_DELAY_MS} ms, since lost members may only be restarting.
+ * during its first {@value #REPLACEMENT_DELAY_MS} ms, since lost members may only be restarting,
+ * except to a group that has a leader and would not survive the loss of another member.
  */
 final class JobsGroupRegistry {
   /**
@@ -164,7 +165,9 @@
     boolean lostMemberMayReturn =
         waitingMemberIds.contains(store.memberId())
             && nowMs - incompleteSince < REPLACEMENT_DELAY_MS;
-    boolean membersMayStillStart = nowMs - leaderSinceMs < REPLACEMENT_DELAY_MS;
+    boolean membersMayStillStart =
+        nowMs - leaderSinceMs < REPLACEMENT_DELAY_MS
+            && !isWithoutReserve(group, members.get(group).size(), store);
     if (lostMemberMayReturn || membersMayStillStart) {
       return FleetProcess.NO_GROUP;
     }
@@ -173,6 +176,16 @@
     return group;
   }
 
+  /**
+   * Whether the group tolerates no further loss, although its leader has reported, so that its
+   * other members have had the time to start.
+   */
+  private boolean isWithoutReserve(int group, int size, FleetProcess store) {
+    return reportByGroup.containsKey(group)
+        && size < policy.minSize()
+        && policy.isInRegionOf(group, store);
+  }
+
   /** Whether a store of the group's regions waits, which should complete the group. */
   private boolean hasNearerStore(
       int group,
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/ReplacementPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/ReplacementPolicy.java
@@ -43,6 +43,11 @@
     return new ReplacementPolicy(targetSize, targetSize, Topology.UNKNOWN);
   }
 
+  /** The minimum size of a group that tolerates the configured losses. */
+  int minSize() {
+    return minSize;
+  }
+
   /** Sets the regions of the groups and the routes in force. */
   void update(List<JobsGroupRegions> newRegionsOfGroups, Optional<RouteTable> newRoutes) {
     regionsOfGroups = newRegionsOfGroups;
