A wiped store is told its group as soon as the leader of the group has reported

What callers see: none of them yet; the time from the return of a wiped store to its vote, during which a group has no reserve, comes close to the 4.8 s after which the next disk may go, where all others lost power at the same moment.

Cause: a new leader of the coordinators told no store its group in its first second, although the report of the group's leader, which names the members, had come. And it looked at the founders of one group before the reports of others, so a store that had moved was sent back to its first group (a member for good without a store, in the group that it had moved to).

Change: the registry answers from reports at once, from founders and by assignment after the collection period, and looks at the reports of all groups before it looks at founders.

Before: TestReplacementByNewLeader failed in two of six cases (expected 0 and 2).

--- a/consensus/src/test/java/io/pathdeck/consensus/MembershipModel.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/MembershipModel.java
@@ -26,6 +26,7 @@
   private static final int MIN_SIZE = 3;
   private static final long PROPOSAL_INTERVAL_MS = 50;
   private static final long COLLECTION_MS = 1_000;
+  private static final long REPLACEMENT_DELAY_MS = 4_000;
   private static final long HEARTBEAT_MS = 300;
   private static final long SETTLE_MS = 12_000;
   private static final long TRANSFER_MS = 1_000;
@@ -340,7 +341,7 @@
     if (nowMs < coreLeadsSinceMs) {
       return;
     }
-    if (!store.hasGroup && nowMs >= coreLeadsSinceMs + COLLECTION_MS && isAssigned(store)) {
+    if (!store.hasGroup && isAssigned(store)) {
       store.hasGroup = true;
       group.start(store.id, store.incarnation, Set.of(), Set.of());
     }
@@ -367,11 +368,20 @@
     if (leaving.contains(store.id)) {
       return false;
     }
-    if (reported().orElse(founders).find(store.id).isPresent()) {
+    Optional<GroupConfiguration> reported = reported();
+    if (reported.isPresent() && reported.get().find(store.id).isPresent()) {
       return true;
     }
-    long delayMs =
-        runningIds().size() < MIN_SIZE && reported().isPresent() ? replacementDelayMs : 4_000;
-    return runningIds().size() < TARGET_SIZE && group.nowMs() >= coreLeadsSinceMs + delayMs;
+    long leadsForMs = group.nowMs() - coreLeadsSinceMs;
+    if (leadsForMs < COLLECTION_MS) {
+      return false;
+    }
+    if (reported.isEmpty() && founders.find(store.id).isPresent()) {
+      return true;
+    }
+    int size = runningIds().size();
+    boolean withoutReserve = size < MIN_SIZE && reported.isPresent();
+    return size < TARGET_SIZE
+        && leadsForMs >= (withoutReserve ? replacementDelayMs : REPLACEMENT_DELAY_MS);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -46,7 +46,7 @@
   private static final long PROCESS_TIMEOUT_MS = 1_500;
 
   /** How long a new leader collects heartbeats before it sends the list of processes. */
-  private static final long COLLECTION_PERIOD_MS = 1_000;
+  private static final long COLLECTION_PERIOD_MS = JobsGroupRegistry.COLLECTION_PERIOD_MS;
 
   /** How long no new founding candidate may have appeared before the jobs groups are founded. */
   private static final long FOUNDING_SETTLE_MS = 700;
@@ -274,12 +274,9 @@
     return state.leavingStores().stream().map(SetStoreLeaving::memberId).toList();
   }
 
-  /**
-   * Returns the group of a store; a new leader assigns none until all stores have had time to
-   * report.
-   */
+  /** Returns the group that a store has or is to join. */
   private int groupFor(FleetProcess sender, long nowMs) {
-    if (sender.role() != FleetRole.STORE || nowMs - leaderSinceMs < COLLECTION_PERIOD_MS) {
+    if (sender.role() != FleetRole.STORE) {
       return sender.jobsGroup();
     }
     replacementPolicy.update(state.jobsGroupRegions(), state.routeTable());
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupRegistry.java
@@ -4,7 +4,6 @@
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
-import io.pathdeck.protocol.raft.Member;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -33,6 +32,12 @@
    */
   static final long REPLACEMENT_DELAY_MS = 4_000;
 
+  /**
+   * How long a new leader collects reports. Until then it tells a store only the group whose leader
+   * has reported it as a member.
+   */
+  static final long COLLECTION_PERIOD_MS = 1_000;
+
   /** A size that a group lacks members for. */
   private record MissingSize(int group, int size) {}
 
@@ -98,10 +103,22 @@
     if (leavingMemberIds.contains(store.memberId())) {
       return FleetProcess.NO_GROUP;
     }
+    Optional<Integer> reportedGroup = reportedGroupOf(store);
+    if (reportedGroup.isPresent() || nowMs - leaderSinceMs < COLLECTION_PERIOD_MS) {
+      return reportedGroup.orElse(FleetProcess.NO_GROUP);
+    }
     return knownGroupOf(store, foundedGroups)
         .orElseGet(() -> assign(store, foundedGroups, processes, leavingMemberIds, nowMs));
   }
 
+  /** Returns the group whose leader has reported the store as a member. */
+  private Optional<Integer> reportedGroupOf(FleetProcess store) {
+    return reportByGroup.values().stream()
+        .filter(report -> report.configuration().find(store.memberId()).isPresent())
+        .map(JobsGroupReport::group)
+        .findFirst();
+  }
+
   /** Returns the group that a store reports, is a member of, or was assigned to. */
   private Optional<Integer> knownGroupOf(
       FleetProcess store, List<JobsGroupFounders> foundedGroups) {
@@ -115,17 +132,14 @@
   /** Returns the group that lists the store as a member, even if the store has lost its disk. */
   private Optional<Integer> groupWithMember(
       FleetProcess store, List<JobsGroupFounders> foundedGroups) {
-    for (JobsGroupFounders founders : foundedGroups) {
-      JobsGroupReport report = reportByGroup.get(founders.group());
-      Optional<Member> member =
-          report == null
-              ? founders.configuration().find(store.memberId())
-              : report.configuration().find(store.memberId());
-      if (member.isPresent()) {
-        return Optional.of(founders.group());
-      }
-    }
-    return Optional.empty();
+    return reportedGroupOf(store)
+        .or(
+            () ->
+                foundedGroups.stream()
+                    .filter(founders -> !reportByGroup.containsKey(founders.group()))
+                    .filter(founders -> founders.configuration().find(store.memberId()).isPresent())
+                    .map(JobsGroupFounders::group)
+                    .findFirst());
   }
 
   private int assign(
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestReplacementByNewLeader.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestReplacementByNewLeader.java
@@ -73,4 +73,32 @@
     registry.onReport(new JobsGroupReport(GROUP, 5, members(TARGET_SIZE)));
     assertThat(groupOfSuccessor(MIN_SIZE, COLLECTED_MS)).isEqualTo(FleetProcess.NO_GROUP);
   }
+
+  @Test
+  void wipedMemberIsToldItsGroupAsSoonAsTheLeaderOfTheGroupHasReported() {
+    registry.onReport(new JobsGroupReport(GROUP, 5, members(SUCCESSOR)));
+    assertThat(groupOfSuccessor(MIN_SIZE, LEADER_SINCE_MS)).isEqualTo(GROUP);
+  }
+
+  @Test
+  void storeThatMovedToAnotherGroupIsNotSentBackToItsFirstOne() {
+    registry.onReport(new JobsGroupReport(GROUP + 1, 5, members(MIN_SIZE)));
+    FleetProcess moved = store(1, FleetProcess.NO_GROUP);
+    List<JobsGroupFounders> founded =
+        List.of(
+            new JobsGroupFounders(GROUP, members(MIN_SIZE)),
+            new JobsGroupFounders(GROUP + 1, members(MIN_SIZE)));
+    assertThat(registry.groupFor(moved, founded, List.of(), Set.of(), COLLECTED_MS))
+        .isEqualTo(GROUP + 1);
+  }
+
+  @Test
+  void founderIsToldItsGroupOnlyAfterTheReportsAreCollected() {
+    FleetProcess founder = store(1, FleetProcess.NO_GROUP);
+    List<JobsGroupFounders> founded = List.of(new JobsGroupFounders(GROUP, members(MIN_SIZE)));
+    assertThat(registry.groupFor(founder, founded, List.of(), Set.of(), COLLECTED_MS - 1))
+        .isEqualTo(FleetProcess.NO_GROUP);
+    assertThat(registry.groupFor(founder, founded, List.of(), Set.of(), COLLECTED_MS))
+        .isEqualTo(GROUP);
+  }
 }
