Keep ended jobs for twice the time in which callers may read them

What callers see: 404 for a job from 91 s after its submission on, instead of 120 s.

Cause: a job is kept for 180 s of log time, which passes at up to twice the real speed while it lags behind the wall clock. It lags without a bound: a group without jobs lets no time pass, and a new leader goes on from the time in its log.

Change: 250 s of log time, 125 s of real time at the least. Replicas of the old and the new version in one group differ in when they forget a job; it matters only for a job that is sent again 180 s after its submission, and ends with the update.

Before: TestJobRetention failed "after 91000 ms"; after: it passes up to 120 s.

--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -47,8 +47,14 @@
  * stored for resends.
  */
 public final class BatchStateMachine implements StateMachine {
+  /** How many times as fast as real time the time of the log may pass. */
+  private static final int MAX_LOG_TIME_RATE = 2;
+
+  /** How long callers may read a job after its submission, in real time, with a reserve. */
+  private static final long READABLE_MS = 125_000;
+
   /** How long an inactive job is kept after its submission, in log time. */
-  static final long MIN_RETENTION_MS = 180_000;
+  static final long MIN_RETENTION_MS = MAX_LOG_TIME_RATE * READABLE_MS;
 
   private final LogClock clock = new LogClock();
   private final Map<String, BatchJob> jobs = new LinkedHashMap<>();
