A gateway without a leader notices that a cold engine was restarted again

Gateway 8 had found the first end late and took the engine for cold until 41.1 s; without a leader it sends cold engines nothing, so no call broke off at the second end. At 41.1 its own clock said that the engine was warm, and it sent its usual load: 34 requests in 0.37 s, while the engine was cold until 41.7.

Cause: an assumption about one life of an engine was used for the next, where neither a list nor a call told otherwise.

Change: while the leading coordinator does not confirm the list, an engine whose cold time has ended gets requests only once it has reported its load; a report from a later life begins a new cold time (reason "restarted"). And where cold engines are limited, the close of an engine's last connection between two calls has its report asked for, so that an end between calls is noticed as one under a call is.

--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/ColdStartLimit.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/ColdStartLimit.java
@@ -10,6 +10,11 @@
   /** Whether this process may send the engine one more request now. */
   boolean allows(EngineInstance engine, long nowMs);
 
+  /** Whether the engine may get fewer requests while it is cold. */
+  default boolean appliesTo(EngineInstance engine) {
+    return false;
+  }
+
   /** Counts a request that this process sends to the engine. */
   default void onStart(EngineInstance engine, long nowMs) {}
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -84,6 +84,10 @@
     this.engine = engine;
   }
 
+  EngineInstance engine() {
+    return engine;
+  }
+
   String lifeId() {
     return engine.lifeId();
   }
@@ -102,6 +106,11 @@
     return !sentRequestIds.contains(requestId);
   }
 
+  /** Whether this connection has carried calls other than requests for load. */
+  boolean hasCarriedRequests() {
+    return !sentRequestIds.isEmpty();
+  }
+
   void send(PendingCall call) {
     currentCall = call;
     if (call.call().hasRequestId()) {
@@ -286,7 +295,7 @@
       onConnectionLost("the connection ended");
     } else if (!closing && usedBefore) {
       long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNs);
-      owner.onIdleClosed(this, engine.service(), idleMs);
+      owner.onIdleClosed(this, idleMs);
     }
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -50,6 +51,7 @@
   private final Map<String, Deque<EngineConnection>> idleConnections = new HashMap<>();
   private final Map<String, Integer> openConnectionCounts = new HashMap<>();
   private final IdleTimeouts idleTimeouts = new IdleTimeouts();
+  private Consumer<EngineInstance> idleLossListener = engine -> {};
   private long connectionsOpened;
 
   /** Creates a transport on {@code eventLoop} whose bytes nobody counts. */
@@ -83,6 +85,14 @@
     return connectionsOpened;
   }
 
+  /**
+   * Sets what is told when an engine has closed its last connection between calls: for being idle,
+   * or because it has ended.
+   */
+  public void setIdleLossListener(Consumer<EngineInstance> listener) {
+    idleLossListener = listener;
+  }
+
   @Override
   public Handle start(EngineCall call, EngineListener listener) {
     PendingCall pending = new PendingCall(call, listener);
@@ -189,16 +199,24 @@
   }
 
   /** Removes a connection that the engine closed after {@code idleMs} without a call. */
-  void onIdleClosed(EngineConnection connection, String service, long idleMs) {
+  void onIdleClosed(EngineConnection connection, long idleMs) {
     Deque<EngineConnection> connections = idleConnections.get(connection.lifeId());
     if (connections != null && connections.remove(connection)) {
-      idleTimeouts.onIdleClosed(service, idleMs);
+      idleTimeouts.onIdleClosed(connection.service(), idleMs);
       if (connections.isEmpty()) {
         idleConnections.remove(connection.lifeId());
+        onLastIdleClosed(connection);
       }
     }
   }
 
+  /** Tells nothing of a connection that carried load reports only, such as that of a probe. */
+  private void onLastIdleClosed(EngineConnection connection) {
+    if (connection.hasCarriedRequests() && openConnections(connection.engine()) == 0) {
+      idleLossListener.accept(connection.engine());
+    }
+  }
+
   private void closeExpired() {
     long nowNs = System.nanoTime();
     for (Deque<EngineConnection> connections : idleConnections.values()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -9,12 +9,16 @@
 import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.fleet.FleetMemberProcess;
 import io.pathdeck.fleet.FleetSettings;
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.adapter.FleetAdapter;
 import io.pathdeck.fleet.eligibility.EngineEligibility;
 import io.pathdeck.fleet.eligibility.SoftwareVersions;
 import io.pathdeck.fleet.engine.EngineLivenessProbe;
 import io.pathdeck.fleet.engine.EngineLoadBalancer;
 import io.pathdeck.fleet.engine.EngineLoadBalancer.RegionPreference;
+import io.pathdeck.fleet.engine.EngineLoadClient;
+import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.load.LoadExchange;
 import io.pathdeck.fleet.load.LoadMetrics;
@@ -221,13 +225,40 @@
         new NettyEngineTransport(
             eventLoop, adapter.engines(), engine -> regionTraffic.engineMeter(engine.zone()));
     EngineLivenessProbe liveness = new EngineLivenessProbe(eventLoop, transport, adapter.engines());
-    return new QuarantiningTransport(
-        transport,
-        adapter.engines(),
-        liveness,
-        reporter,
-        eventLoop,
-        engine -> gateway.onEngineEnded(engine));
+    QuarantiningTransport quarantining =
+        new QuarantiningTransport(
+            transport,
+            adapter.engines(),
+            liveness,
+            reporter,
+            eventLoop,
+            engine -> gateway.onEngineEnded(engine));
+    watchForColdEngines(eventLoop, transport, quarantining);
+    return quarantining;
+  }
+
+  private void watchForColdEngines(
+      EventLoop eventLoop, NettyEngineTransport connections, QuarantiningTransport transport) {
+    connections.setIdleLossListener(
+        engine -> {
+          if (coldStartBudget.appliesTo(engine)) {
+            transport.checkEngine(engine);
+          }
+        });
+    EngineLoadClient reports =
+        new EngineLoadClient(transport, adapter.engines(), this::onEngineReport);
+    coldStartBudget.setReportRequester(engine -> eventLoop.execute(() -> reports.fetch(engine)));
+  }
+
+  private void onEngineReport(String engineId, EngineLoadReport report, long coldLeftMs) {
+    EngineState engine = gateway.engines().find(engineId);
+    if (engine == null) {
+      return;
+    }
+    coldStartBudget.onReport(engine.instance(), report.bornMs(), nowMs());
+    if (coldLeftMs != EngineResponse.COLD_UNKNOWN) {
+      engine.onColdTold(coldLeftMs, nowMs());
+    }
   }
 
   private void onChange(FleetView view, QuarantiningTransport transport) {
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -93,6 +93,20 @@
     return transport.start(call, new ObservingListener(call, listener));
   }
 
+  /** Finds out whether an engine that interrupted no request has ended. */
+  public void checkEngine(EngineInstance engine) {
+    if (!interruptedByInstance.containsKey(engine.lifeId())) {
+      livenessProbe.check(engine, verdict -> onIdleVerdict(engine, verdict));
+    }
+  }
+
+  private void onIdleVerdict(EngineInstance engine, Verdict verdict) {
+    logVerdict(engine, verdict, 0);
+    if (verdict.isCrash()) {
+      onEngineDown.accept(engine);
+    }
+  }
+
   private void onInterrupted(InterruptedRequest request) {
     EngineInstance engine = request.call().engine();
     List<InterruptedRequest> interrupted = interruptedByInstance.get(engine.lifeId());
@@ -106,6 +120,13 @@
 
   private void onVerdict(EngineInstance engine, Verdict verdict) {
     List<InterruptedRequest> interrupted = interruptedByInstance.remove(engine.lifeId());
+    logVerdict(engine, verdict, interrupted.size());
+    if (verdict.isCrash()) {
+      onCrash(engine, interrupted);
+    }
+  }
+
+  private static void logVerdict(EngineInstance engine, Verdict verdict, int requests) {
     EVENTS.log(
         EventCode.ENGINE_CHECKED,
         "engine",
@@ -113,10 +134,7 @@
         "verdict",
         verdict,
         "requests",
-        interrupted.size());
-    if (verdict.isCrash()) {
-      onCrash(engine, interrupted);
-    }
+        requests);
   }
 
   private void onCrash(EngineInstance engine, List<InterruptedRequest> interrupted) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -28,6 +28,7 @@
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.message.ProposeReply;
@@ -115,6 +116,8 @@
             reporter,
             eventLoop,
             engine -> consensusExecutor.execute(() -> engines.onDown(engine, clock.monotonicMs())));
+    transport.setIdleLossListener(
+        engine -> consensusExecutor.execute(() -> onIdleLoss(engine, eligibility)));
     this.engineListIsRecent = engineListIsRecent;
     this.consensusExecutor = consensusExecutor;
     EngineLoadClient loadClient =
@@ -126,6 +129,12 @@
     this.loadPolls = new LoadPolls(engine -> eventLoop.execute(() -> loadClient.fetch(engine)));
   }
 
+  private void onIdleLoss(EngineInstance engine, EngineEligibility eligibility) {
+    if (eligibility.coldStartLimit().appliesTo(engine)) {
+      eventLoop.execute(() -> transport.checkEngine(engine));
+    }
+  }
+
   /** Applies a new view of the fleet. */
   void onChange(FleetView newView) {
     view = newView;
--- a/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdEngine.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdEngine.java
@@ -1,5 +1,7 @@
 package io.pathdeck.fleet.warmup;
 
+import io.pathdeck.protocol.fleet.EngineInstance;
+
 /**
  * How long one life of an engine is cold, and what this process has sent it.
  *
@@ -20,6 +22,7 @@
   private static final double[] WARM_STEPS = {1.5, 2, 3};
 
   private static final long WARM_STEP_MS = 500;
+  private static final long REPORT_RETRY_MS = 200;
   private static final int UNLIMITED = Integer.MAX_VALUE;
 
   private final long hash;
@@ -29,11 +32,15 @@
   private long coldUntilMs = NEVER;
   private long assumedAtMs = NEVER;
   private boolean isDown;
+  private long bornMs;
+  private long reportedAtMs = NEVER;
+  private long reportRequestedAtMs = NEVER;
   private long rankVersion = -1;
   private int rank;
 
-  ColdEngine(String lifeId) {
-    this.hash = GatewayShares.hash(lifeId);
+  ColdEngine(EngineInstance engine) {
+    this.hash = GatewayShares.hash(engine.lifeId());
+    this.bornMs = engine.bornMs();
   }
 
   SendWindow sends() {
@@ -71,6 +78,29 @@
     }
   }
 
+  /** Applies a report; returns whether it comes from a later life than the last known one. */
+  boolean onReport(long reportedBornMs, long nowMs) {
+    reportedAtMs = nowMs;
+    if (reportedBornMs == EngineInstance.BORN_UNKNOWN) {
+      return false;
+    }
+    boolean isOtherLife = bornMs != EngineInstance.BORN_UNKNOWN && bornMs != reportedBornMs;
+    bornMs = reportedBornMs;
+    return isOtherLife;
+  }
+
+  /** Whether the cold time ended after {@code sinceMs} and the engine has not reported since. */
+  boolean isUnheardSinceCold(long sinceMs) {
+    return coldUntilMs > sinceMs && reportedAtMs < coldUntilMs;
+  }
+
+  /** Returns whether a report is to be requested now; limits the rate of requests. */
+  boolean takeReportRequest(long nowMs) {
+    boolean isDue = nowMs - reportRequestedAtMs >= REPORT_RETRY_MS;
+    reportRequestedAtMs = isDue ? nowMs : reportRequestedAtMs;
+    return isDue;
+  }
+
   private void setColdUntil(long untilMs, long nowMs) {
     boolean wasCold = isCold(nowMs);
     if (untilMs > nowMs) {
--- a/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdEngines.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdEngines.java
@@ -67,7 +67,7 @@
     ColdEngine known = engines.get(engine.lifeId());
     boolean wasCold = known != null && known.isCold(nowMs);
     if (known == null) {
-      known = new ColdEngine(engine.lifeId());
+      known = new ColdEngine(engine);
       engines.put(engine.lifeId(), known);
       ColdRule rule = rules.get(engine.service());
       if (hasList && rule != null && engine.coldLeftMs() == 0) {
@@ -122,6 +122,15 @@
     }
   }
 
+  /** Applies a report of an engine; one from a later life than the last known one is cold. */
+  void onReport(EngineInstance engine, long bornMs, long nowMs) {
+    ColdEngine known = find(engine);
+    ColdRule rule = rule(engine);
+    if (known != null && rule != null && known.onReport(bornMs, nowMs)) {
+      assumeCold(engine, known, rule, "restarted", nowMs);
+    }
+  }
+
   private void logIfCold(EngineInstance engine, ColdEngine known, String reason, long nowMs) {
     if (rules.containsKey(engine.service()) && known.isCold(nowMs)) {
       EVENTS.log(
--- a/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdStartBudget.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdStartBudget.java
@@ -6,6 +6,7 @@
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
  * The limit of a gateway: all gateways together send a cold engine at most the requests that its
@@ -21,6 +22,8 @@
   private final BooleanSupplier isConfirmed;
   private final ColdStartMetrics metrics;
   private final ColdEngines engines = new ColdEngines();
+  private Consumer<EngineInstance> reportRequester;
+  private long confirmedAtMs = Long.MIN_VALUE;
   private boolean suspended;
 
   /**
@@ -37,6 +40,15 @@
     this.metrics = metrics;
   }
 
+  /**
+   * Sets what asks an engine for a report. While the leading coordinator does not confirm the list,
+   * an engine whose cold time has ended gets requests only once it has reported: it may have been
+   * restarted again without anyone noticing.
+   */
+  public void setReportRequester(Consumer<EngineInstance> requester) {
+    reportRequester = requester;
+  }
+
   /** Applies a change of the fleet's state; call before engines are chosen from it. */
   public void onChange(FleetView view, long nowMs) {
     shares.onChange(view, nowMs);
@@ -46,6 +58,9 @@
   /** Call several times a second. */
   public void onTick(long nowMs) {
     boolean confirmed = isConfirmed.getAsBoolean();
+    if (confirmed) {
+      confirmedAtMs = nowMs;
+    }
     shares.onTick(confirmed, nowMs);
     int cold = engines.countCold(nowMs);
     metrics.setColdEngines(cold);
@@ -71,6 +86,12 @@
     }
     if (known.takeDown()) {
       engines.assumeCold(engine, known, rule, "back", nowMs);
+      requestReportIfUnconfirmed(engine, known, nowMs);
+    }
+    if (!known.isCold(nowMs)
+        && known.isUnheardSinceCold(confirmedAtMs)
+        && requestReportIfUnconfirmed(engine, known, nowMs)) {
+      return untilMs > nowMs ? 1 : 0;
     }
     int limit = known.limit(rule, untilMs);
     if (limit == UNLIMITED) {
@@ -83,6 +104,22 @@
     return Math.max(0, known.share(limit, shares) - sent);
   }
 
+  /** Returns whether the engine's own report is needed, which is requested now and then. */
+  private boolean requestReportIfUnconfirmed(EngineInstance engine, ColdEngine known, long nowMs) {
+    if (reportRequester == null || isConfirmed.getAsBoolean()) {
+      return false;
+    }
+    if (known.takeReportRequest(nowMs)) {
+      reportRequester.accept(engine);
+    }
+    return true;
+  }
+
+  /** Applies a report of an engine that has told when its life began. */
+  public void onReport(EngineInstance engine, long bornMs, long nowMs) {
+    engines.onReport(engine, bornMs, nowMs);
+  }
+
   @Override
   public void onStart(EngineInstance engine, long nowMs) {
     ColdRule rule = engines.rule(engine);
@@ -96,6 +133,11 @@
     }
   }
 
+  @Override
+  public boolean appliesTo(EngineInstance engine) {
+    return engines.rule(engine) != null;
+  }
+
   @Override
   public void onColdTold(EngineInstance engine, long coldLeftMs, long nowMs) {
     engines.onTold(engine, coldLeftMs, nowMs);
--- a/fleet/src/main/java/io/pathdeck/fleet/warmup/WarmEnginesOnly.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/WarmEnginesOnly.java
@@ -29,6 +29,11 @@
     return !known.isCold(nowMs);
   }
 
+  @Override
+  public boolean appliesTo(EngineInstance engine) {
+    return engines.rule(engine) != null;
+  }
+
   @Override
   public void onColdTold(EngineInstance engine, long coldLeftMs, long nowMs) {
     engines.onTold(engine, coldLeftMs, nowMs);
--- a/fleet/src/test/java/io/pathdeck/fleet/warmup/TestColdStartBudget.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/warmup/TestColdStartBudget.java
@@ -11,6 +11,7 @@
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.ServiceLimits;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -187,6 +188,25 @@
     assertThat(sendAll(WARM, LISTED_MS + COLD_MS, 1)).isEqualTo(1_000);
   }
 
+  /**
+   * An engine may end and start again, unseen, while a gateway without a leader takes it for cold.
+   */
+  @Test
+  void engineThatRestartsUnseenWithoutLeaderIsColdAgain() {
+    List<EngineInstance> asked = new ArrayList<>();
+    budget.setReportRequester(asked::add);
+    list(0, WARM);
+    list(LISTED_MS, engine(1, COLD_MS));
+    isConfirmed = false;
+    long endMs = LISTED_MS + COLD_MS;
+    assertThat(sendAll(WARM, LISTED_MS, COLD_MS + 300)).isZero();
+    assertThat(asked).isNotEmpty().hasSizeLessThan(4);
+    budget.onReport(WARM, 2, endMs + 300);
+    assertThat(sendAll(WARM, endMs + 300, COLD_MS)).isZero();
+    budget.onReport(WARM, 2, endMs + 300 + COLD_MS);
+    assertThat(sendAll(WARM, endMs + 300 + COLD_MS, 1)).isEqualTo(1_000);
+  }
+
   /** Others may have stopped to count this gateway, so it waits until they do again. */
   @Test
   void gatewayThatWasCutOffForLongJoinsAnew() {
