RetryPolicy: what an attempt without a result means for engine and item, in one class

Taken out of BatchRunner unchanged, so that it can be tested and simulated without a group and connections.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -49,15 +49,7 @@
  */
 final class BatchRunner {
   private static final long SCHEDULE_INTERVAL_MS = 20;
-  private static final long YIELD_RETRY_DELAY_MS = 400;
   private static final long SILENCE_TIMEOUT_MS = 1_500;
-  private static final long RETRY_DELAY_MS = 150;
-  private static final long MAX_RETRY_DELAY_MS = 2_000;
-
-  /** Delay before a quarantined item is tried again, in case it was released. */
-  private static final long QUARANTINE_RETRY_DELAY_MS = 2_000;
-
-  private static final int MAX_DOUBLINGS = 10;
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
 
@@ -379,36 +371,19 @@
     switch (outcome.kind()) {
       case DONE -> onItemCompleted(run, nowMs);
       case IMPOSSIBLE -> giveUp(run, "impossible");
-      case FAILED -> onItemFailed(run, nowMs);
-      case UNCLEAR -> run.waitUntil(nowMs + unclearRetryDelayMs(run.countUnclearResponse()));
-      case OTHER_INSTANCE -> engine.onRemoved();
-      case QUARANTINED -> run.waitUntil(nowMs + QUARANTINE_RETRY_DELAY_MS);
-      case YIELDED -> run.waitUntil(nowMs + YIELD_RETRY_DELAY_MS);
-      case REFUSED -> {
-        engine.onFull(nowMs, outcome.retryAfterMs());
-        run.waitUntil(nowMs + outcome.retryAfterMs());
-      }
-      default -> engine.onFailure(nowMs);
+      case FAILED -> onItemFailed(run, engine, outcome, nowMs);
+      default -> RetryPolicy.apply(run, engine, outcome, nowMs);
     }
   }
 
-  private void onItemFailed(ItemRun run, long nowMs) {
+  private void onItemFailed(ItemRun run, EngineState engine, ItemOutcome outcome, long nowMs) {
     if (run.countFailure() >= Math.max(1, run.job.submission().maxAttempts())) {
       giveUp(run, "failed on every attempt");
     } else {
-      run.waitUntil(nowMs + RETRY_DELAY_MS);
+      RetryPolicy.apply(run, engine, outcome, nowMs);
     }
   }
 
-  /**
-   * The delay doubles with each unclear response, up to {@link #MAX_RETRY_DELAY_MS}, so that an
-   * item with only unclear responses does not occupy slots continuously.
-   */
-  private static long unclearRetryDelayMs(int unclearResponses) {
-    int doublings = Math.min(unclearResponses, MAX_DOUBLINGS);
-    return Math.min(RETRY_DELAY_MS << doublings, MAX_RETRY_DELAY_MS);
-  }
-
   private void onItemCompleted(ItemRun run, long nowMs) {
     slack.onItemCompleted(run, nowMs);
     proposeOutcome(run, run.finishCompleted(), "whole");
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -0,0 +1,47 @@
+package io.pathdeck.fleet.store;
+
+import io.pathdeck.fleet.engine.EngineState;
+
+/**
+ * Decides what an attempt without a result means for the engine and for how long the item waits;
+ * has no state.
+ */
+final class RetryPolicy {
+  private static final long YIELD_RETRY_DELAY_MS = 400;
+  private static final long RETRY_DELAY_MS = 150;
+  private static final long MAX_RETRY_DELAY_MS = 2_000;
+
+  /** Delay before a quarantined item is tried again, in case it was released. */
+  private static final long QUARANTINE_RETRY_DELAY_MS = 2_000;
+
+  private static final int MAX_DOUBLINGS = 10;
+
+  private RetryPolicy() {}
+
+  /** Applies the outcome of an attempt that is to be repeated. */
+  static void apply(ItemRun run, EngineState engine, ItemOutcome outcome, long nowMs) {
+    switch (outcome.kind()) {
+      case FAILED -> run.waitUntil(nowMs + RETRY_DELAY_MS);
+      case UNCLEAR -> run.waitUntil(nowMs + unclearRetryDelayMs(run.countUnclearResponse()));
+      case OTHER_INSTANCE -> engine.onRemoved();
+      case QUARANTINED -> run.waitUntil(nowMs + QUARANTINE_RETRY_DELAY_MS);
+      case YIELDED -> run.waitUntil(nowMs + YIELD_RETRY_DELAY_MS);
+      case REFUSED -> {
+        engine.onFull(nowMs, outcome.retryAfterMs());
+        run.waitUntil(nowMs + outcome.retryAfterMs());
+      }
+      case BROKEN -> engine.onFailure(nowMs);
+      case DONE, IMPOSSIBLE ->
+          throw new IllegalArgumentException(outcome.kind() + " is not repeated");
+    }
+  }
+
+  /**
+   * The delay doubles with each unclear response, up to {@link #MAX_RETRY_DELAY_MS}, so that an
+   * item with only unclear responses does not occupy slots continuously.
+   */
+  private static long unclearRetryDelayMs(int unclearResponses) {
+    int doublings = Math.min(unclearResponses, MAX_DOUBLINGS);
+    return Math.min(RETRY_DELAY_MS << doublings, MAX_RETRY_DELAY_MS);
+  }
+}
