--- a/common/src/main/java/io/pathdeck/common/events/EventCode.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventCode.java
@@ -82,6 +82,7 @@
   ITEM_RETRIED(4001, Level.WARN, true),
   ITEM_STARTED(4004, Level.INFO, true),
   ITEM_LISTED(4005, Level.INFO, true),
+  ITEM_WAITS(4006, Level.WARN, true),
   LEASE_REVOKED(4002, Level.INFO),
   PARTITION_UNREACHABLE(4003, Level.WARN),
   STAND_IN_FAULT(9001, Level.INFO);
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -70,6 +70,7 @@
   private final ItemSlack slack;
   private final ItemScheduler scheduler;
   private final ItemRuns runs = new ItemRuns();
+  private final ItemWaits waits = new ItemWaits();
   private FleetView view = FleetView.EMPTY;
   private long term;
   private long nextScheduleMs;
@@ -158,10 +159,18 @@
             .itemToMove(runs.all(), view, nowMs)
             .map(ItemRun::stream)
             .ifPresent(stream -> eventLoop.execute(stream::leaveEngine));
+      } else {
+        runs.all().forEach(run -> run.setSchedulerReason(WaitReason.ENGINE_LIST_NOT_RECENT));
       }
+      waits.update(runs.all(), run -> scheduler.hasRoom(run, view, nowMs), nowMs);
     }
   }
 
+  /** Returns the items that wait for this reason; safe from any thread. */
+  ItemWaits.Count waiting(WaitReason reason) {
+    return waits.count(reason);
+  }
+
   private void onReport(String engineId, EngineLoadReport load, long coldLeftMs) {
     EngineState engine = engines.find(engineId);
     if (engine == null) {
@@ -183,6 +192,7 @@
   private void stopAll() {
     runs.all().forEach(this::stop);
     runs.clear();
+    waits.clear();
   }
 
   private void stop(ItemRun run) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchSlotPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchSlotPolicy.java
@@ -17,6 +17,9 @@
   /** Covers the requests that arrive before a load report shows them and an item yields. */
   static final double RESERVED_SHARE = 0.125;
 
+  /** An engine with less load than this has room for an item, whatever else is expected. */
+  private static final double ROOM_SHARE = 0.5;
+
   private static final int DEFAULT_SLOTS = 8;
 
   /**
@@ -70,6 +73,11 @@
     return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - reservedShare);
   }
 
+  /** Whether so much of the engine is free that a waiting item has to start there or elsewhere. */
+  boolean hasRoom(EngineState engine, long nowMs) {
+    return engine.estimatedLoad(nowMs) < slots(engine) * ROOM_SHARE;
+  }
+
   /**
    * Whether the load of an engine is known well enough to start items there. After a power failure
    * an engine may run calls of crashed processes for seconds, so it does not count as free before
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
@@ -98,4 +98,20 @@
         "known_ms",
         knownMs);
   }
+
+  /** Logs an item that is at no engine although one has room for it. */
+  static void waits(ItemRun run, WaitReason reason, long waitMs) {
+    EVENTS.log(
+        EventCode.ITEM_WAITS,
+        "job",
+        run.job.submission().jobId(),
+        "item",
+        run.item.id(),
+        "reason",
+        reason,
+        "waited_ms",
+        waitMs,
+        "after_event",
+        run.lastEvent());
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -35,6 +35,9 @@
   private long normalizedRunMs;
   private long startedMs;
   private boolean finished;
+  private long waitingSinceMs;
+  private boolean waitReported;
+  private WaitReason schedulerReason = WaitReason.NOT_EXAMINED;
 
   /** The current attempt; null, like {@link #engine}, if the item does not run. */
   private ItemStream stream;
@@ -54,6 +57,7 @@
     this.job = job;
     this.item = item;
     this.knownSinceMs = nowMs;
+    this.waitingSinceMs = nowMs;
     this.minAgeWhenKnownMs = (logTimeMs - job.submittedAtMs()) / LogTime.MAX_RATE;
     this.recordedEvent = job.progress(item.id()).lastEvent();
     this.origin = job.progress(item.id()).origin();
@@ -96,6 +100,37 @@
     stream = null;
     engine = null;
     relativePace = 1;
+    waitingSinceMs = nowMs;
+    waitReported = false;
+    schedulerReason = WaitReason.NOT_EXAMINED;
+  }
+
+  /** Returns for how long the item has been at no engine; 0 while it runs. */
+  long waitMs(long nowMs) {
+    return isRunning() ? 0 : nowMs - waitingSinceMs;
+  }
+
+  /** Returns why the item is at no engine. */
+  WaitReason waitReason(long nowMs) {
+    if (finished) {
+      return WaitReason.NOT_LISTED;
+    }
+    if (discarding) {
+      return WaitReason.DISCARDING;
+    }
+    return nowMs < notBeforeMs ? WaitReason.RETRY_DELAY : schedulerReason;
+  }
+
+  /** Sets why the scheduler did not start the item. */
+  void setSchedulerReason(WaitReason reason) {
+    schedulerReason = reason;
+  }
+
+  /** Marks the present wait as reported; returns false if it was already. */
+  boolean markWaitReported() {
+    boolean isFirst = !waitReported;
+    waitReported = true;
+    return isFirst;
   }
 
   /**
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -94,10 +94,12 @@
     for (ItemRun run : startableItems(runs, nowMs)) {
       Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
       if (route.isEmpty()) {
+        run.setSchedulerReason(WaitReason.NO_ROUTE);
         continue;
       }
       StartPlace place = placeOf(run, route.get());
       if (fullPlaces.contains(place) || fullPlaces.contains(place.anyVersion())) {
+        run.setSchedulerReason(WaitReason.BEHIND_OTHERS);
         continue;
       }
       String service = place.service();
@@ -105,6 +107,7 @@
       RequestConstraints constraints = constraints(run, route.get(), view);
       List<EngineState> available = availableEngines(service, constraints, view, nowMs);
       ItemStartResult result = startItem(run, available, pace, starter, nowMs);
+      run.setSchedulerReason(reasonOf(result, service, constraints, nowMs));
       unplacedItems += result == ItemStartResult.NO_ENGINE_FAST_ENOUGH ? 1 : 0;
       if (result == ItemStartResult.NO_FREE_SLOT || unplacedItems > MAX_UNPLACED_ITEMS) {
         fullPlaces.add(place);
@@ -112,6 +115,35 @@
     }
   }
 
+  private WaitReason reasonOf(
+      ItemStartResult result, String service, RequestConstraints constraints, long nowMs) {
+    if (result != ItemStartResult.NO_FREE_SLOT) {
+      return WaitReason.ENGINES_TOO_SLOW;
+    }
+    if (engines.inService(service, constraints, nowMs).isEmpty()) {
+      return WaitReason.NO_ENGINE;
+    }
+    return engines.usable(service, constraints, nowMs).isEmpty()
+        ? WaitReason.ENGINES_EJECTED
+        : WaitReason.NO_FREE_SLOT;
+  }
+
+  /** Whether an engine of the item's route that is under half full could run it. */
+  boolean hasRoom(ItemRun run, FleetView view, long nowMs) {
+    return view.routes()
+        .match(run.job.submission().host(), run.item.path())
+        .map(route -> hasRoom(run, route, view, nowMs))
+        .orElse(false);
+  }
+
+  private boolean hasRoom(ItemRun run, RouteSpec route, FleetView view, long nowMs) {
+    RequestConstraints anyVersion = constraints(run, route, view).ofNewStream();
+    return route.targets().stream()
+        .filter(target -> target.weight() > 0)
+        .flatMap(target -> engines.inService(target.service(), anyVersion, nowMs).stream())
+        .anyMatch(engine -> slotPolicy.hasRoom(engine, nowMs));
+  }
+
   private StartPlace placeOf(ItemRun run, RouteSpec route) {
     String service =
         run.origin().map(StreamOrigin::service).orElseGet(() -> trafficSplit.next(route));
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -157,6 +157,11 @@
     return report;
   }
 
+  /** Returns the items that wait for this reason; safe from any thread. */
+  ItemWaits.Count waiting(WaitReason reason) {
+    return runner.waiting(reason);
+  }
+
   private void publishReport() {
     GroupRuntime group = host.group();
     if (!group.isLeading()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -31,8 +31,7 @@
         run.waitUntil(nowMs + outcome.retryAfterMs());
       }
       case BROKEN -> engine.onFailure(nowMs);
-      case DONE, IMPOSSIBLE ->
-          throw new IllegalArgumentException(outcome.kind() + " is not repeated");
+      default -> throw new IllegalArgumentException(outcome.kind() + " is not repeated");
     }
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.store;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.pathdeck.common.duty.ResourceStack;
@@ -111,7 +112,7 @@
     resources.push(
         new PeerServer(fleet.listen(), eventLoops, tls, fleet.peerCompression(), this::route));
     MemberMetrics.serve(
-        fleet, eventLoops, follower, this::status, pool, resources, regionTraffic::bindTo);
+        fleet, eventLoops, follower, this::status, pool, resources, this::bindMetrics);
     resources.push(follower);
     follower.start();
     EVENTS.log(
@@ -131,6 +132,16 @@
     return Result.ok(null);
   }
 
+  private void bindMetrics(MeterRegistry registry) {
+    regionTraffic.bindTo(registry);
+    ItemMetrics.bindTo(registry, this::waiting);
+  }
+
+  private ItemWaits.Count waiting(WaitReason reason) {
+    JobsReplica currentReplica = replica;
+    return currentReplica == null ? ItemWaits.Count.NONE : currentReplica.waiting(reason);
+  }
+
   private FleetFollower.SelfReport selfReport(boolean mayFound) {
     FleetSettings fleet = settings.fleet();
     String address = fleet.listen().toString();
