--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/FakeItemFleet.java
@@ -0,0 +1,340 @@
+package io.pathdeck.fleet.store;
+
+import io.pathdeck.fleet.adapter.EngineLoadReport;
+import io.pathdeck.fleet.eligibility.ColdStartLimit;
+import io.pathdeck.fleet.eligibility.EngineEligibility;
+import io.pathdeck.fleet.engine.EngineLoadBalancer;
+import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.fleet.engine.EngineTable;
+import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.topology.Topology;
+import io.pathdeck.protocol.command.Command;
+import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.DiscardBatchProgress;
+import io.pathdeck.protocol.command.RecordBatchProgress;
+import io.pathdeck.protocol.command.SubmitBatch;
+import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.CallerLimits;
+import io.pathdeck.protocol.fleet.CallerTenant;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EvacuatedZones;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.QuarantineList;
+import io.pathdeck.protocol.fleet.RouteKind;
+import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.fleet.RouteTable;
+import io.pathdeck.protocol.fleet.RouteTarget;
+import io.pathdeck.protocol.fleet.StreamOrigin;
+import io.pathdeck.state.BatchStateMachine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Runs the items of a leader on fake engines, in steps of 20 ms, and measures how long an item has
+ * had no run of a second while a sound engine that may run it was under half full.
+ */
+final class FakeItemFleet {
+  static final int SLOTS = 8;
+  static final String OPEN_TENANT = "open";
+  static final String TENANT_OF_FAR = "far-only";
+
+  private static final String SERVICE = "s";
+  private static final Topology TOPOLOGY =
+      Topology.of(Map.of("a", "near", "b", "near", "c", "far"));
+  private static final long STEP_MS = 20;
+  private static final long REPORT_INTERVAL_MS = 100;
+  private static final long RECORD_INTERVAL_MS = 700;
+  private static final long MS_PER_EVENT = 40;
+  private static final long MIN_RUN_MS = 1_000;
+
+  enum Behavior {
+    SOUND,
+    REFUSING,
+    BREAKING
+  }
+
+  static final class Engine {
+    final EngineInstance instance;
+    Behavior behavior = Behavior.SOUND;
+    long retryAfterMs = 100;
+    int online;
+
+    Engine(EngineInstance instance) {
+      this.instance = instance;
+    }
+  }
+
+  private final class Item {
+    final String tenant;
+    final int events;
+    ItemRun run;
+    Engine engine;
+    boolean discarding;
+    long startedMs;
+    long lyingMs;
+
+    Item(String tenant, int events) {
+      this.tenant = tenant;
+      this.events = events;
+    }
+
+    private boolean mayRunOn(Engine candidate) {
+      String zone = candidate.instance.zone();
+      return !evacuatedZones.contains(zone)
+          && (tenant.equals(OPEN_TENANT) || TOPOLOGY.regionOf(zone).equals("far"));
+    }
+  }
+
+  private final BatchStateMachine machine = new BatchStateMachine();
+  private final FleetView view = view();
+  private final Map<String, Engine> engines = new TreeMap<>();
+  private final List<Item> items = new ArrayList<>();
+  private final Set<String> evacuatedZones = new TreeSet<>();
+  private EngineTable table;
+  private ItemScheduler scheduler;
+  private long nowMs;
+  private int submitted;
+  private long longestLyingMs;
+  private int shortRuns;
+
+  FakeItemFleet() {
+    changeLeader();
+    step(500);
+  }
+
+  private static FleetView view() {
+    RouteTarget target = new RouteTarget(SERVICE, 1);
+    RouteSpec route =
+        new RouteSpec(
+            "r",
+            "h",
+            "/p",
+            RouteKind.BATCH,
+            0,
+            0,
+            0,
+            List.of(target),
+            1,
+            false,
+            false,
+            0,
+            20_000,
+            60_000,
+            0,
+            true);
+    CallerTenant far = new CallerTenant(TENANT_OF_FAR, List.of(), 0, 0, 0, List.of("far"));
+    RouteTable routes =
+        new RouteTable(
+            1,
+            List.of(route),
+            List.of(),
+            CallerLimits.NONE,
+            List.of(far),
+            new byte[0],
+            new byte[0]);
+    return new FleetView(
+        routes,
+        Map.of(),
+        Map.of(),
+        List.of(),
+        List.of(),
+        FleetProcess.NO_GROUP,
+        List.of(),
+        QuarantineList.NONE,
+        EvacuatedZones.NONE);
+  }
+
+  // ---- events
+
+  Engine addEngine(String id, String zone, String version) {
+    EngineInstance instance =
+        new EngineInstance(id, SERVICE, "h:1", zone, SLOTS, false).withSoftwareVersion(version);
+    return engines.compute(id, (key, earlier) -> new Engine(instance));
+  }
+
+  Engine engine(String id) {
+    return engines.get(id);
+  }
+
+  EngineState stateOf(String id) {
+    return table.find(id);
+  }
+
+  void addItem(String tenant, int events, int outputTokens) {
+    String id = "i" + submitted++;
+    BatchItem item = new BatchItem(id, "/p", Map.of(), new byte[0], 100, outputTokens);
+    apply(new SubmitBatch(id, tenant, "r", "h", List.of(item), 3, 20_000, 60_000, 0));
+    Item added = new Item(tenant, events);
+    added.run = newRun(id);
+    items.add(added);
+  }
+
+  private void apply(Command command) {
+    machine.apply(new CommandEnvelope("", 0, nowMs, command));
+  }
+
+  private ItemRun newRun(String id) {
+    BatchItem item = machine.job(id).orElseThrow().openItems().get(id);
+    return new ItemRun(machine.job(id).orElseThrow(), item, nowMs, nowMs);
+  }
+
+  void evacuate(String zone) {
+    evacuatedZones.add(zone);
+    updateZones();
+  }
+
+  void takeBack(String zone) {
+    evacuatedZones.remove(zone);
+    updateZones();
+  }
+
+  private void updateZones() {
+    table.eligibility().setEvacuatedZones(new EvacuatedZones(1, List.copyOf(evacuatedZones)));
+  }
+
+  /** A leader that knows only what is recorded takes over. */
+  void changeLeader() {
+    table = new EngineTable(500, new EngineEligibility(TOPOLOGY, ColdStartLimit.NONE));
+    EngineLoadBalancer balancer = new EngineLoadBalancer("a", 1);
+    scheduler = new ItemScheduler(table, balancer, new ItemSlack(() -> nowMs));
+    scheduler.setLeaderSince(nowMs);
+    updateZones();
+    for (Item item : items) {
+      item.run = newRun(item.run.item.id());
+      item.engine = null;
+      item.discarding = false;
+    }
+  }
+
+  // ---- steps
+
+  /** Returns the longest time for which an item was left lying. */
+  long longestLyingMs() {
+    return longestLyingMs;
+  }
+
+  /** Returns how many runs were stopped within a second. */
+  int shortRuns() {
+    return shortRuns;
+  }
+
+  void step(long durationMs) {
+    long endMs = nowMs + durationMs;
+    while (nowMs < endMs) {
+      nowMs += STEP_MS;
+      step();
+    }
+  }
+
+  private void step() {
+    Map<String, EngineInstance> listed = new TreeMap<>();
+    engines.forEach((id, engine) -> listed.put(id, engine.instance));
+    table.update(listed);
+    List.copyOf(items).forEach(this::advance);
+    if (nowMs % REPORT_INTERVAL_MS == 0) {
+      engines.values().forEach(this::report);
+    }
+    if (nowMs % RECORD_INTERVAL_MS == 0) {
+      items.forEach(
+          item ->
+              item.run
+                  .takeUnrecorded()
+                  .ifPresent(events -> apply(new RecordBatchProgress(List.of(events)))));
+    }
+    List<ItemRun> runs = items.stream().map(item -> item.run).toList();
+    scheduler.itemsToBeginAnew(runs, view, nowMs).forEach(this::discard);
+    scheduler.startItems(runs, view, this::start, nowMs);
+    items.forEach(this::measure);
+  }
+
+  private void advance(Item item) {
+    if (item.discarding) {
+      item.discarding = false;
+      item.run.beginAnew();
+    }
+    if (item.engine == null) {
+      return;
+    }
+    if (engines.get(item.engine.instance.id()) != item.engine) {
+      end(item, ItemOutcome.Kind.BROKEN);
+      return;
+    }
+    switch (item.engine.behavior) {
+      case REFUSING -> end(item, ItemOutcome.Kind.REFUSED);
+      case BREAKING -> end(item, ItemOutcome.Kind.BROKEN);
+      default -> write(item);
+    }
+  }
+
+  private void write(Item item) {
+    if ((nowMs - item.startedMs) % MS_PER_EVENT == 0) {
+      long last = item.run.lastEvent();
+      StreamOrigin origin = StreamOrigin.of(item.engine.instance);
+      item.run.appendEvents(new ItemEvents(origin, last, last + 1, "t"));
+    }
+    if (item.run.lastEvent() >= item.events) {
+      item.run.engine().onEnd();
+      items.remove(item);
+    }
+  }
+
+  private void end(Item item, ItemOutcome.Kind kind) {
+    shortRuns += nowMs - item.startedMs < MIN_RUN_MS ? 1 : 0;
+    EngineState state = item.run.engine();
+    long retryAfterMs = item.engine.retryAfterMs;
+    item.engine = null;
+    state.onEnd();
+    item.run.onStop(nowMs);
+    RetryPolicy.apply(item.run, state, new ItemOutcome(kind, null, retryAfterMs, ""), nowMs);
+  }
+
+  private int load(Engine engine) {
+    return engine.online + (int) items.stream().filter(item -> item.engine == engine).count();
+  }
+
+  private void report(Engine engine) {
+    int load = load(engine);
+    EngineLoadReport report =
+        new EngineLoadReport(Math.min(load, SLOTS), Math.max(0, load - SLOTS), SLOTS);
+    EngineState state = table.find(engine.instance.id());
+    state.onLoadReport(report, nowMs);
+    List<ItemRun> runs = items.stream().map(item -> item.run).toList();
+    scheduler
+        .itemsToYield(runs, state, report, nowMs)
+        .forEach(run -> end(find(run), ItemOutcome.Kind.YIELDED));
+  }
+
+  private Item find(ItemRun run) {
+    return items.stream().filter(item -> item.run == run).findFirst().orElseThrow();
+  }
+
+  private void discard(ItemRun run) {
+    run.awaitDiscard();
+    find(run).discarding = true;
+    apply(new DiscardBatchProgress(run.item.id(), run.item.id()));
+  }
+
+  private void start(ItemRun run, EngineState state, double relativePace) {
+    Item item = find(run);
+    item.engine = engines.get(state.instance().id());
+    item.startedMs = nowMs;
+    ItemStream stream =
+        new ItemStream(StreamOrigin.of(state.instance()), run.lastEvent(), outcome -> {});
+    run.onStart(stream, state, relativePace, nowMs);
+    state.onStart(nowMs);
+  }
+
+  private void measure(Item item) {
+    boolean hasRun = item.engine != null && nowMs - item.startedMs >= MIN_RUN_MS;
+    boolean hasRoom =
+        engines.values().stream()
+            .filter(engine -> engine.behavior == Behavior.SOUND && item.mayRunOn(engine))
+            .anyMatch(engine -> load(engine) < SLOTS / 2);
+    item.lyingMs = hasRun || !hasRoom ? 0 : item.lyingMs + STEP_MS;
+    longestLyingMs = Math.max(longestLyingMs, item.lyingMs);
+  }
+}
