An engine's Retry-After no longer keeps the item it refused from other engines

Callers saw an accepted item at no engine for as long as one engine's Retry-After said, with sound engines beside it: the wait was applied to the item as well as to the engine. Test before: left lying for the whole 12 s. The wait belongs to the engine, which gets no items meanwhile; the item is tried elsewhere after 150 ms.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -28,7 +28,7 @@
       case YIELDED -> run.waitUntil(nowMs + YIELD_RETRY_DELAY_MS);
       case REFUSED -> {
         engine.onFull(nowMs, outcome.retryAfterMs());
-        run.waitUntil(nowMs + outcome.retryAfterMs());
+        run.waitUntil(nowMs + RETRY_DELAY_MS);
       }
       case BROKEN -> engine.onFailure(nowMs);
       default -> throw new IllegalArgumentException(outcome.kind() + " is not repeated");
