An engine that refuses items is asked again after 2 s at the latest

Callers saw items at no engine while the engines were free again: what an engine says in Retry-After kept it from all items without a bound. Test before: an engine that is sound after 2 s got nothing until its 30 s were over (12 s of the test). One item asks at a time, since a refusal pauses the engine again.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -14,6 +14,12 @@
   /** Delay before a quarantined item is tried again, in case it was released. */
   private static final long QUARANTINE_RETRY_DELAY_MS = 2_000;
 
+  /**
+   * Limits the Retry-After of an engine. One item asks again after that time; the engine may have
+   * room long before its own estimate, and may be the only one that has.
+   */
+  private static final long MAX_ENGINE_PAUSE_MS = 2_000;
+
   private static final int MAX_DOUBLINGS = 10;
 
   private RetryPolicy() {}
@@ -27,7 +33,7 @@
       case QUARANTINED -> run.waitUntil(nowMs + QUARANTINE_RETRY_DELAY_MS);
       case YIELDED -> run.waitUntil(nowMs + YIELD_RETRY_DELAY_MS);
       case REFUSED -> {
-        engine.onFull(nowMs, outcome.retryAfterMs());
+        engine.onFull(nowMs, Math.min(outcome.retryAfterMs(), MAX_ENGINE_PAUSE_MS));
         run.waitUntil(nowMs + RETRY_DELAY_MS);
       }
       case BROKEN -> engine.onFailure(nowMs);
