An item that may run in a full region only no longer holds up those that may run elsewhere

Callers saw items at no engine while engines of other regions were free. The first item that finds no free slot ends the step for all of its service; the regions that its route and tenant allow were not part of that. Test before: left lying for the whole 12 s beside an idle engine. A full place is now known by its regions too.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -40,9 +40,10 @@
   }
 
   /** The engines at which an item may start. */
-  private record StartPlace(String service, Optional<StreamOrigin> origin) {
+  private record StartPlace(
+      String service, AllowedRegions allowedRegions, Optional<StreamOrigin> origin) {
     StartPlace anyVersion() {
-      return new StartPlace(service, Optional.empty());
+      return new StartPlace(service, allowedRegions, Optional.empty());
     }
   }
 
@@ -97,14 +98,14 @@
         run.setSchedulerReason(WaitReason.NO_ROUTE);
         continue;
       }
-      StartPlace place = placeOf(run, route.get());
+      RequestConstraints constraints = constraints(run, route.get(), view);
+      StartPlace place = placeOf(run, route.get(), constraints);
       if (fullPlaces.contains(place) || fullPlaces.contains(place.anyVersion())) {
         run.setSchedulerReason(WaitReason.BEHIND_OTHERS);
         continue;
       }
       String service = place.service();
       ServicePace pace = paces.computeIfAbsent(service, name -> engines.pace(name, nowMs));
-      RequestConstraints constraints = constraints(run, route.get(), view);
       List<EngineState> available = availableEngines(service, constraints, view, nowMs);
       ItemStartResult result = startItem(run, available, pace, starter, nowMs);
       run.setSchedulerReason(reasonOf(result, service, constraints, nowMs));
@@ -144,10 +145,10 @@
         .anyMatch(engine -> slotPolicy.hasRoom(engine, nowMs));
   }
 
-  private StartPlace placeOf(ItemRun run, RouteSpec route) {
+  private StartPlace placeOf(ItemRun run, RouteSpec route, RequestConstraints constraints) {
     String service =
         run.origin().map(StreamOrigin::service).orElseGet(() -> trafficSplit.next(route));
-    return new StartPlace(service, run.origin());
+    return new StartPlace(service, constraints.allowedRegions(), run.origin());
   }
 
   private List<ItemRun> startableItems(Collection<ItemRun> runs, long nowMs) {
