Items start on half-free engines while most zones are evacuated

With two of three zones evacuated items had to leave two thirds of the slots to requests, with more of them all: an engine that is a third full got no item, however long they waited. Test before: left lying for the whole 12 s. The share is at most half; items yield as before when requests wait.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchSlotPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchSlotPolicy.java
@@ -50,7 +50,8 @@
 
   /**
    * Returns the fraction of an engine's slots that items leave to online requests. While engines
-   * are in evacuated zones, the others have to bear the online requests of those.
+   * are in evacuated zones, the others have to bear the online requests of those, but items start
+   * on an engine that is under half full.
    *
    * @param counts the number of the service's engines by their eligibility
    */
@@ -60,7 +61,7 @@
     int inService = counts.values().stream().mapToInt(Integer::intValue).sum() - outOfService;
     return evacuated == 0
         ? RESERVED_SHARE
-        : Math.max(RESERVED_SHARE, evacuated / (double) inService);
+        : Math.max(RESERVED_SHARE, Math.min(ROOM_SHARE, evacuated / (double) inService));
   }
 
   /**
