An item waits for an engine that is fast enough for 2 s at most

An item that would be late on each engine with a free slot was not started until it was late anyway; with slow engines free and fast ones full, items lay for seconds, and more than eight of them kept all others of the service from being examined. After 2 s without a run of a second the item starts on what is free, and is moved when a faster engine has a slot. Runs under a second do not end a wait: users do not count them either.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -18,6 +18,9 @@
  * order, until the leader proposes them.
  */
 final class ItemRun {
+  /** A shorter run gains the item nearly nothing, so its wait goes on. */
+  private static final long MIN_RUN_MS = 1_000;
+
   final BatchJob job;
   final BatchItem item;
   private final long knownSinceMs;
@@ -100,12 +103,17 @@
     stream = null;
     engine = null;
     relativePace = 1;
-    waitingSinceMs = nowMs;
-    waitReported = false;
     schedulerReason = WaitReason.NOT_EXAMINED;
+    if (nowMs - startedMs >= MIN_RUN_MS) {
+      waitingSinceMs = nowMs;
+      waitReported = false;
+    }
   }
 
-  /** Returns for how long the item has been at no engine; 0 while it runs. */
+  /**
+   * Returns for how long the item has been at no engine, leaving aside runs of less than {@value
+   * #MIN_RUN_MS} ms; 0 while it runs.
+   */
   long waitMs(long nowMs) {
     return isRunning() ? 0 : nowMs - waitingSinceMs;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -34,6 +34,9 @@
    */
   private static final int MAX_UNPLACED_ITEMS = 8;
 
+  /** Wait after which an item also starts on an engine that is too slow for it to be on time. */
+  private static final long MAX_PLACEMENT_WAIT_MS = 2_000;
+
   /** Starts an item on the chosen engine. */
   interface Starter {
     void start(ItemRun run, EngineState engine, double relativePace);
@@ -198,6 +201,9 @@
     ToLongFunction<EngineState> slackAt =
         engine -> slack.slackMs(run, pace.relativePace(engine), nowMs);
     List<EngineState> candidates = ItemPlacement.candidates(available, pace, urgency, slackAt);
+    if (candidates.isEmpty() && run.waitMs(nowMs) >= MAX_PLACEMENT_WAIT_MS) {
+      candidates = available;
+    }
     Optional<Placement> placement = loadBalancer.choose(candidates, pace, Prompt.UNKNOWN, nowMs);
     if (placement.isEmpty()) {
       return ItemStartResult.NO_ENGINE_FAST_ENOUGH;
