An item begins anew when its software version takes nothing for 3 s while another has room

An item with recorded events waited for an engine of its software version as long as one was listed: refusing, ejected, full or down. It is tried at its own version first if it was not since its last run of a second; else its events are discarded by the existing command, one item a step, the longest waiting first.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
@@ -51,7 +51,7 @@
 
   /** Logs an item that begins anew because no engine can write what follows its events. */
   static void beginsAnew(ItemRun run) {
-    String reason = "no engine of its software version is left";
+    String reason = "no engine of its software version takes it";
     retried(run, "", "BEGINS_ANEW", reason, 0, run.lastEvent());
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -39,6 +39,7 @@
   private long startedMs;
   private boolean finished;
   private long waitingSinceMs;
+  private int shortRuns;
   private boolean waitReported;
   private WaitReason schedulerReason = WaitReason.NOT_EXAMINED;
 
@@ -104,7 +105,9 @@
     engine = null;
     relativePace = 1;
     schedulerReason = WaitReason.NOT_EXAMINED;
+    shortRuns++;
     if (nowMs - startedMs >= MIN_RUN_MS) {
+      shortRuns = 0;
       waitingSinceMs = nowMs;
       waitReported = false;
     }
@@ -118,6 +121,11 @@
     return isRunning() ? 0 : nowMs - waitingSinceMs;
   }
 
+  /** Returns how many runs of less than {@value #MIN_RUN_MS} ms the present wait includes. */
+  int shortRuns() {
+    return shortRuns;
+  }
+
   /** Returns why the item is at no engine. */
   WaitReason waitReason(long nowMs) {
     if (finished) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -37,6 +37,12 @@
   /** Wait after which an item also starts on an engine that is too slow for it to be on time. */
   private static final long MAX_PLACEMENT_WAIT_MS = 2_000;
 
+  /**
+   * Wait after which an item that its software version does not take begins anew. Longer than the
+   * pauses of engines, so that the events are discarded only if the version lastingly has no slot.
+   */
+  private static final long MAX_VERSION_WAIT_MS = 3_000;
+
   /** Starts an item on the chosen engine. */
   interface Starter {
     void start(ItemRun run, EngineState engine, double relativePace);
@@ -69,17 +75,51 @@
 
   // ---- starts
 
-  /** Returns the waiting items that have events, while no engine is left that can go on. */
+  /**
+   * Returns the waiting items that have events and cannot go on: no engine of their software
+   * version is left, or none has taken the item for {@value #MAX_VERSION_WAIT_MS} ms while one of
+   * another version has room. Of the latter one at a time, so that it takes the slot before the
+   * next.
+   */
   List<ItemRun> itemsToBeginAnew(Collection<ItemRun> runs, FleetView view, long nowMs) {
     List<ItemRun> toBeginAnew = new ArrayList<>();
+    ItemRun longestWaiting = null;
     for (ItemRun run : runs) {
-      if (run.mayStart(nowMs) && run.origin().isPresent() && !canGoOn(run, view, nowMs)) {
+      if (!run.mayStart(nowMs) || run.origin().isEmpty()) {
+        continue;
+      }
+      if (!canGoOn(run, view, nowMs)) {
         toBeginAnew.add(run);
+      } else if (run.waitMs(nowMs) >= MAX_VERSION_WAIT_MS
+          && (longestWaiting == null || run.waitMs(nowMs) > longestWaiting.waitMs(nowMs))
+          && hasRoomAtOtherVersion(run, view, nowMs)) {
+        longestWaiting = run;
       }
     }
+    if (longestWaiting != null) {
+      toBeginAnew.add(longestWaiting);
+    }
     return toBeginAnew;
   }
 
+  private boolean hasRoomAtOtherVersion(ItemRun run, FleetView view, long nowMs) {
+    return view.routes()
+        .match(run.job.submission().host(), run.item.path())
+        .map(route -> constraints(run, route, view))
+        .filter(constraints -> hasRoomAtOtherVersion(run, constraints, view, nowMs))
+        .isPresent();
+  }
+
+  private boolean hasRoomAtOtherVersion(
+      ItemRun run, RequestConstraints constraints, FleetView view, long nowMs) {
+    String service = run.origin().orElseThrow().service();
+    boolean mayTry =
+        run.shortRuns() == 0 && !availableEngines(service, constraints, view, nowMs).isEmpty();
+    return !mayTry
+        && availableEngines(service, constraints.ofNewStream(), view, nowMs).stream()
+            .anyMatch(engine -> slotPolicy.hasRoom(engine, nowMs));
+  }
+
   private boolean canGoOn(ItemRun run, FleetView view, long nowMs) {
     Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
     if (route.isEmpty()) {
