Failing tests: engines that refuse at once or broke items keep items lying

An idle engine that refuses at once is chosen again each 150 ms beside a sound engine that has room (12 s of the test); an engine that broke items gets none for 4.7 s after it is sound; a store never ends the backoff of an engine that has run items since (four failures in its life, and each further one ejects it for 4 s).

--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -114,4 +114,20 @@
     table.update(Map.of("e", new EngineInstance("e", "s", "h:1", "z", 8, false)));
     return table.find("e");
   }
+
+  @Test
+  void eventsEndTheBackoffOfTheirEngine() {
+    EngineTable engines = new EngineTable(500);
+    engines.update(Map.of("e", new EngineInstance("e", "s", "h:1", "z", 8, false)));
+    EngineState engine = engines.find("e");
+    for (int i = 0; i < 4; i++) {
+      engine.onFailure(0);
+    }
+    ItemRun run = run();
+    run.onStart(new ItemStream(ORIGIN, -1, outcome -> {}), engine, 1, 5_000);
+    run.appendEvents(new ItemEvents(ORIGIN, -1, 3, "a"));
+    run.reportPace(5_100, (events, normalizedMs) -> {});
+    engine.onFailure(6_000);
+    assertThat(engine.isUsable(6_600)).isTrue();
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemsLeftLying.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemsLeftLying.java
@@ -48,6 +48,26 @@
     assertThat(fleet.longestLyingMs()).isBetween(1_000L, MAX_LYING_OF_VERSION_MS);
   }
 
+  @Test
+  void idleEngineThatRefusesAtOnceDoesNotAttractItemAgainAndAgain() {
+    fleet.addEngine("refusing", "a", "v1").behavior = Behavior.REFUSING;
+    fleet.addEngine("sound", "b", "v1").online = FakeItemFleet.SLOTS / 2 - 1;
+    addItem(FakeItemFleet.OPEN_TENANT);
+    fleet.step(12_000);
+    assertThat(fleet.longestLyingMs()).isLessThan(MAX_LYING_MS);
+  }
+
+  @Test
+  void engineThatBrokeItemsIsTriedAgainSoon() {
+    Engine engine = fleet.addEngine("e", "a", "v1");
+    engine.behavior = Behavior.BREAKING;
+    addItem(FakeItemFleet.OPEN_TENANT);
+    fleet.step(8_000);
+    engine.behavior = Behavior.SOUND;
+    fleet.step(12_000);
+    assertThat(fleet.longestLyingMs()).isBetween(1_000L, MAX_LYING_MS + 1_000);
+  }
+
   @Test
   void itemBeginsAnewWhileItsSoftwareVersionTakesNothing() {
     Engine old = fleet.addEngine("old", "a", "v1");
