An item is tried at other engines before the one that has just refused or broken it

An engine that refuses at once looks idle, so it was the first choice for each attempt: test before, the item was sent there each 150 ms for 12 s beside a sound engine with room. The engines tried since the item's last run of a second come last, as for callers' requests.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -6,10 +6,13 @@
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchJob;
 import io.pathdeck.state.ItemProgress;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The leader's state of an item that has no result yet; confined to the consensus thread.
@@ -40,6 +43,7 @@
   private boolean finished;
   private long waitingSinceMs;
   private int shortRuns;
+  private final Set<String> triedEngineIds = new HashSet<>();
   private boolean waitReported;
   private WaitReason schedulerReason = WaitReason.NOT_EXAMINED;
 
@@ -108,6 +112,7 @@
     shortRuns++;
     if (nowMs - startedMs >= MIN_RUN_MS) {
       shortRuns = 0;
+      triedEngineIds.clear();
       waitingSinceMs = nowMs;
       waitReported = false;
     }
@@ -126,6 +131,16 @@
     return shortRuns;
   }
 
+  /** Records that an engine did not run the item. */
+  void markTried(EngineInstance tried) {
+    triedEngineIds.add(tried.lifeId());
+  }
+
+  /** Whether the engine did not run the item when it was tried in the present wait. */
+  boolean hasTried(EngineInstance candidate) {
+    return triedEngineIds.contains(candidate.lifeId());
+  }
+
   /** Returns why the item is at no engine. */
   WaitReason waitReason(long nowMs) {
     if (finished) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -149,7 +149,8 @@
       }
       String service = place.service();
       ServicePace pace = paces.computeIfAbsent(service, name -> engines.pace(name, nowMs));
-      List<EngineState> available = availableEngines(service, constraints, view, nowMs);
+      List<EngineState> available =
+          preferUntried(run, availableEngines(service, constraints, view, nowMs));
       ItemStartResult result = startItem(run, available, pace, starter, nowMs);
       run.setSchedulerReason(reasonOf(result, service, constraints, nowMs));
       unplacedItems += result == ItemStartResult.NO_ENGINE_FAST_ENOUGH ? 1 : 0;
@@ -159,6 +160,15 @@
     }
   }
 
+  /**
+   * Leaves out engines that did not run the item since its last run, unless only these are left.
+   */
+  private static List<EngineState> preferUntried(ItemRun run, List<EngineState> available) {
+    List<EngineState> untried =
+        available.stream().filter(engine -> !run.hasTried(engine.instance())).toList();
+    return untried.isEmpty() ? available : untried;
+  }
+
   private WaitReason reasonOf(
       ItemStartResult result, String service, RequestConstraints constraints, long nowMs) {
     if (result != ItemStartResult.NO_FREE_SLOT) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -26,6 +26,9 @@
 
   /** Applies the outcome of an attempt that is to be repeated. */
   static void apply(ItemRun run, EngineState engine, ItemOutcome outcome, long nowMs) {
+    if (concernsEngine(outcome.kind())) {
+      run.markTried(engine.instance());
+    }
     switch (outcome.kind()) {
       case FAILED -> run.waitUntil(nowMs + RETRY_DELAY_MS);
       case UNCLEAR -> run.waitUntil(nowMs + unclearRetryDelayMs(run.countUnclearResponse()));
@@ -41,6 +44,10 @@
     }
   }
 
+  private static boolean concernsEngine(ItemOutcome.Kind kind) {
+    return kind != ItemOutcome.Kind.YIELDED && kind != ItemOutcome.Kind.QUARANTINED;
+  }
+
   /**
    * The delay doubles with each unclear response, up to {@link #MAX_RETRY_DELAY_MS}, so that an
    * item with only unclear responses does not occupy slots continuously.
