--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
@@ -112,9 +112,13 @@
   }
 
   private void start(ItemRun run, EngineState engine, double relativePace) {
+    start(run, engine, relativePace, NOW_MS);
+  }
+
+  private void start(ItemRun run, EngineState engine, double relativePace, long nowMs) {
     startedItems.add(run.item.id());
-    engine.onStart(NOW_MS);
-    run.onStart(new ItemStream(ORIGIN, -1, outcome -> {}), engine, relativePace, NOW_MS);
+    engine.onStart(nowMs);
+    run.onStart(new ItemStream(ORIGIN, -1, outcome -> {}), engine, relativePace, nowMs);
   }
 
   private void listEngines(EngineInstance... listed) {
@@ -180,6 +184,19 @@
     assertThat(scheduler.itemsToYield(runs, engine(), load(8, 9), NOW_MS)).hasSize(3);
   }
 
+  @Test
+  void itemThatHasJustStartedYieldsAfterOthersOfItsUrgency() {
+    report(0, 0);
+    addItem("more-slack", RUN_TARGET_MS + 500);
+    startItems();
+    ItemRun started = runs.get(3);
+    started.onStop(NOW_MS + 1_000);
+    start(started, engine(), 1, NOW_MS + 1_000);
+    assertThat(scheduler.itemsToYield(runs, engine(), load(8, 2), NOW_MS + 1_500))
+        .extracting(run -> run.item.id())
+        .containsExactly("late", "deferrable");
+  }
+
   private void evacuate(String zone) {
     engines.eligibility().setEvacuatedZones(new EvacuatedZones(1, List.of(zone)));
   }
