Of the items of one urgency, those that have just started yield last

A run that is stopped within a second gains the item nothing and costs its prefill. The order of stops had only urgency and slack.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -22,7 +22,7 @@
  */
 final class ItemRun {
   /** A shorter run gains the item nearly nothing, so its wait goes on. */
-  private static final long MIN_RUN_MS = 1_000;
+  static final long MIN_RUN_MS = 1_000;
 
   final BatchJob job;
   final BatchItem item;
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -273,7 +273,7 @@
     boolean isSlow = engines.pace(engine.instance().service(), nowMs).isSlow(engine);
     return runs.stream()
         .filter(run -> run.isRunning() && run.engine() == engine)
-        .sorted(slack.startOrder(nowMs).reversed())
+        .sorted(slack.yieldOrder(nowMs))
         .limit(slotPolicy.yieldCount(engine, load, isSlow))
         .toList();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
@@ -53,4 +53,15 @@
     return Comparator.<ItemRun, ItemUrgency>comparing(run -> urgency(run, nowMs))
         .thenComparingLong(run -> slackMs(run, nowMs));
   }
+
+  /**
+   * Orders running items by how little a stop costs: least urgent first, of these first those whose
+   * run has gained something, then most slack first.
+   */
+  Comparator<ItemRun> yieldOrder(long nowMs) {
+    return Comparator.<ItemRun, ItemUrgency>comparing(run -> urgency(run, nowMs))
+        .reversed()
+        .thenComparing(run -> run.attemptMs(nowMs) < ItemRun.MIN_RUN_MS)
+        .thenComparing(startOrder(nowMs).reversed());
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/MixedLoadSimulation.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/MixedLoadSimulation.java
@@ -59,35 +59,6 @@
   private static final Prompt PROMPT = new Prompt(450, "shared", 200);
   private static final List<String> ZONES = List.of("a", "b", "c");
 
-  /** Counts over one or more runs. */
-  record Result(
-      int requests,
-      int lateRequests,
-      int peakRequests,
-      int latePeakRequests,
-      int items,
-      int lateItems) {
-    static final Result NONE = new Result(0, 0, 0, 0, 0, 0);
-
-    Result plus(Result other) {
-      return new Result(
-          requests + other.requests,
-          lateRequests + other.lateRequests,
-          peakRequests + other.peakRequests,
-          latePeakRequests + other.latePeakRequests,
-          items + other.items,
-          lateItems + other.lateItems);
-    }
-
-    double latePeakRequestShare() {
-      return latePeakRequests / (double) peakRequests;
-    }
-
-    double lateItemShare() {
-      return lateItems / (double) items;
-    }
-  }
-
   private record ScheduledAction(double atMs, long order, Runnable action) {}
 
   private static final class Call {
@@ -204,7 +175,7 @@
     storeTable.update(instancesById);
   }
 
-  Result run() {
+  MixedLoadResult run() {
     after(0, this::generateRequest);
     after(0, this::generateJob);
     after(0, this::step);
@@ -217,7 +188,7 @@
       nowMs = next.atMs();
       next.action().run();
     }
-    return new Result(
+    return new MixedLoadResult(
         requests, lateRequests, peakRequests, latePeakRequests, items.size(), lateItems);
   }
 
@@ -371,6 +342,13 @@
     return Comparator.comparing(this::urgency).thenComparing(this::slackMs);
   }
 
+  private Comparator<Item> yieldOrder() {
+    return Comparator.comparing(this::urgency)
+        .reversed()
+        .thenComparing(item -> !item.call.running || nowMs - item.startedMs < ItemRun.MIN_RUN_MS)
+        .thenComparing(startOrder().reversed());
+  }
+
   private void onReport(EngineState state, EngineLoadReport report, int expectedGeneration) {
     if (expectedGeneration != processGeneration) {
       return;
@@ -378,7 +356,7 @@
     state.onLoadReport(report, clockMs());
     items.stream()
         .filter(item -> item.call != null && item.engineState == state)
-        .sorted(startOrder().reversed())
+        .sorted(yieldOrder())
         .limit(slotPolicy.yieldCount(state, report, false))
         .toList()
         .forEach(this::stop);
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestMixedLoad.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestMixedLoad.java
@@ -29,8 +29,8 @@
    */
   private static final double PHASE_STEP_MS = 500;
 
-  private static MixedLoadSimulation.Result simulate(IntToDoubleFunction crashAtMs) {
-    MixedLoadSimulation.Result total = MixedLoadSimulation.Result.NONE;
+  private static MixedLoadResult simulate(IntToDoubleFunction crashAtMs) {
+    MixedLoadResult total = MixedLoadResult.NONE;
     for (int run = 0; run < RUNS; run++) {
       double crashMs = crashAtMs.applyAsDouble(run);
       total = total.plus(new MixedLoadSimulation(run, crashMs, OUTAGE_MS).run());
@@ -40,14 +40,14 @@
 
   @Test
   void peakRequestsAndItemsAreOnTime() {
-    MixedLoadSimulation.Result result = simulate(run -> MixedLoadSimulation.NO_CRASH);
+    MixedLoadResult result = simulate(run -> MixedLoadSimulation.NO_CRASH);
     assertThat(result.latePeakRequestShare()).isLessThan(MAX_LATE_SHARE);
     assertThat(result.lateItemShare()).isLessThan(MAX_LATE_SHARE);
   }
 
   @Test
   void requestsAndItemsAreOnTimeAfterCrash() {
-    MixedLoadSimulation.Result result = simulate(run -> FIRST_CRASH_AT_MS + run * PHASE_STEP_MS);
+    MixedLoadResult result = simulate(run -> FIRST_CRASH_AT_MS + run * PHASE_STEP_MS);
     assertThat(result.latePeakRequestShare()).isLessThan(MAX_LATE_SHARE_WITH_CRASH);
     assertThat(result.lateItemShare()).isLessThan(MAX_LATE_SHARE_WITH_CRASH);
   }
