--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -34,15 +34,25 @@
    */
   private static final int MAX_UNPLACED_ITEMS = 8;
 
+  /** Wait after which an item also starts on an engine that is too slow for it to be on time. */
+  private static final long MAX_PLACEMENT_WAIT_MS = 2_000;
+
+  /**
+   * Wait after which an item that its software version does not take begins anew. Longer than the
+   * pauses of engines, so that the events are discarded only if the version lastingly has no slot.
+   */
+  private static final long MAX_VERSION_WAIT_MS = 3_000;
+
   /** Starts an item on the chosen engine. */
   interface Starter {
     void start(ItemRun run, EngineState engine, double relativePace);
   }
 
   /** The engines at which an item may start. */
-  private record StartPlace(String service, Optional<StreamOrigin> origin) {
+  private record StartPlace(
+      String service, AllowedRegions allowedRegions, Optional<StreamOrigin> origin) {
     StartPlace anyVersion() {
-      return new StartPlace(service, Optional.empty());
+      return new StartPlace(service, allowedRegions, Optional.empty());
     }
   }
 
@@ -65,17 +75,51 @@
 
   // ---- starts
 
-  /** Returns the waiting items that have events, while no engine is left that can go on. */
+  /**
+   * Returns the waiting items that have events and cannot go on: no engine of their software
+   * version is left, or none has taken the item for {@value #MAX_VERSION_WAIT_MS} ms while one of
+   * another version has room. Of the latter one at a time, so that it takes the slot before the
+   * next.
+   */
   List<ItemRun> itemsToBeginAnew(Collection<ItemRun> runs, FleetView view, long nowMs) {
     List<ItemRun> toBeginAnew = new ArrayList<>();
+    ItemRun longestWaiting = null;
     for (ItemRun run : runs) {
-      if (run.mayStart(nowMs) && run.origin().isPresent() && !canGoOn(run, view, nowMs)) {
+      if (!run.mayStart(nowMs) || run.origin().isEmpty()) {
+        continue;
+      }
+      if (!canGoOn(run, view, nowMs)) {
         toBeginAnew.add(run);
+      } else if (run.waitMs(nowMs) >= MAX_VERSION_WAIT_MS
+          && (longestWaiting == null || run.waitMs(nowMs) > longestWaiting.waitMs(nowMs))
+          && hasRoomAtOtherVersion(run, view, nowMs)) {
+        longestWaiting = run;
       }
     }
+    if (longestWaiting != null) {
+      toBeginAnew.add(longestWaiting);
+    }
     return toBeginAnew;
   }
 
+  private boolean hasRoomAtOtherVersion(ItemRun run, FleetView view, long nowMs) {
+    return view.routes()
+        .match(run.job.submission().host(), run.item.path())
+        .map(route -> constraints(run, route, view))
+        .filter(constraints -> hasRoomAtOtherVersion(run, constraints, view, nowMs))
+        .isPresent();
+  }
+
+  private boolean hasRoomAtOtherVersion(
+      ItemRun run, RequestConstraints constraints, FleetView view, long nowMs) {
+    String service = run.origin().orElseThrow().service();
+    boolean mayTry =
+        run.shortRuns() == 0 && !availableEngines(service, constraints, view, nowMs).isEmpty();
+    return !mayTry
+        && availableEngines(service, constraints.ofNewStream(), view, nowMs).stream()
+            .anyMatch(engine -> slotPolicy.hasRoom(engine, nowMs));
+  }
+
   private boolean canGoOn(ItemRun run, FleetView view, long nowMs) {
     Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
     if (route.isEmpty()) {
@@ -94,17 +138,23 @@
     for (ItemRun run : startableItems(runs, nowMs)) {
       Optional<RouteSpec> route = view.routes().match(run.job.submission().host(), run.item.path());
       if (route.isEmpty()) {
+        run.setSchedulerReason(WaitReason.NO_ROUTE);
         continue;
       }
-      StartPlace place = placeOf(run, route.get());
+      RequestConstraints constraints = constraints(run, route.get(), view);
+      StartPlace place = placeOf(run, route.get(), constraints);
       if (fullPlaces.contains(place) || fullPlaces.contains(place.anyVersion())) {
+        run.setSchedulerReason(WaitReason.BEHIND_OTHERS);
         continue;
       }
       String service = place.service();
       ServicePace pace = paces.computeIfAbsent(service, name -> engines.pace(name, nowMs));
-      RequestConstraints constraints = constraints(run, route.get(), view);
-      List<EngineState> available = availableEngines(service, constraints, view, nowMs);
+      List<EngineState> available =
+          preferUntried(run, availableEngines(service, constraints, view, nowMs));
       ItemStartResult result = startItem(run, available, pace, starter, nowMs);
+      if (result != ItemStartResult.STARTED) {
+        run.setSchedulerReason(reasonOf(result, service, constraints, nowMs));
+      }
       unplacedItems += result == ItemStartResult.NO_ENGINE_FAST_ENOUGH ? 1 : 0;
       if (result == ItemStartResult.NO_FREE_SLOT || unplacedItems > MAX_UNPLACED_ITEMS) {
         fullPlaces.add(place);
@@ -112,10 +162,48 @@
     }
   }
 
-  private StartPlace placeOf(ItemRun run, RouteSpec route) {
+  /**
+   * Leaves out engines that did not run the item since its last run, unless only these are left.
+   */
+  private static List<EngineState> preferUntried(ItemRun run, List<EngineState> available) {
+    List<EngineState> untried =
+        available.stream().filter(engine -> !run.hasTried(engine.instance())).toList();
+    return untried.isEmpty() ? available : untried;
+  }
+
+  private WaitReason reasonOf(
+      ItemStartResult result, String service, RequestConstraints constraints, long nowMs) {
+    if (result != ItemStartResult.NO_FREE_SLOT) {
+      return WaitReason.ENGINES_TOO_SLOW;
+    }
+    if (engines.inService(service, constraints, nowMs).isEmpty()) {
+      return WaitReason.NO_ENGINE;
+    }
+    return engines.usable(service, constraints, nowMs).isEmpty()
+        ? WaitReason.ENGINES_EJECTED
+        : WaitReason.NO_FREE_SLOT;
+  }
+
+  /** Whether an engine of the item's route that is under half full could run it. */
+  boolean hasRoom(ItemRun run, FleetView view, long nowMs) {
+    return view.routes()
+        .match(run.job.submission().host(), run.item.path())
+        .map(route -> hasRoom(run, route, view, nowMs))
+        .orElse(false);
+  }
+
+  private boolean hasRoom(ItemRun run, RouteSpec route, FleetView view, long nowMs) {
+    RequestConstraints anyVersion = constraints(run, route, view).ofNewStream();
+    return route.targets().stream()
+        .filter(target -> target.weight() > 0)
+        .flatMap(target -> engines.inService(target.service(), anyVersion, nowMs).stream())
+        .anyMatch(engine -> slotPolicy.hasRoom(engine, nowMs));
+  }
+
+  private StartPlace placeOf(ItemRun run, RouteSpec route, RequestConstraints constraints) {
     String service =
         run.origin().map(StreamOrigin::service).orElseGet(() -> trafficSplit.next(route));
-    return new StartPlace(service, run.origin());
+    return new StartPlace(service, constraints.allowedRegions(), run.origin());
   }
 
   private List<ItemRun> startableItems(Collection<ItemRun> runs, long nowMs) {
@@ -165,6 +253,9 @@
     ToLongFunction<EngineState> slackAt =
         engine -> slack.slackMs(run, pace.relativePace(engine), nowMs);
     List<EngineState> candidates = ItemPlacement.candidates(available, pace, urgency, slackAt);
+    if (candidates.isEmpty() && run.waitMs(nowMs) >= MAX_PLACEMENT_WAIT_MS) {
+      candidates = available;
+    }
     Optional<Placement> placement = loadBalancer.choose(candidates, pace, Prompt.UNKNOWN, nowMs);
     if (placement.isEmpty()) {
       return ItemStartResult.NO_ENGINE_FAST_ENOUGH;
@@ -182,7 +273,7 @@
     boolean isSlow = engines.pace(engine.instance().service(), nowMs).isSlow(engine);
     return runs.stream()
         .filter(run -> run.isRunning() && run.engine() == engine)
-        .sorted(slack.startOrder(nowMs).reversed())
+        .sorted(slack.yieldOrder(nowMs))
         .limit(slotPolicy.yieldCount(engine, load, isSlow))
         .toList();
   }
