A data folder is opened together with what is recovered from it

One place for the store, the coordinator and the controller, so that a folder whose content turns out to be damaged can be dealt with there. A start that fails closes what it opened.

--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -16,6 +16,8 @@
 import io.pathdeck.consensus.RaftSettings;
 import io.pathdeck.consensus.SnapshotMetadata;
 import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.consensus.storage.Disk;
+import io.pathdeck.consensus.storage.FolderRecovery;
 import io.pathdeck.consensus.storage.RecoveredGroups;
 import io.pathdeck.consensus.storage.SegmentedLog;
 import io.pathdeck.consensus.storage.SnapshotFiles;
@@ -58,21 +60,24 @@
   /** Recovers the data folder and starts all duties. */
   public static Result<ControllerProcess, StorageError> start(
       ControllerSettings settings, TransportTls tls) {
-    Result<DataFolder, StorageError> folder = DataFolder.open(settings.dataFolder());
-    if (!folder.isOk()) {
-      return Result.err(folder.error());
-    }
+    return FolderRecovery.open(
+        settings.dataFolder(), Disk.LOCAL, folder -> start(settings, tls, folder));
+  }
+
+  private static Result<ControllerProcess, StorageError> start(
+      ControllerSettings settings, TransportTls tls, DataFolder folder) {
     RecoveredGroups recovered = new RecoveredGroups();
-    Result<SegmentedLog, StorageError> log = SegmentedLog.open(folder.value(), recovered::replay);
+    Result<SegmentedLog, StorageError> log = SegmentedLog.open(folder, recovered::replay);
     if (!log.isOk()) {
       return Result.err(log.error());
     }
-    recovered.onOpened(folder.value(), log.value());
+    recovered.onOpened(folder, log.value());
     ControllerProcess process = new ControllerProcess(settings);
     try {
-      process.run(folder.value(), log.value(), recovered, tls);
+      process.run(folder, log.value(), recovered, tls);
       return Result.ok(process);
     } catch (IOException e) {
+      process.resources.closeAll();
       return Result.err(new StorageError.Io("recover", e.toString()));
     }
   }
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -70,6 +70,7 @@
   private final ControllerRings rings = ControllerRings.create();
   private final ControllerClock clock = ControllerClock.system();
   private final Section<ControllerStatus> status = new Section<>(new ControllerStatus(List.of()));
+  private final long incarnation;
   private final GroupRuntime group;
   private final ConsensusDuty duty;
   private final StorageDuty storageDuty;
@@ -82,6 +83,7 @@
       RecoveredGroups recovered,
       PeerLinks links)
       throws IOException {
+    incarnation = folder.incarnation();
     SnapshotFiles snapshotFiles = new SnapshotFiles(folder);
     storageDuty =
         new StorageDuty(log, rings.storage(), this::complete, ReplicaHost::haltAfterFailure);
@@ -89,7 +91,7 @@
         new SnapshotDuty(
             snapshotFiles, rings.snapshots(), this::complete, ReplicaHost::haltAfterFailure);
     GroupStorage storage = new HostStorage(snapshotFiles, storageDuty);
-    group = recover(options, folder.incarnation(), recovered, storage, clock.monotonicMs());
+    group = recover(options, incarnation, recovered, storage, clock.monotonicMs());
     duty =
         new ConsensusDuty(
             Map.of(options.group(), group),
@@ -179,6 +181,11 @@
     return group;
   }
 
+  /** The incarnation of the folder that the replica was recovered from. */
+  public long incarnation() {
+    return incarnation;
+  }
+
   /** The clocks of the group. */
   public ControllerClock clock() {
     return clock;
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -12,6 +12,7 @@
 import io.pathdeck.consensus.MembershipPolicy;
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.consensus.storage.Disk;
+import io.pathdeck.consensus.storage.FolderRecovery;
 import io.pathdeck.consensus.storage.StorageError;
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.FleetMemberProcess;
@@ -85,12 +86,18 @@
   /** Recovers the data folder on {@code disk} and starts the process. */
   public static Result<CoordinatorProcess, StorageError> start(
       CoordinatorSettings settings, TransportTls tls, FleetAdapter adapter, Disk disk) {
-    Result<DataFolder, StorageError> folder = DataFolder.open(settings.dataFolder(), disk);
-    if (!folder.isOk()) {
-      return Result.err(folder.error());
-    }
+    return FolderRecovery.open(
+        settings.dataFolder(), disk, folder -> start(settings, tls, adapter, folder));
+  }
+
+  private static Result<CoordinatorProcess, StorageError> start(
+      CoordinatorSettings settings, TransportTls tls, FleetAdapter adapter, DataFolder folder) {
     CoordinatorProcess process = new CoordinatorProcess(settings);
-    return process.run(folder.value(), tls, adapter).map(started -> process);
+    Result<Void, StorageError> started = process.run(folder, tls, adapter);
+    if (!started.isOk()) {
+      process.resources.closeAll();
+    }
+    return started.map(nothing -> process);
   }
 
   private Result<Void, StorageError> run(
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -9,6 +9,7 @@
 import io.pathdeck.common.result.Result;
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.consensus.storage.Disk;
+import io.pathdeck.consensus.storage.FolderRecovery;
 import io.pathdeck.consensus.storage.StorageError;
 import io.pathdeck.control.ControllerStatus;
 import io.pathdeck.fleet.FleetMemberProcess;
@@ -74,12 +75,18 @@
   /** Recovers the data folder on {@code disk} and starts. */
   public static Result<StoreProcess, StorageError> start(
       StoreSettings settings, TransportTls tls, FleetAdapter adapter, Disk disk) {
-    Result<DataFolder, StorageError> openResult = DataFolder.open(settings.dataFolder(), disk);
-    if (!openResult.isOk()) {
-      return Result.err(openResult.error());
+    return FolderRecovery.open(
+        settings.dataFolder(), disk, folder -> start(settings, tls, adapter, folder));
+  }
+
+  private static Result<StoreProcess, StorageError> start(
+      StoreSettings settings, TransportTls tls, FleetAdapter adapter, DataFolder folder) {
+    StoreProcess process = new StoreProcess(settings, folder, adapter);
+    Result<Void, StorageError> started = process.run(tls);
+    if (!started.isOk()) {
+      process.resources.closeAll();
     }
-    StoreProcess process = new StoreProcess(settings, openResult.value(), adapter);
-    return process.run(tls).map(started -> process);
+    return started.map(nothing -> process);
   }
 
   private Result<Void, StorageError> run(TransportTls tls) {
