Test: a replica whose log has a gap elects a leader that lacks committed entries

Three replicas; the third lacks numbers 6 to 20, the first loses the last frame of a segment in the middle.

--- a/control/src/test/java/io/pathdeck/control/PowerLossDisk.java
+++ b/control/src/test/java/io/pathdeck/control/PowerLossDisk.java
@@ -25,6 +25,8 @@
     byte[] synced = {};
   }
 
+  private static final int FRAME_HEADER_LENGTH = 16;
+
   private final SplittableRandom random;
   private final Map<Path, Inode> names = new HashMap<>();
   private final Map<Path, Inode> syncedNames = new HashMap<>();
@@ -130,6 +132,18 @@
     }
   }
 
+  /** Where the last frame of a file starts. */
+  static int lastFrame(Path file) throws IOException {
+    ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(file));
+    int start = 0;
+    int next = 0;
+    while (next < content.limit()) {
+      start = next;
+      next += FRAME_HEADER_LENGTH + content.getInt(start + Long.BYTES);
+    }
+    return start;
+  }
+
   /** Changes a byte of a file durably. */
   void damage(Path file, int offset) throws IOException {
     byte[] content = Files.readAllBytes(file);
