A gap in a log is an error, not a shorter log

Callers lost accepted jobs: a log that lacked entries in the middle lost all before the gap, the rest was skipped, and the replica went on with last 0 under its old incarnation, voted and led.

--- a/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
@@ -45,10 +45,7 @@
     }
     commitIndex = log.snapshotIndex();
     for (LogEntry entry : recovered.entries()) {
-      // Entries of an older term than the snapshot's were overwritten before it was taken.
-      if (entry.index() == log.lastIndex() + 1 && entry.term() >= log.lastTerm()) {
-        log.append(entry);
-      }
+      log.append(entry);
     }
   }
 
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/RecoveredGroups.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/RecoveredGroups.java
@@ -32,6 +32,10 @@
     int votedFor = RecoveredState.NO_REPLICA;
     GroupConfiguration bootstrap;
     int gaps;
+
+    /** The index of the snapshot that last replaced the log; 0 when none did. */
+    long resetIndex;
+
     final List<LogEntry> entries = new ArrayList<>();
   }
 
@@ -54,8 +58,9 @@
       replay.votedFor = hardState.votedFor();
     } else if (logRecord instanceof BootstrapRecord bootstrap) {
       replay.bootstrap = bootstrap.configuration();
-    } else if (logRecord instanceof ResetRecord) {
+    } else if (logRecord instanceof ResetRecord reset) {
       replay.entries.clear();
+      replay.resetIndex = reset.snapshotIndex();
     }
   }
 
@@ -64,11 +69,8 @@
     while (!entries.isEmpty() && entries.get(entries.size() - 1).index() >= entry.index()) {
       entries.remove(entries.size() - 1);
     }
-    boolean gap =
-        !entries.isEmpty() && entries.get(entries.size() - 1).index() + 1 != entry.index();
-    if (gap) {
+    if (!entries.isEmpty() && entries.get(entries.size() - 1).index() + 1 != entry.index()) {
       replay.gaps++;
-      entries.clear();
     }
     entries.add(entry);
   }
@@ -80,14 +82,52 @@
     return new Summary(firstIndex, replay.gaps, bytesDropped, filesSynced);
   }
 
-  /** The state recovered for {@code group}, with the metadata of its newest snapshot. */
-  public RecoveredState state(int group, Optional<SnapshotMetadata> snapshot) {
+  /**
+   * The state recovered for {@code group}, with the metadata of its newest snapshot. Entries that
+   * the snapshot covers may be missing or stem from segments that were deleted; those above it must
+   * follow it.
+   *
+   * @throws StorageDamageException if entries are missing
+   */
+  public RecoveredState state(int group, Optional<SnapshotMetadata> snapshot)
+      throws StorageDamageException {
     Replay replay = groups.getOrDefault(group, new Replay());
     return new RecoveredState(
         replay.term,
         replay.votedFor,
         Optional.ofNullable(replay.bootstrap),
         snapshot,
-        replay.entries);
+        entriesAfter(snapshot, group, replay));
+  }
+
+  private static List<LogEntry> entriesAfter(
+      Optional<SnapshotMetadata> snapshot, int group, Replay replay) throws StorageDamageException {
+    long start = snapshot.map(SnapshotMetadata::index).orElse(0L);
+    if (start < replay.resetIndex) {
+      throw new StorageDamageException(new StorageError.Gap(group, start, replay.resetIndex + 1));
+    }
+    List<LogEntry> above = replay.entries.stream().filter(entry -> entry.index() > start).toList();
+    if (above.isEmpty() || isOverwritten(above.get(0), snapshot)) {
+      return List.of();
+    }
+    boolean hasStart = snapshot.isPresent() || replay.bootstrap != null;
+    long last = start;
+    for (LogEntry entry : above) {
+      if (!hasStart || entry.index() != last + 1) {
+        throw new StorageDamageException(new StorageError.Gap(group, last, entry.index()));
+      }
+      last = entry.index();
+    }
+    return above;
+  }
+
+  /**
+   * Whether the entry behind a snapshot was overwritten before the snapshot was taken; then so were
+   * all that follow it, since an entry appended after the snapshot would have replaced it.
+   */
+  private static boolean isOverwritten(LogEntry entry, Optional<SnapshotMetadata> snapshot) {
+    return snapshot
+        .filter(taken -> entry.index() == taken.index() + 1 && entry.term() < taken.term())
+        .isPresent();
   }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
@@ -92,7 +92,7 @@
     records.remove(0);
     boolean complete = last instanceof SnapshotEndRecord end && end.records() == records.size();
     if (!complete) {
-      throw new IOException(file + " is incomplete");
+      throw new StorageDamageException(new StorageError.Damaged(file.toString(), Files.size(file)));
     }
     return records.iterator();
   }
@@ -191,7 +191,8 @@
     Object next() throws IOException {
       byte[] frame = FrameFormat.readFrame(content);
       if (frame == null) {
-        throw new IOException(file + " is damaged at offset " + content.position());
+        throw new StorageDamageException(
+            new StorageError.Damaged(file.toString(), content.position()));
       }
       Result<Object, ObjectCodec.CodecError> decoded = ObjectCodec.decode(frame, Object.class);
       if (!decoded.isOk()) {
--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -67,18 +67,19 @@
   private static Result<ControllerProcess, StorageError> start(
       ControllerSettings settings, TransportTls tls, DataFolder folder) {
     RecoveredGroups recovered = new RecoveredGroups();
-    Result<SegmentedLog, StorageError> log = SegmentedLog.open(folder, recovered::replay);
-    if (!log.isOk()) {
-      return Result.err(log.error());
+    Result<SegmentedLog, StorageError> opened = SegmentedLog.open(folder, recovered::replay);
+    if (!opened.isOk()) {
+      return Result.err(opened.error());
     }
-    recovered.onOpened(folder, log.value());
+    SegmentedLog log = opened.value();
+    recovered.onOpened(folder, log);
     ControllerProcess process = new ControllerProcess(settings);
     try {
-      process.run(folder, log.value(), recovered, tls);
+      process.run(folder, log, recovered, tls);
       return Result.ok(process);
     } catch (IOException e) {
       process.resources.closeAll();
-      return Result.err(new StorageError.Io("recover", e.toString()));
+      return Result.err(RecoveryErrors.afterFailure(e, log));
     }
   }
 
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -116,7 +116,7 @@
     try {
       return Result.ok(new ReplicaHost(options, folder, log.value(), recovered, links));
     } catch (IOException | IllegalArgumentException e) {
-      return Result.err(new StorageError.Io("recover", e.toString()));
+      return Result.err(RecoveryErrors.afterFailure(e, log.value()));
     }
   }
 
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimDisk.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimDisk.java
@@ -52,16 +52,25 @@
     synced.subList(keep, synced.size()).clear();
   }
 
-  /** Takes away one entry in the middle of the log. */
+  /**
+   * Takes away one entry in the middle of the log, and the entries of its group that would not
+   * follow then, as a recovery that skips them.
+   */
   void forgetMiddle() {
     for (int i = synced.size() / 2; i < synced.size(); i++) {
-      if (synced.get(i) instanceof EntryRecord) {
-        synced.remove(i);
+      if (synced.get(i) instanceof EntryRecord missing) {
+        synced.subList(i, synced.size()).removeIf(later -> follows(later, missing));
         return;
       }
     }
   }
 
+  private static boolean follows(LogRecord later, EntryRecord missing) {
+    return later instanceof EntryRecord entry
+        && entry.group() == missing.group()
+        && entry.entry().index() >= missing.entry().index();
+  }
+
   RecoveredGroups recover() {
     RecoveredGroups recovered = new RecoveredGroups();
     synced.forEach(recovered::replay);
