A damaged data folder is given up as a whole; its replica joins as a new one

A damaged frame with a segment behind it kept a replica from its group for ever, and one whose log had a gap voted and led by what it no longer had: one lost disk more ended the group, or took its jobs.

The process now sets the content of the folder aside and goes on at once with an empty folder and a new incarnation, so that no vote or acknowledgement of the old one counts. A marker is made durable first, then the new incarnation; an open that finds the marker completes the move before anything is read. A given up folder says so for good: its replica never founds a group, writes no founders or first start, and asks for admission without announcing itself as an empty founder, so that none is founded in place of the old group. The content is deleted once all replicas of the process vote in a committed configuration, or at a start with less free space than twice its size.

--- a/consensus/src/main/java/io/pathdeck/consensus/JoinProtocol.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/JoinProtocol.java
@@ -46,12 +46,17 @@
 
   /**
    * Announces the empty disk when an announcement is due; returns whether the first configuration
-   * is now known.
+   * is now known. A replica that may not form a group does not announce itself as an empty one, so
+   * that none is formed with it.
    */
   boolean poll(long nowMs) {
     if (nowMs < nextJoinMs) {
       return false;
     }
+    if (!settings.mayFound()) {
+      askToJoin(nowMs);
+      return false;
+    }
     emptyReplicas.add(state.id, state.incarnation, settings.address());
     sendJoinRequests(false, nowMs);
     return tryBootstrap();
@@ -102,16 +107,17 @@
     return true;
   }
 
-  /** Sends the first configuration to a peer with an empty disk. */
+  /** Sends the first configuration to a peer that lacks it. */
   void answer(JoinRequest join) {
-    if (!join.bootstrapped()) {
+    boolean lacksConfiguration = join.bootstrapConfiguration() == null && bootstrap != null;
+    if (!join.bootstrapped() || lacksConfiguration) {
       RaftHeader header = state.header(join.header().from(), join.header().fromIncarnation());
       state.messages.add(new JoinRequest(header, true, bootstrap, settings.address()));
     }
   }
 
   private boolean tryBootstrap() {
-    boolean isFounder = settings.founders().contains(state.id);
+    boolean isFounder = settings.mayFound() && settings.founders().contains(state.id);
     if (!isFounder || !emptyReplicas.containsAll(settings.founders())) {
       return false;
     }
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -108,6 +108,11 @@
     return state.log.hasConfiguration() ? Optional.of(state.log.configuration()) : Optional.empty();
   }
 
+  /** Whether this incarnation of the replica votes in a committed configuration. */
+  public boolean isVoter() {
+    return configurationIfCommitted().isPresent() && state.isVoter();
+  }
+
   /** The newest configuration once it is committed; empty while a membership change is pending. */
   public Optional<GroupConfiguration> configurationIfCommitted() {
     return configuration().filter(next -> state.log.configurationIndex() <= state.commitIndex);
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
@@ -1,8 +1,11 @@
 package io.pathdeck.consensus.storage;
 
+import io.pathdeck.common.events.EventCode;
+import io.pathdeck.common.events.EventLog;
 import io.pathdeck.common.result.Result;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,16 +19,20 @@
  * the folder when it is created, which distinguishes it from an earlier folder that was lost.
  */
 public final class DataFolder {
+  private static final EventLog EVENTS = EventLog.of(DataFolder.class);
   private static final String IDENTITY_FILE = "incarnation";
 
   private final Disk disk;
   private final Path path;
+  private final SetAsideFolder setAside;
   private final int filesSynced;
   private final long incarnation;
 
-  private DataFolder(Disk disk, Path path, int filesSynced, long incarnation) {
+  private DataFolder(
+      Disk disk, Path path, SetAsideFolder setAside, int filesSynced, long incarnation) {
     this.disk = disk;
     this.path = path;
+    this.setAside = setAside;
     this.filesSynced = filesSynced;
     this.incarnation = incarnation;
   }
@@ -45,17 +52,64 @@
       createDurably(disk, path.toAbsolutePath());
       int filesSynced = syncContent(disk, path);
       Path identity = path.resolve(IDENTITY_FILE);
-      if (!Files.exists(identity)) {
-        long created = new SecureRandom().nextLong() & Long.MAX_VALUE;
-        writeDurably(disk, identity, Long.toString(created).getBytes(StandardCharsets.UTF_8));
+      SetAsideFolder setAside = new SetAsideFolder(disk, path);
+      if (setAside.isIncomplete()) {
+        writeIncarnation(disk, identity);
+        setAside.complete(identity);
+      } else if (!Files.exists(identity)) {
+        writeIncarnation(disk, identity);
       }
       long incarnation = Long.parseLong(Files.readString(identity).trim());
-      return Result.ok(new DataFolder(disk, path, filesSynced, incarnation));
-    } catch (IOException | NumberFormatException e) {
+      DataFolder folder = new DataFolder(disk, path, setAside, filesSynced, incarnation);
+      folder.discardSetAsideIfSpaceIsShort();
+      return Result.ok(folder);
+    } catch (NumberFormatException | CharacterCodingException e) {
+      return Result.err(new StorageError.Damaged(path.resolve(IDENTITY_FILE).toString(), 0));
+    } catch (IOException e) {
       return Result.err(new StorageError.Io("open data folder " + path, e.toString()));
     }
   }
 
+  private static void writeIncarnation(Disk disk, Path identity) throws IOException {
+    long created = new SecureRandom().nextLong() & Long.MAX_VALUE;
+    writeDurably(disk, identity, Long.toString(created).getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Gives the content of the folder at {@code path} up: it is set aside, and the folder is empty
+   * and has a new incarnation when it is opened next.
+   */
+  static void giveUp(Path path, Disk disk, String reason) throws IOException {
+    new SetAsideFolder(disk, path).begin(reason);
+  }
+
+  /**
+   * Whether the folder takes the place of one that was given up. Its replicas join groups, but
+   * never form one: the groups of the earlier folder exist.
+   */
+  public boolean isGivenUp() {
+    return setAside.isGivenUp();
+  }
+
+  /** Whether the content of an earlier folder that was given up is kept. */
+  public boolean hasSetAside() {
+    return setAside.isKept();
+  }
+
+  /** Deletes the content of an earlier folder that was given up. */
+  public void discardSetAside() throws IOException {
+    long length = setAside.length();
+    setAside.delete();
+    EVENTS.log(EventCode.SET_ASIDE_FOLDER_DELETED, "folder", path, "bytes", length);
+  }
+
+  /** Keeps room for a folder as large as the earlier one, twice while a snapshot is replaced. */
+  private void discardSetAsideIfSpaceIsShort() throws IOException {
+    if (hasSetAside() && path.toFile().getUsableSpace() < 2 * setAside.length()) {
+      discardSetAside();
+    }
+  }
+
   private static void createDurably(Disk disk, Path folder) throws IOException {
     if (Files.isDirectory(folder)) {
       return;
--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -104,7 +104,8 @@
                 folder.incarnation(),
                 settings.peers().size(),
                 RaftSettings.DEFAULT,
-                SNAPSHOT_THRESHOLD_BYTES)
+                SNAPSHOT_THRESHOLD_BYTES,
+                !folder.isGivenUp())
             .recover(settings.partitions(), recovered, groupStorage, clock.monotonicMs());
 
     SnapshotDuty snapshotDuty =
@@ -122,6 +123,9 @@
             new ConfigurationLeases(settings.partitions(), settings.configurationLeaseMs()),
             status,
             clock);
+    consensusDuty.extend(
+        SetAsideCleanup.extend(
+            ConsensusExtension.NONE, folder, groups.values(), rings.snapshots()));
     resources.push(new DutyThread(storageDuty, rings.storage()).start());
     resources.push(new DutyThread(snapshotDuty, rings.snapshots()).start());
     resources.push(new DutyThread(consensusDuty, rings.events()).start());
--- a/control/src/main/java/io/pathdeck/control/GroupRecovery.java
+++ b/control/src/main/java/io/pathdeck/control/GroupRecovery.java
@@ -28,7 +28,8 @@
     long incarnation,
     int controllers,
     RaftSettings raftSettings,
-    long snapshotThresholdBytes) {
+    long snapshotThresholdBytes,
+    boolean mayFound) {
 
   /** Rebuilds the meta group and all jobs partitions. */
   public Map<Integer, GroupRuntime> recover(
@@ -51,12 +52,13 @@
     }
     RecoveredState state = recovered.state(group, snapshot);
     Set<Integer> ids = IntStream.rangeClosed(1, controllers).boxed().collect(Collectors.toSet());
+    JoinSettings join = JoinSettings.fixed(ids);
     RaftReplica replica =
         new RaftReplica(
             group,
             controllerId,
             incarnation,
-            JoinSettings.fixed(ids),
+            mayFound ? join : join.joiningOnly(),
             raftSettings,
             state,
             incarnation + group,
--- a/control/src/main/java/io/pathdeck/control/ReplicaHost.java
+++ b/control/src/main/java/io/pathdeck/control/ReplicaHost.java
@@ -70,7 +70,7 @@
   private final ControllerRings rings = ControllerRings.create();
   private final ControllerClock clock = ControllerClock.system();
   private final Section<ControllerStatus> status = new Section<>(new ControllerStatus(List.of()));
-  private final long incarnation;
+  private final DataFolder folder;
   private final GroupRuntime group;
   private final ConsensusDuty duty;
   private final StorageDuty storageDuty;
@@ -83,7 +83,7 @@
       RecoveredGroups recovered,
       PeerLinks links)
       throws IOException {
-    incarnation = folder.incarnation();
+    this.folder = folder;
     SnapshotFiles snapshotFiles = new SnapshotFiles(folder);
     storageDuty =
         new StorageDuty(log, rings.storage(), this::complete, ReplicaHost::haltAfterFailure);
@@ -91,7 +91,7 @@
         new SnapshotDuty(
             snapshotFiles, rings.snapshots(), this::complete, ReplicaHost::haltAfterFailure);
     GroupStorage storage = new HostStorage(snapshotFiles, storageDuty);
-    group = recover(options, incarnation, recovered, storage, clock.monotonicMs());
+    group = recover(options, folder, recovered, storage, clock.monotonicMs());
     duty =
         new ConsensusDuty(
             Map.of(options.group(), group),
@@ -122,11 +122,13 @@
 
   private static GroupRuntime recover(
       Options options,
-      long incarnation,
+      DataFolder folder,
       RecoveredGroups recovered,
       GroupStorage storage,
       long nowMs)
       throws IOException {
+    long incarnation = folder.incarnation();
+    JoinSettings join = options.joinSettings();
     int number = options.group();
     Optional<SnapshotMetadata> snapshot = storage.newestSnapshot(number);
     if (snapshot.isPresent()) {
@@ -139,7 +141,7 @@
             number,
             options.memberId(),
             incarnation,
-            options.joinSettings(),
+            folder.isGivenUp() ? join.joiningOnly() : join,
             RaftSettings.DEFAULT,
             state,
             seed,
@@ -153,7 +155,7 @@
         options.stateMachine(),
         applied,
         options.snapshotThresholdBytes(),
-        voterRequirement(options.joinSettings().policy(), snapshot, nowMs),
+        voterRequirement(join.policy(), snapshot, nowMs),
         ReplicaHost::haltAfterFailure);
   }
 
@@ -170,7 +172,7 @@
 
   /** Starts the threads. */
   public void start(ConsensusExtension extension) {
-    duty.extend(extension);
+    duty.extend(SetAsideCleanup.extend(extension, folder, List.of(group), rings.snapshots()));
     resources.push(new DutyThread(storageDuty, rings.storage()).start());
     resources.push(new DutyThread(snapshotDuty, rings.snapshots()).start());
     resources.push(new DutyThread(duty, rings.events()).start());
@@ -183,7 +185,7 @@
 
   /** The incarnation of the folder that the replica was recovered from. */
   public long incarnation() {
-    return incarnation;
+    return folder.incarnation();
   }
 
   /** The clocks of the group. */
--- a/control/src/main/java/io/pathdeck/control/SnapshotDuty.java
+++ b/control/src/main/java/io/pathdeck/control/SnapshotDuty.java
@@ -71,6 +71,8 @@
     } else if (task instanceof SnapshotTask.StoreSnapshot store) {
       files.store(store.group(), store.install());
       completions.accept(new ControllerEvent.SnapshotStored(store.group(), store.install()));
+    } else if (task instanceof SnapshotTask.DiscardSetAside discard) {
+      discard.folder().discardSetAside();
     } else if (task instanceof SnapshotTask.ReadPart read) {
       readPart(read);
     }
--- a/control/src/main/java/io/pathdeck/control/SnapshotTask.java
+++ b/control/src/main/java/io/pathdeck/control/SnapshotTask.java
@@ -3,6 +3,7 @@
 import io.pathdeck.consensus.SnapshotInstall;
 import io.pathdeck.consensus.SnapshotMetadata;
 import io.pathdeck.consensus.SnapshotRequest;
+import io.pathdeck.consensus.storage.DataFolder;
 import java.util.Iterator;
 
 /** A piece of work on snapshot files. */
@@ -15,6 +16,9 @@
   /** Store a snapshot received from the leader. */
   record StoreSnapshot(int group, SnapshotInstall install) implements SnapshotTask {}
 
+  /** Delete the content of a folder that was given up. */
+  record DiscardSetAside(DataFolder folder) implements SnapshotTask {}
+
   /** Read a part for a follower. */
   record ReadPart(int group, SnapshotRequest request) implements SnapshotTask {}
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -135,7 +135,7 @@
    */
   private Result<Set<String>, StorageError> loadInitialMembers(DataFolder folder) {
     Optional<String> stored = folder.readFile(INITIAL_MEMBERS_FILE);
-    if (stored.isEmpty() && settings.firstStart()) {
+    if (stored.isEmpty() && settings.firstStart() && !folder.isGivenUp()) {
       String addresses = String.join(",", settings.fleet().seedAddresses());
       Result<Void, StorageError> written = folder.writeFile(INITIAL_MEMBERS_FILE, addresses);
       if (!written.isOk()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -90,7 +90,8 @@
   }
 
   private Result<Void, StorageError> run(TransportTls tls) {
-    if (settings.firstStart() && folder.readFile(FIRST_START_FILE).isEmpty()) {
+    boolean isFirstStart = settings.firstStart() && !folder.isGivenUp();
+    if (isFirstStart && folder.readFile(FIRST_START_FILE).isEmpty()) {
       Result<Void, StorageError> writeResult = folder.writeFile(FIRST_START_FILE, "yes");
       if (!writeResult.isOk()) {
         return writeResult;
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimController.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimController.java
@@ -109,7 +109,8 @@
                   disk.incarnation(),
                   SimFleet.CONTROLLERS,
                   raftSettings(),
-                  SNAPSHOT_THRESHOLD_BYTES)
+                  SNAPSHOT_THRESHOLD_BYTES,
+                  true)
               .recover(
                   SimFleet.PARTITIONS,
                   disk.recover(),
