--- a/control/src/test/java/io/pathdeck/control/PowerLossDisk.java
+++ b/control/src/test/java/io/pathdeck/control/PowerLossDisk.java
@@ -31,6 +31,7 @@
   private final Map<Path, Inode> names = new HashMap<>();
   private final Map<Path, Inode> syncedNames = new HashMap<>();
   private long syncsUntilKill = Long.MAX_VALUE;
+  private long operationsUntilKill = Long.MAX_VALUE;
 
   PowerLossDisk(long seed) {
     this.random = new SplittableRandom(seed);
@@ -41,9 +42,15 @@
     syncsUntilKill = count;
   }
 
+  /** Lets the process be killed before the given operation from now on. */
+  void killBeforeOperation(int count) {
+    operationsUntilKill = count;
+  }
+
   /** Starts the next life of the process. */
   void restart() {
     syncsUntilKill = Long.MAX_VALUE;
+    operationsUntilKill = Long.MAX_VALUE;
   }
 
   /** Lets each file and each name keep what was synced, and a drawn part of what was not. */
@@ -115,7 +122,8 @@
   }
 
   private void checkAlive() throws IOException {
-    if (syncsUntilKill <= 0) {
+    operationsUntilKill--;
+    if (syncsUntilKill <= 0 || operationsUntilKill <= 0) {
       throw new IOException("the process was killed");
     }
   }
