--- a/control/src/main/java/io/pathdeck/control/ControllerProcess.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerProcess.java
@@ -16,6 +16,8 @@
 import io.pathdeck.consensus.RaftSettings;
 import io.pathdeck.consensus.SnapshotMetadata;
 import io.pathdeck.consensus.storage.DataFolder;
+import io.pathdeck.consensus.storage.Disk;
+import io.pathdeck.consensus.storage.FolderRecovery;
 import io.pathdeck.consensus.storage.RecoveredGroups;
 import io.pathdeck.consensus.storage.SegmentedLog;
 import io.pathdeck.consensus.storage.SnapshotFiles;
@@ -58,22 +60,26 @@
   /** Recovers the data folder and starts all duties. */
   public static Result<ControllerProcess, StorageError> start(
       ControllerSettings settings, TransportTls tls) {
-    Result<DataFolder, StorageError> folder = DataFolder.open(settings.dataFolder());
-    if (!folder.isOk()) {
-      return Result.err(folder.error());
-    }
+    return FolderRecovery.open(
+        settings.dataFolder(), Disk.LOCAL, folder -> start(settings, tls, folder));
+  }
+
+  private static Result<ControllerProcess, StorageError> start(
+      ControllerSettings settings, TransportTls tls, DataFolder folder) {
     RecoveredGroups recovered = new RecoveredGroups();
-    Result<SegmentedLog, StorageError> log = SegmentedLog.open(folder.value(), recovered::replay);
-    if (!log.isOk()) {
-      return Result.err(log.error());
+    Result<SegmentedLog, StorageError> opened = SegmentedLog.open(folder, recovered::replay);
+    if (!opened.isOk()) {
+      return Result.err(opened.error());
     }
-    recovered.onOpened(folder.value(), log.value());
+    SegmentedLog log = opened.value();
+    recovered.onOpened(folder, log);
     ControllerProcess process = new ControllerProcess(settings);
     try {
-      process.run(folder.value(), log.value(), recovered, tls);
+      process.run(folder, log, recovered, tls);
       return Result.ok(process);
     } catch (IOException e) {
-      return Result.err(new StorageError.Io("recover", e.toString()));
+      process.resources.closeAll();
+      return Result.err(RecoveryErrors.afterFailure(e, log));
     }
   }
 
@@ -98,7 +104,8 @@
                 folder.incarnation(),
                 settings.peers().size(),
                 RaftSettings.DEFAULT,
-                SNAPSHOT_THRESHOLD_BYTES)
+                SNAPSHOT_THRESHOLD_BYTES,
+                !folder.isGivenUp())
             .recover(settings.partitions(), recovered, groupStorage, clock.monotonicMs());
 
     SnapshotDuty snapshotDuty =
@@ -116,6 +123,9 @@
             new ConfigurationLeases(settings.partitions(), settings.configurationLeaseMs()),
             status,
             clock);
+    consensusDuty.extend(
+        SetAsideCleanup.extend(
+            ConsensusExtension.NONE, folder, groups.values(), rings.snapshots()));
     resources.push(new DutyThread(storageDuty, rings.storage()).start());
     resources.push(new DutyThread(snapshotDuty, rings.snapshots()).start());
     resources.push(new DutyThread(consensusDuty, rings.events()).start());
--- a/control/src/test/java/io/pathdeck/control/PowerLossDisk.java
+++ b/control/src/test/java/io/pathdeck/control/PowerLossDisk.java
@@ -25,10 +25,13 @@
     byte[] synced = {};
   }
 
+  private static final int FRAME_HEADER_LENGTH = 16;
+
   private final SplittableRandom random;
   private final Map<Path, Inode> names = new HashMap<>();
   private final Map<Path, Inode> syncedNames = new HashMap<>();
   private long syncsUntilKill = Long.MAX_VALUE;
+  private long operationsUntilKill = Long.MAX_VALUE;
 
   PowerLossDisk(long seed) {
     this.random = new SplittableRandom(seed);
@@ -39,9 +42,15 @@
     syncsUntilKill = count;
   }
 
+  /** Lets the process be killed before the given operation from now on. */
+  void killBeforeOperation(int count) {
+    operationsUntilKill = count;
+  }
+
   /** Starts the next life of the process. */
   void restart() {
     syncsUntilKill = Long.MAX_VALUE;
+    operationsUntilKill = Long.MAX_VALUE;
   }
 
   /** Lets each file and each name keep what was synced, and a drawn part of what was not. */
@@ -113,7 +122,8 @@
   }
 
   private void checkAlive() throws IOException {
-    if (syncsUntilKill <= 0) {
+    operationsUntilKill--;
+    if (syncsUntilKill <= 0 || operationsUntilKill <= 0) {
       throw new IOException("the process was killed");
     }
   }
@@ -130,6 +140,18 @@
     }
   }
 
+  /** Where the last frame of a file starts. */
+  static int lastFrame(Path file) throws IOException {
+    ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(file));
+    int start = 0;
+    int next = 0;
+    while (next < content.limit()) {
+      start = next;
+      next += FRAME_HEADER_LENGTH + content.getInt(start + Long.BYTES);
+    }
+    return start;
+  }
+
   /** Changes a byte of a file durably. */
   void damage(Path file, int offset) throws IOException {
     byte[] content = Files.readAllBytes(file);
