--- a/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
+++ b/cli/src/main/java/io/pathdeck/cli/PathdeckMain.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.common.duty.ProcessStart;
 import io.pathdeck.common.events.EventLogConfiguration;
+import io.pathdeck.consensus.storage.Disk;
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
@@ -30,14 +31,23 @@
 
   /** Runs the command line and exits with its code unless a role keeps running. */
   public static void main(String[] arguments) {
+    runOnDisk(arguments, Disk.LOCAL);
+  }
+
+  /** Runs the command line; coordinators and stores keep their data on {@code disk}. */
+  public static void runOnDisk(String[] arguments, Disk disk) {
     ProcessStart.mark();
-    ExitCode code = run(Arrays.asList(arguments), System.out, System.err);
+    ExitCode code = run(Arrays.asList(arguments), System.out, System.err, disk);
     if (code != ExitCode.OK) {
       System.exit(code.value());
     }
   }
 
   static ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
+    return run(arguments, out, err, Disk.LOCAL);
+  }
+
+  private static ExitCode run(List<String> arguments, PrintStream out, PrintStream err, Disk disk) {
     if (arguments.isEmpty()) {
       err.print(USAGE);
       return ExitCode.USAGE;
@@ -53,9 +63,9 @@
       case "check-config" -> new CheckConfigCommand(out, err).run(rest);
       case "gateway", "coordinator", "store" -> {
         System.setProperty(EventLogConfiguration.TARGET_PROPERTY, "SYSTEM_OUT");
-        yield runRole(arguments.get(0), rest, out, err);
+        yield runRole(arguments.get(0), rest, out, err, disk);
       }
-      case "node", "controller", "dispatcher" -> runRole(arguments.get(0), rest, out, err);
+      case "node", "controller", "dispatcher" -> runRole(arguments.get(0), rest, out, err, disk);
       default -> {
         err.println("unknown role: " + arguments.get(0));
         err.print(USAGE);
@@ -65,8 +75,8 @@
   }
 
   private static ExitCode runRole(
-      String role, List<String> arguments, PrintStream out, PrintStream err) {
+      String role, List<String> arguments, PrintStream out, PrintStream err, Disk disk) {
     EventLogConfiguration.install();
-    return new RoleCommand(role, out, err).run(arguments);
+    return new RoleCommand(role, out, err, disk).run(arguments);
   }
 }
--- a/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
+++ b/cli/src/main/java/io/pathdeck/cli/RoleCommand.java
@@ -6,6 +6,7 @@
 import io.pathdeck.common.settings.SettingsError;
 import io.pathdeck.common.settings.SettingsReader;
 import io.pathdeck.common.settings.TlsSettings;
+import io.pathdeck.consensus.storage.Disk;
 import io.pathdeck.consensus.storage.StorageError;
 import io.pathdeck.control.ControllerProcess;
 import io.pathdeck.control.ControllerSettings;
@@ -44,6 +45,7 @@
   private final String role;
   private final PrintStream out;
   private final PrintStream err;
+  private final Disk disk;
 
   /** What SIGHUP does; nothing until the process has started. */
   private volatile Runnable onHangup = () -> {};
@@ -51,10 +53,11 @@
   private Path settingsFile;
   private Map<String, String> settingsOverrides = Map.of();
 
-  RoleCommand(String role, PrintStream out, PrintStream err) {
+  RoleCommand(String role, PrintStream out, PrintStream err, Disk disk) {
     this.role = role;
     this.out = out;
     this.err = err;
+    this.disk = disk;
   }
 
   ExitCode run(List<String> arguments) {
@@ -165,7 +168,7 @@
     }
     TlsSettings tls = warnIfPlain(settings.value().fleet());
     Result<CoordinatorProcess, StorageError> process =
-        CoordinatorProcess.start(settings.value(), tls(tls), FleetAdapter.load());
+        CoordinatorProcess.start(settings.value(), tls(tls), FleetAdapter.load(), disk);
     if (process.isOk()) {
       reloadOnHangup(
           process.value(),
@@ -181,7 +184,7 @@
     }
     TlsSettings tls = warnIfPlain(settings.value().fleet());
     Result<StoreProcess, StorageError> process =
-        StoreProcess.start(settings.value(), tls(tls), FleetAdapter.load());
+        StoreProcess.start(settings.value(), tls(tls), FleetAdapter.load(), disk);
     if (process.isOk()) {
       reloadOnHangup(
           process.value(), reread -> StoreSettings.read(reread).map(StoreSettings::fleet));
