Test: a sound part of items that are written for seconds is held back

The model gets batch items: a store keeps 90 of them under way, each written for 5 to 15 s, with one of ten first parts; nine of 18 engines crash together about every 3.5 s.

--- a/fleet/src/test/java/io/pathdeck/fleet/quarantine/PromptPartModel.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/PromptPartModel.java
@@ -20,7 +20,8 @@
  * <p>Each prompt has a first part that an eighth of the requests share, a second part that is rare,
  * and a last part of its own. An interrupted request is sent on to another engine once, and its
  * caller tries once more at another gateway. Gateways notice a crash, and the leader hears of it,
- * some time later; some gateways are slow.
+ * some time later; some gateways are slow. One store sends batch items, whose answers take seconds
+ * and whose prompts share one of ten first parts; an interrupted item goes on at another engine.
  */
 final class PromptPartModel {
   /** What crashes engines in a run. */
@@ -34,7 +35,19 @@
     /** Requests with a bad part. */
     BAD_PART,
     /** Requests with a bad part, and racks. */
-    BAD_PART_AND_RACKS
+    BAD_PART_AND_RACKS,
+    /** Up to half of the engines crash together every few seconds, beside batch items. */
+    ITEMS,
+    /** The same, and requests with a bad part. */
+    ITEMS_AND_BAD_PART;
+
+    boolean hasBadPart() {
+      return this == BAD_PART || this == BAD_PART_AND_RACKS || this == ITEMS_AND_BAD_PART;
+    }
+
+    boolean hasItems() {
+      return this == ITEMS || this == ITEMS_AND_BAD_PART;
+    }
   }
 
   static final String BAD = "bad";
@@ -51,6 +64,10 @@
   private static final int MAX_SENDS = 4;
   private static final int CONTACT_MS = 3_000;
   private static final int SUFFICIENT_CRASHES = 5;
+  private static final int STORE = 0;
+  private static final int ITEMS = 90;
+  private static final int ITEM_PARTS = 10;
+  private static final int ITEM_PAUSE_MS = 150;
 
   private record Event(long atMs, long number, Runnable action) {}
 
@@ -62,11 +79,31 @@
     int sends;
     long sentMs;
 
+    /** When the engine writes the first event. */
+    long firstEventMs;
+
+    /** For how long engines have yet to write. */
+    long leftMs;
+
+    final boolean isItem;
+
     Request(int number, String first, String second) {
       fingerprint = new RequestFingerprint(number, "r-" + number);
       parts = List.of(part(first), part(second));
       bad = second.equals(BAD);
       gateway = random.nextInt(GATEWAYS);
+      leftMs = 50L + random.nextInt(440);
+      isItem = false;
+    }
+
+    /** Creates a batch item. */
+    Request(int number) {
+      fingerprint = new RequestFingerprint(number, "r-" + number);
+      parts = List.of(part("item-" + random.nextInt(ITEM_PARTS)));
+      bad = false;
+      gateway = STORE;
+      leftMs = 5_000L + random.nextInt(10_000);
+      isItem = true;
     }
   }
 
@@ -102,6 +139,9 @@
   /** The sound requests and parts that were ever quarantined. */
   final Set<String> falsePositives = new TreeSet<>();
 
+  /** For how long sound parts were held back, added up. */
+  long heldBackByMistakeMs;
+
   /** When all gateways first held the bad part back; -1 if never. */
   long heldBackMs = -1;
 
@@ -144,22 +184,32 @@
   }
 
   void run(Trouble trouble) {
-    boolean hasBadPart = trouble == Trouble.BAD_PART || trouble == Trouble.BAD_PART_AND_RACKS;
-    after(0, () -> arrive(hasBadPart));
+    after(0, () -> arrive(trouble.hasBadPart()));
     gateways.forEach(gateway -> after(random.nextInt(HEARTBEAT_MS), () -> heartbeat(gateway)));
     switch (trouble) {
       case RACKS, BAD_PART_AND_RACKS -> crashRepeatedly(ENGINES / 3, 2_000);
       case SINGLE_ENGINES -> crashRepeatedly(1, 150);
       case ALL_ENGINES -> crashRepeatedly(ENGINES, 7_000);
+      case ITEMS, ITEMS_AND_BAD_PART -> {
+        startItems();
+        crashRepeatedly(ENGINES / 2, 3_500);
+      }
       default -> {}
     }
     while (!events.isEmpty() && events.peek().atMs() < RUN_MS) {
       Event next = events.poll();
+      heldBackByMistakeMs += (next.atMs() - nowMs) * countHeldBackByMistake();
       nowMs = next.atMs();
       next.action().run();
     }
   }
 
+  private long countHeldBackByMistake() {
+    return quarantined.stream()
+        .filter(cause -> cause.isPromptPart() && !cause.equals(part(BAD)))
+        .count();
+  }
+
   private void crashRepeatedly(int count, int meanPauseMs) {
     long delayMs = nowMs == 0 ? TROUBLE_FROM_MS : meanPauseMs / 2 + random.nextInt(meanPauseMs);
     after(
@@ -183,11 +233,21 @@
     after(random.nextInt(20), () -> arrive(hasBadPart));
   }
 
+  private void startItems() {
+    for (int item = 0; item < ITEMS; item++) {
+      after(random.nextInt(TROUBLE_FROM_MS), () -> send(new Request(++requests)));
+    }
+  }
+
   private void send(Request request) {
     Gateway gateway = gateways.get(request.gateway);
     boolean held = request.parts.stream().anyMatch(gateway.quarantine::contains);
     List<Engine> up = engines.stream().filter(engine -> engine.backAtMs <= nowMs).toList();
-    if (held || up.isEmpty() || request.sends >= MAX_SENDS) {
+    if (request.isItem && (held || up.isEmpty())) {
+      after(ITEM_PAUSE_MS, () -> send(request));
+      return;
+    }
+    if (held || up.isEmpty() || (request.sends >= MAX_SENDS && !request.isItem)) {
       return;
     }
     request.sends++;
@@ -199,7 +259,8 @@
       badSendsMs.add(nowMs);
       after(40 + random.nextInt(100), () -> crashUnder(engine, life));
     } else {
-      after(100 + random.nextInt(640), () -> complete(request, engine, life));
+      request.firstEventMs = nowMs + 50 + random.nextInt(200);
+      after(request.firstEventMs + request.leftMs - nowMs, () -> complete(request, engine, life));
     }
   }
 
@@ -226,6 +287,9 @@
     if (gateway.local.contains(request.fingerprint)) {
       reportServed(gateway, request.fingerprint, nowMs);
     }
+    if (request.isItem) {
+      after(ITEM_PAUSE_MS, () -> send(new Request(++requests)));
+    }
   }
 
   private void reportServed(Gateway gateway, RequestFingerprint served, long atMs) {
@@ -267,7 +331,7 @@
     long noticedMs = nowMs;
     Set<RequestFingerprint> parts = new HashSet<>();
     for (Request request : lost) {
-      boolean began = random.nextBoolean();
+      boolean began = request.isItem ? writtenMs(request) > 0 : random.nextBoolean();
       EngineEnd end =
           new EngineEnd(
               life, request.fingerprint, began, request.parts, noticedMs - request.sentMs, 0);
@@ -280,7 +344,17 @@
     after(26, this::judge);
   }
 
+  /** For how long the engine had written when it crashed, about. */
+  private long writtenMs(Request request) {
+    return Math.max(0, nowMs - request.firstEventMs);
+  }
+
   private void retry(Request request) {
+    if (request.isItem) {
+      request.leftMs = Math.max(1, request.leftMs - writtenMs(request));
+      after(ITEM_PAUSE_MS, () -> send(request));
+      return;
+    }
     if (request.sends % 2 == 1) {
       after(4, () -> send(request));
       return;
