--- a/common/src/main/java/io/pathdeck/common/events/EventCode.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventCode.java
@@ -71,6 +71,7 @@
   ENGINE_ANSWER_DROPPED(3110, Level.WARN, true),
   ENGINE_CHECKED(3111, Level.INFO, true),
   ENGINE_ENDED_UNDER_REQUEST(3112, Level.WARN, true),
+  SENDS_HELD_BACK(3113, Level.WARN, true),
   CALLER_LEFT(3116, Level.INFO, true),
   MEMORY_BUDGET_REACHED(3130, Level.WARN, true),
   ENGINE_COLD(3140, Level.INFO, true),
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
@@ -105,7 +105,9 @@
           "fingerprint",
           request.shortForm(),
           "crashes",
-          detector.crashes(request));
+          detector.crashes(request),
+          "evidence",
+          detector.describeEvidence(request, nowMs));
     }
     group.propose(
         "",
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -26,6 +26,7 @@
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
 import io.pathdeck.fleet.origin.StreamOrigins;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
+import io.pathdeck.fleet.quarantine.HeldBackSends;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
 import io.pathdeck.fleet.traffic.RegionTraffic;
 import io.pathdeck.fleet.warmup.ColdStartBudget;
@@ -59,6 +60,7 @@
   private final LoadExchange loadExchange;
   private final ColdStartMetrics coldStartMetrics = new ColdStartMetrics();
   private final ColdStartBudget coldStartBudget;
+  private final HeldBackSends heldBackSends;
   private final HttpServer callerServer;
   private final AtomicBoolean stopping = new AtomicBoolean();
 
@@ -97,6 +99,7 @@
             eligibility.softwareVersions(),
             () -> follower.areEnginesConfirmedWithin(SoftwareVersions.MAX_VIEW_AGE_MS));
     QuarantiningTransport transport = createEngineTransport(eventLoop);
+    heldBackSends = transport.heldBackSends();
     follower.setSuspectedPartsListener(transport::updateSuspectedParts);
     gateway =
         new Gateway(
@@ -247,6 +250,7 @@
     loadMetrics.bindTo(registry);
     coldStartMetrics.bindTo(registry);
     regionTraffic.bindTo(registry);
+    heldBackSends.bindTo(registry);
     FleetMetrics.bindView(registry, follower);
     FleetMetrics.bindEvacuations(registry, settings.fleet().topology(), follower);
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
@@ -147,6 +147,22 @@
         && isSufficient(suspect, evidence(suspect, unexplainedCrashes(Set.of())));
   }
 
+  /** What crashes say against a request or part, apart from other causes; for operators. */
+  public String describeEvidence(RequestFingerprint fingerprint, long nowMs) {
+    CrashSuspect suspect = suspects.get(fingerprint);
+    if (suspect == null) {
+      return "none";
+    }
+    CrashEvidence evidence = evidence(suspect, unexplainedCrashes(Set.of()));
+    return "weight %s, requests %d, at most crashes %b, crashed ms ago %s, served ms ago %s"
+        .formatted(
+            evidence.weight(),
+            evidence.requests(),
+            evidence.explainsMost(),
+            suspect.crashAges(nowMs),
+            suspect.wasServed() ? nowMs - suspect.servedAtMs() : "never");
+  }
+
   private CrashGroups unexplainedCrashes(Set<String> explained) {
     return new CrashGroups(crashesByEngine, explained);
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
@@ -38,9 +38,15 @@
     this.reporter = reporter;
   }
 
+  HeldBackSends heldBackSends() {
+    return reporter.heldBackSends();
+  }
+
   /** Returns the fingerprint because of which a call must not be sent; empty if it may be sent. */
   Optional<RequestFingerprint> findQuarantined(EngineCall call, long nowMs) {
-    return quarantine.find(call, this::promptParts, nowMs);
+    Optional<RequestFingerprint> cause = quarantine.find(call, this::promptParts, nowMs);
+    cause.ifPresent(fingerprint -> reporter.heldBackSends().onRefused(fingerprint, nowMs));
+    return cause;
   }
 
   /**
@@ -48,6 +54,7 @@
    * are new there this process has seen served.
    */
   void updateQuarantine(QuarantineList list, long nowMs) {
+    reporter.heldBackSends().retain(Set.copyOf(list.requests()));
     quarantine.update(list).stream()
         .filter(RequestFingerprint::isPromptPart)
         .forEach(part -> reportLastServed(part, nowMs));
@@ -79,7 +86,7 @@
     Set<RequestFingerprint> parts = new LinkedHashSet<>();
     for (InterruptedRequest request : interrupted) {
       EngineEnd crash = describe(engine, request, nowMs);
-      logCrash(request.call().requestId(), crash);
+      logCrash(request, crash);
       localDetector.add(crash, nowMs);
       crashes.add(crash);
       parts.addAll(crash.promptParts());
@@ -111,17 +118,23 @@
         .toList();
   }
 
-  private static void logCrash(String requestId, EngineEnd crash) {
+  private static void logCrash(InterruptedRequest request, EngineEnd crash) {
     EVENTS.log(
         EventCode.ENGINE_ENDED_UNDER_REQUEST,
         "request",
-        requestId,
+        request.call().requestId(),
         "fingerprint",
         crash.request().shortForm(),
         "engine",
         crash.engine(),
         "answer_began",
         crash.answerBegan(),
+        "ran_ms",
+        crash.ranMs(),
+        "writing_ms",
+        request.progress().writingMs(),
+        "pieces",
+        request.progress().pieces(),
         "prompt_parts",
         crash.promptParts().stream().map(RequestFingerprint::shortForm).toList());
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashSuspect.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashSuspect.java
@@ -3,6 +3,7 @@
 import io.pathdeck.protocol.fleet.RequestFingerprint;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -95,6 +96,16 @@
     return servedAtMs != NEVER;
   }
 
+  /** When this was last served, as far as known; meaningless unless it {@link #wasServed}. */
+  long servedAtMs() {
+    return servedAtMs;
+  }
+
+  /** Returns how long ago engines crashed while they processed this, the latest crash first. */
+  List<Long> crashAges(long nowMs) {
+    return crashesByEngine.values().stream().map(crash -> nowMs - crash.atMs).sorted().toList();
+  }
+
   /** Whether the engine crashed while it processed this. */
   boolean hasCrash(String engine) {
     return crashesByEngine.containsKey(engine);
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineCrashReporter.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineCrashReporter.java
@@ -54,6 +54,7 @@
   private final EventLoop eventLoop;
   private final GroupClient coordinatorClient;
   private final Runnable onAccepted;
+  private final HeldBackSends heldBackSends = new HeldBackSends();
   private final Deque<TimedCrash> recentCrashes = new ArrayDeque<>();
   private final Set<TimedCrash> unreportedCrashes = new LinkedHashSet<>();
   private final Map<RequestFingerprint, Long> recentServedMs = new LinkedHashMap<>();
@@ -75,6 +76,11 @@
     this.onAccepted = onAccepted;
   }
 
+  /** The sends that this process refused, for its metrics. */
+  public HeldBackSends heldBackSends() {
+    return heldBackSends;
+  }
+
   private static long nowMs() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/InterruptedRequest.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/InterruptedRequest.java
@@ -7,8 +7,13 @@
  *
  * @param call the call that carried the request
  * @param responseStarted whether the head of the response had arrived
+ * @param progress how far the engine had come with the response
  * @param startedMs when the call was started, by the monotonic clock
  * @param atMs when the connection was lost, by the same clock
  */
-public record InterruptedRequest(
-    EngineCall call, boolean responseStarted, long startedMs, long atMs) {}
+record InterruptedRequest(
+    EngineCall call,
+    boolean responseStarted,
+    ResponseProgress progress,
+    long startedMs,
+    long atMs) {}
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -71,6 +71,11 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
 
+  /** Returns the sends that this process refused, for its metrics. */
+  public HeldBackSends heldBackSends() {
+    return recorder.heldBackSends();
+  }
+
   /** Applies the quarantine list of the leading coordinator. */
   public void updateQuarantine(QuarantineList list) {
     recorder.updateQuarantine(list, nowMs());
@@ -132,6 +137,7 @@
     private final EngineCall call;
     private final EngineListener listener;
     private final long startedMs = nowMs();
+    private final ResponseProgress progress = new ResponseProgress();
     private int status;
     private boolean notRun;
     private long closedAtMs;
@@ -150,6 +156,7 @@
 
     @Override
     public void onBody(byte[] part) {
+      progress.onPiece(nowMs());
       listener.onBody(part);
     }
 
@@ -162,7 +169,7 @@
     }
 
     private InterruptedRequest interrupted() {
-      return new InterruptedRequest(call, status != 0, startedMs, closedAtMs);
+      return new InterruptedRequest(call, status != 0, progress, startedMs, closedAtMs);
     }
 
     /** Takes the response for complete only if the engine has not crashed. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.store;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.pathdeck.common.duty.ResourceStack;
@@ -111,7 +112,7 @@
     resources.push(
         new PeerServer(fleet.listen(), eventLoops, tls, fleet.peerCompression(), this::route));
     MemberMetrics.serve(
-        fleet, eventLoops, follower, this::status, pool, resources, regionTraffic::bindTo);
+        fleet, eventLoops, follower, this::status, pool, resources, this::bindMetrics);
     resources.push(follower);
     follower.start();
     EVENTS.log(
@@ -205,6 +206,11 @@
     }
   }
 
+  private void bindMetrics(MeterRegistry registry) {
+    regionTraffic.bindTo(registry);
+    reporter.heldBackSends().bindTo(registry);
+  }
+
   private void onSuspectedParts(List<RequestFingerprint> parts) {
     JobsReplica currentReplica = replica;
     if (currentReplica != null) {
