A response that was written for some time speaks for the parts of its prompt

Cause: an answer spoke for its parts only at its end. Items take seconds, so that with engines that crash every few seconds none of a tenth of all items came to its end, and each crash under one of them counted against their first part, however long the engine had been writing. After three groups of crashes the part was quarantined.

A part crashes each engine that begins to write a response on it. A response that was written for 500 ms, pauses over 100 ms counted as 100 ms, shows that its parts do not: they count as served at that moment, and the crash that interrupts it counts for the request only. The whole request as a cause is judged as before, since it may crash an engine late.

--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
@@ -89,7 +89,7 @@
       logCrash(request, crash);
       localDetector.add(crash, nowMs);
       crashes.add(crash);
-      parts.addAll(crash.promptParts());
+      parts.addAll(promptParts(request.call()));
     }
     reporter.reportCrashes(crashes, nowMs);
     parts.forEach(part -> reportLastServed(part, nowMs));
@@ -102,11 +102,19 @@
         engine.lifeId(),
         RequestFingerprints.fingerprint(request.call()),
         request.responseStarted(),
-        promptParts(request.call()),
+        suspectedParts(request),
         request.atMs() - request.startedMs(),
         nowMs - request.atMs());
   }
 
+  /**
+   * The parts that may have crashed the engine of a request. A part crashes engines that begin to
+   * write a response on it, so there is none if the response had gone on for some time.
+   */
+  private List<RequestFingerprint> suspectedParts(InterruptedRequest request) {
+    return request.progress().isSustained() ? List.of() : promptParts(request.call());
+  }
+
   /**
    * The causes that this process identified itself. Those that are parts of prompts count only
    * while the leader is away, because this process sees a part of the crashes and successes.
@@ -155,12 +163,7 @@
 
   /** Records that a call was served to its end, so that nothing in it crashes engines. */
   void onServed(EngineCall call, long nowMs) {
-    for (RequestFingerprint part : promptParts(call)) {
-      servedParts.onServed(part, nowMs);
-      if (isSuspect(part)) {
-        reportServed(part, nowMs);
-      }
-    }
+    onPartsServed(call, nowMs);
     if (!localDetector.mayContain(RequestFingerprints.outline(call))) {
       return;
     }
@@ -169,4 +172,21 @@
       reportServed(request, nowMs);
     }
   }
+
+  /**
+   * Records that an engine has been writing the response of a call for so long that no part of its
+   * prompt crashes engines. The request itself may still do so.
+   */
+  void onSustainedResponse(EngineCall call, long nowMs) {
+    onPartsServed(call, nowMs);
+  }
+
+  private void onPartsServed(EngineCall call, long nowMs) {
+    for (RequestFingerprint part : promptParts(call)) {
+      servedParts.onServed(part, nowMs);
+      if (isSuspect(part)) {
+        reportServed(part, nowMs);
+      }
+    }
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -156,18 +156,25 @@
 
     @Override
     public void onBody(byte[] part) {
-      progress.onPiece(nowMs());
+      long nowMs = nowMs();
+      if (progress.onPiece(nowMs) && call.hasRequestId() && isSuccess()) {
+        recorder.onSustainedResponse(call, nowMs);
+      }
       listener.onBody(part);
     }
 
     @Override
     public void onEnd() {
-      if (call.hasRequestId() && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
+      if (call.hasRequestId() && isSuccess()) {
         recorder.onServed(call, nowMs());
       }
       listener.onEnd();
     }
 
+    private boolean isSuccess() {
+      return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
+    }
+
     private InterruptedRequest interrupted() {
       return new InterruptedRequest(call, status != 0, progress, startedMs, closedAtMs);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/ResponseProgress.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/ResponseProgress.java
@@ -19,7 +19,6 @@
   private long lastPieceMs = NOT_STARTED;
   private long writingMs;
   private int pieces;
-  private long sustainedAtMs;
 
   /** Records the arrival of a piece; returns whether the response has just become sustained. */
   boolean onPiece(long nowMs) {
@@ -29,11 +28,7 @@
     }
     lastPieceMs = nowMs;
     pieces++;
-    if (wasSustained || !isSustained()) {
-      return false;
-    }
-    sustainedAtMs = nowMs;
-    return true;
+    return !wasSustained && isSustained();
   }
 
   /** Whether the response went on for longer than prompts that crash engines allow. */
@@ -41,11 +36,6 @@
     return writingMs >= SUSTAINED_MS;
   }
 
-  /** When the response became sustained; 0 if it did not. */
-  long sustainedAtMs() {
-    return sustainedAtMs;
-  }
-
   /** For how long the response was written, without long pauses. */
   long writingMs() {
     return writingMs;
