Coordinators without state found no jobs groups in the place of those that hold jobs

What callers would see: 404 for accepted jobs, if the coordinators lost their state (more disks than tolerated, or a log that a fault of the disk emptied): every initial store stays a candidate for founding, so the groups were founded anew, with other members and perhaps in another number, and gateways looked for jobs in groups that do not have them.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -297,6 +297,10 @@
       return;
     }
     foundingProposed = true;
+    if (!JobsGroupFounding.isFirst(processes.values())) {
+      EVENTS.log(EventCode.FOUNDING_REFUSED, "reason", "stores report groups already");
+      return;
+    }
     JobsFounding founding =
         JobsFounding.of(foundingCandidates.values(), minGroupSize, toleratedZones, topology);
     for (JobsGroupFounders founders : founding.groups()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupFounding.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/JobsGroupFounding.java
@@ -23,6 +23,14 @@
 final class JobsGroupFounding {
   private JobsGroupFounding() {}
 
+  /**
+   * Whether no store belongs to a group yet. Groups are founded once: coordinators that have lost
+   * their state must not found others in the place of those that hold jobs.
+   */
+  static boolean isFirst(Collection<FleetProcess> processes) {
+    return processes.stream().allMatch(process -> process.jobsGroup() == FleetProcess.NO_GROUP);
+  }
+
   /** Returns the number of stores that a group should have, one of which may be retired. */
   static int targetSize(int minGroupSize) {
     return minGroupSize + 1;
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestJobsGroupFounding.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestJobsGroupFounding.java
@@ -81,4 +81,12 @@
       assertThat(spread).isEqualTo(zones);
     }
   }
+
+  @Test
+  void storesThatReportAGroupKeepCoordinatorsWithoutStateFromFoundingOthers() {
+    List<FleetProcess> stores = stores(4, 2);
+    assertThat(JobsGroupFounding.isFirst(stores)).isTrue();
+    stores.add(new FleetProcess("s5", FleetRole.STORE, "z", 5, 75, "h:5", "", true, 1));
+    assertThat(JobsGroupFounding.isFirst(stores)).isFalse();
+  }
 }
