Test: a slower member that lost its disk never regains its vote under steady load

What callers see: a group without reserve for as long as load lasts; the next lost disk, which is allowed 4.8 s after the return of the first one, ends its quorum for good: every job unreadable.

A learner is made a voter only if it has everything that is committed at the moment of a heartbeat. What is slower than the other members by a message's way or a sync, is always some entries behind.

--- a/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/InMemoryGroup.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -50,6 +51,8 @@
 
   private final Set<Integer> suspendedIds = new HashSet<>();
   private final Queue<RaftMessage> messagesInFlight = new ArrayDeque<>();
+  private final Map<Integer, Long> delaysMs = new HashMap<>();
+  private final IdentityHashMap<RaftMessage, Long> dueMs = new IdentityHashMap<>();
   private long nowMs = 1_000;
 
   InMemoryGroup(MembershipPolicy policy) {
@@ -134,6 +137,11 @@
     cutOffIds = Set.copyOf(ids);
   }
 
+  /** Delays all messages to and from a replica by more than the usual step. */
+  void delay(int id, long delayMs) {
+    delaysMs.put(id, delayMs);
+  }
+
   /** Stops a replica and its clock; messages to it are lost. */
   void suspend(int id) {
     suspendedIds.add(id);
@@ -169,6 +177,10 @@
     int inFlight = messagesInFlight.size();
     for (int i = 0; i < inFlight; i++) {
       RaftMessage message = messagesInFlight.poll();
+      if (isDelayed(message)) {
+        messagesInFlight.add(message);
+        continue;
+      }
       int to = message.header().to();
       boolean lost =
           isolatedIds.contains(to)
@@ -182,6 +194,19 @@
     }
   }
 
+  private boolean isDelayed(RaftMessage message) {
+    int from = message.header().from();
+    long delayMs = delaysMs.getOrDefault(from, delaysMs.getOrDefault(message.header().to(), 0L));
+    if (delayMs == 0) {
+      return false;
+    }
+    boolean isDue = dueMs.computeIfAbsent(message, added -> nowMs + delayMs) <= nowMs;
+    if (isDue) {
+      dueMs.remove(message);
+    }
+    return !isDue;
+  }
+
   private void processReady(int id, RaftReplica replica) {
     Ready ready = replica.takeReady();
     messagesInFlight.addAll(ready.messages());
