A learner becomes a voter once it keeps pace

Cause: a learner had to have everything that was committed at the moment of a heartbeat, which a member that is slower than a quorum never has under steady load.

Change: it must have what was committed an election timeout (600 ms) ago (CatchUpTarget); counted from when the leader has committed an entry of its own term, so that a leader that does not know the commit index yet admits nobody. Safety does not rest on the target: one voter is added at a time, so quorums before and after share a member, and the loss of the disk itself is recorded by a committed change before.

--- a/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/LeaderState.java
@@ -28,6 +28,7 @@
   private final RaftSettings settings;
   private final MembershipPolicy policy;
   private Set<Integer> leaving = Set.of();
+  private final CatchUpTarget catchUpTarget;
   private final Map<Integer, FollowerProgress> progress = new HashMap<>();
   private final Map<Integer, JoinAttempt> joinAttempts = new HashMap<>();
   private GroupConfiguration configuration;
@@ -43,6 +44,7 @@
     this.selfId = selfId;
     this.selfIncarnation = selfIncarnation;
     this.settings = settings;
+    this.catchUpTarget = new CatchUpTarget(settings.electionTimeoutMinMs());
     this.lastHeartbeatMs = nowMs;
   }
 
@@ -191,6 +193,11 @@
     leaving = ids;
   }
 
+  /** Records the commit index, which an entry of this leader's term has reached. */
+  void onHeartbeatDue(long commitIndex, long nowMs) {
+    catchUpTarget.observe(commitIndex, nowMs);
+  }
+
   /**
    * The configuration after the next single-member change, if one is due: a member whose disk was
    * lost becomes a learner under its new incarnation, a learner that has caught up becomes a voter,
@@ -217,7 +224,7 @@
       return Optional.empty();
     }
     FollowerProgress follower = progress.get(member.id());
-    boolean caughtUp = follower.matchIndex >= commitIndex && follower.matchIndex > 0;
+    boolean caughtUp = catchUpTarget.isReached(follower.matchIndex, commitIndex);
     if (!member.voter() && caughtUp && !leaving.contains(member.id())) {
       return Optional.of(new Member(member.id(), member.incarnation(), true, member.address()));
     }
--- a/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/Replicator.java
@@ -80,9 +80,12 @@
   }
 
   private void changeMembershipIfNeeded(long nowMs) {
-    boolean changePending =
-        state.log.configurationIndex() > state.commitIndex
-            || state.log.term(state.commitIndex) != state.term;
+    boolean ownTermCommitted = state.log.term(state.commitIndex) == state.term;
+    if (!ownTermCommitted) {
+      return;
+    }
+    leaderState.onHeartbeatDue(state.commitIndex, nowMs);
+    boolean changePending = state.log.configurationIndex() > state.commitIndex;
     if (changePending) {
       return;
     }
