--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchSlotPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchSlotPolicy.java
@@ -17,6 +17,9 @@
   /** Covers the requests that arrive before a load report shows them and an item yields. */
   static final double RESERVED_SHARE = 0.125;
 
+  /** An engine with less load than this has room for an item, whatever else is expected. */
+  private static final double ROOM_SHARE = 0.5;
+
   private static final int DEFAULT_SLOTS = 8;
 
   /**
@@ -47,7 +50,8 @@
 
   /**
    * Returns the fraction of an engine's slots that items leave to online requests. While engines
-   * are in evacuated zones, the others have to bear the online requests of those.
+   * are in evacuated zones, the others have to bear the online requests of those, but items start
+   * on an engine that is under half full.
    *
    * @param counts the number of the service's engines by their eligibility
    */
@@ -57,7 +61,7 @@
     int inService = counts.values().stream().mapToInt(Integer::intValue).sum() - outOfService;
     return evacuated == 0
         ? RESERVED_SHARE
-        : Math.max(RESERVED_SHARE, evacuated / (double) inService);
+        : Math.max(RESERVED_SHARE, Math.min(ROOM_SHARE, evacuated / (double) inService));
   }
 
   /**
@@ -70,6 +74,11 @@
     return withinShare && engine.estimatedLoad(nowMs) < slots * (1 - reservedShare);
   }
 
+  /** Whether so much of the engine is free that a waiting item has to start there or elsewhere. */
+  boolean hasRoom(EngineState engine, long nowMs) {
+    return engine.estimatedLoad(nowMs) < slots(engine) * ROOM_SHARE;
+  }
+
   /**
    * Whether the load of an engine is known well enough to start items there. After a power failure
    * an engine may run calls of crashed processes for seconds, so it does not count as free before
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemLog.java
@@ -51,7 +51,7 @@
 
   /** Logs an item that begins anew because no engine can write what follows its events. */
   static void beginsAnew(ItemRun run) {
-    String reason = "no engine of its software version is left";
+    String reason = "no engine of its software version takes it";
     retried(run, "", "BEGINS_ANEW", reason, 0, run.lastEvent());
   }
 
@@ -98,4 +98,20 @@
         "known_ms",
         knownMs);
   }
+
+  /** Logs an item that is at no engine although one has room for it. */
+  static void waits(ItemRun run, WaitReason reason, long waitMs) {
+    EVENTS.log(
+        EventCode.ITEM_WAITS,
+        "job",
+        run.job.submission().jobId(),
+        "item",
+        run.item.id(),
+        "reason",
+        reason,
+        "waited_ms",
+        waitMs,
+        "after_event",
+        run.lastEvent());
+  }
 }
