A file of the data folder that cannot be read is not taken for missing

DataFolder.readFile swallowed the IOException: a store whose first-start or jobs-group file could not be read started as one without them, a coordinator without its founders. It is an error now; content that is no text, or a group's number that is none, is damage.

--- a/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
@@ -8,6 +8,7 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
@@ -162,13 +163,17 @@
     }
   }
 
-  /** Reads a small file of the folder; empty when it does not exist or cannot be read. */
-  public Optional<String> readFile(String name) {
+  /** Reads a small file of the folder; empty when it does not exist. */
+  public Result<Optional<String>, StorageError> readFile(String name) {
     Path file = path.resolve(name);
     try {
-      return Files.exists(file) ? Optional.of(Files.readString(file)) : Optional.empty();
+      return Result.ok(Optional.of(Files.readString(file)));
+    } catch (NoSuchFileException e) {
+      return Result.ok(Optional.empty());
+    } catch (CharacterCodingException e) {
+      return Result.err(new StorageError.Damaged(file.toString(), 0));
     } catch (IOException e) {
-      return Optional.empty();
+      return Result.err(new StorageError.Io("read " + name, e.toString()));
     }
   }
 
--- a/control/src/test/java/io/pathdeck/control/TestGivenUpFolder.java
+++ b/control/src/test/java/io/pathdeck/control/TestGivenUpFolder.java
@@ -28,7 +28,8 @@
     return FolderRecovery.open(
         path,
         disk,
-        folder -> folder.readFile(LOG).isPresent() ? Result.err(DAMAGE) : Result.ok(folder));
+        folder ->
+            folder.readFile(LOG).value().isPresent() ? Result.err(DAMAGE) : Result.ok(folder));
   }
 
   @Test
@@ -51,12 +52,22 @@
       DataFolder next = DataFolder.open(path, disk).value();
       boolean isDamagedOne = next.incarnation() == damaged.incarnation();
       assertThat(next.isGivenUp()).as("run %d", run).isEqualTo(!isDamagedOne);
-      assertThat(next.readFile(LOG).isPresent()).as("run %d", run).isEqualTo(isDamagedOne);
-      assertThat(next.readFile(SNAPSHOT).isPresent()).as("run %d", run).isEqualTo(isDamagedOne);
+      assertThat(next.readFile(LOG).value().isPresent()).as("run %d", run).isEqualTo(isDamagedOne);
+      assertThat(next.readFile(SNAPSHOT).value().isPresent())
+          .as("run %d", run)
+          .isEqualTo(isDamagedOne);
     }
     assertThat(completedAt).isNotEmpty().doesNotContain(0, RUNS / 2);
   }
 
+  @Test
+  void unreadableFileIsNotTakenForMissing() throws IOException {
+    DataFolder folder = DataFolder.open(root.resolve("folder")).value();
+    Files.write(folder.path().resolve(LOG), new byte[] {(byte) 0xff});
+    assertThat(folder.readFile(LOG).error().isDamage()).isTrue();
+    assertThat(folder.readFile(SNAPSHOT).value()).isEmpty();
+  }
+
   @Test
   void keepsTheContentOfTheNewestOnly() throws IOException {
     PowerLossDisk disk = new PowerLossDisk(1);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -134,7 +134,11 @@
    * system; empty if this coordinator did not take part in it.
    */
   private Result<Set<String>, StorageError> loadInitialMembers(DataFolder folder) {
-    Optional<String> stored = folder.readFile(INITIAL_MEMBERS_FILE);
+    Result<Optional<String>, StorageError> read = folder.readFile(INITIAL_MEMBERS_FILE);
+    if (!read.isOk()) {
+      return Result.err(read.error());
+    }
+    Optional<String> stored = read.value();
     if (stored.isEmpty() && settings.firstStart() && !folder.isGivenUp()) {
       String addresses = String.join(",", settings.fleet().seedAddresses());
       Result<Void, StorageError> written = folder.writeFile(INITIAL_MEMBERS_FILE, addresses);
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -47,10 +47,19 @@
   /** Reads the file of an earlier process; {@link #start} starts writing. */
   LastKnownFleet(DataFolder folder) {
     this.folder = folder;
-    this.recoveredUpdate = folder.readFile(FILE_NAME).flatMap(LastKnownFleet::decode);
+    this.recoveredUpdate = read(folder).flatMap(LastKnownFleet::decode);
     writer.setDaemon(true);
   }
 
+  private static Optional<String> read(DataFolder folder) {
+    Result<Optional<String>, StorageError> content = folder.readFile(FILE_NAME);
+    if (!content.isOk()) {
+      EVENTS.log(EventCode.STORAGE_FAILED, "file", FILE_NAME, "reason", content.error());
+      return Optional.empty();
+    }
+    return content.value();
+  }
+
   void start() {
     writer.start();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -33,8 +33,8 @@
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.protocol.transport.PeerServer;
 import io.pathdeck.protocol.transport.TransportTls;
-import java.nio.file.Files;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A store: keeps a replica of one group of batch jobs and runs the group's items while it leads.
@@ -91,14 +91,11 @@
   }
 
   private Result<Void, StorageError> run(TransportTls tls) {
-    boolean isFirstStart = settings.firstStart() && !folder.isGivenUp();
-    if (isFirstStart && folder.readFile(FIRST_START_FILE).isEmpty()) {
-      Result<Void, StorageError> writeResult = folder.writeFile(FIRST_START_FILE, "yes");
-      if (!writeResult.isOk()) {
-        return writeResult;
-      }
+    Result<Boolean, StorageError> firstStart = recordFirstStart();
+    if (!firstStart.isOk()) {
+      return Result.err(firstStart.error());
     }
-    boolean mayFound = folder.readFile(FIRST_START_FILE).isPresent();
+    boolean mayFound = firstStart.value();
     FleetSettings fleet = settings.fleet();
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
@@ -150,6 +147,19 @@
     return currentReplica == null ? ItemWaits.Count.NONE : currentReplica.waiting(reason);
   }
 
+  /** Whether this store takes part in the first start of the system, or did so. */
+  private Result<Boolean, StorageError> recordFirstStart() {
+    Result<Optional<String>, StorageError> stored = folder.readFile(FIRST_START_FILE);
+    if (!stored.isOk()) {
+      return Result.err(stored.error());
+    }
+    boolean isRecorded = stored.value().isPresent();
+    if (isRecorded || !settings.firstStart() || folder.isGivenUp()) {
+      return Result.ok(isRecorded);
+    }
+    return folder.writeFile(FIRST_START_FILE, "yes").map(written -> true);
+  }
+
   private FleetFollower.SelfReport selfReport(boolean mayFound) {
     FleetSettings fleet = settings.fleet();
     String address = fleet.listen().toString();
@@ -183,13 +193,18 @@
 
   /** Opens the replica of the group recorded on this disk, if any. */
   private Result<Void, StorageError> recoverReplica() {
-    if (!Files.exists(folder.path().resolve(JOBS_GROUP_FILE))) {
+    Result<Optional<String>, StorageError> stored = folder.readFile(JOBS_GROUP_FILE);
+    if (!stored.isOk()) {
+      return Result.err(stored.error());
+    }
+    if (stored.value().isEmpty()) {
       return Result.ok(null);
     }
     try {
-      return openReplica(Integer.parseInt(folder.readFile(JOBS_GROUP_FILE).orElse("")));
+      return openReplica(Integer.parseInt(stored.value().get()));
     } catch (NumberFormatException e) {
-      return Result.err(new StorageError.Io("read " + JOBS_GROUP_FILE, e.toString()));
+      String file = folder.path().resolve(JOBS_GROUP_FILE).toString();
+      return Result.err(new StorageError.Damaged(file, 0));
     }
   }
 
