--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -71,6 +71,11 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
 
+  /** Returns the sends that this process refused, for its metrics. */
+  public HeldBackSends heldBackSends() {
+    return recorder.heldBackSends();
+  }
+
   /** Applies the quarantine list of the leading coordinator. */
   public void updateQuarantine(QuarantineList list) {
     recorder.updateQuarantine(list, nowMs());
@@ -93,6 +98,20 @@
     return transport.start(call, new ObservingListener(call, listener));
   }
 
+  /** Finds out whether an engine that interrupted no request has ended. */
+  public void checkEngine(EngineInstance engine) {
+    if (!interruptedByInstance.containsKey(engine.lifeId())) {
+      livenessProbe.check(engine, verdict -> onIdleVerdict(engine, verdict));
+    }
+  }
+
+  private void onIdleVerdict(EngineInstance engine, Verdict verdict) {
+    logVerdict(engine, verdict, 0);
+    if (verdict.isCrash()) {
+      onEngineDown.accept(engine);
+    }
+  }
+
   private void onInterrupted(InterruptedRequest request) {
     EngineInstance engine = request.call().engine();
     List<InterruptedRequest> interrupted = interruptedByInstance.get(engine.lifeId());
@@ -106,6 +125,13 @@
 
   private void onVerdict(EngineInstance engine, Verdict verdict) {
     List<InterruptedRequest> interrupted = interruptedByInstance.remove(engine.lifeId());
+    logVerdict(engine, verdict, interrupted.size());
+    if (verdict.isCrash()) {
+      onCrash(engine, interrupted);
+    }
+  }
+
+  private static void logVerdict(EngineInstance engine, Verdict verdict, int requests) {
     EVENTS.log(
         EventCode.ENGINE_CHECKED,
         "engine",
@@ -113,10 +139,7 @@
         "verdict",
         verdict,
         "requests",
-        interrupted.size());
-    if (verdict.isCrash()) {
-      onCrash(engine, interrupted);
-    }
+        requests);
   }
 
   private void onCrash(EngineInstance engine, List<InterruptedRequest> interrupted) {
@@ -132,6 +155,7 @@
     private final EngineCall call;
     private final EngineListener listener;
     private final long startedMs = nowMs();
+    private final ResponseProgress progress = new ResponseProgress();
     private int status;
     private boolean notRun;
     private long closedAtMs;
@@ -150,19 +174,27 @@
 
     @Override
     public void onBody(byte[] part) {
+      long nowMs = nowMs();
+      if (progress.onPiece(nowMs) && call.hasRequestId() && isSuccess()) {
+        recorder.onSustainedResponse(call, nowMs);
+      }
       listener.onBody(part);
     }
 
     @Override
     public void onEnd() {
-      if (call.hasRequestId() && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
+      if (call.hasRequestId() && isSuccess()) {
         recorder.onServed(call, nowMs());
       }
       listener.onEnd();
     }
 
+    private boolean isSuccess() {
+      return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
+    }
+
     private InterruptedRequest interrupted() {
-      return new InterruptedRequest(call, status != 0, startedMs, closedAtMs);
+      return new InterruptedRequest(call, status != 0, progress, startedMs, closedAtMs);
     }
 
     /** Takes the response for complete only if the engine has not crashed. */
