--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -6,10 +6,13 @@
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchJob;
 import io.pathdeck.state.ItemProgress;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The leader's state of an item that has no result yet; confined to the consensus thread.
@@ -18,6 +21,9 @@
  * order, until the leader proposes them.
  */
 final class ItemRun {
+  /** A shorter run gains the item nearly nothing, so its wait goes on. */
+  static final long MIN_RUN_MS = 1_000;
+
   final BatchJob job;
   final BatchItem item;
   private final long knownSinceMs;
@@ -35,6 +41,11 @@
   private long normalizedRunMs;
   private long startedMs;
   private boolean finished;
+  private long waitingSinceMs;
+  private int shortRuns;
+  private final Set<String> triedEngineIds = new HashSet<>();
+  private boolean waitReported;
+  private WaitReason schedulerReason = WaitReason.NOT_EXAMINED;
 
   /** The current attempt; null, like {@link #engine}, if the item does not run. */
   private ItemStream stream;
@@ -54,6 +65,7 @@
     this.job = job;
     this.item = item;
     this.knownSinceMs = nowMs;
+    this.waitingSinceMs = nowMs;
     this.minAgeWhenKnownMs = (logTimeMs - job.submittedAtMs()) / LogTime.MAX_RATE;
     this.recordedEvent = job.progress(item.id()).lastEvent();
     this.origin = job.progress(item.id()).origin();
@@ -96,6 +108,60 @@
     stream = null;
     engine = null;
     relativePace = 1;
+    schedulerReason = WaitReason.NOT_EXAMINED;
+    shortRuns++;
+    if (nowMs - startedMs >= MIN_RUN_MS) {
+      shortRuns = 0;
+      triedEngineIds.clear();
+      waitingSinceMs = nowMs;
+      waitReported = false;
+    }
+  }
+
+  /**
+   * Returns for how long the item has been at no engine, leaving aside runs of less than {@value
+   * #MIN_RUN_MS} ms; 0 while it runs.
+   */
+  long waitMs(long nowMs) {
+    return isRunning() ? 0 : nowMs - waitingSinceMs;
+  }
+
+  /** Returns how many runs of less than {@value #MIN_RUN_MS} ms the present wait includes. */
+  int shortRuns() {
+    return shortRuns;
+  }
+
+  /** Records that an engine did not run the item. */
+  void markTried(EngineInstance tried) {
+    triedEngineIds.add(tried.lifeId());
+  }
+
+  /** Whether the engine did not run the item when it was tried in the present wait. */
+  boolean hasTried(EngineInstance candidate) {
+    return triedEngineIds.contains(candidate.lifeId());
+  }
+
+  /** Returns why the item is at no engine. */
+  WaitReason waitReason(long nowMs) {
+    if (finished) {
+      return WaitReason.NOT_LISTED;
+    }
+    if (discarding) {
+      return WaitReason.DISCARDING;
+    }
+    return nowMs < notBeforeMs ? WaitReason.RETRY_DELAY : schedulerReason;
+  }
+
+  /** Sets why the scheduler did not start the item. */
+  void setSchedulerReason(WaitReason reason) {
+    schedulerReason = reason;
+  }
+
+  /** Marks the present wait as reported; returns false if it was already. */
+  boolean markWaitReported() {
+    boolean isFirst = !waitReported;
+    waitReported = true;
+    return isFirst;
   }
 
   /**
@@ -139,14 +205,15 @@
   }
 
   /**
-   * Records the time per event since the last call in the engine's pace and passes it to {@code
-   * eventTimes}. The first events of an attempt only start a sample, because the time before them
-   * includes queueing and prefill.
+   * Records that the engine is alive, and the time per event since the last call in its pace, and
+   * passes it to {@code eventTimes}. The first events of an attempt only start a sample, because
+   * the time before them includes queueing and prefill.
    */
   void reportPace(long nowMs, EventTimeListener eventTimes) {
     if (engine == null || lastEvent <= paceSampleEvent) {
       return;
     }
+    engine.onDataReceived(nowMs);
     if (paceSampleMs <= startedMs) {
       reportEnginePace();
     } else {
