Test: a job under the id of another tenant's job is accepted, and its caller gets 404

The leader answers 202 for any job id that it holds or is about to, whoever holds it; a read by the tenant that was told so finds nothing.

--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestJobSubmissions.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestJobSubmissions.java
@@ -9,6 +9,7 @@
 import io.pathdeck.control.PeerLinks;
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.protocol.command.BatchAccepted;
+import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.message.Message;
@@ -82,8 +83,12 @@
   }
 
   private static SubmitBatch job() {
+    return job("");
+  }
+
+  private static SubmitBatch job(String tenant) {
     BatchItem item = new BatchItem("item", "/p", Map.of(), new byte[10], 100, 40);
-    return new SubmitBatch("job", "", "route", "host", List.of(item), 3, 20_000, 60_000, 0);
+    return new SubmitBatch("job", tenant, "route", "host", List.of(item), 3, 20_000, 60_000, 0);
   }
 
   private List<CompletableFuture<Message>> submitCopies() throws Exception {
@@ -122,4 +127,28 @@
     assertThat(onConsensusThread(() -> host.group().replica().lastIndex()))
         .isEqualTo(acceptedIndex);
   }
+
+  /** The tenant could not read the job that it was told is accepted. */
+  @Test
+  void doesNotAcceptJobUnderTheIdOfAnotherTenantsJob() throws Exception {
+    CompletableFuture<Message> first = new CompletableFuture<>();
+    CompletableFuture<Message> concurrent = new CompletableFuture<>();
+    CompletableFuture<Message> later = new CompletableFuture<>();
+    onConsensusThread(
+        () -> {
+          submissions.submit(job("t1"), first::complete);
+          submissions.submit(job("t2"), concurrent::complete);
+          return null;
+        });
+    assertAccepted(List.of(first));
+    onConsensusThread(
+        () -> {
+          submissions.submit(job("t2"), later::complete);
+          return null;
+        });
+    for (CompletableFuture<Message> reply : List.of(concurrent, later)) {
+      assertThat(((ProposeReply) reply.get(TIMEOUT_S, TimeUnit.SECONDS)).result())
+          .isInstanceOf(Rejected.class);
+    }
+  }
 }
