A job is taken as accepted only for the tenant that holds it

What callers see: 202 for a job and then 404 for its results, where another tenant has used the same job id. Cause: the leader knew jobs that it holds or that are in its log by id alone, and did not ask the state, which rejects such an id.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobSubmissions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobSubmissions.java
@@ -26,12 +26,19 @@
 final class JobSubmissions {
   private static final EventLog EVENTS = EventLog.of(JobSubmissions.class);
 
+  /** A job as its caller knows it; the state rejects the id of another tenant's job. */
+  private record JobKey(String jobId, String tenant) {
+    static JobKey of(SubmitBatch submission) {
+      return new JobKey(submission.jobId(), submission.tenant());
+    }
+  }
+
   private final GroupRuntime group;
   private final BatchStateMachine state;
   private final ControllerClock clock;
 
-  /** Callers to reply to, by id of a job that is in the log but not applied yet. */
-  private final Map<String, List<ReplySink>> pendingReplies = new HashMap<>();
+  /** Callers to reply to, by job that is in the log but not applied yet. */
+  private final Map<JobKey, List<ReplySink>> pendingReplies = new HashMap<>();
 
   JobSubmissions(GroupRuntime group, BatchStateMachine state, ControllerClock clock) {
     this.group = group;
@@ -40,29 +47,35 @@
   }
 
   void submit(SubmitBatch submission, ReplySink reply) {
-    String jobId = submission.jobId();
-    List<ReplySink> replies = pendingReplies.get(jobId);
+    List<ReplySink> replies = pendingReplies.get(JobKey.of(submission));
     if (replies != null) {
       replies.add(reply);
-    } else if (state.job(jobId).isPresent()) {
-      ProposeReply acceptedReply = new ProposeReply(new BatchAccepted(jobId));
+    } else if (isHeld(submission)) {
+      ProposeReply acceptedReply = new ProposeReply(new BatchAccepted(submission.jobId()));
       group.readLinearizably(() -> reply.reply(acceptedReply), reply, clock.monotonicMs());
     } else {
       propose(submission, reply);
     }
   }
 
+  private boolean isHeld(SubmitBatch submission) {
+    return state
+        .job(submission.jobId())
+        .filter(job -> JobKey.of(job.submission()).equals(JobKey.of(submission)))
+        .isPresent();
+  }
+
   private void propose(SubmitBatch submission, ReplySink reply) {
-    List<ReplySink> replies = new ArrayList<>(List.of(reply));
-    pendingReplies.put(submission.jobId(), replies);
-    group.propose("", 0, submission, result -> completeReplies(submission.jobId(), result), clock);
+    JobKey key = JobKey.of(submission);
+    pendingReplies.put(key, new ArrayList<>(List.of(reply)));
+    group.propose("", 0, submission, result -> completeReplies(key, result), clock);
   }
 
-  private void completeReplies(String jobId, Message result) {
+  private void completeReplies(JobKey key, Message result) {
     if (result instanceof ProposeReply reply && reply.result() instanceof BatchAccepted) {
-      logAccepted(jobId);
+      logAccepted(key.jobId());
     }
-    pendingReplies.remove(jobId).forEach(reply -> reply.reply(result));
+    pendingReplies.remove(key).forEach(reply -> reply.reply(result));
   }
 
   private void logAccepted(String jobId) {
