--- a/control/src/test/java/io/pathdeck/control/DurabilityModel.java
+++ b/control/src/test/java/io/pathdeck/control/DurabilityModel.java
@@ -89,8 +89,11 @@
 
   /** Damages a segment with another behind it, unless a disk is being replaced already. */
   private void damage(ModelReplica drawn) throws IOException {
+    if (!allVote()) {
+      return;
+    }
     Path[] segments = PowerLossDisk.files(drawn.path(), "log-");
-    if (segments.length < 2 || !allVote()) {
+    if (segments.length < 2) {
       return;
     }
     Path segment = segments[random.nextInt(segments.length - 1)];
@@ -102,6 +105,9 @@
     }
   }
 
+  /**
+   * Whether all replicas run and vote; one that is down may hold damage that is not noticed yet.
+   */
   private boolean allVote() {
     List<Member> members =
         leader()
@@ -111,9 +117,11 @@
     return replicas.stream()
         .allMatch(
             replica ->
-                members.stream()
-                    .anyMatch(
-                        member -> member.voter() && member.incarnation() == replica.incarnation()));
+                replica.isAlive()
+                    && members.stream()
+                        .anyMatch(
+                            member ->
+                                member.voter() && member.incarnation() == replica.incarnation()));
   }
 
   private void step(int dropOneIn) throws IOException {
