A quarantined part of prompts is tried again by one process

What callers saw: a part that was quarantined by mistake was held back for ten minutes, since nothing with it is sent and so nothing can show that it is sound. A process that holds requests back asks the leading coordinator, which lets one of them send one request, 4 s after the quarantine and once more 16 s after that. When it is served, or written for 500 ms, the leader releases the part as before.

A part that does crash engines costs two engines more at most: the trials are counted over all processes and services, a part that is quarantined again gets no new ones, and a leader grants none of parts that an earlier leader quarantined. Items that are held back look every 500 ms instead of every 2 s. Two new message types; no stored form changes.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -30,6 +30,7 @@
 import io.pathdeck.protocol.message.EngineEndNotice;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.TrialRequest;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.protocol.transport.PeerServer;
 import io.pathdeck.protocol.transport.TransportTls;
@@ -314,6 +315,8 @@
       host.execute(() -> membership.onAdmission(request, reply));
     } else if (message instanceof EngineEndNotice notice) {
       host.execute(() -> membership.onEngineCrashes(notice, reply));
+    } else if (message instanceof TrialRequest request) {
+      host.execute(() -> membership.onTrialRequest(request, reply));
     } else {
       host.handle(message, reply);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -23,6 +23,7 @@
 import io.pathdeck.protocol.message.EngineEndNotice;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
+import io.pathdeck.protocol.message.TrialRequest;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.state.FleetStateMachine;
 import java.util.HashMap;
@@ -270,6 +271,10 @@
     quarantineManager.onNotice(notice, reply, clock.monotonicMs());
   }
 
+  void onTrialRequest(TrialRequest request, ReplySink reply) {
+    quarantineManager.onTrialRequest(request, reply, clock.monotonicMs());
+  }
+
   private List<Integer> leavingMembers() {
     return state.leavingStores().stream().map(SetStoreLeaving::memberId).toList();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
@@ -12,6 +12,8 @@
 import io.pathdeck.protocol.fleet.ServedFingerprint;
 import io.pathdeck.protocol.message.EngineEndNoted;
 import io.pathdeck.protocol.message.EngineEndNotice;
+import io.pathdeck.protocol.message.TrialReply;
+import io.pathdeck.protocol.message.TrialRequest;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.state.FleetStateMachine;
 import java.util.ArrayList;
@@ -44,6 +46,7 @@
   private final FleetStateMachine state;
   private final ControllerClock clock;
   private final CrashCauseDetector detector = new CrashCauseDetector();
+  private final QuarantineTrials trials = new QuarantineTrials();
 
   /** When this leader first saw each request in quarantine. */
   private final Map<RequestFingerprint, Long> quarantinedSinceMs = new HashMap<>();
@@ -63,6 +66,7 @@
   /** Discards the crashes and pending decisions; called when the leadership changes. */
   void clear() {
     detector.clear();
+    trials.clear();
     quarantinedSinceMs.clear();
     proposedRequests.clear();
     suspectedParts = List.of();
@@ -100,6 +104,7 @@
       return;
     }
     for (RequestFingerprint request : newCauses) {
+      trials.onQuarantined(request, nowMs);
       EVENTS.log(
           EventCode.REQUEST_QUARANTINED,
           "fingerprint",
@@ -120,6 +125,19 @@
         clock);
   }
 
+  /** Grants or denies a trial of a quarantined part. */
+  void onTrialRequest(TrialRequest request, ReplySink reply, long nowMs) {
+    if (!group.isLeading()) {
+      reply.reply(group.notLeader());
+      return;
+    }
+    boolean granted = state.isQuarantined(request.part()) && trials.grant(request.part(), nowMs);
+    if (granted) {
+      EVENTS.log(EventCode.QUARANTINE_TRIAL, "fingerprint", request.part().shortForm());
+    }
+    reply.reply(new TrialReply(granted));
+  }
+
   /** A success disproves a quarantine unless enough engines crashed after it. */
   private void onServed(ServedFingerprint served, long nowMs) {
     RequestFingerprint fingerprint = served.fingerprint();
@@ -147,6 +165,7 @@
     }
     nextStepMs = nowMs + STEP_INTERVAL_MS;
     detector.expire(nowMs);
+    trials.expire(nowMs - QUARANTINE_DURATION_MS);
     suspectedParts = detector.suspectedParts();
     List<RequestFingerprint> quarantinedRequests = state.quarantine().requests();
     quarantinedSinceMs.keySet().retainAll(quarantinedRequests);
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
@@ -30,6 +30,7 @@
   private final EngineCrashReporter reporter;
   private final RequestQuarantine quarantine = new RequestQuarantine();
   private final CrashCauseDetector localDetector = new CrashCauseDetector();
+  private final TrialPermits trialPermits = new TrialPermits();
   private final ServedPromptParts servedParts = new ServedPromptParts();
   private Set<RequestFingerprint> suspectedParts = Set.of();
 
@@ -42,11 +43,27 @@
     return reporter.heldBackSends();
   }
 
-  /** Returns the fingerprint because of which a call must not be sent; empty if it may be sent. */
+  /**
+   * Returns the fingerprint because of which a call must not be sent; empty if it may be sent,
+   * perhaps as a trial.
+   */
   Optional<RequestFingerprint> findQuarantined(EngineCall call, long nowMs) {
-    Optional<RequestFingerprint> cause = quarantine.find(call, this::promptParts, nowMs);
-    cause.ifPresent(fingerprint -> reporter.heldBackSends().onRefused(fingerprint, nowMs));
-    return cause;
+    List<RequestFingerprint> causes = quarantine.find(call, this::promptParts, nowMs);
+    if (causes.isEmpty() || (causes.size() == 1 && trialPermits.use(causes.get(0), nowMs))) {
+      return Optional.empty();
+    }
+    RequestFingerprint cause = causes.get(0);
+    reporter.heldBackSends().onRefused(cause, nowMs);
+    askForTrial(cause, nowMs);
+    return Optional.of(cause);
+  }
+
+  private void askForTrial(RequestFingerprint cause, long nowMs) {
+    if (quarantine.isConfirmed(cause)
+        && cause.isPromptPart()
+        && trialPermits.shouldAsk(cause, nowMs)) {
+      reporter.askForTrial(cause, grantedMs -> trialPermits.onGranted(cause, grantedMs));
+    }
   }
 
   /**
@@ -55,6 +72,7 @@
    */
   void updateQuarantine(QuarantineList list, long nowMs) {
     reporter.heldBackSends().retain(Set.copyOf(list.requests()));
+    trialPermits.retain(Set.copyOf(list.requests()));
     quarantine.update(list).stream()
         .filter(RequestFingerprint::isPromptPart)
         .forEach(part -> reportLastServed(part, nowMs));
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineCrashReporter.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineCrashReporter.java
@@ -10,6 +10,8 @@
 import io.pathdeck.protocol.message.EngineEndNoted;
 import io.pathdeck.protocol.message.EngineEndNotice;
 import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.TrialReply;
+import io.pathdeck.protocol.message.TrialRequest;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -20,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 /**
  * Reports to the leading coordinator which requests were in progress when engines crashed; confined
@@ -131,6 +134,22 @@
     }
   }
 
+  /**
+   * Asks the leading coordinator whether this process may send one request with a quarantined part
+   * of prompts; {@code onGranted} receives the time if it may.
+   */
+  void askForTrial(RequestFingerprint part, LongConsumer onGranted) {
+    coordinatorClient
+        .call(new TrialRequest(part), ATTEMPT_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
+        .thenAcceptAsync(
+            result -> {
+              if (result.isOk() && result.value() instanceof TrialReply reply && reply.granted()) {
+                onGranted.accept(nowMs());
+              }
+            },
+            eventLoop);
+  }
+
   private void sendAfter(long delayMs) {
     if (!sending) {
       sending = true;
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/RequestQuarantine.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/RequestQuarantine.java
@@ -3,10 +3,10 @@
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.protocol.fleet.QuarantineList;
 import io.pathdeck.protocol.fleet.RequestFingerprint;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Stream;
@@ -76,23 +76,25 @@
   }
 
   /**
-   * Returns the fingerprint of a call's request, or of a part of its prompt, that is quarantined;
-   * reads the body only if the outline matches, and the parts only if some are quarantined.
+   * Returns the fingerprints of a call's request, and of the parts of its prompt, that are
+   * quarantined; reads the body only if the outline matches, and the parts only if some are
+   * quarantined.
    */
-  Optional<RequestFingerprint> find(
+  List<RequestFingerprint> find(
       EngineCall call, Function<EngineCall, List<RequestFingerprint>> promptParts, long nowMs) {
+    boolean mayContainRequest = outlines.contains(RequestFingerprints.outline(call));
+    if (!hasPromptParts && !mayContainRequest) {
+      return List.of();
+    }
+    List<RequestFingerprint> suspects = new ArrayList<>();
     if (hasPromptParts) {
-      for (RequestFingerprint part : promptParts.apply(call)) {
-        if (isInForce(part, nowMs)) {
-          return Optional.of(part);
-        }
-      }
+      suspects.addAll(promptParts.apply(call));
     }
-    if (!outlines.contains(RequestFingerprints.outline(call))) {
-      return Optional.empty();
+    if (mayContainRequest) {
+      suspects.add(RequestFingerprints.fingerprint(call));
     }
-    return Optional.of(RequestFingerprints.fingerprint(call))
-        .filter(request -> isInForce(request, nowMs));
+    suspects.removeIf(suspect -> !isInForce(suspect, nowMs));
+    return suspects;
   }
 
   private boolean isInForce(RequestFingerprint fingerprint, long nowMs) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -54,8 +54,8 @@
   private static final long RETRY_DELAY_MS = 150;
   private static final long MAX_RETRY_DELAY_MS = 2_000;
 
-  /** Delay before a quarantined item is tried again, in case it was released. */
-  private static final long QUARANTINE_RETRY_DELAY_MS = 2_000;
+  /** Delay before a quarantined item is tried again, in case it was released or may be tried. */
+  private static final long QUARANTINE_RETRY_DELAY_MS = 500;
 
   private static final int MAX_DOUBLINGS = 10;
   private static final long GIVE_UP_MARGIN_MS = 500;
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestQuarantineTrials.java
@@ -0,0 +1,48 @@
+package io.pathdeck.fleet.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.protocol.fleet.RequestFingerprint;
+import org.junit.jupiter.api.Test;
+
+class TestQuarantineTrials {
+  private static final RequestFingerprint PART = RequestFingerprint.ofPromptPart("svc", 1);
+  private static final RequestFingerprint SAME = RequestFingerprint.ofPromptPart("other", 1);
+  private static final long DAY_MS = 86_400_000;
+
+  private final QuarantineTrials trials = new QuarantineTrials();
+
+  /** Guards against a bad part that reaches more engines than the few that find it sound or bad. */
+  @Test
+  void partIsTriedTwiceWithGrowingPauses() {
+    trials.onQuarantined(PART, 0);
+    assertThat(trials.grant(PART, 3_999)).isFalse();
+    assertThat(trials.grant(PART, 4_000)).isTrue();
+    assertThat(trials.grant(PART, 4_001)).as("one process at a time").isFalse();
+    assertThat(trials.grant(PART, 19_999)).isFalse();
+    assertThat(trials.grant(PART, 20_000)).isTrue();
+    assertThat(trials.grant(PART, DAY_MS)).isFalse();
+  }
+
+  @Test
+  void partOfTwoServicesIsTriedAsOften() {
+    trials.onQuarantined(PART, 0);
+    trials.onQuarantined(SAME, 0);
+    assertThat(trials.grant(PART, 4_000)).isTrue();
+    assertThat(trials.grant(SAME, 4_000)).isFalse();
+  }
+
+  @Test
+  void partThatIsQuarantinedAgainGetsNoMoreTrials() {
+    trials.onQuarantined(PART, 0);
+    assertThat(trials.grant(PART, 4_000)).isTrue();
+    assertThat(trials.grant(PART, 20_000)).isTrue();
+    trials.onQuarantined(PART, 30_000);
+    assertThat(trials.grant(PART, 40_000)).isFalse();
+  }
+
+  @Test
+  void leaderGrantsNoTrialOfAPartThatAnotherOneQuarantined() {
+    assertThat(trials.grant(PART, DAY_MS)).isFalse();
+  }
+}
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -100,6 +100,8 @@
 import io.pathdeck.protocol.message.RaftBatch;
 import io.pathdeck.protocol.message.RecordStreamOrigins;
 import io.pathdeck.protocol.message.StreamOriginReply;
+import io.pathdeck.protocol.message.TrialReply;
+import io.pathdeck.protocol.message.TrialRequest;
 import io.pathdeck.protocol.message.Unavailable;
 import io.pathdeck.protocol.model.ClaimState;
 import io.pathdeck.protocol.model.Declaration;
@@ -352,7 +354,9 @@
           RecordBatchProgress.class,
           DiscardBatchProgress.class,
           BatchJobRecord.class,
-          ServedFingerprint.class);
+          ServedFingerprint.class,
+          TrialRequest.class,
+          TrialReply.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
@@ -20,4 +20,6 @@
         RaftBatch,
         RecordStreamOrigins,
         StreamOriginReply,
+        TrialReply,
+        TrialRequest,
         Unavailable {}
