--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -11,8 +11,8 @@
   private static final long RETRY_DELAY_MS = 150;
   private static final long MAX_RETRY_DELAY_MS = 2_000;
 
-  /** Delay before a quarantined item is tried again, in case it was released. */
-  private static final long QUARANTINE_RETRY_DELAY_MS = 2_000;
+  /** Delay before a quarantined item is tried again, in case it was released or may be tried. */
+  private static final long QUARANTINE_RETRY_DELAY_MS = 500;
 
   /**
    * Limits the pause of an engine after it refused or broke items, whatever its Retry-After says.
