--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -71,6 +71,11 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
 
+  /** Returns the sends that this process refused, for its metrics. */
+  public HeldBackSends heldBackSends() {
+    return recorder.heldBackSends();
+  }
+
   /** Applies the quarantine list of the leading coordinator. */
   public void updateQuarantine(QuarantineList list) {
     recorder.updateQuarantine(list, nowMs());
@@ -150,6 +155,7 @@
     private final EngineCall call;
     private final EngineListener listener;
     private final long startedMs = nowMs();
+    private final ResponseProgress progress = new ResponseProgress();
     private int status;
     private boolean notRun;
     private long closedAtMs;
@@ -168,19 +174,27 @@
 
     @Override
     public void onBody(byte[] part) {
+      long nowMs = nowMs();
+      if (progress.onPiece(nowMs) && call.hasRequestId() && isSuccess()) {
+        recorder.onSustainedResponse(call, nowMs);
+      }
       listener.onBody(part);
     }
 
     @Override
     public void onEnd() {
-      if (call.hasRequestId() && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
+      if (call.hasRequestId() && isSuccess()) {
         recorder.onServed(call, nowMs());
       }
       listener.onEnd();
     }
 
+    private boolean isSuccess() {
+      return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
+    }
+
     private InterruptedRequest interrupted() {
-      return new InterruptedRequest(call, status != 0, startedMs, closedAtMs);
+      return new InterruptedRequest(call, status != 0, progress, startedMs, closedAtMs);
     }
 
     /** Takes the response for complete only if the engine has not crashed. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -140,6 +140,7 @@
   private void bindMetrics(MeterRegistry registry) {
     regionTraffic.bindTo(registry);
     ItemMetrics.bindTo(registry, this::waiting);
+    reporter.heldBackSends().bindTo(registry);
   }
 
   private ItemWaits.Count waiting(WaitReason reason) {
