Durability model: damage one disk at a time, and draw the same for a seed

Two of three disks are more than the group tolerates. Now all must be alive and vote. The timers' seed no longer comes from the incarnation, which is random.

--- a/control/src/test/java/io/pathdeck/control/DurabilityModel.java
+++ b/control/src/test/java/io/pathdeck/control/DurabilityModel.java
@@ -111,9 +111,11 @@
     return replicas.stream()
         .allMatch(
             replica ->
-                members.stream()
-                    .anyMatch(
-                        member -> member.voter() && member.incarnation() == replica.incarnation()));
+                replica.isAlive()
+                    && members.stream()
+                        .anyMatch(
+                            member ->
+                                member.voter() && member.incarnation() == replica.incarnation()));
   }
 
   private void step(int dropOneIn) throws IOException {
--- a/control/src/test/java/io/pathdeck/control/ModelReplica.java
+++ b/control/src/test/java/io/pathdeck/control/ModelReplica.java
@@ -119,7 +119,7 @@
               folder.isGivenUp() ? join.joiningOnly() : join,
               RaftSettings.DEFAULT,
               recovered.state(GROUP, snapshot),
-              folder.incarnation(),
+              id * 31L + nowMs,
               nowMs,
               nowMs);
       log = opened.value();
