--- a/control/src/test/java/io/pathdeck/control/DurabilityModel.java
+++ b/control/src/test/java/io/pathdeck/control/DurabilityModel.java
@@ -89,8 +89,11 @@
 
   /** Damages a segment with another behind it, unless a disk is being replaced already. */
   private void damage(ModelReplica drawn) throws IOException {
+    if (!allVote()) {
+      return;
+    }
     Path[] segments = PowerLossDisk.files(drawn.path(), "log-");
-    if (segments.length < 2 || !allVote()) {
+    if (segments.length < 2) {
       return;
     }
     Path segment = segments[random.nextInt(segments.length - 1)];
