--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -12,6 +12,7 @@
 import io.pathdeck.consensus.MembershipPolicy;
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.consensus.storage.Disk;
+import io.pathdeck.consensus.storage.FolderRecovery;
 import io.pathdeck.consensus.storage.StorageError;
 import io.pathdeck.control.ReplicaHost;
 import io.pathdeck.fleet.FleetMemberProcess;
@@ -86,12 +87,18 @@
   /** Recovers the data folder on {@code disk} and starts the process. */
   public static Result<CoordinatorProcess, StorageError> start(
       CoordinatorSettings settings, TransportTls tls, FleetAdapter adapter, Disk disk) {
-    Result<DataFolder, StorageError> folder = DataFolder.open(settings.dataFolder(), disk);
-    if (!folder.isOk()) {
-      return Result.err(folder.error());
-    }
+    return FolderRecovery.open(
+        settings.dataFolder(), disk, folder -> start(settings, tls, adapter, folder));
+  }
+
+  private static Result<CoordinatorProcess, StorageError> start(
+      CoordinatorSettings settings, TransportTls tls, FleetAdapter adapter, DataFolder folder) {
     CoordinatorProcess process = new CoordinatorProcess(settings);
-    return process.run(folder.value(), tls, adapter).map(started -> process);
+    Result<Void, StorageError> started = process.run(folder, tls, adapter);
+    if (!started.isOk()) {
+      process.resources.closeAll();
+    }
+    return started.map(nothing -> process);
   }
 
   private Result<Void, StorageError> run(
@@ -128,8 +135,12 @@
    * system; empty if this coordinator did not take part in it.
    */
   private Result<Set<String>, StorageError> loadInitialMembers(DataFolder folder) {
-    Optional<String> stored = folder.readFile(INITIAL_MEMBERS_FILE);
-    if (stored.isEmpty() && settings.firstStart()) {
+    Result<Optional<String>, StorageError> read = folder.readFile(INITIAL_MEMBERS_FILE);
+    if (!read.isOk()) {
+      return Result.err(read.error());
+    }
+    Optional<String> stored = read.value();
+    if (stored.isEmpty() && settings.firstStart() && !folder.isGivenUp()) {
       String addresses = String.join(",", settings.fleet().seedAddresses());
       Result<Void, StorageError> written = folder.writeFile(INITIAL_MEMBERS_FILE, addresses);
       if (!written.isOk()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -10,6 +10,7 @@
 import io.pathdeck.common.result.Result;
 import io.pathdeck.consensus.storage.DataFolder;
 import io.pathdeck.consensus.storage.Disk;
+import io.pathdeck.consensus.storage.FolderRecovery;
 import io.pathdeck.consensus.storage.StorageError;
 import io.pathdeck.control.ControllerStatus;
 import io.pathdeck.fleet.FleetMemberProcess;
@@ -32,8 +33,8 @@
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
 import io.pathdeck.protocol.transport.PeerServer;
 import io.pathdeck.protocol.transport.TransportTls;
-import java.nio.file.Files;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A store: keeps a replica of one group of batch jobs and runs the group's items while it leads.
@@ -75,22 +76,26 @@
   /** Recovers the data folder on {@code disk} and starts. */
   public static Result<StoreProcess, StorageError> start(
       StoreSettings settings, TransportTls tls, FleetAdapter adapter, Disk disk) {
-    Result<DataFolder, StorageError> openResult = DataFolder.open(settings.dataFolder(), disk);
-    if (!openResult.isOk()) {
-      return Result.err(openResult.error());
+    return FolderRecovery.open(
+        settings.dataFolder(), disk, folder -> start(settings, tls, adapter, folder));
+  }
+
+  private static Result<StoreProcess, StorageError> start(
+      StoreSettings settings, TransportTls tls, FleetAdapter adapter, DataFolder folder) {
+    StoreProcess process = new StoreProcess(settings, folder, adapter);
+    Result<Void, StorageError> started = process.run(tls);
+    if (!started.isOk()) {
+      process.resources.closeAll();
     }
-    StoreProcess process = new StoreProcess(settings, openResult.value(), adapter);
-    return process.run(tls).map(started -> process);
+    return started.map(nothing -> process);
   }
 
   private Result<Void, StorageError> run(TransportTls tls) {
-    if (settings.firstStart() && folder.readFile(FIRST_START_FILE).isEmpty()) {
-      Result<Void, StorageError> writeResult = folder.writeFile(FIRST_START_FILE, "yes");
-      if (!writeResult.isOk()) {
-        return writeResult;
-      }
+    Result<Boolean, StorageError> firstStart = recordFirstStart();
+    if (!firstStart.isOk()) {
+      return Result.err(firstStart.error());
     }
-    boolean mayFound = folder.readFile(FIRST_START_FILE).isPresent();
+    boolean mayFound = firstStart.value();
     FleetSettings fleet = settings.fleet();
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
@@ -132,6 +137,30 @@
     return Result.ok(null);
   }
 
+  private void bindMetrics(MeterRegistry registry) {
+    regionTraffic.bindTo(registry);
+    ItemMetrics.bindTo(registry, this::waiting);
+    reporter.heldBackSends().bindTo(registry);
+  }
+
+  private ItemWaits.Count waiting(WaitReason reason) {
+    JobsReplica currentReplica = replica;
+    return currentReplica == null ? ItemWaits.Count.NONE : currentReplica.waiting(reason);
+  }
+
+  /** Whether this store takes part in the first start of the system, or did so. */
+  private Result<Boolean, StorageError> recordFirstStart() {
+    Result<Optional<String>, StorageError> stored = folder.readFile(FIRST_START_FILE);
+    if (!stored.isOk()) {
+      return Result.err(stored.error());
+    }
+    boolean isRecorded = stored.value().isPresent();
+    if (isRecorded || !settings.firstStart() || folder.isGivenUp()) {
+      return Result.ok(isRecorded);
+    }
+    return folder.writeFile(FIRST_START_FILE, "yes").map(written -> true);
+  }
+
   private FleetFollower.SelfReport selfReport(boolean mayFound) {
     FleetSettings fleet = settings.fleet();
     String address = fleet.listen().toString();
@@ -165,13 +194,18 @@
 
   /** Opens the replica of the group recorded on this disk, if any. */
   private Result<Void, StorageError> recoverReplica() {
-    if (!Files.exists(folder.path().resolve(JOBS_GROUP_FILE))) {
+    Result<Optional<String>, StorageError> stored = folder.readFile(JOBS_GROUP_FILE);
+    if (!stored.isOk()) {
+      return Result.err(stored.error());
+    }
+    if (stored.value().isEmpty()) {
       return Result.ok(null);
     }
     try {
-      return openReplica(Integer.parseInt(folder.readFile(JOBS_GROUP_FILE).orElse("")));
+      return openReplica(Integer.parseInt(stored.value().get()));
     } catch (NumberFormatException e) {
-      return Result.err(new StorageError.Io("read " + JOBS_GROUP_FILE, e.toString()));
+      String file = folder.path().resolve(JOBS_GROUP_FILE).toString();
+      return Result.err(new StorageError.Damaged(file, 0));
     }
   }
 
@@ -206,11 +240,6 @@
     }
   }
 
-  private void bindMetrics(MeterRegistry registry) {
-    regionTraffic.bindTo(registry);
-    reporter.heldBackSends().bindTo(registry);
-  }
-
   private void onSuspectedParts(List<RequestFingerprint> parts) {
     JobsReplica currentReplica = replica;
     if (currentReplica != null) {
