--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -30,6 +30,7 @@
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
 import io.pathdeck.fleet.origin.StreamOrigins;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
+import io.pathdeck.fleet.quarantine.HeldBackSends;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
 import io.pathdeck.fleet.traffic.RegionTraffic;
 import io.pathdeck.fleet.warmup.ColdStartBudget;
@@ -63,6 +64,7 @@
   private final LoadExchange loadExchange;
   private final ColdStartMetrics coldStartMetrics = new ColdStartMetrics();
   private final ColdStartBudget coldStartBudget;
+  private final HeldBackSends heldBackSends;
   private final HttpServer callerServer;
   private final AtomicBoolean stopping = new AtomicBoolean();
 
@@ -101,6 +103,7 @@
             eligibility.softwareVersions(),
             () -> follower.areEnginesConfirmedWithin(SoftwareVersions.MAX_VIEW_AGE_MS));
     QuarantiningTransport transport = createEngineTransport(eventLoop);
+    heldBackSends = transport.heldBackSends();
     follower.setSuspectedPartsListener(transport::updateSuspectedParts);
     gateway =
         new Gateway(
@@ -278,6 +281,7 @@
     loadMetrics.bindTo(registry);
     coldStartMetrics.bindTo(registry);
     regionTraffic.bindTo(registry);
+    heldBackSends.bindTo(registry);
     FleetMetrics.bindView(registry, follower);
     FleetMetrics.bindEvacuations(registry, settings.fleet().topology(), follower);
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
@@ -38,9 +38,15 @@
     this.reporter = reporter;
   }
 
+  HeldBackSends heldBackSends() {
+    return reporter.heldBackSends();
+  }
+
   /** Returns the fingerprint because of which a call must not be sent; empty if it may be sent. */
   Optional<RequestFingerprint> findQuarantined(EngineCall call, long nowMs) {
-    return quarantine.find(call, this::promptParts, nowMs);
+    Optional<RequestFingerprint> cause = quarantine.find(call, this::promptParts, nowMs);
+    cause.ifPresent(fingerprint -> reporter.heldBackSends().onRefused(fingerprint, nowMs));
+    return cause;
   }
 
   /**
@@ -48,6 +54,7 @@
    * are new there this process has seen served.
    */
   void updateQuarantine(QuarantineList list, long nowMs) {
+    reporter.heldBackSends().retain(Set.copyOf(list.requests()));
     quarantine.update(list).stream()
         .filter(RequestFingerprint::isPromptPart)
         .forEach(part -> reportLastServed(part, nowMs));
@@ -79,10 +86,10 @@
     Set<RequestFingerprint> parts = new LinkedHashSet<>();
     for (InterruptedRequest request : interrupted) {
       EngineEnd crash = describe(engine, request, nowMs);
-      logCrash(request.call().requestId(), crash);
+      logCrash(request, crash);
       localDetector.add(crash, nowMs);
       crashes.add(crash);
-      parts.addAll(crash.promptParts());
+      parts.addAll(promptParts(request.call()));
     }
     reporter.reportCrashes(crashes, nowMs);
     parts.forEach(part -> reportLastServed(part, nowMs));
@@ -95,11 +102,19 @@
         engine.lifeId(),
         RequestFingerprints.fingerprint(request.call()),
         request.responseStarted(),
-        promptParts(request.call()),
+        suspectedParts(request),
         request.atMs() - request.startedMs(),
         nowMs - request.atMs());
   }
 
+  /**
+   * The parts that may have crashed the engine of a request. A part crashes engines that begin to
+   * write a response on it, so there is none if the response had gone on for some time.
+   */
+  private List<RequestFingerprint> suspectedParts(InterruptedRequest request) {
+    return request.progress().isSustained() ? List.of() : promptParts(request.call());
+  }
+
   /**
    * The causes that this process identified itself. Those that are parts of prompts count only
    * while the leader is away, because this process sees a part of the crashes and successes.
@@ -111,17 +126,23 @@
         .toList();
   }
 
-  private static void logCrash(String requestId, EngineEnd crash) {
+  private static void logCrash(InterruptedRequest request, EngineEnd crash) {
     EVENTS.log(
         EventCode.ENGINE_ENDED_UNDER_REQUEST,
         "request",
-        requestId,
+        request.call().requestId(),
         "fingerprint",
         crash.request().shortForm(),
         "engine",
         crash.engine(),
         "answer_began",
         crash.answerBegan(),
+        "ran_ms",
+        crash.ranMs(),
+        "writing_ms",
+        request.progress().writingMs(),
+        "pieces",
+        request.progress().pieces(),
         "prompt_parts",
         crash.promptParts().stream().map(RequestFingerprint::shortForm).toList());
   }
@@ -142,12 +163,7 @@
 
   /** Records that a call was served to its end, so that nothing in it crashes engines. */
   void onServed(EngineCall call, long nowMs) {
-    for (RequestFingerprint part : promptParts(call)) {
-      servedParts.onServed(part, nowMs);
-      if (isSuspect(part)) {
-        reportServed(part, nowMs);
-      }
-    }
+    onPartsServed(call, nowMs);
     if (!localDetector.mayContain(RequestFingerprints.outline(call))) {
       return;
     }
@@ -156,4 +172,21 @@
       reportServed(request, nowMs);
     }
   }
+
+  /**
+   * Records that an engine has been writing the response of a call for so long that no part of its
+   * prompt crashes engines. The request itself may still do so.
+   */
+  void onSustainedResponse(EngineCall call, long nowMs) {
+    onPartsServed(call, nowMs);
+  }
+
+  private void onPartsServed(EngineCall call, long nowMs) {
+    for (RequestFingerprint part : promptParts(call)) {
+      servedParts.onServed(part, nowMs);
+      if (isSuspect(part)) {
+        reportServed(part, nowMs);
+      }
+    }
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -224,6 +224,11 @@
     }
   }
 
+  private void bindMetrics(MeterRegistry registry) {
+    regionTraffic.bindTo(registry);
+    reporter.heldBackSends().bindTo(registry);
+  }
+
   private void onSuspectedParts(List<RequestFingerprint> parts) {
     JobsReplica currentReplica = replica;
     if (currentReplica != null) {
