--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -143,6 +143,7 @@
   private void bindMetrics(MeterRegistry registry) {
     regionTraffic.bindTo(registry);
     ItemMetrics.bindTo(registry, this::waiting);
+    reporter.heldBackSends().bindTo(registry);
   }
 
   private ItemWaits.Count waiting(WaitReason reason) {
@@ -224,11 +225,6 @@
     }
   }
 
-  private void bindMetrics(MeterRegistry registry) {
-    regionTraffic.bindTo(registry);
-    reporter.heldBackSends().bindTo(registry);
-  }
-
   private void onSuspectedParts(List<RequestFingerprint> parts) {
     JobsReplica currentReplica = replica;
     if (currentReplica != null) {
