--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/RequestConstraints.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/RequestConstraints.java
@@ -30,7 +30,7 @@
   }
 
   /** Whether the engine's software version can write the rest of the stream. */
-  boolean allowsVersionOf(EngineInstance engine) {
+  public boolean allowsVersionOf(EngineInstance engine) {
     return origin.map(StreamOrigin.of(engine)::equals).orElse(true);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -15,6 +15,7 @@
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -83,22 +84,23 @@
    */
   List<ItemRun> itemsToBeginAnew(Collection<ItemRun> runs, FleetView view, long nowMs) {
     List<ItemRun> toBeginAnew = new ArrayList<>();
-    ItemRun longestWaiting = null;
+    List<ItemRun> waitForVersion = new ArrayList<>();
     for (ItemRun run : runs) {
       if (!run.mayStart(nowMs) || run.origin().isEmpty()) {
         continue;
       }
       if (!canGoOn(run, view, nowMs)) {
         toBeginAnew.add(run);
-      } else if (run.waitMs(nowMs) >= MAX_VERSION_WAIT_MS
-          && (longestWaiting == null || run.waitMs(nowMs) > longestWaiting.waitMs(nowMs))
-          && hasRoomAtOtherVersion(run, view, nowMs)) {
-        longestWaiting = run;
+      } else if (run.waitMs(nowMs) >= MAX_VERSION_WAIT_MS) {
+        waitForVersion.add(run);
       }
     }
-    if (longestWaiting != null) {
-      toBeginAnew.add(longestWaiting);
-    }
+    waitForVersion.stream()
+        .sorted(Comparator.comparingLong((ItemRun run) -> run.waitMs(nowMs)).reversed())
+        .limit(MAX_UNPLACED_ITEMS)
+        .filter(run -> hasRoomAtOtherVersion(run, view, nowMs))
+        .findFirst()
+        .ifPresent(toBeginAnew::add);
     return toBeginAnew;
   }
 
@@ -117,6 +119,7 @@
         run.shortRuns() == 0 && !availableEngines(service, constraints, view, nowMs).isEmpty();
     return !mayTry
         && availableEngines(service, constraints.ofNewStream(), view, nowMs).stream()
+            .filter(engine -> !constraints.allowsVersionOf(engine.instance()))
             .anyMatch(engine -> slotPolicy.hasRoom(engine, nowMs));
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
@@ -152,6 +152,19 @@
     assertThat(scheduler.itemsToBeginAnew(runs, view, NOW_MS)).containsExactly(runs.get(0));
   }
 
+  @Test
+  void itemKeepsItsEventsWhileOnlyItsOwnSoftwareVersionHasRoom() {
+    ItemRun run = runs.get(0);
+    run.appendEvents(new ItemEvents(ORIGIN, -1, 3, "text"));
+    listEngines(engineOf("first", "v1", false), engineOf("second", "v1", false));
+    engines.find("first").onLoadReport(load(0, 0), NOW_MS);
+    start(run, engines.find("first"), 1);
+    run.onStop(NOW_MS + 10);
+    long waitedMs = NOW_MS + 10_000;
+    engines.find("second").onLoadReport(load(0, 0), waitedMs);
+    assertThat(scheduler.itemsToBeginAnew(runs, view, waitedMs)).isEmpty();
+  }
+
   @Test
   void startsUrgentItemsFirstAndLateItemsLast() {
     report(0, 0);
