--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -50,6 +50,7 @@
  */
 final class BatchRunner {
   private static final long SCHEDULE_INTERVAL_MS = 20;
+  private static final long WAITS_INTERVAL_MS = 1_000;
   private static final long SILENCE_TIMEOUT_MS = 1_500;
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
@@ -75,6 +76,7 @@
   private FleetView view = FleetView.EMPTY;
   private long term;
   private long nextScheduleMs;
+  private long nextWaitsMs;
   private long nextRecordMs;
 
   /**
@@ -171,6 +173,13 @@
       } else {
         runs.all().forEach(run -> run.setSchedulerReason(WaitReason.ENGINE_LIST_NOT_RECENT));
       }
+      measureWaits(nowMs);
+    }
+  }
+
+  private void measureWaits(long nowMs) {
+    if (nowMs >= nextWaitsMs) {
+      nextWaitsMs = nowMs + WAITS_INTERVAL_MS;
       waits.update(runs.all(), run -> scheduler.hasRoom(run, view, nowMs), nowMs);
     }
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -157,11 +157,13 @@
     schedulerReason = reason;
   }
 
-  /** Marks the present wait as reported; returns false if it was already. */
-  boolean markWaitReported() {
-    boolean isFirst = !waitReported;
+  boolean isWaitReported() {
+    return waitReported;
+  }
+
+  /** Marks the present wait as reported. */
+  void markWaitReported() {
     waitReported = true;
-    return isFirst;
   }
 
   /**
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemWaits.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemWaits.java
@@ -36,7 +36,9 @@
         long waitMs = run.waitMs(nowMs);
         WaitReason reason = run.waitReason(nowMs);
         newCounts.merge(reason, Count.NONE.plus(waitMs), (known, one) -> known.plus(waitMs));
-        if (waitMs > MAX_WAIT_WITH_ROOM_MS && hasRoom.test(run) && run.markWaitReported()) {
+        boolean mayBeDue = waitMs > MAX_WAIT_WITH_ROOM_MS && !run.isWaitReported();
+        if (mayBeDue && hasRoom.test(run)) {
+          run.markWaitReported();
           ItemLog.waits(run, reason, waitMs);
         }
       }
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemWaits.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemWaits.java
@@ -39,12 +39,12 @@
     long lateMs = ItemWaits.MAX_WAIT_WITH_ROOM_MS + 1;
     waits.update(List.of(run), candidate -> false, lateMs);
     waits.update(List.of(run), candidate -> true, lateMs);
-    assertThat(run.markWaitReported()).isFalse();
+    assertThat(run.isWaitReported()).isTrue();
   }
 
   @Test
   void waitWithoutRoomIsNotReported() {
     waits.update(List.of(run), candidate -> false, ItemWaits.MAX_WAIT_WITH_ROOM_MS + 1);
-    assertThat(run.markWaitReported()).isTrue();
+    assertThat(run.isWaitReported()).isFalse();
   }
 }
