--- a/consensus/src/main/java/io/pathdeck/consensus/FollowerLog.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/FollowerLog.java
@@ -161,12 +161,24 @@
     state.messages.add(new AppendResponse(header, success, index, sentAtMs));
   }
 
+  /**
+   * Whether the log contains what the snapshot covers. Then it is kept: installing the snapshot
+   * would drop the entries behind it, which this replica may have acknowledged.
+   */
+  private boolean holdsLastEntryOf(SnapshotChunk chunk) {
+    return state.log.hasConfiguration()
+        && state.log.term(chunk.snapshotIndex()) == chunk.snapshotTerm();
+  }
+
   void onSnapshotChunk(SnapshotChunk chunk) {
     RaftHeader header = chunk.header();
     if (installing) {
       return;
     }
     lastAppendSentAtMs = Math.max(lastAppendSentAtMs, chunk.sentAtMs());
+    if (holdsLastEntryOf(chunk)) {
+      state.commitIndex = Math.max(state.commitIndex, chunk.snapshotIndex());
+    }
     if (chunk.snapshotIndex() <= state.commitIndex) {
       verifiedIndex = Math.max(verifiedIndex, Math.min(state.commitIndex, state.log.lastIndex()));
       acknowledge(chunk.sentAtMs());
