--- a/review/tools/Engine.java
+++ b/review/tools/Engine.java
@@ -148,13 +148,24 @@
   /** Ends the engine: it listens no more, and its connections close. */
   void crash() {
     close();
+    // All connections end at one moment, as when a process is killed; a close waits for the thread that reads.
     for (Socket socket : sockets) {
       try {
-        socket.close();
+        socket.shutdownOutput();
       } catch (IOException e) {
         // It has ended already.
       }
     }
+    for (Socket socket : sockets) {
+      Daemons.start(
+          () -> {
+            try {
+              socket.close();
+            } catch (IOException e) {
+              // It has ended already.
+            }
+          });
+    }
   }
 
   @Override
--- a/review/tools/ResetAnswers.java
+++ b/review/tools/ResetAnswers.java
@@ -20,7 +20,7 @@
 public final class ResetAnswers {
   private static final int EVENTS = 9;
   private static final long PAUSE_MS = 150;
-  private static final int BODY_BYTES = Integer.getInteger("body", 4_000_000);
+  private static final int BODY_BYTES = 4_000_000;
   private static final int REQUESTS = 8;
   private static final double RESET_SHARE = 0.55;
 
