--- a/review/tools/CrashedEngines.java
+++ b/review/tools/CrashedEngines.java
@@ -238,6 +238,7 @@
         }
         record.println((System.currentTimeMillis() - beginMs) + " ms: " + JOBS_PER_ROUND + " jobs of " + ITEMS + " items accepted");
         Thread.sleep(400);
+        lastCrashMs = System.currentTimeMillis();
         if (trouble) {
           lastCrashMs = crashes(platform, engines, random, beginMs, record);
         }
