--- a/review/tools/Engine.java
+++ b/review/tools/Engine.java
@@ -147,11 +147,25 @@
 
   /** Ends the engine: it listens no more, and its connections close. */
   void crash() {
+    crash(0, 0);
+  }
+
+  /**
+   * Ends the engine behind a link that loses packets: the end of a share of its connections is lost at first and
+   * arrives later, when it is sent again.
+   */
+  void crash(double lost, long againMs) {
     close();
+    java.util.Random random = new java.util.Random(System.nanoTime());
     // All connections end at one moment, as when a process is killed; a close waits for the thread that reads.
+    Set<Socket> late = ConcurrentHashMap.newKeySet();
     for (Socket socket : sockets) {
       try {
-        socket.shutdownOutput();
+        if (random.nextDouble() < lost) {
+          late.add(socket);
+        } else {
+          socket.shutdownOutput();
+        }
       } catch (IOException e) {
         // It has ended already.
       }
@@ -160,8 +174,9 @@
       Daemons.start(
           () -> {
             try {
+              Thread.sleep(late.contains(socket) ? againMs : 0);
               socket.close();
-            } catch (IOException e) {
+            } catch (IOException | InterruptedException e) {
               // It has ended already.
             }
           });
