An item under which engines crashed is still owed

Hypotheses: (1) the item itself is quarantined; (2) a part of its prompt is; (3) its retries find no engine that it has not tried. The log says (1): the fingerprint is that of a whole request.

Cause: whoever runs under three crashes counts as their reason, also an item, which a store sends on at once to the next engine and which so meets every crash of a burst. Nothing clears it: it is not sent, so it is not served, and only parts of prompts get trials.

Change: a store reports its calls as batch items (a digest with a prefix, as parts of prompts have, so that no message or stored record grows), and the detector does not suspect them; they still tell how many different calls with a part were interrupted, and do not hide a request that ran beside them. What bounds the harm of an item that does crash engines is a delay of its own: none after the first two crashes without an event in between, then 1, 2 and 4 s, so 900 engines an hour at the most, one at a time, and the item runs within 5 s of the last crash. A part of its prompt that is quarantined still holds an item back, with the trials that parts have.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -29,6 +29,7 @@
 import io.pathdeck.fleet.metrics.FleetMetrics;
 import io.pathdeck.fleet.metrics.MetricsEndpoint;
 import io.pathdeck.fleet.origin.StreamOrigins;
+import io.pathdeck.fleet.quarantine.CrashSuspects;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
 import io.pathdeck.fleet.quarantine.HeldBackSends;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
@@ -234,6 +235,7 @@
             adapter.engines(),
             liveness,
             reporter,
+            CrashSuspects.REQUESTS_AND_PROMPT_PARTS,
             eventLoop,
             engine -> gateway.onEngineEnded(engine));
     watchForColdEngines(eventLoop, transport, quarantining);
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
@@ -25,7 +25,8 @@
  * dropped once the actual cause is known.
  *
  * <p>A crash counts half for a request whose response had started, because most requests that crash
- * engines do so before the response. A part crashes each engine that begins to write a response on
+ * engines do so before the response. Batch items are no suspects, but tell how many different calls
+ * with a part were interrupted. A part crashes each engine that begins to write a response on
  * it, so each success with it removes all crashes before. A part is doubtful, and needs more
  * crashes and requests, if it was served before or if many crashes happened without it: then
  * engines also crash for other reasons, and a rare part may be there by chance.
@@ -64,7 +65,9 @@
   public void add(EngineEnd crash, long nowMs) {
     long atMs = nowMs - crash.agoMs();
     crashesByEngine.merge(crash.engine(), EngineCrash.of(crash, atMs), EngineCrash::merge);
-    add(crash.request(), new CrashSuspect(false, 0), crash, atMs);
+    if (!crash.request().isBatchItem()) {
+      add(crash.request(), new CrashSuspect(false, 0), crash, atMs);
+    }
     for (int depth = 0; depth < crash.promptParts().size(); depth++) {
       add(crash.promptParts().get(depth), new CrashSuspect(true, depth), crash, atMs);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
@@ -28,15 +28,18 @@
 
   private final EngineProtocol protocol;
   private final EngineCrashReporter reporter;
+  private final CrashSuspects crashSuspects;
   private final RequestQuarantine quarantine = new RequestQuarantine();
   private final CrashCauseDetector localDetector = new CrashCauseDetector();
   private final TrialPermits trialPermits = new TrialPermits();
   private final ServedPromptParts servedParts = new ServedPromptParts();
   private Set<RequestFingerprint> suspectedParts = Set.of();
 
-  CrashRecorder(EngineProtocol protocol, EngineCrashReporter reporter) {
+  CrashRecorder(
+      EngineProtocol protocol, EngineCrashReporter reporter, CrashSuspects crashSuspects) {
     this.protocol = protocol;
     this.reporter = reporter;
+    this.crashSuspects = crashSuspects;
   }
 
   HeldBackSends heldBackSends() {
@@ -48,7 +51,7 @@
    * perhaps as a trial.
    */
   Optional<RequestFingerprint> findQuarantined(EngineCall call, long nowMs) {
-    List<RequestFingerprint> causes = quarantine.find(call, this::promptParts, nowMs);
+    List<RequestFingerprint> causes = quarantine.find(call, this::fingerprint, this::promptParts, nowMs);
     if (causes.isEmpty() || (causes.size() == 1 && trialPermits.use(causes.get(0), nowMs))) {
       return Optional.empty();
     }
@@ -118,7 +121,7 @@
   private EngineEnd describe(EngineInstance engine, InterruptedRequest request, long nowMs) {
     return new EngineEnd(
         engine.lifeId(),
-        RequestFingerprints.fingerprint(request.call()),
+        fingerprint(request.call()),
         request.responseStarted(),
         suspectedParts(request),
         request.atMs() - request.startedMs(),
@@ -165,6 +168,13 @@
         crash.promptParts().stream().map(RequestFingerprint::shortForm).toList());
   }
 
+  private RequestFingerprint fingerprint(EngineCall call) {
+    RequestFingerprint request = RequestFingerprints.fingerprint(call);
+    return crashSuspects == CrashSuspects.PROMPT_PARTS
+        ? RequestFingerprint.ofBatchItem(request)
+        : request;
+  }
+
   /** The parts of a call's prompt that may be the cause of a crash. */
   private List<RequestFingerprint> promptParts(EngineCall call) {
     return protocol.sharedPromptParts(call).stream()
@@ -185,7 +195,7 @@
     if (!localDetector.mayContain(RequestFingerprints.outline(call))) {
       return;
     }
-    RequestFingerprint request = RequestFingerprints.fingerprint(call);
+    RequestFingerprint request = fingerprint(call);
     if (localDetector.contains(request)) {
       reportServed(request, nowMs);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -50,6 +50,7 @@
    * @param protocol reads the parts of prompts
    * @param livenessProbe checks engines after lost connections
    * @param reporter reports crashes and completed requests to the leading coordinator
+   * @param crashSuspects what may be found to crash engines
    * @param eventLoop runs all calls and callbacks
    * @param onEngineDown called each time an engine is found down
    */
@@ -58,11 +59,12 @@
       EngineProtocol protocol,
       EngineLivenessProbe livenessProbe,
       EngineCrashReporter reporter,
+      CrashSuspects crashSuspects,
       Executor eventLoop,
       Consumer<EngineInstance> onEngineDown) {
     this.transport = transport;
     this.livenessProbe = livenessProbe;
-    this.recorder = new CrashRecorder(protocol, reporter);
+    this.recorder = new CrashRecorder(protocol, reporter, crashSuspects);
     this.eventLoop = eventLoop;
     this.onEngineDown = onEngineDown;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/RequestQuarantine.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/RequestQuarantine.java
@@ -81,7 +81,10 @@
    * quarantined.
    */
   List<RequestFingerprint> find(
-      EngineCall call, Function<EngineCall, List<RequestFingerprint>> promptParts, long nowMs) {
+      EngineCall call,
+      Function<EngineCall, RequestFingerprint> fingerprint,
+      Function<EngineCall, List<RequestFingerprint>> promptParts,
+      long nowMs) {
     boolean mayContainRequest = outlines.contains(RequestFingerprints.outline(call));
     if (!hasPromptParts && !mayContainRequest) {
       return List.of();
@@ -91,7 +94,7 @@
       suspects.addAll(promptParts.apply(call));
     }
     if (mayContainRequest) {
-      suspects.add(RequestFingerprints.fingerprint(call));
+      suspects.add(fingerprint.apply(call));
     }
     suspects.removeIf(suspect -> !isInForce(suspect, nowMs));
     return suspects;
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -19,6 +19,7 @@
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.engine.NettyEngineTransport;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.quarantine.CrashSuspects;
 import io.pathdeck.fleet.quarantine.EngineCrashReporter;
 import io.pathdeck.fleet.quarantine.QuarantiningTransport;
 import io.pathdeck.protocol.command.Command;
@@ -109,8 +110,9 @@
             protocol,
             livenessProbe,
             reporter,
+            CrashSuspects.PROMPT_PARTS,
             eventLoop,
-            engine -> consensusExecutor.execute(() -> engines.onDown(engine, clock.monotonicMs())));
+            engine -> consensusExecutor.execute(() -> onEngineDown(engine)));
     transport.setIdleLossListener(
         engine -> consensusExecutor.execute(() -> onIdleLoss(engine, eligibility)));
     this.engineListIsRecent = engineListIsRecent;
@@ -124,6 +126,12 @@
     this.loadPolls = new LoadPolls(engine -> eventLoop.execute(() -> loadClient.fetch(engine)));
   }
 
+  private void onEngineDown(EngineInstance engine) {
+    long nowMs = clock.monotonicMs();
+    engines.onDown(engine, nowMs);
+    runs.all().forEach(run -> RetryPolicy.onEngineCrashed(run, engine, nowMs));
+  }
+
   private void onIdleLoss(EngineInstance engine, EngineEligibility eligibility) {
     if (eligibility.coldStartLimit().appliesTo(engine)) {
       eventLoop.execute(() -> transport.checkEngine(engine));
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -44,6 +44,7 @@
   private long waitingSinceMs;
   private int shortRuns;
   private final Set<String> triedEngineIds = new HashSet<>();
+  private final CrashBackoff crashBackoff = new CrashBackoff();
   private boolean waitReported;
   private WaitReason schedulerReason = WaitReason.NOT_EXAMINED;
 
@@ -141,6 +142,11 @@
     return triedEngineIds.contains(candidate.lifeId());
   }
 
+  /** The delay after crashes of the engines that ran the item. */
+  CrashBackoff crashBackoff() {
+    return crashBackoff;
+  }
+
   /** Returns why the item is at no engine. */
   WaitReason waitReason(long nowMs) {
     if (finished) {
@@ -266,6 +272,7 @@
     origin = events.origin();
     unrecordedText = ItemProgress.join(unrecordedText, events.text());
     lastEvent = events.lastEvent();
+    crashBackoff.onEvents();
     return true;
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.store;
 
 import io.pathdeck.fleet.engine.EngineState;
+import io.pathdeck.protocol.fleet.EngineInstance;
 
 /**
  * Decides what an attempt without a result means for the engine and for how long the item waits;
@@ -39,11 +40,22 @@
         engine.onFull(nowMs, Math.min(outcome.retryAfterMs(), MAX_ENGINE_PAUSE_MS));
         run.waitUntil(nowMs + RETRY_DELAY_MS);
       }
-      case BROKEN -> engine.onFailure(nowMs, MAX_ENGINE_PAUSE_MS);
+      case BROKEN -> {
+        engine.onFailure(nowMs, MAX_ENGINE_PAUSE_MS);
+        run.crashBackoff().onBroken(engine.instance());
+      }
       default -> throw new IllegalArgumentException(outcome.kind() + " is not repeated");
     }
   }
 
+  /** Delays the next attempt of an item if the engine that crashed had run it. */
+  static void onEngineCrashed(ItemRun run, EngineInstance crashed, long nowMs) {
+    EngineInstance running = run.isRunning() ? run.engine().instance() : null;
+    if (run.crashBackoff().onCrash(crashed, running)) {
+      run.waitUntil(nowMs + run.crashBackoff().delayMs());
+    }
+  }
+
   private static boolean concernsEngine(ItemOutcome.Kind kind) {
     return kind != ItemOutcome.Kind.YIELDED && kind != ItemOutcome.Kind.QUARANTINED;
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestEnginesThatEndBetweenCalls.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestEnginesThatEndBetweenCalls.java
@@ -46,6 +46,7 @@
           protocol,
           new EngineLivenessProbe(eventLoop, connections, protocol),
           new EngineCrashReporter(eventLoop, null, () -> {}),
+          CrashSuspects.REQUESTS_AND_PROMPT_PARTS,
           eventLoop,
           down::complete);
   private ServerSocket server;
--- a/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestRefusalsCutOff.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestRefusalsCutOff.java
@@ -92,6 +92,7 @@
             protocol,
             livenessProbe,
             new EngineCrashReporter(eventLoop, null, () -> {}),
+            CrashSuspects.REQUESTS_AND_PROMPT_PARTS,
             eventLoop,
             engine -> {})
         .start(call, new OutcomeListener());
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestCrashBackoff.java
@@ -0,0 +1,69 @@
+package io.pathdeck.fleet.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.protocol.fleet.EngineInstance;
+import org.junit.jupiter.api.Test;
+
+/** An item under which engines crash must neither reach one after the other nor stay waiting. */
+class TestCrashBackoff {
+  private static final long HOUR_MS = 3_600_000;
+  private static final int MAX_CRASHES_PER_HOUR = 1_000;
+  private static final long MAX_DELAY_MS = 4_000;
+
+  private final CrashBackoff backoff = new CrashBackoff();
+  private int engines;
+
+  private EngineInstance nextEngine() {
+    return new EngineInstance("e" + engines++, "s", "h:1", "z", 4, false);
+  }
+
+  private long crashAgain() {
+    EngineInstance engine = nextEngine();
+    backoff.onBroken(engine);
+    assertThat(backoff.onCrash(engine, null)).isTrue();
+    return backoff.delayMs();
+  }
+
+  @Test
+  void delayGrowsFromTheThirdCrashOnUpToItsLimit() {
+    assertThat(crashAgain()).isZero();
+    assertThat(crashAgain()).isZero();
+    assertThat(crashAgain()).isEqualTo(1_000);
+    assertThat(crashAgain()).isEqualTo(2_000);
+    assertThat(crashAgain()).isEqualTo(MAX_DELAY_MS);
+    assertThat(crashAgain()).isEqualTo(MAX_DELAY_MS);
+  }
+
+  @Test
+  void itemThatCrashesEveryEngineReachesFewInAnHour() {
+    int crashes = 0;
+    for (long elapsedMs = 0; elapsedMs < HOUR_MS; elapsedMs += crashAgain()) {
+      crashes++;
+    }
+    assertThat(crashes).isLessThan(MAX_CRASHES_PER_HOUR);
+  }
+
+  @Test
+  void crashOfOneEngineCountsOnce() {
+    EngineInstance engine = nextEngine();
+    assertThat(backoff.onCrash(engine, engine)).isTrue();
+    backoff.onBroken(engine);
+    assertThat(backoff.onCrash(engine, null)).isFalse();
+  }
+
+  @Test
+  void crashOfAnEngineThatDidNotRunTheItemDoesNotCount() {
+    backoff.onBroken(nextEngine());
+    assertThat(backoff.onCrash(nextEngine(), nextEngine())).isFalse();
+  }
+
+  @Test
+  void itemThatAdvancedIsNotDelayed() {
+    crashAgain();
+    crashAgain();
+    crashAgain();
+    backoff.onEvents();
+    assertThat(crashAgain()).isZero();
+  }
+}
