Three crashes that chance explains are no proof against a request

Change: simultaneous crashes are one for a request, as they are for a part, and count only if it was at half of these engines. A request that was at fewer than three quarters of the groups up to its last crash needs five, and so does one that chance explains: of n other requests that its crashes interrupted, a share p was interrupted again, so that n p^(k-1) are expected at all k (one in ten of ten assumed beside them); above 0.2 it is doubtful.

Not measured: how many more engines a bad request costs on busy engines.

--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
@@ -24,7 +24,9 @@
  * that only runs concurrently with a cause is not selected, and a suspect selected by mistake is
  * dropped once the actual cause is known.
  *
- * <p>A crash counts half for a request whose response had started, because most requests that crash
+ * <p>A request is doubtful, and needs more crashes, if many crashes happened without it, or if the
+ * same crashes interrupted other requests so often that one was to be expected at all of them. A
+ * crash counts half for a request whose response had started, because most requests that crash
  * engines do so before the response. Batch items are no suspects, but tell how many different calls
  * with a part were interrupted. A part crashes each engine that begins to write a response on
  * it, so each success with it removes all crashes before. A part is doubtful, and needs more
@@ -32,11 +34,16 @@
  * engines also crash for other reasons, and a rare part may be there by chance.
  */
 public final class CrashCauseDetector {
-  /** Unrelated crashes rarely hit the same request this often. */
   static final int SUFFICIENT_CRASHES = 3;
 
-  /** Crashes of a part that was served before, or that explains only some of the crashes. */
-  static final int SUFFICIENT_CRASHES_OF_DOUBTFUL_PART = 5;
+  /**
+   * Crashes of a part that was served before, of a suspect that explains only some of the crashes,
+   * or of a request that may have been in progress at them by chance.
+   */
+  static final int SUFFICIENT_CRASHES_OF_DOUBTFUL_SUSPECT = 5;
+
+  /** From this many requests expected at all crashes of one, chance may have selected it. */
+  private static final double MAX_EXPECTED_BY_CHANCE = 0.2;
 
   /** From this many crashes on, a part is suspected. */
   private static final int SUSPICIOUS_CRASHES = 2;
@@ -141,13 +148,18 @@
   }
 
   /**
-   * Whether a request or part has enough unexpired crashes to be a cause on its own. Only then does
-   * its absence from {@link #causes} mean that other causes explain its crashes.
+   * Whether a request or part has enough unexpired crashes to be judged. Only then does its absence
+   * from {@link #causes} mean that other causes, or chance, explain its crashes.
    */
   public boolean hasSufficientEvidence(RequestFingerprint fingerprint) {
     CrashSuspect suspect = suspects.get(fingerprint);
-    return suspect != null
-        && isSufficient(suspect, evidence(suspect, unexplainedCrashes(Set.of())));
+    if (suspect == null) {
+      return false;
+    }
+    CrashGroups crashes = unexplainedCrashes(Set.of());
+    return suspect.isPart()
+        ? isSufficient(suspect, crashes)
+        : crashes.against(suspect).weight() >= SUFFICIENT_CRASHES;
   }
 
   /** What crashes say against a request or part, apart from other causes; for operators. */
@@ -156,12 +168,15 @@
     if (suspect == null) {
       return "none";
     }
-    CrashEvidence evidence = evidence(suspect, unexplainedCrashes(Set.of()));
-    return "weight %s, requests %d, at most crashes %b, crashed ms ago %s, served ms ago %s"
+    CrashGroups crashes = unexplainedCrashes(Set.of());
+    CrashEvidence evidence = crashes.against(suspect);
+    return ("weight %s, requests %d, at most crashes %b, expected by chance %.2f,"
+            + " crashed ms ago %s, served ms ago %s")
         .formatted(
             evidence.weight(),
             evidence.requests(),
             evidence.explainsMost(),
+            suspect.isPart() ? 0 : crashes.expectedByChance(suspect, requests()),
             suspect.crashAges(nowMs),
             suspect.wasServed() ? nowMs - suspect.servedAtMs() : "never");
   }
@@ -170,16 +185,32 @@
     return new CrashGroups(crashesByEngine, explained);
   }
 
-  private static CrashEvidence evidence(CrashSuspect suspect, CrashGroups crashes) {
-    return suspect.isPart() ? crashes.againstPart(suspect) : crashes.againstRequest(suspect);
+  private boolean isSufficient(CrashSuspect suspect, CrashGroups crashes) {
+    CrashEvidence evidence = crashes.against(suspect);
+    if (evidence.weight() < SUFFICIENT_CRASHES) {
+      return false;
+    }
+    return suspect.isPart()
+        ? isSufficientAgainstPart(suspect, evidence)
+        : isSufficientAgainstRequest(suspect, evidence, crashes);
   }
 
-  private static boolean isSufficient(CrashSuspect suspect, CrashEvidence evidence) {
-    if (!suspect.isPart() || evidence.weight() < SUFFICIENT_CRASHES) {
-      return evidence.weight() >= SUFFICIENT_CRASHES;
+  private boolean isSufficientAgainstRequest(
+      CrashSuspect request, CrashEvidence evidence, CrashGroups crashes) {
+    if (evidence.groups() >= SUFFICIENT_CRASHES_OF_DOUBTFUL_SUSPECT) {
+      return true;
     }
+    return evidence.explainsMost()
+        && crashes.expectedByChance(request, requests()) <= MAX_EXPECTED_BY_CHANCE;
+  }
+
+  private List<CrashSuspect> requests() {
+    return suspects.values().stream().filter(suspect -> !suspect.isPart()).toList();
+  }
+
+  private static boolean isSufficientAgainstPart(CrashSuspect suspect, CrashEvidence evidence) {
     if (suspect.wasServed() || !evidence.explainsMost()) {
-      return evidence.weight() >= SUFFICIENT_CRASHES_OF_DOUBTFUL_PART
+      return evidence.weight() >= SUFFICIENT_CRASHES_OF_DOUBTFUL_SUSPECT
           && evidence.requests() >= MIN_REQUESTS_OF_DOUBTFUL_PART;
     }
     return evidence.requests() > 1
@@ -198,7 +229,7 @@
           boolean mayBeCause =
               suspect.isPart()
                   && suspect.crashes() >= SUSPICIOUS_CRASHES
-                  && crashes.againstPart(suspect).weight() >= SUSPICIOUS_CRASHES;
+                  && crashes.against(suspect).weight() >= SUSPICIOUS_CRASHES;
           if (mayBeCause && parts.size() < MAX_SUSPECTED_PARTS) {
             parts.add(fingerprint);
           }
@@ -245,7 +276,7 @@
         (fingerprint, suspect) -> {
           boolean isKnownElsewhere = causes.stream().anyMatch(fingerprint::isSamePromptPart);
           boolean isUnserved = suspect.isPart() && !suspect.wasServed();
-          if (isKnownElsewhere && isUnserved && crashes.againstPart(suspect).weight() > 0) {
+          if (isKnownElsewhere && isUnserved && crashes.against(suspect).weight() > 0) {
             parts.add(fingerprint);
           }
         });
@@ -263,7 +294,7 @@
             .filter(other -> other.isPart() && !other.wasServed())
             .filter(other -> part.wasServed() || other.depth() > part.depth())
             .filter(other -> 2 * other.countShared(part) >= part.crashes())
-            .anyMatch(other -> crashes.againstPart(other).weight() >= SUSPICIOUS_CRASHES);
+            .anyMatch(other -> crashes.against(other).weight() >= SUSPICIOUS_CRASHES);
   }
 
   /** The strongest candidate by its unexplained crashes; empty if none has enough to be a cause. */
@@ -275,12 +306,12 @@
     Candidate strongest = null;
     for (RequestFingerprint fingerprint : candidates) {
       CrashSuspect suspect = suspects.get(fingerprint);
-      CrashEvidence evidence = evidence(suspect, crashes);
-      if (!isSufficient(suspect, evidence) || isOutweighed(suspect, crashes)) {
+      if (!isSufficient(suspect, crashes) || isOutweighed(suspect, crashes)) {
         continue;
       }
+      double weight = crashes.against(suspect).weight();
       Candidate candidate =
-          new Candidate(fingerprint, suspect, evidence.weight(), isQuarantined.test(fingerprint));
+          new Candidate(fingerprint, suspect, weight, isQuarantined.test(fingerprint));
       if (strongest == null || candidate.isStrongerThan(strongest)) {
         strongest = candidate;
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashGroups.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashGroups.java
@@ -2,6 +2,7 @@
 
 import io.pathdeck.protocol.fleet.RequestFingerprint;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +20,14 @@
   /** Crashes in this time before the first one of a suspect show whether it explains them, too. */
   private static final long LOOKBACK_MS = 3_000;
 
+  /**
+   * What is assumed beside the counted interruptions, which may be few: one request in ten is
+   * interrupted again.
+   */
+  private static final double ASSUMED_INTERRUPTED = 10;
+
+  private static final double ASSUMED_AGAIN = 1;
+
   /** The engines that crashed at the same time. */
   private record Group(long firstMs, Set<String> engines) {}
 
@@ -51,39 +60,71 @@
     return !outlivedGroup && crash.atMs() - group.firstMs() <= SIMULTANEOUS_MS;
   }
 
-  /** Returns what the crashes say against a request. */
-  CrashEvidence againstRequest(CrashSuspect request) {
+  /**
+   * Returns what the crashes say against a suspect. A group counts once, and only if the suspect
+   * was in progress at half of its engines: otherwise they crashed for another reason.
+   */
+  CrashEvidence against(CrashSuspect suspect) {
+    Set<RequestFingerprint> requests = new HashSet<>();
     double weight = 0;
-    for (Group group : groups) {
-      for (String engine : group.engines()) {
-        weight += request.weightOf(engine);
-      }
+    List<Group> explained = explainedBy(suspect);
+    for (Group group : explained) {
+      List<String> engines = enginesOf(suspect, group);
+      engines.forEach(engine -> requests.addAll(suspect.requestsAt(engine)));
+      weight += suspect.isPart() ? 1 : maxWeight(suspect, engines);
+    }
+    return new CrashEvidence(
+        explained.size(), weight, requests.size(), explainsMost(explained, suspect.isPart()));
+  }
+
+  /** A request that was quarantined after its last crash cannot be in progress at later ones. */
+  private boolean explainsMost(List<Group> explained, boolean isPart) {
+    if (explained.isEmpty()) {
+      return false;
     }
-    return new CrashEvidence(weight, 1, true);
+    long fromMs = explained.get(0).firstMs() - LOOKBACK_MS;
+    long toMs = isPart ? Long.MAX_VALUE : explained.get(explained.size() - 1).firstMs();
+    return explained.size() >= CrashEvidence.MOST * countBetween(fromMs, toMs);
+  }
+
+  private static double maxWeight(CrashSuspect request, List<String> engines) {
+    return engines.stream().mapToDouble(request::weightOf).max().orElse(0);
+  }
+
+  private List<Group> explainedBy(CrashSuspect suspect) {
+    return groups.stream()
+        .filter(group -> 2 * enginesOf(suspect, group).size() >= group.engines().size())
+        .toList();
+  }
+
+  private static List<String> enginesOf(CrashSuspect suspect, Group group) {
+    return group.engines().stream().filter(suspect::hasCrash).toList();
   }
 
   /**
-   * Returns what the crashes say against a part of prompts. A group counts once, and only if the
-   * part was in progress at half of its engines: otherwise they crashed for another reason.
+   * Estimates how many requests would by chance be in progress at all groups of crashes that a
+   * suspect explains. The chance of being interrupted again is taken from the other requests that
+   * these groups interrupted.
    */
-  CrashEvidence againstPart(CrashSuspect part) {
-    Set<RequestFingerprint> requests = new HashSet<>();
-    int explainedGroups = 0;
-    long firstMs = Long.MAX_VALUE;
-    for (Group group : groups) {
-      List<String> engines = group.engines().stream().filter(part::hasCrash).toList();
-      if (2 * engines.size() >= group.engines().size()) {
-        explainedGroups++;
-        firstMs = Math.min(firstMs, group.firstMs());
-        engines.forEach(engine -> requests.addAll(part.requestsAt(engine)));
+  double expectedByChance(CrashSuspect suspect, Collection<CrashSuspect> requests) {
+    List<Group> explained = explainedBy(suspect);
+    int interrupted = 0;
+    int interruptedAgain = 0;
+    for (CrashSuspect other : requests) {
+      long hits = explained.stream().filter(group -> !enginesOf(other, group).isEmpty()).count();
+      if (other != suspect && hits > 0) {
+        interrupted++;
+        interruptedAgain += hits > 1 ? 1 : 0;
       }
     }
-    double recentGroups = countSince(firstMs - LOOKBACK_MS);
-    return new CrashEvidence(
-        explainedGroups, requests.size(), explainedGroups >= CrashEvidence.MOST * recentGroups);
+    double chance =
+        (interruptedAgain + ASSUMED_AGAIN) / (interrupted + ASSUMED_INTERRUPTED);
+    return interrupted * Math.pow(chance, explained.size() - 1);
   }
 
-  private long countSince(long sinceMs) {
-    return groups.stream().filter(group -> group.firstMs() >= sinceMs).count();
+  private long countBetween(long fromMs, long toMs) {
+    return groups.stream()
+        .filter(group -> group.firstMs() >= fromMs && group.firstMs() <= toMs)
+        .count();
   }
 }
