--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
@@ -125,7 +125,7 @@
         clock);
   }
 
-  /** Grants or denies a trial of a quarantined part. */
+  /** Grants or denies a trial of a quarantined request or part. */
   void onTrialRequest(TrialRequest request, ReplySink reply, long nowMs) {
     if (!group.isLeading()) {
       reply.reply(group.notLeader());
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
@@ -5,46 +5,53 @@
 import java.util.List;
 
 /**
- * Decides when one request with a quarantined part of prompts may be sent, to find out whether the
- * part was quarantined by mistake; confined to one thread.
+ * Decides when a quarantined request, or one with a quarantined part of prompts, may be sent once, to
+ * find out whether it was quarantined by mistake; confined to one thread.
  *
- * <p>Each trial of a part that does crash engines costs one of them, so there are few in all. They
- * are counted in memory: a leader grants trials only of parts that it has quarantined itself, so
+ * <p>Each trial of a request or part that does crash engines costs one of them, so there are few in
+ * all. They are counted in memory: a leader grants trials only of what it has quarantined itself, so
  * that a change of leader allows none again. A part counts once for all services.
  */
 final class QuarantineTrials {
-  static final int MAX_TRIALS = 2;
+  static final int MAX_TRIALS_OF_PART = 2;
 
-  /** By then all processes hold the part back, and have told when they saw it served. */
+  /** A doubtful request may cost two more engines before it is quarantined again. */
+  static final int MAX_TRIALS_OF_REQUEST = 1;
+
+  /** By then all processes hold the suspect back, and have told when they saw it served. */
   static final long FIRST_DELAY_MS = 4_000;
 
   private static final long DELAY_FACTOR = 4;
 
-  /** The trials of one part. */
+  /** The trials of one request or part. */
   private static final class Trials {
-    private final RequestFingerprint part;
+    private final RequestFingerprint suspect;
     private int granted;
     private long nextMs;
 
-    private Trials(RequestFingerprint part, long nextMs) {
-      this.part = part;
+    private Trials(RequestFingerprint suspect, long nextMs) {
+      this.suspect = suspect;
       this.nextMs = nextMs;
     }
+
+    private boolean areLeft() {
+      return granted < (suspect.isPromptPart() ? MAX_TRIALS_OF_PART : MAX_TRIALS_OF_REQUEST);
+    }
   }
 
-  private final List<Trials> trialsByPart = new ArrayList<>();
+  private final List<Trials> trialsBySuspect = new ArrayList<>();
 
-  /** Records that this leader has quarantined a part. */
-  void onQuarantined(RequestFingerprint part, long nowMs) {
-    if (part.isPromptPart() && find(part) == null) {
-      trialsByPart.add(new Trials(part, nowMs + FIRST_DELAY_MS));
+  /** Records that this leader has quarantined a request or part. */
+  void onQuarantined(RequestFingerprint suspect, long nowMs) {
+    if (find(suspect) == null) {
+      trialsBySuspect.add(new Trials(suspect, nowMs + FIRST_DELAY_MS));
     }
   }
 
   /** Returns whether a trial may be sent now, and counts it. */
-  boolean grant(RequestFingerprint part, long nowMs) {
-    Trials trials = find(part);
-    if (trials == null || trials.granted >= MAX_TRIALS || nowMs < trials.nextMs) {
+  boolean grant(RequestFingerprint suspect, long nowMs) {
+    Trials trials = find(suspect);
+    if (trials == null || !trials.areLeft() || nowMs < trials.nextMs) {
       return false;
     }
     trials.granted++;
@@ -52,18 +59,18 @@
     return true;
   }
 
-  /** Forgets the parts whose trials were all due before a time. */
+  /** Forgets what had its last trial due before a time. */
   void expire(long timeMs) {
-    trialsByPart.removeIf(trials -> trials.nextMs < timeMs);
+    trialsBySuspect.removeIf(trials -> trials.nextMs < timeMs);
   }
 
   void clear() {
-    trialsByPart.clear();
+    trialsBySuspect.clear();
   }
 
-  private Trials find(RequestFingerprint part) {
-    for (Trials trials : trialsByPart) {
-      if (trials.part.isSamePromptPart(part)) {
+  private Trials find(RequestFingerprint suspect) {
+    for (Trials trials : trialsBySuspect) {
+      if (trials.suspect.equals(suspect) || trials.suspect.isSamePromptPart(suspect)) {
         return trials;
       }
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
@@ -62,9 +62,7 @@
   }
 
   private void askForTrial(RequestFingerprint cause, long nowMs) {
-    if (quarantine.isConfirmed(cause)
-        && cause.isPromptPart()
-        && trialPermits.shouldAsk(cause, nowMs)) {
+    if (quarantine.isConfirmed(cause) && trialPermits.shouldAsk(cause, nowMs)) {
       reporter.askForTrial(cause, grantedMs -> trialPermits.onGranted(cause, grantedMs));
     }
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineCrashReporter.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/EngineCrashReporter.java
@@ -135,12 +135,12 @@
   }
 
   /**
-   * Asks the leading coordinator whether this process may send one request with a quarantined part
-   * of prompts; {@code onGranted} receives the time if it may.
+   * Asks the leading coordinator whether this process may send a quarantined request, or one with a
+   * quarantined part of prompts; {@code onGranted} receives the time if it may.
    */
-  void askForTrial(RequestFingerprint part, LongConsumer onGranted) {
+  void askForTrial(RequestFingerprint suspect, LongConsumer onGranted) {
     coordinatorClient
-        .call(new TrialRequest(part), ATTEMPT_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
+        .call(new TrialRequest(suspect), ATTEMPT_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
         .thenAcceptAsync(
             result -> {
               if (result.isOk() && result.value() instanceof TrialReply reply && reply.granted()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/TrialPermits.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/TrialPermits.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * The trials of quarantined parts of prompts that the leading coordinator has granted to this
- * process; each allows one send. Confined to one thread.
+ * The trials of quarantined requests and parts of prompts that the leading coordinator has granted to
+ * this process; each allows one send. Confined to one thread.
  */
 final class TrialPermits {
   private static final long ASK_INTERVAL_MS = 500;
@@ -18,23 +18,23 @@
   private final Map<RequestFingerprint, Long> askedMs = new HashMap<>();
   private final Map<RequestFingerprint, Long> expiryMs = new HashMap<>();
 
-  /** Whether the leader should be asked now for a trial of a part, which counts as asked then. */
-  boolean shouldAsk(RequestFingerprint part, long nowMs) {
-    Long lastMs = askedMs.get(part);
+  /** Whether the leader should be asked now for a trial, which counts as asked for then. */
+  boolean shouldAsk(RequestFingerprint suspect, long nowMs) {
+    Long lastMs = askedMs.get(suspect);
     if (lastMs != null && nowMs - lastMs < ASK_INTERVAL_MS) {
       return false;
     }
-    askedMs.put(part, nowMs);
+    askedMs.put(suspect, nowMs);
     return true;
   }
 
-  void onGranted(RequestFingerprint part, long nowMs) {
-    expiryMs.put(part, nowMs + VALIDITY_MS);
+  void onGranted(RequestFingerprint suspect, long nowMs) {
+    expiryMs.put(suspect, nowMs + VALIDITY_MS);
   }
 
-  /** Returns whether one request with a part may be sent now, and counts it. */
-  boolean use(RequestFingerprint part, long nowMs) {
-    Long expiry = expiryMs.remove(part);
+  /** Returns whether one request may be sent now as a trial, and counts it. */
+  boolean use(RequestFingerprint suspect, long nowMs) {
+    Long expiry = expiryMs.remove(suspect);
     return expiry != null && nowMs < expiry;
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestQuarantineTrials.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestQuarantineTrials.java
@@ -41,6 +41,16 @@
     assertThat(trials.grant(PART, 40_000)).isFalse();
   }
 
+  /** Guards against a sound request that is held back for minutes since nothing clears it. */
+  @Test
+  void wholeRequestIsTriedOnce() {
+    RequestFingerprint request = new RequestFingerprint(1, "request");
+    trials.onQuarantined(request, 0);
+    assertThat(trials.grant(request, 3_999)).isFalse();
+    assertThat(trials.grant(request, 4_000)).isTrue();
+    assertThat(trials.grant(request, DAY_MS)).isFalse();
+  }
+
   @Test
   void leaderGrantsNoTrialOfAPartThatAnotherOneQuarantined() {
     assertThat(trials.grant(PART, DAY_MS)).isFalse();
