A late item that is about to expire competes for engines again

Owners get an item back as dead at the end of its full time though engines had run most of it. It is given up at 62.4 s with 344 events recorded, running.

Cause: an item that is late stays LATE, which starts last and yields first, until it is given up.

Change: once less than 10 s are left in which it can wait and still be done before it is given up, its slack counts to that time, so that it is deferrable and then urgent as it was before it was due. One that cannot be done any more is late as before, and so is each late item earlier.

Before: TestItemSlack.lateItemAboutToExpireIsUrgentAgain fails, LATE for URGENT. After: it passes, with the tests of the item models and TestMixedLoad.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -80,6 +80,12 @@
     return job.submittedAtMs() + job.submission().runTargetMs();
   }
 
+  /** When the item may be given up, in log time; {@link Long#MAX_VALUE} if never. */
+  long expiryMs() {
+    long retainMs = job.submission().retainMs();
+    return retainMs == 0 ? Long.MAX_VALUE : job.submittedAtMs() + retainMs;
+  }
+
   boolean mayStart(long nowMs) {
     return stream == null && !finished && !discarding && nowMs >= notBeforeMs;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
@@ -3,11 +3,17 @@
 import java.util.Comparator;
 import java.util.function.LongSupplier;
 
-/** Computes how long items can wait and still be on time; confined to one thread. */
+/**
+ * Computes how long items can wait and still be on time, or be done at all before they are given
+ * up; confined to one thread.
+ */
 final class ItemSlack {
   /** Minimum slack for a move; covers the retry delay after a stop and a few scheduling steps. */
   private static final long MOVE_MARGIN_MS = 800;
 
+  /** Late items with less time to spare compete again; covers several stops for online requests. */
+  private static final long EXPIRING_SLACK_MS = 10_000;
+
   private final RunTimeEstimate runTimeEstimate = new RunTimeEstimate();
   private final LongSupplier logTimeMs;
 
@@ -32,11 +38,18 @@
     return slackMs(run, run.relativePace(), nowMs);
   }
 
-  /** Returns the slack on an engine with this relative pace; see {@link ItemRun#relativePace}. */
+  /**
+   * Returns the slack on an engine with this relative pace; see {@link ItemRun#relativePace}. That of
+   * an item that is late and about to expire is the time it can wait and still be done.
+   */
   long slackMs(ItemRun run, double relativePace, long nowMs) {
     long runMs = runTimeEstimate.eventsRunMs(run.inheritedEvents()) + run.normalizedRunMs(nowMs);
     long remainingMs = runTimeEstimate.remainingMs(run.item.outputTokens(), runMs);
-    return run.dueMs() - logTimeMs.getAsLong() - Math.round(remainingMs * relativePace);
+    long doneMs = logTimeMs.getAsLong() + Math.round(remainingMs * relativePace);
+    long slackMs = run.dueMs() - doneMs;
+    long expirySlackMs = run.expiryMs() - doneMs;
+    boolean isExpiring = expirySlackMs >= 0 && expirySlackMs < EXPIRING_SLACK_MS;
+    return isExpiring ? Math.max(slackMs, expirySlackMs) : slackMs;
   }
 
   ItemUrgency urgency(ItemRun run, long nowMs) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemUrgency.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemUrgency.java
@@ -2,7 +2,7 @@
 
 /** How soon an item must run; waiting items start in this order. */
 enum ItemUrgency {
-  /** Can be on time, but only if it starts soon. */
+  /** Can be on time, or is late and can be done before it is given up, if it starts soon. */
   URGENT,
   /** Can wait and still be on time. */
   DEFERRABLE,
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
@@ -23,6 +23,7 @@
   private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1");
 
   private static final long RUN_TARGET_MS = 18_000;
+  private static final long RETAIN_MS = 60_000;
   private static final long OUTPUT_TOKENS = 1_000;
   private static final int COMPLETED_ITEMS = 400;
   private static final double SLOW_RELATIVE_PACE = 2.7;
@@ -34,7 +35,7 @@
 
   TestItemSlack() {
     SubmitBatch job =
-        new SubmitBatch("j", "", "r", "h", List.of(item), 3, RUN_TARGET_MS, 60_000, 0);
+        new SubmitBatch("j", "", "r", "h", List.of(item), 3, RUN_TARGET_MS, RETAIN_MS, 0);
     machine.apply(new CommandEnvelope("", 0, 1, job));
     logTimeMs = run().job.submittedAtMs();
     for (int i = 0; i < COMPLETED_ITEMS; i++) {
@@ -74,6 +75,18 @@
     assertThat(slack.canBeOnTimeElsewhere(run, 0)).as("too late for a move").isFalse();
   }
 
+  /** Guards against late items that start last and yield first until they are given up. */
+  @Test
+  void lateItemAboutToExpireIsUrgentAgain() {
+    logTimeMs += RETAIN_MS - 14_000;
+    assertThat(slack.urgency(run(), 0)).isEqualTo(ItemUrgency.LATE);
+    logTimeMs += 7_500;
+    assertThat(slack.slackMs(run(), 0)).as("of 6,500 ms").isBetween(3_090L, 3_110L);
+    assertThat(slack.urgency(run(), 0)).isEqualTo(ItemUrgency.URGENT);
+    logTimeMs += 5_000;
+    assertThat(slack.urgency(run(), 0)).as("too late").isEqualTo(ItemUrgency.LATE);
+  }
+
   @Test
   void inheritedEventsReduceUrgency() {
     BatchProgress progress = new BatchProgress("j", "i", ORIGIN, -1, 99, "recorded");
