A new leader grants the trials that its predecessors left

A leader begins with the counts that it finds and grants what is left, 4 s after it has seen the entry. So a bad part still costs two engines and a bad request one, but over all leaders; before it was as many, and none under a later leader. A coordinator of an earlier version does not know the command; it is only proposed when a trial is granted.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
@@ -5,6 +5,8 @@
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
 import io.pathdeck.fleet.quarantine.CrashCauseDetector;
+import io.pathdeck.protocol.command.CountQuarantineTrial;
+import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.ReleaseRequests;
 import io.pathdeck.protocol.fleet.QuarantineList;
@@ -12,6 +14,8 @@
 import io.pathdeck.protocol.fleet.ServedFingerprint;
 import io.pathdeck.protocol.message.EngineEndNoted;
 import io.pathdeck.protocol.message.EngineEndNotice;
+import io.pathdeck.protocol.message.Message;
+import io.pathdeck.protocol.message.ProposeReply;
 import io.pathdeck.protocol.message.TrialReply;
 import io.pathdeck.protocol.message.TrialRequest;
 import io.pathdeck.protocol.transport.MessageHandler.ReplySink;
@@ -104,7 +108,7 @@
       return;
     }
     for (RequestFingerprint request : newCauses) {
-      trials.onQuarantined(request, nowMs);
+      trials.onQuarantined(request, 0, nowMs);
       EVENTS.log(
           EventCode.REQUEST_QUARANTINED,
           "fingerprint",
@@ -131,11 +135,21 @@
       reply.reply(group.notLeader());
       return;
     }
-    boolean granted = state.isQuarantined(request.part()) && trials.grant(request.part(), nowMs);
-    if (granted) {
-      EVENTS.log(EventCode.QUARANTINE_TRIAL, "fingerprint", request.part().shortForm());
+    if (!state.isQuarantined(request.part()) || !trials.grant(request.part(), nowMs)) {
+      reply.reply(new TrialReply(false));
+      return;
     }
-    reply.reply(new TrialReply(granted));
+    EVENTS.log(EventCode.QUARANTINE_TRIAL, "fingerprint", request.part().shortForm());
+    group.propose(
+        "",
+        0,
+        new CountQuarantineTrial(request.part()),
+        outcome -> reply.reply(new TrialReply(isCommitted(outcome))),
+        clock);
+  }
+
+  private static boolean isCommitted(Message outcome) {
+    return outcome instanceof ProposeReply proposed && proposed.result() instanceof Done;
   }
 
   /** A success disproves a quarantine unless enough engines crashed after it. */
@@ -172,6 +186,7 @@
     List<RequestFingerprint> expiredRequests = new ArrayList<>();
     for (RequestFingerprint request : quarantinedRequests) {
       long sinceMs = quarantinedSinceMs.computeIfAbsent(request, key -> nowMs);
+      trials.onQuarantined(request, state.quarantineTrials(request), nowMs);
       if (nowMs - sinceMs > QUARANTINE_DURATION_MS) {
         expiredRequests.add(request);
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
@@ -9,8 +9,8 @@
  * find out whether it was quarantined by mistake; confined to one thread.
  *
  * <p>Each trial of a request or part that does crash engines costs one of them, so there are few in
- * all. They are counted in memory: a leader grants trials only of what it has quarantined itself, so
- * that a change of leader allows none again. A part counts once for all services.
+ * all, whoever leads: a new leader learns from the replicated state what was tried before. A part
+ * counts once for all services.
  */
 final class QuarantineTrials {
   static final int MAX_TRIALS_OF_PART = 2;
@@ -29,8 +29,9 @@
     private int granted;
     private long nextMs;
 
-    private Trials(RequestFingerprint suspect, long nextMs) {
+    private Trials(RequestFingerprint suspect, int granted, long nextMs) {
       this.suspect = suspect;
+      this.granted = granted;
       this.nextMs = nextMs;
     }
 
@@ -41,10 +42,14 @@
 
   private final List<Trials> trialsBySuspect = new ArrayList<>();
 
-  /** Records that this leader has quarantined a request or part. */
-  void onQuarantined(RequestFingerprint suspect, long nowMs) {
+  /**
+   * Records that a request or part is in quarantine.
+   *
+   * @param granted the trials that leaders have granted so far
+   */
+  void onQuarantined(RequestFingerprint suspect, int granted, long nowMs) {
     if (find(suspect) == null) {
-      trialsBySuspect.add(new Trials(suspect, nowMs + FIRST_DELAY_MS));
+      trialsBySuspect.add(new Trials(suspect, granted, nowMs + FIRST_DELAY_MS));
     }
   }
 
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -1,5 +1,6 @@
 package io.pathdeck.protocol.codec;
 
+import io.pathdeck.protocol.command.CountQuarantineTrial;
 import io.pathdeck.protocol.command.AdvanceTime;
 import io.pathdeck.protocol.command.AppendFileChunk;
 import io.pathdeck.protocol.command.ApplyDelta;
@@ -168,6 +169,7 @@
 import io.pathdeck.protocol.snapshot.LeaseRecord;
 import io.pathdeck.protocol.snapshot.MetaRecord;
 import io.pathdeck.protocol.snapshot.QuarantineRecord;
+import io.pathdeck.protocol.snapshot.QuarantineTrialsRecord;
 import io.pathdeck.protocol.snapshot.QueueRecord;
 import io.pathdeck.protocol.snapshot.ResultRecord;
 import io.pathdeck.protocol.snapshot.SnapshotEndRecord;
@@ -356,7 +358,9 @@
           BatchJobRecord.class,
           ServedFingerprint.class,
           TrialRequest.class,
-          TrialReply.class);
+          TrialReply.class,
+          CountQuarantineTrial.class,
+          QuarantineTrialsRecord.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/FleetCommand.java
@@ -9,4 +9,5 @@
         SetStoreLeaving,
         QuarantineRequests,
         ReleaseRequests,
+        CountQuarantineTrial,
         SetZoneEvacuated {}
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -1,5 +1,8 @@
 package io.pathdeck.state;
 
+import static java.util.Collections.nCopies;
+
+import io.pathdeck.protocol.command.CountQuarantineTrial;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
@@ -32,6 +35,7 @@
 import io.pathdeck.protocol.snapshot.FleetRecord;
 import io.pathdeck.protocol.snapshot.JobsGroupRegionsRecord;
 import io.pathdeck.protocol.snapshot.QuarantineRecord;
+import io.pathdeck.protocol.snapshot.QuarantineTrialsRecord;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -46,7 +50,8 @@
  * founding members of the groups that keep batch jobs, the stores that are leaving, the requests
  * that must not reach engines, and the evacuated zones.
  *
- * <p>Every command is idempotent, so results need not be stored for resends.
+ * <p>Results need not be stored for resends: every command but the count of a trial is idempotent,
+ * and a trial that is counted twice only leaves fewer.
  */
 public final class FleetStateMachine implements StateMachine {
   /**
@@ -61,6 +66,7 @@
   private List<JobsGroupRegions> jobsGroupRegions = List.of();
   private final Map<Integer, SetStoreLeaving> leavingStores = new LinkedHashMap<>();
   private final LinkedHashSet<RequestFingerprint> quarantinedRequests = new LinkedHashSet<>();
+  private final Map<RequestFingerprint, Integer> quarantineTrials = new LinkedHashMap<>();
   private long quarantineVersion;
   private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
 
@@ -94,6 +100,11 @@
     return quarantinedRequests.contains(request);
   }
 
+  /** How often a quarantined request or part has been tried, under all leaders. */
+  public int quarantineTrials(RequestFingerprint suspect) {
+    return quarantineTrials.getOrDefault(suspect, 0);
+  }
+
   /** The version of {@link #quarantine()}. */
   public long quarantineVersion() {
     return quarantineVersion;
@@ -145,6 +156,13 @@
     }
     if (command instanceof ReleaseRequests release) {
       quarantineVersion += quarantinedRequests.removeAll(Set.copyOf(release.requests())) ? 1 : 0;
+      quarantineTrials.keySet().retainAll(quarantinedRequests);
+      return new Done();
+    }
+    if (command instanceof CountQuarantineTrial trial) {
+      if (quarantinedRequests.contains(trial.suspect())) {
+        quarantineTrials.merge(trial.suspect(), 1, Integer::sum);
+      }
       return new Done();
     }
     return new Rejected(RejectionCode.INVALID, "not a command of the fleet group");
@@ -167,6 +185,7 @@
       oldest.next();
       oldest.remove();
     }
+    quarantineTrials.keySet().retainAll(quarantinedRequests);
   }
 
   /** Applies an order unless the zones have changed since its sender read them. */
@@ -210,6 +229,11 @@
             new ArrayList<>(leavingStores.values())));
     records.add(new QuarantineRecord(quarantine()));
     records.add(new EvacuationRecord(evacuatedZones));
+    if (!quarantineTrials.isEmpty()) {
+      List<RequestFingerprint> trials = new ArrayList<>();
+      quarantineTrials.forEach((suspect, count) -> trials.addAll(nCopies(count, suspect)));
+      records.add(new QuarantineTrialsRecord(trials));
+    }
     if (!jobsGroupRegions.isEmpty()) {
       records.add(new JobsGroupRegionsRecord(jobsGroupRegions));
     }
@@ -220,6 +244,7 @@
   public void restoreSnapshot(Iterator<Object> records) {
     leavingStores.clear();
     quarantinedRequests.clear();
+    quarantineTrials.clear();
     quarantineVersion = QuarantineList.NONE.version();
     evacuatedZones = EvacuatedZones.NONE;
     jobsGroupRegions = List.of();
@@ -232,6 +257,8 @@
       } else if (record instanceof QuarantineRecord quarantineRecord) {
         quarantineVersion = quarantineRecord.quarantine().version();
         quarantinedRequests.addAll(quarantineRecord.quarantine().requests());
+      } else if (record instanceof QuarantineTrialsRecord trialsRecord) {
+        trialsRecord.trials().forEach(trial -> quarantineTrials.merge(trial, 1, Integer::sum));
       } else if (record instanceof FleetRecord fleet) {
         restore(fleet);
       } else if (record instanceof FleetRecordV1 fleet) {
--- a/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -6,6 +6,7 @@
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
 import io.pathdeck.protocol.command.EvacuatedZonesHeld;
+import io.pathdeck.protocol.command.CountQuarantineTrial;
 import io.pathdeck.protocol.command.FoundJobsGroups;
 import io.pathdeck.protocol.command.FoundJobsGroupsInRegions;
 import io.pathdeck.protocol.command.PutRouteTable;
@@ -116,6 +117,21 @@
     assertThat(restored.quarantine()).isEqualTo(new QuarantineList(2, List.of(second)));
   }
 
+  /** Guards against a part that crashes engines and is tried anew by each leader. */
+  @Test
+  void trialsSurviveSnapshotUntilReleased() {
+    RequestFingerprint tried = new RequestFingerprint(1, "tried");
+    apply(new QuarantineRequests(List.of(tried)));
+    apply(new CountQuarantineTrial(tried));
+    apply(new CountQuarantineTrial(tried));
+    apply(new CountQuarantineTrial(new RequestFingerprint(2, "released before")));
+    FleetStateMachine restored = new FleetStateMachine();
+    restored.restoreSnapshot(machine.captureSnapshot());
+    assertThat(restored.quarantineTrials(tried)).isEqualTo(2);
+    restored.apply(new CommandEnvelope("", 0, 1, new ReleaseRequests(List.of(tried))));
+    assertThat(restored.quarantineTrials(tried)).isZero();
+  }
+
   @Test
   void oldestQuarantinedRequestsAreEvicted() {
     for (int number = 0; number < 600; number++) {
