--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * Decides when a quarantined request, or one with a quarantined part of prompts, may be sent once, to
- * find out whether it was quarantined by mistake; confined to one thread.
+ * Decides when a quarantined request, or one with a quarantined part of prompts, may be sent once,
+ * to find out whether it was quarantined by mistake; confined to one thread.
  *
  * <p>Each trial of a request or part that does crash engines costs one of them, so there are few in
  * all, whoever leads: a new leader learns from the replicated state what was tried before. A part
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
@@ -28,10 +28,10 @@
  * same crashes interrupted other requests so often that one was to be expected at all of them. A
  * crash counts half for a request whose response had started, because most requests that crash
  * engines do so before the response. Batch items are no suspects, but tell how many different calls
- * with a part were interrupted. A part crashes each engine that begins to write a response on
- * it, so each success with it removes all crashes before. A part is doubtful, and needs more
- * crashes and requests, if it was served before or if many crashes happened without it: then
- * engines also crash for other reasons, and a rare part may be there by chance.
+ * with a part were interrupted. A part crashes each engine that begins to write a response on it,
+ * so each success with it removes all crashes before. A part is doubtful, and needs more crashes
+ * and requests, if it was served before or if many crashes happened without it: then engines also
+ * crash for other reasons, and a rare part may be there by chance.
  */
 public final class CrashCauseDetector {
   static final int SUFFICIENT_CRASHES = 3;
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashGroups.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashGroups.java
@@ -117,8 +117,7 @@
         interruptedAgain += hits > 1 ? 1 : 0;
       }
     }
-    double chance =
-        (interruptedAgain + ASSUMED_AGAIN) / (interrupted + ASSUMED_INTERRUPTED);
+    double chance = (interruptedAgain + ASSUMED_AGAIN) / (interrupted + ASSUMED_INTERRUPTED);
     return interrupted * Math.pow(chance, explained.size() - 1);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
@@ -51,7 +51,8 @@
    * perhaps as a trial.
    */
   Optional<RequestFingerprint> findQuarantined(EngineCall call, long nowMs) {
-    List<RequestFingerprint> causes = quarantine.find(call, this::fingerprint, this::promptParts, nowMs);
+    List<RequestFingerprint> causes =
+        quarantine.find(call, this::fingerprint, this::promptParts, nowMs);
     if (causes.isEmpty() || (causes.size() == 1 && trialPermits.use(causes.get(0), nowMs))) {
       return Optional.empty();
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/TrialPermits.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/TrialPermits.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * The trials of quarantined requests and parts of prompts that the leading coordinator has granted to
- * this process; each allows one send. Confined to one thread.
+ * The trials of quarantined requests and parts of prompts that the leading coordinator has granted
+ * to this process; each allows one send. Confined to one thread.
  */
 final class TrialPermits {
   private static final long ASK_INTERVAL_MS = 500;
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
@@ -39,8 +39,8 @@
   }
 
   /**
-   * Returns the slack on an engine with this relative pace; see {@link ItemRun#relativePace}. That of
-   * an item that is late and about to expire is the time it can wait and still be done.
+   * Returns the slack on an engine with this relative pace; see {@link ItemRun#relativePace}. That
+   * of an item that is late and about to expire is the time it can wait and still be done.
    */
   long slackMs(ItemRun run, double relativePace, long nowMs) {
     long runMs = runTimeEstimate.eventsRunMs(run.inheritedEvents()) + run.normalizedRunMs(nowMs);
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestQuarantineTrials.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestQuarantineTrials.java
@@ -57,7 +57,9 @@
     assertThat(trials.grant(PART, DAY_MS)).isFalse();
   }
 
-  /** Guards against a sound part that is held back for minutes since another leader held it back. */
+  /**
+   * Guards against a sound part that is held back for minutes since another leader held it back.
+   */
   @Test
   void newLeaderGrantsTheTrialsThatAreLeft() {
     trials.onQuarantined(PART, 1, 0);
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
@@ -29,10 +29,7 @@
   public FullHttpRequest write(EngineCall call) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            call.method(),
-            call.uri(),
-            Unpooled.wrappedBuffer(call.body()));
+            HttpVersion.HTTP_1_1, call.method(), call.uri(), Unpooled.wrappedBuffer(call.body()));
     request.headers().set(ID, call.requestId());
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
     return request;
--- a/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestRefusalsCutOff.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestRefusalsCutOff.java
@@ -29,8 +29,7 @@
   private final EventLoop eventLoop = new DefaultEventLoop();
   private final PlainEngineProtocol protocol = new PlainEngineProtocol("r");
   private final EngineLivenessProbe livenessProbe =
-      new EngineLivenessProbe(
-          eventLoop, new NettyEngineTransport(eventLoop, protocol), protocol);
+      new EngineLivenessProbe(eventLoop, new NettyEngineTransport(eventLoop, protocol), protocol);
   private final List<String> outcomes = new ArrayList<>();
 
   private final class OutcomeListener implements EngineListener {
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -1,6 +1,5 @@
 package io.pathdeck.protocol.codec;
 
-import io.pathdeck.protocol.command.CountQuarantineTrial;
 import io.pathdeck.protocol.command.AdvanceTime;
 import io.pathdeck.protocol.command.AppendFileChunk;
 import io.pathdeck.protocol.command.ApplyDelta;
@@ -12,6 +11,7 @@
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommitResults;
 import io.pathdeck.protocol.command.CompleteClaim;
+import io.pathdeck.protocol.command.CountQuarantineTrial;
 import io.pathdeck.protocol.command.CreateFile;
 import io.pathdeck.protocol.command.DeclarationApplied;
 import io.pathdeck.protocol.command.DiscardBatchProgress;
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -2,10 +2,10 @@
 
 import static java.util.Collections.nCopies;
 
-import io.pathdeck.protocol.command.CountQuarantineTrial;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.CommandResult;
+import io.pathdeck.protocol.command.CountQuarantineTrial;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.EvacuatedZonesHeld;
 import io.pathdeck.protocol.command.FoundJobsGroups;
