A refused probe does not show that an engine runs

The probe of a crashed engine is refused; after two more refusals, 25 ms apart, it was ALIVE if any other connection of this process to it was still open, and each response that had ended with its connection counted as whole. Where a packet is lost the end of a connection comes 200 ms later.

Change: an engine is alive if it responds. A refusal beside an open connection is UNKNOWN, which neither counts as a crash, as before, nor ends a response.

Before: TestEngineLivenessProbe.engineThatRefusesIsNotAliveForAnOpenConnection fails, ALIVE for UNKNOWN.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
@@ -21,7 +21,8 @@
  * <p>Resets, corrupt responses and network partitions also break connections to running engines, so
  * the probe requests the engine's load on another connection. The engine is down if its address
  * refuses connections and no other connection to it is open, also a little later, if another engine
- * responds there, or if it reports a different start time. A timeout leaves the result unknown.
+ * responds there, or if it reports a different start time. It runs if it responds; anything else
+ * leaves the result unknown. An open connection is no response: its end may still be on the way.
  */
 public final class EngineLivenessProbe {
   /** Whether an engine instance is still running. */
@@ -30,9 +31,9 @@
     ENDED,
     /** The instance was restarted under its id, which takes longer than a probe. */
     RESTARTED,
-    /** The instance responded, or refused a connection while others to it are open. */
+    /** The instance responded. */
     ALIVE,
-    /** The probe timed out or failed without proof of either. */
+    /** The probe timed out, was refused while other connections are open, or failed otherwise. */
     UNKNOWN;
 
     /** Whether the instance that was checked no longer runs. */
@@ -125,7 +126,7 @@
       } else if (attempts < MAX_ATTEMPTS) {
         eventLoop.schedule(this::sendUnlessDecided, REFUSED_RETRY_MS, TimeUnit.MILLISECONDS);
       } else {
-        finish(Verdict.ALIVE);
+        finish(Verdict.UNKNOWN);
       }
     }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
@@ -47,4 +47,21 @@
     other.close();
     assertThat(verdict.get()).isEqualTo(Verdict.ENDED);
   }
+
+  /** Guards against answers of a crashed engine that pass for whole. */
+  @Test
+  void engineThatRefusesIsNotAliveForAnOpenConnection() throws Exception {
+    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    String address = "127.0.0.1:" + server.getLocalPort();
+    EngineInstance engine = new EngineInstance("e", "s", address, "z", 4, false);
+    eventLoop.execute(() -> probe.check(engine, ignored -> {}));
+    try (Socket other = server.accept()) {
+      server.close();
+      CompletableFuture<Verdict> verdict = new CompletableFuture<>();
+      EngineLivenessProbe second = new EngineLivenessProbe(eventLoop, transport, protocol);
+      eventLoop.execute(() -> second.check(engine, verdict::complete));
+      assertThat(verdict.get()).isEqualTo(Verdict.UNKNOWN);
+      assertThat(other.isClosed()).isFalse();
+    }
+  }
 }
