An item that expires soon after it is due is urgent in time; trials of a part count for all services

TestItemSlack.itemThatExpiresSoonAfterItIsDueIsUrgentInTime and TestFleetStateMachine.trialsOfAPartCountForAllServices ask for both; they were not run without the change.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemSlack.java
@@ -49,7 +49,7 @@
     long slackMs = run.dueMs() - doneMs;
     long expirySlackMs = run.expiryMs() - doneMs;
     boolean isExpiring = expirySlackMs >= 0 && expirySlackMs < EXPIRING_SLACK_MS;
-    return isExpiring ? Math.max(slackMs, expirySlackMs) : slackMs;
+    return slackMs < 0 && isExpiring ? expirySlackMs : slackMs;
   }
 
   ItemUrgency urgency(ItemRun run, long nowMs) {
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
@@ -47,7 +47,11 @@
   }
 
   private ItemRun run() {
-    return new ItemRun(machine.job("j").orElseThrow(), item, 0, 1);
+    return run("j");
+  }
+
+  private ItemRun run(String job) {
+    return new ItemRun(machine.job(job).orElseThrow(), item, 0, 1);
   }
 
   private static EngineState engine() {
@@ -87,6 +91,21 @@
     assertThat(slack.urgency(run(), 0)).as("too late").isEqualTo(ItemUrgency.LATE);
   }
 
+  /** Guards against items that wait until they are late since they expire a little later. */
+  @Test
+  void itemThatExpiresSoonAfterItIsDueIsUrgentInTime() {
+    long retainMs = RUN_TARGET_MS + 5_000;
+    machine.apply(
+        new CommandEnvelope(
+            "",
+            0,
+            1,
+            new SubmitBatch("short", "", "r", "h", List.of(item), 3, RUN_TARGET_MS, retainMs, 0)));
+    logTimeMs += RUN_TARGET_MS - 5_000;
+    assertThat(slack.slackMs(run("short"), 0)).isBetween(1_590L, 1_610L);
+    assertThat(slack.urgency(run("short"), 0)).isEqualTo(ItemUrgency.URGENT);
+  }
+
   @Test
   void inheritedEventsReduceUrgency() {
     BatchProgress progress = new BatchProgress("j", "i", ORIGIN, -1, 99, "recorded");
--- a/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/FleetStateMachine.java
@@ -100,9 +100,19 @@
     return quarantinedRequests.contains(request);
   }
 
-  /** How often a quarantined request or part has been tried, under all leaders. */
+  /**
+   * How often a quarantined request or part has been tried, under all leaders; a part at all
+   * services together.
+   */
   public int quarantineTrials(RequestFingerprint suspect) {
-    return quarantineTrials.getOrDefault(suspect, 0);
+    return quarantineTrials.entrySet().stream()
+        .filter(tried -> isSame(tried.getKey(), suspect))
+        .mapToInt(Map.Entry::getValue)
+        .sum();
+  }
+
+  private static boolean isSame(RequestFingerprint tried, RequestFingerprint suspect) {
+    return tried.equals(suspect) || tried.isSamePromptPart(suspect);
   }
 
   /** The version of {@link #quarantine()}. */
--- a/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestFleetStateMachine.java
@@ -132,6 +132,15 @@
     assertThat(restored.quarantineTrials(tried)).isZero();
   }
 
+  @Test
+  void trialsOfAPartCountForAllServices() {
+    RequestFingerprint atOne = RequestFingerprint.ofPromptPart("one", 1);
+    RequestFingerprint atOther = RequestFingerprint.ofPromptPart("other", 1);
+    apply(new QuarantineRequests(List.of(atOther, atOne)));
+    apply(new CountQuarantineTrial(atOne));
+    assertThat(machine.quarantineTrials(atOther)).isEqualTo(1);
+  }
+
   @Test
   void oldestQuarantinedRequestsAreEvicted() {
     for (int number = 0; number < 600; number++) {
