A response to an earlier probe does not show that an engine runs now

Hypothesis, from reading: checks of an engine shared the probe under way. Where every answer ends with its connection a probe is nearly always under way, so the close of a crashed engine was believed by a response that had been requested, and perhaps written, before the crash.

Change: a check that comes after its engine's probe was sent waits for the next one, unless the verdict is that the engine has ended. Two probes an engine at the most follow from any number of closes in that time.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
@@ -56,7 +56,7 @@
   private final EventLoop eventLoop;
   private final NettyEngineTransport transport;
   private final EngineProtocol protocol;
-  private final Map<String, List<Consumer<Verdict>>> pendingReceivers = new HashMap<>();
+  private final Map<String, Round> rounds = new HashMap<>();
 
   /** Creates a probe that sends its requests over {@code transport}. */
   public EngineLivenessProbe(
@@ -66,21 +66,39 @@
     this.protocol = protocol;
   }
 
+  /** The checks of an engine instance that one probe answers, and those that came too late. */
+  private static final class Round {
+    private final List<Consumer<Verdict>> receivers = new ArrayList<>();
+    private final List<Consumer<Verdict>> lateReceivers = new ArrayList<>();
+    private boolean sent;
+  }
+
   /**
-   * Passes the verdict on an engine instance to {@code receiver}; concurrent checks of an instance
-   * share one probe.
+   * Passes the verdict on an engine instance to {@code receiver}. Checks of an instance share a
+   * probe that was not sent yet: a response to an earlier one may be older than the reason for the
+   * check.
    */
   public void check(EngineInstance engine, Consumer<Verdict> receiver) {
-    List<Consumer<Verdict>> receivers = pendingReceivers.get(engine.lifeId());
-    if (receivers != null) {
-      receivers.add(receiver);
-      return;
+    Round round = rounds.get(engine.lifeId());
+    if (round == null) {
+      startRound(engine, List.of(receiver));
+    } else if (round.sent) {
+      round.lateReceivers.add(receiver);
+    } else {
+      round.receivers.add(receiver);
     }
-    receivers = new ArrayList<>();
-    receivers.add(receiver);
-    pendingReceivers.put(engine.lifeId(), receivers);
+  }
+
+  private void startRound(EngineInstance engine, List<Consumer<Verdict>> receivers) {
+    Round round = new Round();
+    round.receivers.addAll(receivers);
+    rounds.put(engine.lifeId(), round);
     // Lets the event loop first process the closing of the engine's other connections.
-    eventLoop.execute(() -> new Probe(engine).send());
+    eventLoop.execute(
+        () -> {
+          round.sent = true;
+          new Probe(engine).send();
+        });
   }
 
   /**
@@ -92,10 +110,13 @@
   }
 
   private void notifyReceivers(EngineInstance engine, Verdict verdict) {
-    List<Consumer<Verdict>> receivers = pendingReceivers.remove(engine.lifeId());
-    if (receivers != null) {
-      receivers.forEach(receiver -> receiver.accept(verdict));
+    Round round = rounds.remove(engine.lifeId());
+    if (verdict == Verdict.ENDED) {
+      round.receivers.addAll(round.lateReceivers);
+    } else if (!round.lateReceivers.isEmpty()) {
+      startRound(engine, round.lateReceivers);
     }
+    round.receivers.forEach(receiver -> receiver.accept(verdict));
   }
 
   /** Requests the load of one engine; retries if the connection is lost. */
