Crashes under one try count each; an item waits for the verdict; a lost probe is repeated a little later

What is taken back with it: a sound request whose copies are at half of the engines of a lost rack is held back until its trial. From the second crash in a row on an item waits 100 ms for the verdict (TestCrashBackoff). The third attempt comes 25 ms later (TestEngineLivenessProbe.engineWhosePortClosesALittleLaterHasEnded).

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
@@ -50,7 +50,7 @@
   /** Attempts over idle connections may fail if the engine closed them in the meantime. */
   private static final int MAX_ATTEMPTS = 3;
 
-  /** The connections to an engine that crashes do not all close at the same moment. */
+  /** The port and the connections of an engine that crashes do not all close at the same moment. */
   private static final long REFUSED_RETRY_MS = 25;
 
   private final EventLoop eventLoop;
@@ -204,8 +204,10 @@
     public void onFailure(EngineFailure failure, String reason) {
       if (failure == EngineFailure.CONNECTION_REFUSED) {
         onRefused();
-      } else if (failure.isLostConnection() && attempts < MAX_ATTEMPTS && !decided) {
-        send();
+      } else if (failure.isLostConnection() && attempts == 1) {
+        sendUnlessDecided();
+      } else if (failure.isLostConnection() && attempts < MAX_ATTEMPTS) {
+        eventLoop.schedule(this::sendUnlessDecided, REFUSED_RETRY_MS, TimeUnit.MILLISECONDS);
       } else {
         finish(Verdict.UNKNOWN);
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
@@ -197,7 +197,7 @@
 
   private boolean isSufficientAgainstRequest(
       CrashSuspect request, CrashEvidence evidence, CrashGroups crashes) {
-    if (evidence.groups() >= SUFFICIENT_CRASHES_OF_DOUBTFUL_SUSPECT) {
+    if (evidence.crashes() >= SUFFICIENT_CRASHES_OF_DOUBTFUL_SUSPECT) {
       return true;
     }
     return evidence.explainsMost()
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashGroups.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashGroups.java
@@ -61,20 +61,23 @@
   }
 
   /**
-   * Returns what the crashes say against a suspect. A group counts once, and only if the suspect
-   * was in progress at half of its engines: otherwise they crashed for another reason.
+   * Returns what the crashes say against a suspect. A group counts only if the suspect was in
+   * progress at half of its engines: otherwise they crashed for another reason. It counts once for
+   * a part. For a request each engine counts, because one try may crash two within milliseconds.
    */
   CrashEvidence against(CrashSuspect suspect) {
     Set<RequestFingerprint> requests = new HashSet<>();
+    int crashes = 0;
     double weight = 0;
     List<Group> explained = explainedBy(suspect);
     for (Group group : explained) {
       List<String> engines = enginesOf(suspect, group);
       engines.forEach(engine -> requests.addAll(suspect.requestsAt(engine)));
-      weight += suspect.isPart() ? 1 : maxWeight(suspect, engines);
+      crashes += suspect.isPart() ? 1 : engines.size();
+      weight += suspect.isPart() ? 1 : engines.stream().mapToDouble(suspect::weightOf).sum();
     }
     return new CrashEvidence(
-        explained.size(), weight, requests.size(), explainsMost(explained, suspect.isPart()));
+        crashes, weight, requests.size(), explainsMost(explained, suspect.isPart()));
   }
 
   /** A request that was quarantined after its last crash cannot be in progress at later ones. */
@@ -87,10 +90,6 @@
     return explained.size() >= CrashEvidence.MOST * countBetween(fromMs, toMs);
   }
 
-  private static double maxWeight(CrashSuspect request, List<String> engines) {
-    return engines.stream().mapToDouble(request::weightOf).max().orElse(0);
-  }
-
   private List<Group> explainedBy(CrashSuspect suspect) {
     return groups.stream()
         .filter(group -> 2 * enginesOf(suspect, group).size() >= group.engines().size())
--- a/fleet/src/main/java/io/pathdeck/fleet/store/CrashBackoff.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/CrashBackoff.java
@@ -18,6 +18,9 @@
   /** Limits the delay to 4 s, because an item with room for it has to run within 5 s. */
   private static final int MAX_DOUBLINGS = 2;
 
+  /** A probe of an engine that has crashed is answered or refused within this time. */
+  private static final long VERDICT_DELAY_MS = 100;
+
   private static final String NONE = "";
 
   private String brokenLifeId = NONE;
@@ -52,6 +55,13 @@
     return true;
   }
 
+  /**
+   * How long the item waits to learn whether the engine that broke its last attempt has crashed.
+   */
+  long verdictDelayMs() {
+    return crashes < CRASHES_WITHOUT_DELAY ? 0 : VERDICT_DELAY_MS;
+  }
+
   /** How long the item waits after its last crash. */
   long delayMs() {
     if (crashes <= CRASHES_WITHOUT_DELAY) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -43,6 +43,7 @@
       case BROKEN -> {
         engine.onFailure(nowMs, MAX_ENGINE_PAUSE_MS);
         run.crashBackoff().onBroken(engine.instance());
+        run.waitUntil(nowMs + run.crashBackoff().verdictDelayMs());
       }
       default -> throw new IllegalArgumentException(outcome.kind() + " is not repeated");
     }
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
@@ -66,6 +66,20 @@
     assertThat(verdict.get()).isEqualTo(Verdict.ENDED);
   }
 
+  /** Guards against a crash that is not recorded since the port closes after the connections. */
+  @Test
+  void engineWhosePortClosesALittleLaterHasEnded() throws Exception {
+    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    String address = "127.0.0.1:" + server.getLocalPort();
+    EngineInstance engine = new EngineInstance("e", "s", address, "z", 4, false);
+    CompletableFuture<Verdict> verdict = new CompletableFuture<>();
+    eventLoop.execute(() -> probe.check(engine, verdict::complete));
+    server.accept().close();
+    server.accept().close();
+    server.close();
+    assertThat(verdict.get()).isEqualTo(Verdict.ENDED);
+  }
+
   /** Guards against a response to an earlier probe that passes for a sign of life. */
   @Test
   void responseToAnEarlierProbeDoesNotShowThatTheEngineRunsNow() throws Exception {
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestCrashBackoff.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestCrashBackoff.java
@@ -44,6 +44,17 @@
     assertThat(crashes).isLessThan(MAX_CRASHES_PER_HOUR);
   }
 
+  /** Guards against a next attempt that begins before the crash of the last one is known. */
+  @Test
+  void itemWaitsForTheVerdictOnceEnginesHaveCrashedInARow() {
+    crashAgain();
+    assertThat(backoff.verdictDelayMs()).isZero();
+    crashAgain();
+    assertThat(backoff.verdictDelayMs()).isPositive();
+    backoff.onEvents();
+    assertThat(backoff.verdictDelayMs()).isZero();
+  }
+
   @Test
   void crashOfOneEngineCountsOnce() {
     EngineInstance engine = nextEngine();
