A new leader goes on with the delays of an item under which engines crash

Cause: only the leader of the item's group counted its crashes.

Nothing is proposed for the first crash, which is the usual one when engines are lost.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -27,9 +27,11 @@
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.ListBatchResults;
 import io.pathdeck.protocol.command.RecordBatchProgress;
+import io.pathdeck.protocol.command.RecordItemCrashes;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.message.ProposeReply;
@@ -129,7 +131,14 @@
   private void onEngineDown(EngineInstance engine) {
     long nowMs = clock.monotonicMs();
     engines.onDown(engine, nowMs);
-    runs.all().forEach(run -> RetryPolicy.onEngineCrashed(run, engine, nowMs));
+    List<ItemCrashes> crashes =
+        runs.all().stream()
+            .filter(run -> RetryPolicy.onEngineCrashed(run, engine, nowMs))
+            .map(ItemRun::crashes)
+            .toList();
+    if (!crashes.isEmpty()) {
+      propose(new RecordItemCrashes(crashes), List.of());
+    }
   }
 
   private void onIdleLoss(EngineInstance engine, EngineEligibility eligibility) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/CrashBackoff.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/CrashBackoff.java
@@ -27,6 +27,11 @@
   private String crashedLifeId = NONE;
   private int crashes;
 
+  /** Continues after the crashes that are recorded. */
+  CrashBackoff(int crashes) {
+    this.crashes = crashes;
+  }
+
   /** Records that the connection to an engine that ran the item was lost. */
   void onBroken(EngineInstance engine) {
     brokenLifeId = engine.lifeId();
@@ -55,11 +60,21 @@
     return true;
   }
 
+  /** The crashes since the item last advanced. */
+  int crashes() {
+    return crashes;
+  }
+
+  /** Whether the next crash delays the item, which a new leader has to know. */
+  boolean isToBeRecorded() {
+    return crashes >= CRASHES_WITHOUT_DELAY;
+  }
+
   /**
    * How long the item waits to learn whether the engine that broke its last attempt has crashed.
    */
   long verdictDelayMs() {
-    return crashes < CRASHES_WITHOUT_DELAY ? 0 : VERDICT_DELAY_MS;
+    return isToBeRecorded() ? VERDICT_DELAY_MS : 0;
   }
 
   /** How long the item waits after its last crash. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -7,6 +7,7 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchJob;
 import io.pathdeck.state.ItemProgress;
@@ -44,7 +45,7 @@
   private long waitingSinceMs;
   private int shortRuns;
   private final Set<String> triedEngineIds = new HashSet<>();
-  private final CrashBackoff crashBackoff = new CrashBackoff();
+  private final CrashBackoff crashBackoff;
   private boolean waitReported;
   private WaitReason schedulerReason = WaitReason.NOT_EXAMINED;
 
@@ -73,6 +74,8 @@
     this.lastEvent = recordedEvent;
     this.startedAtFirstEvent = recordedEvent == BatchProgress.NO_EVENT;
     this.inheritedEvents = recordedEvent - BatchProgress.NO_EVENT;
+    this.crashBackoff = new CrashBackoff(job.crashes(item.id()));
+    this.notBeforeMs = nowMs + crashBackoff.delayMs();
   }
 
   /** When the item is due, in log time. */
@@ -282,6 +285,11 @@
     return true;
   }
 
+  /** Returns the crashes of engines under the item, for the replicated state. */
+  ItemCrashes crashes() {
+    return new ItemCrashes(job.submission().jobId(), item.id(), crashBackoff.crashes());
+  }
+
   long lastEvent() {
     return lastEvent;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -49,12 +49,18 @@
     }
   }
 
-  /** Delays the next attempt of an item if the engine that crashed had run it. */
-  static void onEngineCrashed(ItemRun run, EngineInstance crashed, long nowMs) {
+  /**
+   * Delays the next attempt of an item if the engine that crashed had run it.
+   *
+   * @return whether the crash is to be recorded in the replicated state
+   */
+  static boolean onEngineCrashed(ItemRun run, EngineInstance crashed, long nowMs) {
     EngineInstance running = run.isRunning() ? run.engine().instance() : null;
-    if (run.crashBackoff().onCrash(crashed, running)) {
-      run.waitUntil(nowMs + run.crashBackoff().delayMs());
+    if (!run.crashBackoff().onCrash(crashed, running)) {
+      return false;
     }
+    run.waitUntil(nowMs + run.crashBackoff().delayMs());
+    return run.crashBackoff().isToBeRecorded();
   }
 
   private static boolean concernsEngine(ItemOutcome.Kind kind) {
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestCrashBackoff.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestCrashBackoff.java
@@ -11,7 +11,7 @@
   private static final int MAX_CRASHES_PER_HOUR = 1_000;
   private static final long MAX_DELAY_MS = 4_000;
 
-  private final CrashBackoff backoff = new CrashBackoff();
+  private final CrashBackoff backoff = new CrashBackoff(0);
   private int engines;
 
   private EngineInstance nextEngine() {
@@ -55,6 +55,16 @@
     assertThat(backoff.verdictDelayMs()).isZero();
   }
 
+  @Test
+  void recordedCrashesGoOnInTheSameSeries() {
+    crashAgain();
+    assertThat(backoff.isToBeRecorded()).isFalse();
+    crashAgain();
+    assertThat(backoff.isToBeRecorded()).isTrue();
+    assertThat(new CrashBackoff(backoff.crashes()).verdictDelayMs()).isPositive();
+    assertThat(crashAgain()).isEqualTo(new CrashBackoff(backoff.crashes()).delayMs());
+  }
+
   @Test
   void crashOfOneEngineCountsOnce() {
     EngineInstance engine = nextEngine();
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -33,6 +33,7 @@
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.RecordBatchProgressV1;
+import io.pathdeck.protocol.command.RecordItemCrashes;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.ReleaseClaim;
@@ -61,6 +62,7 @@
 import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
+import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.fleet.JobsGroupFounders;
 import io.pathdeck.protocol.fleet.JobsGroupRegions;
 import io.pathdeck.protocol.fleet.JobsGroupReport;
@@ -162,6 +164,7 @@
 import io.pathdeck.protocol.snapshot.FileChunkRecord;
 import io.pathdeck.protocol.snapshot.FileRecord;
 import io.pathdeck.protocol.snapshot.FleetRecord;
+import io.pathdeck.protocol.snapshot.ItemCrashesRecord;
 import io.pathdeck.protocol.snapshot.JobRecord;
 import io.pathdeck.protocol.snapshot.JobsGroupRegionsRecord;
 import io.pathdeck.protocol.snapshot.JobsHeaderRecord;
@@ -360,7 +363,10 @@
           TrialRequest.class,
           TrialReply.class,
           CountQuarantineTrial.class,
-          QuarantineTrialsRecord.class);
+          QuarantineTrialsRecord.class,
+          ItemCrashes.class,
+          RecordItemCrashes.class,
+          ItemCrashesRecord.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/BatchCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/BatchCommand.java
@@ -6,5 +6,6 @@
         RecordBatchProgressV1,
         RecordBatchProgress,
         DiscardBatchProgress,
+        RecordItemCrashes,
         ListBatchResults,
         EndBatch {}
--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.snapshot.BatchJobRecord;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,6 +22,7 @@
   private final long submittedAtMs;
   private final Map<String, BatchItem> openItems = new LinkedHashMap<>();
   private final Map<String, ItemProgress> progress = new HashMap<>();
+  private final Map<String, Integer> crashes = new HashMap<>();
   private final List<BatchResult> results = new ArrayList<>();
   private long openTokens;
   private boolean ended;
@@ -61,6 +63,7 @@
       return false;
     }
     progress.put(events.itemId(), recorded.plus(events));
+    crashes.remove(events.itemId());
     return true;
   }
 
@@ -69,6 +72,13 @@
     progress.remove(itemId);
   }
 
+  /** Records how many engines have crashed in a row under an item, if it is open. */
+  void recordCrashes(ItemCrashes itemCrashes) {
+    if (openItems.containsKey(itemCrashes.itemId())) {
+      crashes.put(itemCrashes.itemId(), itemCrashes.crashes());
+    }
+  }
+
   /**
    * Adds an outcome unless the item already has one. Returns false if the item remains open because
    * the text of a completed item does not directly follow the recorded events.
@@ -93,6 +103,7 @@
   private void addResult(BatchResult result) {
     BatchItem item = openItems.remove(result.itemId());
     progress.remove(result.itemId());
+    crashes.remove(result.itemId());
     openTokens -= item.tokens();
     results.add(result);
   }
@@ -108,6 +119,13 @@
         submission, submittedAtMs, ended, new ArrayList<>(results), recordedProgress);
   }
 
+  /** Returns the open items under which engines have crashed in a row. */
+  List<ItemCrashes> captureCrashes() {
+    List<ItemCrashes> items = new ArrayList<>();
+    crashes.forEach((item, count) -> items.add(new ItemCrashes(submission.jobId(), item, count)));
+    return items;
+  }
+
   private BatchProgress capture(String itemId, ItemProgress events) {
     return new BatchProgress(
         submission.jobId(),
@@ -138,6 +156,11 @@
     return progress.getOrDefault(itemId, ItemProgress.NONE);
   }
 
+  /** How many engines have crashed in a row under an open item, as far as it is recorded. */
+  public int crashes(String itemId) {
+    return crashes.getOrDefault(itemId, 0);
+  }
+
   /** The results in the order in which they were added. */
   public List<BatchResult> results() {
     return results;
--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -12,6 +12,7 @@
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.RecordBatchProgressV1;
+import io.pathdeck.protocol.command.RecordItemCrashes;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.SubmitBatch;
@@ -19,6 +20,7 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.legacy.BatchJobRecordV1;
 import io.pathdeck.protocol.legacy.BatchProgressV1;
 import io.pathdeck.protocol.query.BatchItemBody;
@@ -30,6 +32,7 @@
 import io.pathdeck.protocol.query.ReadBatchItem;
 import io.pathdeck.protocol.query.ReadBatchResults;
 import io.pathdeck.protocol.snapshot.BatchJobRecord;
+import io.pathdeck.protocol.snapshot.ItemCrashesRecord;
 import io.pathdeck.protocol.snapshot.MetaRecord;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -96,6 +99,10 @@
     if (command instanceof DiscardBatchProgress discard) {
       return discardProgress(discard);
     }
+    if (command instanceof RecordItemCrashes crashes) {
+      recordCrashes(crashes.items());
+      return new Done();
+    }
     if (command instanceof ListBatchResults listResults) {
       return addOutcomes(listResults);
     }
@@ -150,6 +157,15 @@
     return new Done();
   }
 
+  private void recordCrashes(List<ItemCrashes> items) {
+    for (ItemCrashes item : items) {
+      BatchJob job = jobs.get(item.jobId());
+      if (job != null) {
+        job.recordCrashes(item);
+      }
+    }
+  }
+
   private CommandResult discardProgress(DiscardBatchProgress discard) {
     BatchJob job = jobs.get(discard.jobId());
     if (job != null) {
@@ -226,7 +242,14 @@
   public Iterator<Object> captureSnapshot() {
     List<Object> records = new ArrayList<>();
     records.add(new MetaRecord(clock.nowMs(), 0, null));
-    jobs.values().forEach(job -> records.add(job.capture()));
+    List<ItemCrashes> crashes = new ArrayList<>();
+    for (BatchJob job : jobs.values()) {
+      records.add(job.capture());
+      crashes.addAll(job.captureCrashes());
+    }
+    if (!crashes.isEmpty()) {
+      records.add(new ItemCrashesRecord(crashes));
+    }
     return records.iterator();
   }
 
@@ -241,6 +264,8 @@
         jobs.put(saved.submission().jobId(), BatchJob.restore(saved));
       } else if (next instanceof BatchJobRecordV1 saved) {
         jobs.put(saved.submission().jobId(), BatchJob.restore(saved.toCurrent()));
+      } else if (next instanceof ItemCrashesRecord saved) {
+        recordCrashes(saved.items());
       } else {
         throw StateMachine.unknownRecord(next);
       }
--- a/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
@@ -14,12 +14,14 @@
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.RecordBatchProgressV1;
+import io.pathdeck.protocol.command.RecordItemCrashes;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.legacy.BatchJobRecordV1;
 import io.pathdeck.protocol.legacy.BatchProgressV1;
@@ -226,6 +228,27 @@
     assertThat(readResults("a", 0).results()).as("the result stays").hasSize(1);
   }
 
+  /**
+   * Guards against an item that crashes engines and reaches three at once under each new leader.
+   */
+  @Test
+  void crashesSurviveSnapshotUntilTheItemAdvances() {
+    apply(submitJob("a", 2, 0));
+    apply(
+        new RecordItemCrashes(
+            List.of(
+                new ItemCrashes("a", "a-0", 3),
+                new ItemCrashes("a", "a-1", 2),
+                new ItemCrashes("nobody", "i", 2))));
+    apply(addOutcome("a", "a-1", true, "one"));
+    BatchStateMachine restored = new BatchStateMachine();
+    restored.restoreSnapshot(machine.captureSnapshot());
+    assertThat(restored.job("a").orElseThrow().crashes("a-0")).isEqualTo(3);
+    assertThat(restored.job("a").orElseThrow().crashes("a-1")).isZero();
+    apply(recordProgress("a", "a-0", -1, 3, "part"));
+    assertThat(machine.job("a").orElseThrow().crashes("a-0")).isZero();
+  }
+
   @Test
   void eventsRecordedByEarlierReleasesHaveNoOrigin() {
     apply(submitJob("a", 1, 0));
