A response on an earlier connection does not show that an engine runs

Cause: the probe that decides between a crash and the end of an answer asked over an idle connection if it had one. Where the end of that connection is late, or the engine's threads outlive the others, it is still answered. Evidence: with the port closed and one connection left that answers, the verdict is ALIVE.

Change: the probe opens a connection of its own for each attempt. An engine that has crashed refuses it, whatever becomes of its other connections.

Before: TestEngineLivenessProbe.responseOnAnEarlierConnectionDoesNotShowThatTheEngineRuns fails (ALIVE).

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.engine;
 
 import io.netty.channel.EventLoop;
+import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.fleet.adapter.EngineResponse;
@@ -19,7 +20,7 @@
  * loop.
  *
  * <p>Resets, corrupt responses and network partitions also break connections to running engines, so
- * the probe requests the engine's load on another connection. The engine is down if its address
+ * the probe requests the engine's load on a new connection. The engine is down if its address
  * refuses connections and no other connection to it is open, also a little later, if another engine
  * responds there, or if it reports a different start time. It runs if it responds; anything else
  * leaves the result unknown. An open connection is no response: its end may still be on the way.
@@ -47,10 +48,9 @@
   /** Limits all attempts together; a running engine responds within a few milliseconds. */
   private static final long TIMEOUT_MS = 500;
 
-  /** Attempts over idle connections may fail if the engine closed them in the meantime. */
+  /** The port and the connections of an engine that crashes do not all close at the same moment. */
   private static final int MAX_ATTEMPTS = 3;
 
-  /** The port and the connections of an engine that crashes do not all close at the same moment. */
   private static final long REFUSED_RETRY_MS = 25;
 
   private final EventLoop eventLoop;
@@ -135,7 +135,8 @@
     void send() {
       attempts++;
       body.reset();
-      handle = transport.start(EngineLoadClient.reportCall(protocol, engine), this);
+      EngineCall call = EngineLoadClient.reportCall(protocol, engine);
+      handle = transport.startOnNewConnection(call, this);
       if (attempts == 1) {
         eventLoop.schedule(this::onTimeout, TIMEOUT_MS, TimeUnit.MILLISECONDS);
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -106,6 +106,16 @@
     return pending;
   }
 
+  /**
+   * Starts a call on a connection that is opened for it; must be called on the event loop. An
+   * engine that crashes may still answer on a connection that it had before.
+   */
+  public Handle startOnNewConnection(EngineCall call, EngineListener listener) {
+    PendingCall pending = new PendingCall(call, listener);
+    connect(pending);
+    return pending;
+  }
+
   /** Takes the most recently used idle connection that may carry {@code call}, or null. */
   private EngineConnection takeIdle(EngineCall call) {
     Deque<EngineConnection> connections =
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
@@ -8,6 +8,7 @@
 import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.engine.EngineLivenessProbe.Verdict;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -21,6 +22,7 @@
 @Timeout(10)
 class TestEngineLivenessProbe {
   private static final long LATER_MS = 10;
+  private static final int REQUEST_BYTES = 4_096;
   private static final byte[] RESPONSE =
       "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -99,6 +101,41 @@
     assertThat(later.get()).isEqualTo(Verdict.ENDED);
   }
 
+  private static void answerOnceAsked(Socket connection) {
+    Thread answering =
+        new Thread(
+            () -> {
+              try {
+                if (connection.getInputStream().read(new byte[REQUEST_BYTES]) > 0) {
+                  connection.getOutputStream().write(RESPONSE);
+                }
+              } catch (IOException e) {
+                // The test is over: it has closed the connection.
+              }
+            });
+    answering.setDaemon(true);
+    answering.start();
+  }
+
+  /** Guards against answers of a crashed engine that pass for whole: it answers where it can. */
+  @Test
+  void responseOnAnEarlierConnectionDoesNotShowThatTheEngineRuns() throws Exception {
+    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    String address = "127.0.0.1:" + server.getLocalPort();
+    EngineInstance engine = new EngineInstance("e", "s", address, "z", 4, false);
+    CompletableFuture<Verdict> earlier = new CompletableFuture<>();
+    eventLoop.execute(() -> probe.check(engine, earlier::complete));
+    try (Socket connection = server.accept()) {
+      answerOnceAsked(connection);
+      assertThat(earlier.get()).isEqualTo(Verdict.ALIVE);
+      server.close();
+      CompletableFuture<Verdict> later = new CompletableFuture<>();
+      eventLoop.execute(() -> probe.check(engine, later::complete));
+      answerOnceAsked(connection);
+      assertThat(later.get()).isEqualTo(Verdict.UNKNOWN);
+    }
+  }
+
   /** Guards against answers of a crashed engine that pass for whole. */
   @Test
   void engineThatRefusesIsNotAliveForAnOpenConnection() throws Exception {
