A connection that is reset while the probe makes it is no verdict

Cause: an engine's port that closes while a connection to it is being made resets it ("Connection reset by peer" before the request is sent, NOT_SENT), and the probe took that for a failure that says nothing. It repeated lost and refused connections only. Since each attempt opens a connection of its own, this is met more often.

Change: such an attempt is repeated 25 ms later as a lost connection is, within the same three attempts; the next one is refused. All repetitions wait now; the first one went over another idle connection at once, which probes no longer use.

Before: TestEngineLivenessProbe.engineThatResetsNewConnectionsWhileItEndsHasEnded fails (UNKNOWN, 2 of 2). After: 2 of 2 pass. The setup that stood five times in that class stands once.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
@@ -152,6 +152,11 @@
       }
     }
 
+    /** A port that closes while the connection is made resets it; the next one is refused. */
+    private boolean isWorthRetry(EngineFailure failure) {
+      return failure.isLostConnection() || failure == EngineFailure.NOT_SENT;
+    }
+
     private void sendUnlessDecided() {
       if (!decided) {
         send();
@@ -205,9 +210,7 @@
     public void onFailure(EngineFailure failure, String reason) {
       if (failure == EngineFailure.CONNECTION_REFUSED) {
         onRefused();
-      } else if (failure.isLostConnection() && attempts == 1) {
-        sendUnlessDecided();
-      } else if (failure.isLostConnection() && attempts < MAX_ATTEMPTS) {
+      } else if (isWorthRetry(failure) && attempts < MAX_ATTEMPTS) {
         eventLoop.schedule(this::sendUnlessDecided, REFUSED_RETRY_MS, TimeUnit.MILLISECONDS);
       } else {
         finish(Verdict.UNKNOWN);
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
@@ -14,8 +14,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -23,6 +25,7 @@
 class TestEngineLivenessProbe {
   private static final long LATER_MS = 10;
   private static final int REQUEST_BYTES = 4_096;
+  private static final int TASKS_UNTIL_CONNECT = 10;
   private static final byte[] RESPONSE =
       "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -32,6 +35,9 @@
   private final NettyEngineTransport transport = new NettyEngineTransport(eventLoop, protocol);
   private final EngineLivenessProbe probe = new EngineLivenessProbe(eventLoop, transport, protocol);
 
+  private ServerSocket server;
+  private EngineInstance engine;
+
   private static final class NoOpListener implements EngineListener {
     @Override
     public void onHead(EngineResponse response) {}
@@ -46,17 +52,22 @@
     public void onFailure(EngineFailure failure, String reason) {}
   }
 
+  @BeforeEach
+  void listen() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    String address = "127.0.0.1:" + server.getLocalPort();
+    engine = new EngineInstance("e", "s", address, "z", 4, false);
+  }
+
   @AfterEach
-  void stop() {
+  void stop() throws IOException {
+    server.close();
     eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
   /** Guards against a crash that passes for a lost connection, so that nothing is held back. */
   @Test
   void engineWhoseOtherConnectionsCloseALittleLaterHasEnded() throws Exception {
-    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    String address = "127.0.0.1:" + server.getLocalPort();
-    EngineInstance engine = new EngineInstance("e", "s", address, "z", 4, false);
     eventLoop.execute(() -> probe.check(engine, ignored -> {}));
     Socket other = server.accept();
     server.close();
@@ -71,9 +82,6 @@
   /** Guards against a crash that is not recorded since the port closes after the connections. */
   @Test
   void engineWhosePortClosesALittleLaterHasEnded() throws Exception {
-    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    String address = "127.0.0.1:" + server.getLocalPort();
-    EngineInstance engine = new EngineInstance("e", "s", address, "z", 4, false);
     CompletableFuture<Verdict> verdict = new CompletableFuture<>();
     eventLoop.execute(() -> probe.check(engine, verdict::complete));
     server.accept().close();
@@ -82,12 +90,48 @@
     assertThat(verdict.get()).isEqualTo(Verdict.ENDED);
   }
 
+  /** Guards against a crash that is not recorded since the port closes while the probe connects. */
+  @Test
+  void engineThatResetsNewConnectionsWhileItEndsHasEnded() throws Exception {
+    CompletableFuture<Verdict> verdict = new CompletableFuture<>();
+    CountDownLatch connecting = new CountDownLatch(1);
+    CountDownLatch closed = new CountDownLatch(1);
+    eventLoop.execute(
+        () -> {
+          probe.check(engine, verdict::complete);
+          afterFurtherTasks(
+              TASKS_UNTIL_CONNECT,
+              () -> {
+                connecting.countDown();
+                awaitUninterruptibly(closed);
+              });
+        });
+    connecting.await();
+    server.close();
+    closed.countDown();
+    assertThat(verdict.get()).isEqualTo(Verdict.ENDED);
+  }
+
+  /** Runs {@code action} before the event loop looks at its channels again. */
+  private void afterFurtherTasks(int tasks, Runnable action) {
+    if (tasks == 0) {
+      action.run();
+    } else {
+      eventLoop.execute(() -> afterFurtherTasks(tasks - 1, action));
+    }
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Guards against a response to an earlier probe that passes for a sign of life. */
   @Test
   void responseToAnEarlierProbeDoesNotShowThatTheEngineRunsNow() throws Exception {
-    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    String address = "127.0.0.1:" + server.getLocalPort();
-    EngineInstance engine = new EngineInstance("e", "s", address, "z", 4, false);
     CompletableFuture<Verdict> earlier = new CompletableFuture<>();
     eventLoop.execute(() -> probe.check(engine, earlier::complete));
     Socket connection = server.accept();
@@ -120,9 +164,6 @@
   /** Guards against answers of a crashed engine that pass for whole: it answers where it can. */
   @Test
   void responseOnAnEarlierConnectionDoesNotShowThatTheEngineRuns() throws Exception {
-    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    String address = "127.0.0.1:" + server.getLocalPort();
-    EngineInstance engine = new EngineInstance("e", "s", address, "z", 4, false);
     CompletableFuture<Verdict> earlier = new CompletableFuture<>();
     eventLoop.execute(() -> probe.check(engine, earlier::complete));
     try (Socket connection = server.accept()) {
@@ -139,9 +180,6 @@
   /** Guards against answers of a crashed engine that pass for whole. */
   @Test
   void engineThatRefusesIsNotAliveForAnOpenConnection() throws Exception {
-    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    String address = "127.0.0.1:" + server.getLocalPort();
-    EngineInstance engine = new EngineInstance("e", "s", address, "z", 4, false);
     eventLoop.execute(
         () -> transport.start(EngineLoadClient.reportCall(protocol, engine), new NoOpListener()));
     try (Socket other = server.accept()) {
