An answer is not whole because another life of its engine runs

Cause: an answer without a length ended in order while the engine ended; by the time the gateway read the end and probed, the engine ran again, and the verdict RESTARTED was taken for "it had started again before it answered", on the ground that a start takes longer than a probe. It need not: a gateway may be slow or frozen, or the end be sent again later.

Change: the probe tells when the life that answers it began. An answer is whole if that life began before the call did; otherwise the engine has crashed under it, which counts as a crash. An engine whose restart the list does not show yet still serves whole answers. The two times are of two clocks; if the engine's is ahead, a sound answer after a restart may be failed until the list shows the new life, and none that was cut is passed on.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineLivenessProbe.java
@@ -11,7 +11,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -30,7 +29,7 @@
   public enum Verdict {
     /** The instance is down, or another one has replaced it. */
     ENDED,
-    /** The instance was restarted under its id, which takes longer than a probe. */
+    /** Another life of the engine runs under its id. */
     RESTARTED,
     /** The instance responded. */
     ALIVE,
@@ -43,6 +42,23 @@
     }
   }
 
+  /**
+   * What a probe has found.
+   *
+   * @param bornMs when the life that responded began, in Unix milliseconds; {@link
+   *     EngineInstance#BORN_UNKNOWN} if none did or it did not tell
+   */
+  public record Result(Verdict verdict, long bornMs) {
+    private static Result of(Verdict verdict) {
+      return new Result(verdict, EngineInstance.BORN_UNKNOWN);
+    }
+
+    /** Whether the life that responded has run at least since this time, in Unix milliseconds. */
+    public boolean hasRunSince(long unixMs) {
+      return verdict == Verdict.ALIVE || (verdict == Verdict.RESTARTED && bornMs <= unixMs);
+    }
+  }
+
   private static final int OK = 200;
 
   /** Limits all attempts together; a running engine responds within a few milliseconds. */
@@ -68,17 +84,17 @@
 
   /** The checks of an engine instance that one probe answers, and those that came too late. */
   private static final class Round {
-    private final List<Consumer<Verdict>> receivers = new ArrayList<>();
-    private final List<Consumer<Verdict>> lateReceivers = new ArrayList<>();
+    private final List<Consumer<Result>> receivers = new ArrayList<>();
+    private final List<Consumer<Result>> lateReceivers = new ArrayList<>();
     private boolean sent;
   }
 
   /**
-   * Passes the verdict on an engine instance to {@code receiver}. Checks of an instance share a
-   * probe that was not sent yet: a response to an earlier one may be older than the reason for the
-   * check.
+   * Passes what is found about an engine instance to {@code receiver}. Checks of an instance share
+   * a probe that was not sent yet: a response to an earlier one may be older than the reason for
+   * the check.
    */
-  public void check(EngineInstance engine, Consumer<Verdict> receiver) {
+  public void check(EngineInstance engine, Consumer<Result> receiver) {
     Round round = rounds.get(engine.lifeId());
     if (round == null) {
       startRound(engine, List.of(receiver));
@@ -89,7 +105,7 @@
     }
   }
 
-  private void startRound(EngineInstance engine, List<Consumer<Verdict>> receivers) {
+  private void startRound(EngineInstance engine, List<Consumer<Result>> receivers) {
     Round round = new Round();
     round.receivers.addAll(receivers);
     rounds.put(engine.lifeId(), round);
@@ -109,14 +125,14 @@
     return transport.openConnections(engine) == 0;
   }
 
-  private void notifyReceivers(EngineInstance engine, Verdict verdict) {
+  private void notifyReceivers(EngineInstance engine, Result result) {
     Round round = rounds.remove(engine.lifeId());
-    if (verdict == Verdict.ENDED) {
+    if (result.verdict() == Verdict.ENDED) {
       round.receivers.addAll(round.lateReceivers);
     } else if (!round.lateReceivers.isEmpty()) {
       startRound(engine, round.lateReceivers);
     }
-    round.receivers.forEach(receiver -> receiver.accept(verdict));
+    round.receivers.forEach(receiver -> receiver.accept(result));
   }
 
   /** Requests the load of one engine; retries if the connection is lost. */
@@ -171,9 +187,13 @@
     }
 
     private void finish(Verdict verdict) {
+      finish(Result.of(verdict));
+    }
+
+    private void finish(Result result) {
       if (!decided) {
         decided = true;
-        notifyReceivers(engine, verdict);
+        notifyReceivers(engine, result);
       }
     }
 
@@ -192,9 +212,13 @@
       if (response.wrongInstance()) {
         finish(Verdict.ENDED);
       } else if (response.status() == OK) {
-        Optional<EngineLoadReport> report = protocol.readReport(body.toByteArray());
-        boolean restarted = report.isPresent() && engine.isOtherLife(report.get().bornMs());
-        finish(restarted ? Verdict.RESTARTED : Verdict.ALIVE);
+        long bornMs =
+            protocol
+                .readReport(body.toByteArray())
+                .map(EngineLoadReport::bornMs)
+                .orElse(EngineInstance.BORN_UNKNOWN);
+        Verdict verdict = engine.isOtherLife(bornMs) ? Verdict.RESTARTED : Verdict.ALIVE;
+        finish(new Result(verdict, bornMs));
       } else {
         finish(Verdict.ALIVE);
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -103,7 +103,7 @@
   /** Finds out whether an engine that interrupted no request has ended. */
   public void checkEngine(EngineInstance engine) {
     if (!interruptedByInstance.containsKey(engine.lifeId())) {
-      livenessProbe.check(engine, verdict -> onIdleVerdict(engine, verdict));
+      livenessProbe.check(engine, result -> onIdleVerdict(engine, result.verdict()));
     }
   }
 
@@ -122,7 +122,7 @@
       return;
     }
     interruptedByInstance.put(engine.lifeId(), new ArrayList<>(List.of(request)));
-    livenessProbe.check(engine, verdict -> onVerdict(engine, verdict));
+    livenessProbe.check(engine, result -> onVerdict(engine, result.verdict()));
   }
 
   private void onVerdict(EngineInstance engine, Verdict verdict) {
@@ -157,6 +157,7 @@
     private final EngineCall call;
     private final EngineListener listener;
     private final long startedMs = nowMs();
+    private final long startedUnixMs = System.currentTimeMillis();
     private final ResponseProgress progress = new ResponseProgress();
     private int status;
     private boolean notRun;
@@ -207,21 +208,24 @@
         listener.onEnd();
         return;
       }
-      livenessProbe.check(call.engine(), this::onVerdictAfterClose);
+      livenessProbe.check(call.engine(), this::onResultAfterClose);
     }
 
-    /** An engine that runs again just after the close was restarted before it, and answered. */
-    private void onVerdictAfterClose(Verdict verdict) {
-      if (verdict == Verdict.ALIVE || verdict == Verdict.RESTARTED) {
+    /**
+     * A life of the engine that began under the call has not answered it. One that began before may
+     * still be missing in the list of engines.
+     */
+    private void onResultAfterClose(EngineLivenessProbe.Result result) {
+      if (result.hasRunSince(startedUnixMs)) {
         onEnd();
         return;
       }
-      if (verdict == Verdict.ENDED && call.hasRequestId()) {
+      if (result.verdict().isCrash() && call.hasRequestId()) {
         onCrash(call.engine(), List.of(interrupted()));
       }
       listener.onFailure(
           EngineFailure.CONNECTION_ENDED,
-          "the connection closed under an answer without length; engine " + verdict);
+          "the connection closed under an answer without length; engine " + result.verdict());
     }
 
     @Override
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
@@ -11,18 +11,27 @@
 import io.pathdeck.fleet.adapter.EngineLoadReport;
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.fleet.adapter.EngineResponse;
+import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /** Calls that name their request, and answers that may name it and tell no load. */
 public final class PlainEngineProtocol implements EngineProtocol {
   private static final String ID = "x-id";
 
   private final String unnamedId;
+  private final LongSupplier reportedBornMs;
 
   /** Takes an answer that names no request for one to {@code unnamedId}. */
   public PlainEngineProtocol(String unnamedId) {
+    this(unnamedId, () -> EngineInstance.BORN_UNKNOWN);
+  }
+
+  /** Reads from each report that the engine's life began at {@code reportedBornMs}. */
+  public PlainEngineProtocol(String unnamedId, LongSupplier reportedBornMs) {
     this.unnamedId = unnamedId;
+    this.reportedBornMs = reportedBornMs;
   }
 
   @Override
@@ -62,6 +71,6 @@
 
   @Override
   public Optional<EngineLoadReport> readReport(byte[] body) {
-    return Optional.empty();
+    return Optional.of(new EngineLoadReport(0, 0, 0, reportedBornMs.getAsLong()));
   }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
@@ -73,7 +73,7 @@
     server.close();
     CompletableFuture<Verdict> verdict = new CompletableFuture<>();
     EngineLivenessProbe second = new EngineLivenessProbe(eventLoop, transport, protocol);
-    eventLoop.execute(() -> second.check(engine, verdict::complete));
+    eventLoop.execute(() -> second.check(engine, result -> verdict.complete(result.verdict())));
     Thread.sleep(LATER_MS);
     other.close();
     assertThat(verdict.get()).isEqualTo(Verdict.ENDED);
@@ -83,7 +83,7 @@
   @Test
   void engineWhosePortClosesALittleLaterHasEnded() throws Exception {
     CompletableFuture<Verdict> verdict = new CompletableFuture<>();
-    eventLoop.execute(() -> probe.check(engine, verdict::complete));
+    eventLoop.execute(() -> probe.check(engine, result -> verdict.complete(result.verdict())));
     server.accept().close();
     server.accept().close();
     server.close();
@@ -98,7 +98,7 @@
     CountDownLatch closed = new CountDownLatch(1);
     eventLoop.execute(
         () -> {
-          probe.check(engine, verdict::complete);
+          probe.check(engine, result -> verdict.complete(result.verdict()));
           afterFurtherTasks(
               TASKS_UNTIL_CONNECT,
               () -> {
@@ -133,11 +133,11 @@
   @Test
   void responseToAnEarlierProbeDoesNotShowThatTheEngineRunsNow() throws Exception {
     CompletableFuture<Verdict> earlier = new CompletableFuture<>();
-    eventLoop.execute(() -> probe.check(engine, earlier::complete));
+    eventLoop.execute(() -> probe.check(engine, result -> earlier.complete(result.verdict())));
     Socket connection = server.accept();
     connection.getInputStream().read();
     CompletableFuture<Verdict> later = new CompletableFuture<>();
-    eventLoop.submit(() -> probe.check(engine, later::complete)).sync();
+    eventLoop.submit(() -> probe.check(engine, result -> later.complete(result.verdict()))).sync();
     server.close();
     connection.getOutputStream().write(RESPONSE);
     connection.close();
@@ -165,13 +165,13 @@
   @Test
   void responseOnAnEarlierConnectionDoesNotShowThatTheEngineRuns() throws Exception {
     CompletableFuture<Verdict> earlier = new CompletableFuture<>();
-    eventLoop.execute(() -> probe.check(engine, earlier::complete));
+    eventLoop.execute(() -> probe.check(engine, result -> earlier.complete(result.verdict())));
     try (Socket connection = server.accept()) {
       answerOnceAsked(connection);
       assertThat(earlier.get()).isEqualTo(Verdict.ALIVE);
       server.close();
       CompletableFuture<Verdict> later = new CompletableFuture<>();
-      eventLoop.execute(() -> probe.check(engine, later::complete));
+      eventLoop.execute(() -> probe.check(engine, result -> later.complete(result.verdict())));
       answerOnceAsked(connection);
       assertThat(later.get()).isEqualTo(Verdict.UNKNOWN);
     }
@@ -185,7 +185,7 @@
     try (Socket other = server.accept()) {
       server.close();
       CompletableFuture<Verdict> verdict = new CompletableFuture<>();
-      eventLoop.execute(() -> probe.check(engine, verdict::complete));
+      eventLoop.execute(() -> probe.check(engine, result -> verdict.complete(result.verdict())));
       assertThat(verdict.get()).isEqualTo(Verdict.UNKNOWN);
       assertThat(other.isClosed()).isFalse();
     }
