A quarantined item and one delayed after crashes are told apart from other delays

Change: WaitReason has QUARANTINED and CRASH_BACKOFF. Run: TestItemWaits, TestItemsLeftLying, TestItemWaitModel, TestItemRun and TestCrashBackoff pass.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -39,6 +39,7 @@
   private int failures;
   private int unclearResponses;
   private long notBeforeMs;
+  private WaitReason delayReason = WaitReason.RETRY_DELAY;
   private long normalizedRunMs;
   private long startedMs;
   private boolean finished;
@@ -75,7 +76,7 @@
     this.startedAtFirstEvent = recordedEvent == BatchProgress.NO_EVENT;
     this.inheritedEvents = recordedEvent - BatchProgress.NO_EVENT;
     this.crashBackoff = new CrashBackoff(job.crashes(item.id()));
-    this.notBeforeMs = nowMs + crashBackoff.delayMs();
+    waitUntil(nowMs + crashBackoff.delayMs(), WaitReason.CRASH_BACKOFF);
   }
 
   /** When the item is due, in log time. */
@@ -164,7 +165,7 @@
     if (discarding) {
       return WaitReason.DISCARDING;
     }
-    return nowMs < notBeforeMs ? WaitReason.RETRY_DELAY : schedulerReason;
+    return nowMs < notBeforeMs ? delayReason : schedulerReason;
   }
 
   /** Sets why the scheduler did not start the item. */
@@ -351,8 +352,10 @@
     return ++unclearResponses;
   }
 
-  void waitUntil(long untilMs) {
+  /** Delays the next attempt. */
+  void waitUntil(long untilMs, WaitReason reason) {
     notBeforeMs = untilMs;
+    delayReason = reason;
   }
 
   boolean isFinished() {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -31,19 +31,19 @@
       run.markTried(engine.instance());
     }
     switch (outcome.kind()) {
-      case FAILED -> run.waitUntil(nowMs + RETRY_DELAY_MS);
-      case UNCLEAR -> run.waitUntil(nowMs + unclearRetryDelayMs(run.countUnclearResponse()));
+      case FAILED -> run.waitUntil(nowMs + RETRY_DELAY_MS, WaitReason.RETRY_DELAY);
+      case UNCLEAR -> run.waitUntil(nowMs + unclearRetryDelayMs(run.countUnclearResponse()), WaitReason.RETRY_DELAY);
       case OTHER_INSTANCE -> engine.onRemoved();
-      case QUARANTINED -> run.waitUntil(nowMs + QUARANTINE_RETRY_DELAY_MS);
-      case YIELDED -> run.waitUntil(nowMs + YIELD_RETRY_DELAY_MS);
+      case QUARANTINED -> run.waitUntil(nowMs + QUARANTINE_RETRY_DELAY_MS, WaitReason.QUARANTINED);
+      case YIELDED -> run.waitUntil(nowMs + YIELD_RETRY_DELAY_MS, WaitReason.RETRY_DELAY);
       case REFUSED -> {
         engine.onFull(nowMs, Math.min(outcome.retryAfterMs(), MAX_ENGINE_PAUSE_MS));
-        run.waitUntil(nowMs + RETRY_DELAY_MS);
+        run.waitUntil(nowMs + RETRY_DELAY_MS, WaitReason.RETRY_DELAY);
       }
       case BROKEN -> {
         engine.onFailure(nowMs, MAX_ENGINE_PAUSE_MS);
         run.crashBackoff().onBroken(engine.instance());
-        run.waitUntil(nowMs + run.crashBackoff().verdictDelayMs());
+        run.waitUntil(nowMs + run.crashBackoff().verdictDelayMs(), WaitReason.CRASH_BACKOFF);
       }
       default -> throw new IllegalArgumentException(outcome.kind() + " is not repeated");
     }
@@ -59,7 +59,7 @@
     if (!run.crashBackoff().onCrash(crashed, running)) {
       return false;
     }
-    run.waitUntil(nowMs + run.crashBackoff().delayMs());
+    run.waitUntil(nowMs + run.crashBackoff().delayMs(), WaitReason.CRASH_BACKOFF);
     return run.crashBackoff().isToBeRecorded();
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/WaitReason.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/WaitReason.java
@@ -4,8 +4,12 @@
 enum WaitReason {
   /** The scheduler has not examined the item yet. */
   NOT_EXAMINED,
-  /** A delay after the last attempt is not over. */
+  /** A short delay after the last attempt is not over. */
   RETRY_DELAY,
+  /** Engines crashed under the item one after the other, and the delay after that is not over. */
+  CRASH_BACKOFF,
+  /** A part of the item's prompt is in quarantine. */
+  QUARANTINED,
   /** The group has not committed yet that the item's events are discarded. */
   DISCARDING,
   /** The group has not committed the item's result yet. */
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemWaits.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemWaits.java
@@ -28,10 +28,10 @@
     run.setSchedulerReason(WaitReason.NO_FREE_SLOT);
     waits.update(List.of(run), candidate -> false, 700);
     assertThat(waits.count(WaitReason.NO_FREE_SLOT)).isEqualTo(new ItemWaits.Count(1, 700));
-    run.waitUntil(900);
+    run.waitUntil(900, WaitReason.QUARANTINED);
     waits.update(List.of(run), candidate -> false, 800);
     assertThat(waits.count(WaitReason.NO_FREE_SLOT)).isEqualTo(ItemWaits.Count.NONE);
-    assertThat(waits.count(WaitReason.RETRY_DELAY)).isEqualTo(new ItemWaits.Count(1, 800));
+    assertThat(waits.count(WaitReason.QUARANTINED)).isEqualTo(new ItemWaits.Count(1, 800));
   }
 
   @Test
