A quarantined part of prompts has no last trial

What owners saw: an accepted item with a sound part that was held back by mistake stayed open for up to ten minutes with idle engines, if the part's two trials met crashes of other reasons; with a change of leader within ten minutes for longer. Cause: QuarantineTrials ended after two trials, though items wait for the part. Change: a part is tried every 64 s after its second trial, under each leader; the first two stay at 4 s and 16 s, so a bad part reaches as many engines as before in its first 84 s, and one a minute then. Requests of callers keep their one trial.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
@@ -8,20 +8,25 @@
  * Decides when a quarantined request, or one with a quarantined part of prompts, may be sent once,
  * to find out whether it was quarantined by mistake; confined to one thread.
  *
- * <p>Each trial of a request or part that does crash engines costs one of them, so there are few in
- * all, whoever leads: a new leader learns from the replicated state what was tried before. A part
- * counts once for all services.
+ * <p>Each trial of a request or part that does crash engines costs one of them, so they become
+ * rare. A request has {@value #MAX_TRIALS_OF_REQUEST}, whoever leads: a new leader learns from the
+ * replicated state what was tried before. A part has no last trial, since accepted batch items wait
+ * for it, and trials may have met crashes of other reasons. It counts once for all services.
  */
 final class QuarantineTrials {
-  static final int MAX_TRIALS_OF_PART = 2;
-
   /** A doubtful request may cost two more engines before it is quarantined again. */
   static final int MAX_TRIALS_OF_REQUEST = 1;
 
   /** By then all processes hold the suspect back, and have told when they saw it served. */
   static final long FIRST_DELAY_MS = 4_000;
 
-  private static final long DELAY_FACTOR = 4;
+  private static final long SECOND_DELAY_MS = 16_000;
+
+  /** Limits how long a part that was quarantined by mistake is held back in calm times. */
+  static final long MAX_DELAY_MS = 64_000;
+
+  /** Two trials that crashed engines are strong evidence, so later ones are rare. */
+  private static final int TRIALS_BEFORE_MAX_DELAY = 2;
 
   /** The trials of one request or part. */
   private static final class Trials {
@@ -36,7 +41,7 @@
     }
 
     private boolean areLeft() {
-      return granted < (suspect.isPromptPart() ? MAX_TRIALS_OF_PART : MAX_TRIALS_OF_REQUEST);
+      return suspect.isPromptPart() || granted < MAX_TRIALS_OF_REQUEST;
     }
   }
 
@@ -49,7 +54,8 @@
    */
   void onQuarantined(RequestFingerprint suspect, int granted, long nowMs) {
     if (find(suspect) == null) {
-      trialsBySuspect.add(new Trials(suspect, granted, nowMs + FIRST_DELAY_MS));
+      long delayMs = granted < TRIALS_BEFORE_MAX_DELAY ? FIRST_DELAY_MS : MAX_DELAY_MS;
+      trialsBySuspect.add(new Trials(suspect, granted, nowMs + delayMs));
     }
   }
 
@@ -60,7 +66,8 @@
       return false;
     }
     trials.granted++;
-    trials.nextMs = nowMs + FIRST_DELAY_MS * DELAY_FACTOR;
+    boolean isSecondNext = trials.granted < TRIALS_BEFORE_MAX_DELAY;
+    trials.nextMs = nowMs + (isSecondNext ? SECOND_DELAY_MS : MAX_DELAY_MS);
     return true;
   }
 
