An item with two quarantined parts is tried once trials of both are granted

What owners saw: an accepted item stayed open with idle engines while two parts of its prompt were held back by mistake. Cause: a process asked for a trial of the first quarantined part only, and a permit allowed only a call that is held back for one part. Permits of 1.5 s could not meet either, since the leader grants the trials of two parts at different times. Change: all parts are asked for; a permit is kept for 70 s, longer than the longest time between two trials, and a process that has one asks for no other. TestTrialsOfQuarantinedParts 3 of 3, TestTrialPermits 4 of 4.

--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashRecorder.java
@@ -53,12 +53,12 @@
   Optional<RequestFingerprint> findQuarantined(EngineCall call, long nowMs) {
     List<RequestFingerprint> causes =
         quarantine.find(call, this::fingerprint, this::promptParts, nowMs);
-    if (causes.isEmpty() || (causes.size() == 1 && trialPermits.use(causes.get(0), nowMs))) {
+    if (causes.isEmpty() || trialPermits.use(causes, nowMs)) {
       return Optional.empty();
     }
     RequestFingerprint cause = causes.get(0);
     reporter.heldBackSends().onRefused(cause, nowMs);
-    askForTrial(cause, nowMs);
+    causes.forEach(each -> askForTrial(each, nowMs));
     return Optional.of(cause);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/TrialPermits.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/TrialPermits.java
@@ -1,6 +1,7 @@
 package io.pathdeck.fleet.quarantine;
 
 import io.pathdeck.protocol.fleet.RequestFingerprint;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -8,12 +9,15 @@
 /**
  * The trials of quarantined requests and parts of prompts that the leading coordinator has granted
  * to this process; each allows one send. Confined to one thread.
+ *
+ * <p>A call with several quarantined parts needs a trial of each. The leader grants them at
+ * different times, so a permit is kept until the leader may have granted the next one.
  */
 final class TrialPermits {
   private static final long ASK_INTERVAL_MS = 500;
 
-  /** Longer than the pause before a held back item is tried again. */
-  private static final long VALIDITY_MS = 1_500;
+  /** Longer than the longest time between two trials of a part. */
+  private static final long VALIDITY_MS = 70_000;
 
   private final Map<RequestFingerprint, Long> askedMs = new HashMap<>();
   private final Map<RequestFingerprint, Long> expiryMs = new HashMap<>();
@@ -21,7 +25,7 @@
   /** Whether the leader should be asked now for a trial, which counts as asked for then. */
   boolean shouldAsk(RequestFingerprint suspect, long nowMs) {
     Long lastMs = askedMs.get(suspect);
-    if (lastMs != null && nowMs - lastMs < ASK_INTERVAL_MS) {
+    if (isGranted(suspect, nowMs) || (lastMs != null && nowMs - lastMs < ASK_INTERVAL_MS)) {
       return false;
     }
     askedMs.put(suspect, nowMs);
@@ -32,9 +36,20 @@
     expiryMs.put(suspect, nowMs + VALIDITY_MS);
   }
 
-  /** Returns whether one request may be sent now as a trial, and counts it. */
-  boolean use(RequestFingerprint suspect, long nowMs) {
-    Long expiry = expiryMs.remove(suspect);
+  /**
+   * Returns whether one call that is held back for all of these may be sent now as a trial, and
+   * counts it.
+   */
+  boolean use(Collection<RequestFingerprint> suspects, long nowMs) {
+    if (!suspects.stream().allMatch(suspect -> isGranted(suspect, nowMs))) {
+      return false;
+    }
+    suspects.forEach(expiryMs::remove);
+    return true;
+  }
+
+  private boolean isGranted(RequestFingerprint suspect, long nowMs) {
+    Long expiry = expiryMs.get(suspect);
     return expiry != null && nowMs < expiry;
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -32,7 +32,9 @@
     }
     switch (outcome.kind()) {
       case FAILED -> run.waitUntil(nowMs + RETRY_DELAY_MS, WaitReason.RETRY_DELAY);
-      case UNCLEAR -> run.waitUntil(nowMs + unclearRetryDelayMs(run.countUnclearResponse()), WaitReason.RETRY_DELAY);
+      case UNCLEAR ->
+          run.waitUntil(
+              nowMs + unclearRetryDelayMs(run.countUnclearResponse()), WaitReason.RETRY_DELAY);
       case OTHER_INSTANCE -> engine.onRemoved();
       case QUARANTINED -> run.waitUntil(nowMs + QUARANTINE_RETRY_DELAY_MS, WaitReason.QUARANTINED);
       case YIELDED -> run.waitUntil(nowMs + YIELD_RETRY_DELAY_MS, WaitReason.RETRY_DELAY);
