--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -71,6 +71,7 @@
   private final Set<String> sentRequestIds = new HashSet<>();
   private ChannelHandlerContext context;
   private PendingCall currentCall;
+  private ResponseLimit limit;
   private ChannelFuture requestWrite;
   private ReadState readState = ReadState.HEAD;
   private boolean keepAlive;
@@ -119,6 +120,7 @@
 
   void send(PendingCall call) {
     currentCall = call;
+    limit = ResponseLimit.of(call.call());
     if (call.call().hasRequestId()) {
       sentRequestIds.add(call.call().requestId());
     }
@@ -240,6 +242,10 @@
   }
 
   private void readBody(HttpContent content) {
+    if (!limit.allowsBody(content.content().readableBytes())) {
+      abortCall("the response is too long");
+      return;
+    }
     if (readState == ReadState.BODY && content.content().isReadable()) {
       currentCall.listener().onBody(ByteBufUtil.getBytes(content.content()));
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -96,7 +96,7 @@
 
   @Override
   public Handle start(EngineCall call, EngineListener listener) {
-    PendingCall pending = new PendingCall(call, listener);
+    PendingCall pending = pendingCall(call, listener);
     EngineConnection idleConnection = takeIdle(call);
     if (idleConnection != null) {
       idleConnection.send(pending);
@@ -111,11 +111,23 @@
    * engine that crashes may still answer on a connection that it had before.
    */
   public Handle startOnNewConnection(EngineCall call, EngineListener listener) {
-    PendingCall pending = new PendingCall(call, listener);
+    PendingCall pending = pendingCall(call, listener);
     connect(pending);
     return pending;
   }
 
+  /**
+   * Creates a call. One that the fleet makes itself has a timeout here; those of requests and items
+   * have theirs where their progress is known.
+   */
+  private PendingCall pendingCall(EngineCall call, EngineListener listener) {
+    PendingCall pending = new PendingCall(call, listener);
+    if (!call.hasRequestId() && call.timeoutMs() > 0) {
+      pending.setTimeout(eventLoop, call.timeoutMs());
+    }
+    return pending;
+  }
+
   /** Takes the most recently used idle connection that may carry {@code call}, or null. */
   private EngineConnection takeIdle(EngineCall call) {
     Deque<EngineConnection> connections =
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/PendingCall.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/PendingCall.java
@@ -1,5 +1,7 @@
 package io.pathdeck.fleet.engine;
 
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.pathdeck.fleet.adapter.EngineCall;
 import java.util.concurrent.TimeUnit;
 
@@ -9,6 +11,7 @@
   private final EngineListener listener;
   private final long createdNs = System.nanoTime();
   private EngineConnection connection;
+  private ScheduledFuture<?> timeout;
   private boolean done;
 
   PendingCall(EngineCall call, EngineListener listener) {
@@ -37,27 +40,46 @@
     connection = usedConnection;
   }
 
+  /** Fails the call if it has not ended within a time. */
+  void setTimeout(EventLoop eventLoop, long timeoutMs) {
+    timeout = eventLoop.schedule(() -> onTimeout(timeoutMs), timeoutMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void onTimeout(long timeoutMs) {
+    if (!done) {
+      cancel();
+      listener.onFailure(EngineFailure.BROKEN, "no whole response in " + timeoutMs + " ms");
+    }
+  }
+
   void complete() {
     if (!done) {
-      done = true;
+      finish();
       listener.onEnd();
     }
   }
 
   void close() {
     if (!done) {
-      done = true;
+      finish();
       listener.onClose();
     }
   }
 
   void fail(EngineFailure failure, String reason) {
     if (!done) {
-      done = true;
+      finish();
       listener.onFailure(failure, reason);
     }
   }
 
+  private void finish() {
+    done = true;
+    if (timeout != null) {
+      timeout.cancel(false);
+    }
+  }
+
   @Override
   public void pauseReading() {
     if (!done && connection != null) {
@@ -75,7 +97,7 @@
   @Override
   public void cancel() {
     if (!done) {
-      done = true;
+      finish();
       if (connection != null) {
         connection.close();
       }
