Informational heads without an end fail the call after the 16th

What happened: a call to an engine that sent 100 Continue again and again ended only with its caller's deadline, and each head cost processor time. Cause: EngineConnection passes informational heads over without counting them. Change: ResponseLimit counts them; over 16 the connection is closed, and the call fails as broken, so that the attempt counts as the engine's failure. A status line, headers, blank lines and bytes that are no head without an end were refused before, too (4 cases), by the decoder's limits.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -190,6 +190,9 @@
     HttpResponseStatus status = head.status();
     if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
       readState = ReadState.IGNORED_BODY;
+      if (!limit.allowsInformationalHead()) {
+        abortCall("too many informational responses");
+      }
       return;
     }
     EngineResponse response = protocol.read(head);
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/ResponseLimit.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/ResponseLimit.java
@@ -10,8 +10,12 @@
   /** Load reports take a few hundred bytes. */
   private static final long MAX_REPORT_BYTES = 64 * 1024;
 
+  /** Interim responses tell nothing that is used here. */
+  private static final int MAX_INFORMATIONAL_HEADS = 16;
+
   private final long maxBodyBytes;
   private long bodyBytes;
+  private int informationalHeads;
 
   private ResponseLimit(long maxBodyBytes) {
     this.maxBodyBytes = maxBodyBytes;
@@ -26,4 +30,10 @@
     bodyBytes += bytes;
     return bodyBytes <= maxBodyBytes;
   }
+
+  /** Counts an informational head; returns whether another one may follow. */
+  boolean allowsInformationalHead() {
+    informationalHeads++;
+    return informationalHeads <= MAX_INFORMATIONAL_HEADS;
+  }
 }
