--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -74,6 +74,7 @@
   private ResponseLimit limit;
   private ChannelFuture requestWrite;
   private ReadState readState = ReadState.HEAD;
+  private boolean success;
   private boolean keepAlive;
   private boolean closeDelimited;
   private boolean usedBefore;
@@ -196,7 +197,7 @@
       return;
     }
     EngineResponse response = protocol.read(head);
-    boolean success = status.codeClass() == HttpStatusClass.SUCCESS;
+    success = status.codeClass() == HttpStatusClass.SUCCESS;
     if (!response.requestId().equals(currentCall.call().requestId())) {
       logDropped(head, "it names another request");
       responseDropped = true;
@@ -245,7 +246,7 @@
   }
 
   private void readBody(HttpContent content) {
-    if (!limit.allowsBody(content.content().readableBytes())) {
+    if (!isWithinLimit(content.content().readableBytes())) {
       abortCall("the response is too long");
       return;
     }
@@ -260,6 +261,12 @@
     }
   }
 
+  private boolean isWithinLimit(int bytes) {
+    return (readState == ReadState.BODY && success)
+        ? limit.allowsSuccessfulBody(bytes)
+        : limit.allowsUnsuccessfulBody(bytes);
+  }
+
   private void completeCall() {
     boolean endedByClose = closeDelimited && !isInputOpen();
     if (endedByClose && !context.channel().isActive()) {
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestResponsesWithoutEnd.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestResponsesWithoutEnd.java
@@ -115,4 +115,24 @@
     server.respond("", PIECE);
     assertCallFails();
   }
+
+  @Test
+  void bodyOfAnError() throws Exception {
+    server.respond("HTTP/1.1 500 Internal Server Error\r\n\r\n", PIECE);
+    assertCallFails();
+  }
+
+  @Test
+  void chunksOfAnError() throws Exception {
+    server.respond(
+        "HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "2000\r\n" + PIECE + "\r\n");
+    assertCallFails();
+  }
+
+  @Test
+  void bodyForAnotherRequest() throws Exception {
+    server.respond("HTTP/1.1 200 OK\r\nx-id: other\r\n\r\n", PIECE);
+    assertCallFails();
+  }
 }
