--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BufferedResponse.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BufferedResponse.java
@@ -3,22 +3,47 @@
 import io.pathdeck.serving.http.ConnectionMemory;
 import java.io.ByteArrayOutputStream;
 
-/** The body of a non-streaming response, counted against the memory budget. */
+/** The body of a non-streaming response, counted against the memory of callers and responses. */
 final class BufferedResponse {
+  /** What became of a part of the body. */
+  enum Result {
+    ADDED,
+    /** The response is longer than any response may be. */
+    TOO_LONG,
+    /** The gateway has no memory left for it. */
+    NO_MEMORY
+  }
+
   private final ConnectionMemory memory;
+  private final ResponseMemory responseMemory;
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+  private int reservedBytes;
 
-  BufferedResponse(ConnectionMemory memory) {
+  BufferedResponse(ConnectionMemory memory, ResponseMemory responseMemory) {
     this.memory = memory;
+    this.responseMemory = responseMemory;
   }
 
-  /** Appends a part; returns false if the budget has no room for it. */
-  boolean add(byte[] part) {
-    boolean reserved = memory.tryReserveResponse(part.length);
-    if (reserved) {
-      bytes.writeBytes(part);
+  /** Appends a part if it fits. */
+  Result add(byte[] part) {
+    if (bytes.size() + part.length > ResponseMemory.MAX_RESPONSE_BYTES) {
+      return Result.TOO_LONG;
+    }
+    if (!responseMemory.tryReserve(part.length)) {
+      return Result.NO_MEMORY;
     }
-    return reserved;
+    reservedBytes += part.length;
+    if (!memory.tryReserveResponse(part.length)) {
+      return Result.NO_MEMORY;
+    }
+    bytes.writeBytes(part);
+    return Result.ADDED;
+  }
+
+  /** Stops counting the body against the memory of all responses. */
+  void end() {
+    responseMemory.release(reservedBytes);
+    reservedBytes = 0;
   }
 
   /** Discards the body and releases its memory. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingContext.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/ForwardingContext.java
@@ -19,6 +19,7 @@
     ForwardingSettings settings,
     SilenceTimeout silenceTimeout,
     RequestMetrics metrics,
+    ResponseMemory responseMemory,
     RequestDispatcher dispatcher,
     Runnable callStartListener,
     Set<RequestForwarder> activeRequests) {
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -102,6 +102,7 @@
             ForwardingSettings.DEFAULT,
             new SilenceTimeout(ForwardingSettings.DEFAULT),
             metrics,
+            ResponseMemory.ofHeap(),
             dispatcher(eventLoop, engines, metrics.queue()),
             () -> callStartListener.run(),
             new HashSet<>());
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -258,7 +258,8 @@
   private final class Attempt implements EngineListener {
     private final boolean isStream = request.isStream();
     private final AttemptTracker tracker;
-    private final BufferedResponse body = new BufferedResponse(exchange.memory());
+    private final BufferedResponse body =
+        new BufferedResponse(exchange.memory(), context.responseMemory());
     private final ResponseFlowControl flowControl =
         new ResponseFlowControl(exchange, context.metrics().memory());
     private EngineTransport.Handle handle;
@@ -328,9 +329,7 @@
       }
       recordProgress();
       if (!response.isSuccess() || !isStream) {
-        if (!body.add(part)) {
-          cancelAndFinish(MEMORY_EXHAUSTED);
-        }
+        collect(part);
         return;
       }
       byte[] events = scanner.feed(part);
@@ -350,6 +349,14 @@
       }
     }
 
+    private void collect(byte[] part) {
+      switch (body.add(part)) {
+        case TOO_LONG -> abandon("the response is too long");
+        case NO_MEMORY -> cancelAndFinish(MEMORY_EXHAUSTED);
+        default -> {}
+      }
+    }
+
     @Override
     public void onEnd() {
       if (ended) {
@@ -439,6 +446,7 @@
 
     private void end() {
       ended = true;
+      body.end();
       tracker.end();
       context.dispatcher().onSlotFreed(request.service(), tracker);
     }
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -101,6 +101,7 @@
             ForwardingSettings.DEFAULT,
             new SilenceTimeout(ForwardingSettings.DEFAULT),
             metrics,
+            ResponseMemory.ofHeap(),
             dispatcher,
             callsStarted::incrementAndGet,
             new HashSet<>());
