A stream without events is given up after 1 MB

What happened: comments, or blocks without an id and data, that an engine sent without end went on to the caller until its deadline, and an item collected them. Cause: SseEventScanner bounds one event, and a block without fields that matter is a whole event for it. Change: it counts the bytes since the last event with an id or data. Run: TestSseEventScanner, 8 of 8 with the new rejectsCommentsWithoutEnd and allowsCommentsBetweenEvents; the first does not compile before, for it asks for the number of events.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
@@ -11,7 +11,9 @@
  * buffered until the rest arrives.
  */
 public final class SseEventScanner {
+  /** Bounds an event, and what is between two events with an id or data. */
   private static final int MAX_EVENT_LENGTH = 1 << 20;
+
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
   private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.UTF_8);
 
@@ -19,6 +21,8 @@
   private int bufferedBytes;
   private long lastId;
   private boolean hasLastId;
+  private long events;
+  private int bytesSinceEvent;
   private String problem;
 
   /**
@@ -52,8 +56,8 @@
     byte[] complete = Arrays.copyOf(buffer, start);
     System.arraycopy(buffer, start, buffer, 0, bufferedBytes - start);
     bufferedBytes -= start;
-    if (bufferedBytes > MAX_EVENT_LENGTH) {
-      problem = "an event is too long";
+    if (bufferedBytes + bytesSinceEvent > MAX_EVENT_LENGTH) {
+      problem = "no event in " + MAX_EVENT_LENGTH + " bytes";
     }
     return complete;
   }
@@ -68,14 +72,19 @@
 
   private void checkEvent(int from, int to) {
     int lineStart = from;
+    boolean isEvent = false;
     for (int i = from; i < to; i++) {
       if (buffer[i] == '\n') {
-        if (startsWith(ID_FIELD, lineStart, i)) {
+        boolean isId = startsWith(ID_FIELD, lineStart, i);
+        if (isId) {
           checkId(textOf(lineStart + ID_FIELD.length, i));
         }
+        isEvent |= isId || startsWith(DATA_FIELD, lineStart, i);
         lineStart = i + 1;
       }
     }
+    events += isEvent ? 1 : 0;
+    bytesSinceEvent = isEvent ? 0 : bytesSinceEvent + to - from;
   }
 
   private void checkId(String text) {
@@ -103,6 +112,11 @@
     return new String(buffer, from, to - from, StandardCharsets.UTF_8).trim();
   }
 
+  /** Number of complete events so far that have an id or data; comments are none. */
+  public long events() {
+    return events;
+  }
+
   /** Id of the last complete event; before the first one, the id to resume after, or -1 if none. */
   public long lastId() {
     return hasLastId ? lastId : -1;
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
@@ -69,4 +69,31 @@
     String stream = "id: 1\ndata: a\n\nid: 2\nweight-versions:2\ndata:b\ndata: c\n\n";
     assertThat(SseEventScanner.dataOf(bytes(stream))).isEqualTo("a\nb\nc");
   }
+
+  /** Guards against a stream of comments without end, which passes for a stream of events. */
+  @Test
+  void rejectsCommentsWithoutEnd() {
+    SseEventScanner scanner = new SseEventScanner(-1);
+    scanner.feed(bytes(event(1)));
+    byte[] comment = bytes(": " + "x".repeat(1_000) + "\n\n");
+    int fed = 0;
+    while (scanner.problem() == null && fed < 10_000) {
+      scanner.feed(comment);
+      fed++;
+    }
+    assertThat(fed).isBetween(1_000, 1_100);
+    assertThat(scanner.events()).isEqualTo(1);
+  }
+
+  @Test
+  void allowsCommentsBetweenEvents() {
+    SseEventScanner scanner = new SseEventScanner(-1);
+    byte[] comment = bytes(": " + "x".repeat(100_000) + "\n\n");
+    for (int id = 1; id <= 20; id++) {
+      scanner.feed(comment);
+      scanner.feed(bytes(event(id)));
+    }
+    assertThat(scanner.problem()).isNull();
+    assertThat(scanner.events()).isEqualTo(20);
+  }
 }
