A stream without events is given up after 2 s for a caller and 5 s for an item

What owners and callers saw: an item at an engine that sends a comment now and then kept its slot without end and was neither done nor given up; a caller waited until its deadline. Cause: each byte counted as progress, so the limits of silence never acted. Change: ItemStream and RequestForwarder know when the last event arrived; BatchRunner aborts an attempt that ItemStream finds stalled, as it did for silence.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -27,6 +27,12 @@
   /** How long coordinators quarantine a request on which engines crashed. */
   private static final long QUARANTINE_RETRY_AFTER_MS = 600_000;
 
+  /**
+   * How long a stream may go on without an event while other bytes arrive. Callers leave sooner if
+   * they wait for one.
+   */
+  private static final long MAX_EVENT_GAP_MS = 2_000;
+
   private static final String MEMORY_EXHAUSTED = "memory for callers is short";
 
   /** Earlier retries would find the memory still in use by the same slow callers. */
@@ -142,6 +148,11 @@
     if (finished || attempt == null || isReadPaused(nowMs)) {
       return;
     }
+    if (attempt.lacksEvents(nowMs)) {
+      attempt.engine().onFailure(nowMs);
+      abandonIfRetryIsAllowed("no event for " + MAX_EVENT_GAP_MS + " ms");
+      return;
+    }
     SilenceTimeout.Silence silence = attempt.silence(nowMs);
     if (!context.silenceTimeout().isExceeded(silence)) {
       return;
@@ -149,7 +160,13 @@
     attempt.engine().onFailure(nowMs);
     if (budget.mayRetry()) {
       context.silenceTimeout().onTimeout(silence);
-      attempt.abandon("silent for " + silence.callMs() + " ms");
+    }
+    abandonIfRetryIsAllowed("silent for " + silence.callMs() + " ms");
+  }
+
+  private void abandonIfRetryIsAllowed(String reason) {
+    if (budget.mayRetry()) {
+      attempt.abandon(reason);
     }
   }
 
@@ -158,6 +175,7 @@
     boolean paused = attempt != null && attempt.flowControl.isPaused();
     if (paused && attempt.flowControl.update(nowMs)) {
       attempt.lastProgressMs = nowMs;
+      attempt.lastEventMs = nowMs;
     }
     return paused && attempt.flowControl.isPaused();
   }
@@ -266,6 +284,7 @@
     private EngineResponse response;
     private SseEventScanner scanner;
     private long lastProgressMs;
+    private long lastEventMs;
     private boolean ended;
 
     Attempt(Placement placement, long nowMs) {
@@ -299,6 +318,14 @@
           engine().silenceMs(nowMs));
     }
 
+    /** Whether bytes of a stream have arrived for too long without an event. */
+    boolean lacksEvents(long nowMs) {
+      return response != null
+          && response.isSuccess()
+          && isStream
+          && nowMs - lastEventMs > MAX_EVENT_GAP_MS;
+    }
+
     private void recordProgress() {
       lastProgressMs = nowMs();
       tracker.onDataReceived(lastProgressMs);
@@ -315,6 +342,7 @@
       context.silenceTimeout().onFirstBytes(waitMs);
       context.dispatcher().onFirstBytes(request.service(), tracker);
       response = head;
+      lastEventMs = lastProgressMs;
       if (response.isSuccess() && isStream && !headSent) {
         headSent = true;
         timeToFirstByteMs = lastProgressMs - request.startMs();
@@ -332,7 +360,11 @@
         collect(part);
         return;
       }
+      long eventsBefore = scanner.events();
       byte[] events = scanner.feed(part);
+      if (scanner.events() > eventsBefore) {
+        lastEventMs = lastProgressMs;
+      }
       if (events.length > 0) {
         lastEventId = scanner.lastId();
         binding.onEvents(engine().instance());
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -54,7 +54,6 @@
 final class BatchRunner {
   private static final long SCHEDULE_INTERVAL_MS = 20;
   private static final long WAITS_INTERVAL_MS = 1_000;
-  private static final long SILENCE_TIMEOUT_MS = 1_500;
   private static final long GIVE_UP_MARGIN_MS = 500;
   private static final long RECORD_INTERVAL_MS = 700;
 
@@ -174,7 +173,7 @@
     }
     nextScheduleMs = nowMs + SCHEDULE_INTERVAL_MS;
     runs.update(state.jobs(), this::stop, nowMs, state.logTimeMs());
-    abortSilentStreams(nowMs);
+    abortStalledStreams(nowMs);
     giveUpExpiredItems(nowMs);
     recordProgress(nowMs);
     if (view.isComplete()) {
@@ -239,21 +238,25 @@
     }
   }
 
-  private void abortSilentStreams(long nowMs) {
+  private void abortStalledStreams(long nowMs) {
     for (ItemRun run : runs.all()) {
-      if (run.isRunning() && nowMs - run.stream().lastReceivedMs() > SILENCE_TIMEOUT_MS) {
-        ItemStream stream = run.stream();
-        run.engine().onFailure(nowMs, RetryPolicy.MAX_ENGINE_PAUSE_MS);
-        if (stream.isOver()) {
-          // A full queue of the consensus thread may have dropped the outcome.
-          stop(run);
-          continue;
-        }
-        eventLoop.execute(() -> stream.abort("silent for " + SILENCE_TIMEOUT_MS + " ms"));
+      if (run.isRunning()) {
+        run.stream().stall(nowMs).ifPresent(reason -> abort(run, reason, nowMs));
       }
     }
   }
 
+  private void abort(ItemRun run, String reason, long nowMs) {
+    ItemStream stream = run.stream();
+    run.engine().onFailure(nowMs, RetryPolicy.MAX_ENGINE_PAUSE_MS);
+    if (stream.isOver()) {
+      // A full queue of the consensus thread may have dropped the outcome.
+      stop(run);
+    } else {
+      eventLoop.execute(() -> stream.abort(reason));
+    }
+  }
+
   // ---- progress
 
   /** Proposes the events received since the last call, and requests newer ones from the streams. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -9,6 +9,7 @@
 import io.pathdeck.fleet.engine.SseEventScanner;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -22,6 +23,13 @@
   private static final int UNPROCESSABLE_CONTENT = 422;
   private static final int INTERNAL_SERVER_ERROR = 500;
   private static final long DEFAULT_RETRY_AFTER_MS = 100;
+  private static final long SILENCE_TIMEOUT_MS = 1_500;
+
+  /**
+   * Limits the time without an event while other bytes arrive. Much longer than the time between
+   * two events of a slow engine, and short enough for the item to run elsewhere.
+   */
+  private static final long EVENT_TIMEOUT_MS = 5_000;
 
   /**
    * How long after the choice of an engine the item may still be sent there; only a suspended
@@ -40,6 +48,7 @@
   private long lastDrainedEvent;
   private volatile boolean over;
   private volatile long lastReceivedMs;
+  private volatile long lastEventMs;
 
   /** Creates an attempt at an engine of {@code origin}. */
   ItemStream(StreamOrigin origin, long resumeAfter, Consumer<ItemOutcome> listener) {
@@ -48,6 +57,7 @@
     this.lastDrainedEvent = resumeAfter;
     this.listener = listener;
     this.lastReceivedMs = nowMs();
+    this.lastEventMs = lastReceivedMs;
   }
 
   private static long nowMs() {
@@ -119,9 +129,15 @@
     return over;
   }
 
-  /** Returns when data last arrived, or when the attempt began; safe from any thread. */
-  long lastReceivedMs() {
-    return lastReceivedMs;
+  /** Returns why the attempt is to be aborted, if it is; safe from any thread. */
+  Optional<String> stall(long nowMs) {
+    if (nowMs - lastReceivedMs > SILENCE_TIMEOUT_MS) {
+      return Optional.of("silent for " + SILENCE_TIMEOUT_MS + " ms");
+    }
+    if (nowMs - lastEventMs > EVENT_TIMEOUT_MS) {
+      return Optional.of("no event for " + EVENT_TIMEOUT_MS + " ms");
+    }
+    return Optional.empty();
   }
 
   /** The engine's load when the response began; null if not reported; safe from any thread. */
@@ -139,6 +155,7 @@
     lastReceivedMs = nowMs();
     response = head;
     headReceivedMs = lastReceivedMs;
+    lastEventMs = lastReceivedMs;
     load = head.load();
   }
 
@@ -153,7 +170,11 @@
     if (over || !isSuccess()) {
       return;
     }
+    long eventsBefore = scanner.events();
     undrainedData.writeBytes(scanner.feed(chunk));
+    if (scanner.events() > eventsBefore) {
+      lastEventMs = lastReceivedMs;
+    }
     if (scanner.problem() != null) {
       abort(scanner.problem());
     }
