An engine's error without an end fails the attempt at 64 KB

What happened: a node or dispatcher kept an attempt whose error had no end until the attempt's whole time was over, and read all of it. Cause: HttpEngineClient collected 64 KB of an error and went on reading the rest. Change: the attempt is broken once the error is longer than that.

--- a/serving/src/main/java/io/pathdeck/serving/engine/HttpEngineClient.java
+++ b/serving/src/main/java/io/pathdeck/serving/engine/HttpEngineClient.java
@@ -135,8 +135,7 @@
         return State.ABORT;
       }
       if (status != OK) {
-        collectError(part.getBodyPartBytes());
-        return State.CONTINUE;
+        return collectError(part.getBodyPartBytes());
       }
       reader.read(part.getBodyPartBytes());
       if (reader.load() != null) {
@@ -153,10 +152,13 @@
       return State.CONTINUE;
     }
 
-    private void collectError(byte[] bytes) {
-      if (errorBody.size() + bytes.length <= MAX_ERROR_BODY_LENGTH) {
-        errorBody.writeBytes(bytes);
+    private State collectError(byte[] bytes) {
+      if (errorBody.size() + bytes.length > MAX_ERROR_BODY_LENGTH) {
+        fail(new AttemptFailure.Broken("the body of the error " + status + " is too long"));
+        return State.ABORT;
       }
+      errorBody.writeBytes(bytes);
+      return State.CONTINUE;
     }
 
     @Override
--- a/serving/src/test/java/io/pathdeck/serving/engine/TestHttpEngineClient.java
+++ b/serving/src/test/java/io/pathdeck/serving/engine/TestHttpEngineClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -24,6 +25,11 @@
   private static final String ATTEMPT = "run-1.a.2";
   private static final String EARLIER_ATTEMPT = "run-1.a.1";
 
+  private static final int PIECE_BYTES = 8_192;
+
+  /** Includes what the sockets of both sides buffer. */
+  private static final long MAX_SENT_BYTES = 16 << 20;
+
   private final EventLoopGroup eventLoops = EventLoops.create(1);
   private HttpServer engine;
   private HttpEngineClient client;
@@ -53,6 +59,10 @@
           exchange.sendResponseHeaders(status, -1);
           exchange.close();
         });
+    return failure();
+  }
+
+  private AttemptFailure failure() throws Exception {
     String address = "127.0.0.1:" + engine.getAddress().getPort();
     EngineSpec spec = new EngineSpec("engine-0", address, "zone-a", "svc", 4, false);
     EngineRequest request =
@@ -86,6 +96,29 @@
     assertThat(failure(status, ATTEMPT)).isInstanceOf(AttemptFailure.Invalid.class);
   }
 
+  /** Guards against an error without end, which kept an attempt until its whole time was over. */
+  @Test
+  void errorWithoutEndIsGivenUp() throws Exception {
+    CompletableFuture<Long> sentBytes = new CompletableFuture<>();
+    engine.createContext(
+        "/",
+        exchange -> {
+          exchange.getResponseHeaders().set(EngineHeaders.REQUEST_ID, ATTEMPT);
+          exchange.sendResponseHeaders(400, 0);
+          long sent = 0;
+          try {
+            while (true) {
+              exchange.getResponseBody().write(new byte[PIECE_BYTES]);
+              sent += PIECE_BYTES;
+            }
+          } catch (IOException e) {
+            sentBytes.complete(sent);
+          }
+        });
+    assertThat(failure()).isInstanceOf(AttemptFailure.Broken.class);
+    assertThat(sentBytes.get(5, TimeUnit.SECONDS)).isLessThan(MAX_SENT_BYTES);
+  }
+
   private record FailureListener(CompletableFuture<AttemptFailure> failure)
       implements AttemptListener {
     @Override
