--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
@@ -5,6 +5,7 @@
 import io.pathdeck.control.ControllerClock;
 import io.pathdeck.control.GroupRuntime;
 import io.pathdeck.fleet.quarantine.CrashCauseDetector;
+import io.pathdeck.fleet.quarantine.QuarantineTrials;
 import io.pathdeck.protocol.command.CountQuarantineTrial;
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.QuarantineRequests;
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineTrials.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantineTrials.java
@@ -1,4 +1,4 @@
-package io.pathdeck.fleet.coordinator;
+package io.pathdeck.fleet.quarantine;
 
 import io.pathdeck.protocol.fleet.RequestFingerprint;
 import java.util.ArrayList;
@@ -13,7 +13,7 @@
  * replicated state what was tried before. A part has no last trial, since accepted batch items wait
  * for it, and trials may have met crashes of other reasons. It counts once for all services.
  */
-final class QuarantineTrials {
+public final class QuarantineTrials {
   /** A doubtful request may cost two more engines before it is quarantined again. */
   static final int MAX_TRIALS_OF_REQUEST = 1;
 
@@ -52,7 +52,7 @@
    *
    * @param granted the trials that leaders have granted so far
    */
-  void onQuarantined(RequestFingerprint suspect, int granted, long nowMs) {
+  public void onQuarantined(RequestFingerprint suspect, int granted, long nowMs) {
     if (find(suspect) == null) {
       long delayMs = granted < TRIALS_BEFORE_MAX_DELAY ? FIRST_DELAY_MS : MAX_DELAY_MS;
       trialsBySuspect.add(new Trials(suspect, granted, nowMs + delayMs));
@@ -60,7 +60,7 @@
   }
 
   /** Returns whether a trial may be sent now, and counts it. */
-  boolean grant(RequestFingerprint suspect, long nowMs) {
+  public boolean grant(RequestFingerprint suspect, long nowMs) {
     Trials trials = find(suspect);
     if (trials == null || !trials.areLeft() || nowMs < trials.nextMs) {
       return false;
@@ -72,11 +72,12 @@
   }
 
   /** Forgets what had its last trial due before a time. */
-  void expire(long timeMs) {
+  public void expire(long timeMs) {
     trialsBySuspect.removeIf(trials -> trials.nextMs < timeMs);
   }
 
-  void clear() {
+  /** Forgets everything, when this process no longer leads. */
+  public void clear() {
     trialsBySuspect.clear();
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestTrialsThatMetCrashes.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestTrialsThatMetCrashes.java
@@ -1,4 +1,4 @@
-package io.pathdeck.fleet.coordinator;
+package io.pathdeck.fleet.quarantine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/fleet/src/test/java/io/pathdeck/fleet/store/FakeItemFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/FakeItemFleet.java
@@ -7,11 +7,13 @@
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.member.FleetView;
+import io.pathdeck.fleet.quarantine.QuarantineTrials;
 import io.pathdeck.fleet.topology.Topology;
 import io.pathdeck.protocol.command.Command;
 import io.pathdeck.protocol.command.CommandEnvelope;
 import io.pathdeck.protocol.command.DiscardBatchProgress;
 import io.pathdeck.protocol.command.RecordBatchProgress;
+import io.pathdeck.protocol.command.RecordItemCrashes;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.CallerLimits;
@@ -19,7 +21,9 @@
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EvacuatedZones;
 import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.fleet.QuarantineList;
+import io.pathdeck.protocol.fleet.RequestFingerprint;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
 import io.pathdeck.protocol.fleet.RouteTable;
@@ -43,6 +47,9 @@
   static final String TENANT_OF_FAR = "far-only";
 
   private static final String SERVICE = "s";
+  private static final RequestFingerprint PART = RequestFingerprint.ofPromptPart(SERVICE, 1);
+  private static final long SILENCE_TIMEOUT_MS = 1_500;
+  private static final long SUSTAINED_MS = 500;
   private static final Topology TOPOLOGY =
       Topology.of(Map.of("a", "near", "b", "near", "c", "far"));
   private static final long STEP_MS = 20;
@@ -54,13 +61,16 @@
   enum Behavior {
     SOUND,
     REFUSING,
-    BREAKING
+    BREAKING,
+    /** Takes items and writes nothing. */
+    SILENT
   }
 
   static final class Engine {
     final EngineInstance instance;
     Behavior behavior = Behavior.SOUND;
     long retryAfterMs = 100;
+    long awayUntilMs;
     int online;
 
     Engine(EngineInstance instance) {
@@ -73,13 +83,16 @@
     final int events;
     ItemRun run;
     Engine engine;
+    final boolean hasPart;
     boolean discarding;
+    boolean sent;
     long startedMs;
     long lyingMs;
 
-    Item(String tenant, int events) {
+    Item(String tenant, int events, boolean hasPart) {
       this.tenant = tenant;
       this.events = events;
+      this.hasPart = hasPart;
     }
 
     private boolean mayRunOn(Engine candidate) {
@@ -94,6 +107,10 @@
   private final Map<String, Engine> engines = new TreeMap<>();
   private final List<Item> items = new ArrayList<>();
   private final Set<String> evacuatedZones = new TreeSet<>();
+  private QuarantineTrials trials = new QuarantineTrials();
+  private boolean partIsHeldBack;
+  private boolean isTrialPermitted;
+  private int grantedTrials;
   private EngineTable table;
   private ItemSlack slack;
   private ItemScheduler scheduler;
@@ -166,10 +183,19 @@
   }
 
   void addItem(String tenant, int events, int outputTokens) {
+    addItem(tenant, events, outputTokens, false);
+  }
+
+  /** Adds an item whose prompt has the part that {@link #holdBackPart} puts into quarantine. */
+  void addItemWithPart(int events, int outputTokens) {
+    addItem(OPEN_TENANT, events, outputTokens, true);
+  }
+
+  private void addItem(String tenant, int events, int outputTokens, boolean hasPart) {
     String id = "i" + submitted++;
     BatchItem item = new BatchItem(id, "/p", Map.of(), new byte[0], 100, outputTokens);
     apply(new SubmitBatch(id, tenant, "r", "h", List.of(item), 3, 20_000, 60_000, 0));
-    Item added = new Item(tenant, events);
+    Item added = new Item(tenant, events, hasPart);
     added.run = newRun(id);
     items.add(added);
   }
@@ -197,8 +223,74 @@
     table.eligibility().setEvacuatedZones(new EvacuatedZones(1, List.copyOf(evacuatedZones)));
   }
 
+  /**
+   * Ends an engine, which is back under another life after a time. The items that it ran are broken
+   * off; their leader learns of the crash at once.
+   */
+  void crash(String id, long awayMs) {
+    Engine dead = engines.get(id);
+    EngineInstance old = dead.instance;
+    EngineInstance next =
+        new EngineInstance(id, SERVICE, "h:1", old.zone(), SLOTS, false, nowMs)
+            .withSoftwareVersion(old.softwareVersion());
+    Engine successor = new Engine(next);
+    successor.awayUntilMs = nowMs + awayMs;
+    engines.put(id, successor);
+    table.onDown(old, nowMs);
+    items.stream()
+        .filter(item -> item.engine == dead)
+        .forEach(item -> end(item, ItemOutcome.Kind.BROKEN));
+    List<ItemCrashes> crashes =
+        items.stream()
+            .map(item -> item.run)
+            .filter(run -> RetryPolicy.onEngineCrashed(run, old, nowMs))
+            .map(ItemRun::crashes)
+            .toList();
+    apply(new RecordItemCrashes(crashes));
+    forgetLying();
+  }
+
+  private void forgetLying() {
+    items.forEach(item -> item.lyingMs = 0);
+  }
+
+  /** The coordinators put a part of prompts into quarantine although it is sound. */
+  void holdBackPart() {
+    if (!partIsHeldBack) {
+      partIsHeldBack = true;
+      grantedTrials = 0;
+      changeCoordinator();
+      forgetLying();
+    }
+  }
+
+  /** Another coordinator leads, which knows the quarantine and how often the part was tried. */
+  void changeCoordinator() {
+    trials = new QuarantineTrials();
+    trials.onQuarantined(PART, grantedTrials, nowMs);
+  }
+
+  private boolean isHeldBack(Item item) {
+    if (!partIsHeldBack || !item.hasPart) {
+      return false;
+    }
+    if (isTrialPermitted) {
+      isTrialPermitted = false;
+      return false;
+    }
+    isTrialPermitted = trials.grant(PART, nowMs);
+    grantedTrials += isTrialPermitted ? 1 : 0;
+    return true;
+  }
+
+  /** Returns how many items have no result yet. */
+  int openItems() {
+    return items.size();
+  }
+
   /** A leader that knows only what is recorded takes over. */
   void changeLeader() {
+    isTrialPermitted = false;
     table = new EngineTable(500, new EngineEligibility(TOPOLOGY, ColdStartLimit.NONE));
     EngineLoadBalancer balancer = new EngineLoadBalancer("a", 1);
     slack = new ItemSlack(() -> nowMs);
@@ -266,7 +358,21 @@
       end(item, ItemOutcome.Kind.BROKEN);
       return;
     }
+    if (nowMs < item.engine.awayUntilMs) {
+      end(item, ItemOutcome.Kind.REFUSED);
+      return;
+    }
+    if (!item.sent && isHeldBack(item)) {
+      end(item, ItemOutcome.Kind.QUARANTINED);
+      return;
+    }
+    item.sent = true;
     switch (item.engine.behavior) {
+      case SILENT -> {
+        if (nowMs - item.startedMs > SILENCE_TIMEOUT_MS) {
+          end(item, ItemOutcome.Kind.BROKEN);
+        }
+      }
       case REFUSING -> end(item, ItemOutcome.Kind.REFUSED);
       case BREAKING -> end(item, ItemOutcome.Kind.BROKEN);
       default -> write(item);
@@ -280,6 +386,9 @@
       item.run.appendEvents(new ItemEvents(origin, last, last + 1, "t"));
       slack.onEvents(item.run, nowMs);
     }
+    if (item.hasPart && nowMs - item.startedMs >= SUSTAINED_MS) {
+      partIsHeldBack = false;
+    }
     if (item.run.lastEvent() >= item.events) {
       item.run.engine().onEnd();
       items.remove(item);
@@ -326,6 +435,7 @@
     Item item = find(run);
     item.engine = engines.get(state.instance().id());
     item.startedMs = nowMs;
+    item.sent = false;
     ItemStream stream =
         new ItemStream(StreamOrigin.of(state.instance()), run.lastEvent(), outcome -> {});
     run.onStart(stream, state, relativePace, nowMs);
