A store applies the latest view of the fleet even if its queue was full when it came

What owners would see: a store that leads a group goes on with an old list of engines, routes and quarantine until the next change of the fleet; in calm times its items stay open, with idle engines that it does not know. Cause: JobsReplica handed each view over as a task of the consensus thread, whose bounded queue drops tasks, and did not look at the answer. Change: the latest view waits in a reference that each step of the consensus thread takes; the task only wakes it.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -38,6 +38,7 @@
 import io.pathdeck.state.BatchStateMachine;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
@@ -62,6 +63,9 @@
   private final ResourceStack resources = new ResourceStack();
   private volatile JobsGroupReport report;
 
+  /** The latest view; null once the consensus thread has applied it. */
+  private final AtomicReference<FleetView> pendingView = new AtomicReference<>();
+
   private JobsReplica(
       int number,
       ReplicaHost host,
@@ -137,6 +141,7 @@
     resources.push(host);
     host.start(
         nowMs -> {
+          applyPendingView();
           publishReport();
           reads.onStep(nowMs);
           runner.onStep(nowMs);
@@ -179,11 +184,22 @@
     }
   }
 
-  /** Applies a changed view of the fleet; safe from any thread. */
+  /**
+   * Applies a changed view of the fleet; safe from any thread. The consensus thread takes the view
+   * in its next step, because a full queue drops tasks, and the next change may be long in coming.
+   */
   void onChange(FleetView view) {
     Set<Member> members = view.knownMembersOf(number);
     members.forEach(member -> pool.learn(member.id(), member.address()));
-    host.execute(() -> applyView(view, members));
+    pendingView.set(view);
+    host.execute(this::applyPendingView);
+  }
+
+  private void applyPendingView() {
+    FleetView view = pendingView.getAndSet(null);
+    if (view != null) {
+      applyView(view, view.knownMembersOf(number));
+    }
   }
 
   /** Applies the parts of prompts that the leading coordinator asks about; on the event loop. */
