The scanner tells whether it has advanced, in place of a count that both readers compared

RequestForwarder and ItemStream each kept the count of events before a piece and compared it after; SseEventScanner.hasAdvanced says it.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
@@ -21,7 +21,7 @@
   private int bufferedBytes;
   private long lastId;
   private boolean hasLastId;
-  private long events;
+  private boolean advanced;
   private int bytesSinceEvent;
   private String problem;
 
@@ -38,6 +38,7 @@
   /** Adds bytes and returns the events that they complete, up to the first invalid one. */
   public byte[] feed(byte[] bytes) {
     append(bytes);
+    advanced = false;
     int start = 0;
     int lineStart = 0;
     for (int i = 0; i < bufferedBytes && problem == null; i++) {
@@ -83,7 +84,7 @@
         lineStart = i + 1;
       }
     }
-    events += isEvent ? 1 : 0;
+    advanced |= isEvent;
     bytesSinceEvent = isEvent ? 0 : bytesSinceEvent + to - from;
   }
 
@@ -112,9 +113,9 @@
     return new String(buffer, from, to - from, StandardCharsets.UTF_8).trim();
   }
 
-  /** Number of complete events so far that have an id or data; comments are none. */
-  public long events() {
-    return events;
+  /** Whether the bytes added last completed an event with an id or data; comments are none. */
+  public boolean hasAdvanced() {
+    return advanced;
   }
 
   /** Id of the last complete event; before the first one, the id to resume after, or -1 if none. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -360,9 +360,8 @@
         collect(part);
         return;
       }
-      long eventsBefore = scanner.events();
       byte[] events = scanner.feed(part);
-      if (scanner.events() > eventsBefore) {
+      if (scanner.hasAdvanced()) {
         lastEventMs = lastProgressMs;
       }
       if (events.length > 0) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -170,9 +170,8 @@
     if (over || !isSuccess()) {
       return;
     }
-    long eventsBefore = scanner.events();
     undrainedData.writeBytes(scanner.feed(chunk));
-    if (scanner.events() > eventsBefore) {
+    if (scanner.hasAdvanced()) {
       lastEventMs = lastReceivedMs;
     }
     if (scanner.problem() != null) {
