Keep the lines of events without data in results of batch items

Cause: recorded progress was a text with line feeds between the data of its events. In that form no event and one event with empty data are the same, so every place that joined two parts dropped the line: SseEventScanner.dataOf (empty data at the beginning of what was drained), ItemProgress.join (record), ItemRun (unrecorded events) and BatchJob (outcome).

Change: the unit is EventData, each value with a line feed behind it. An empty value is "\n", no event is "", and joining is concatenation, so the conditions are gone from all four places. A field "data" without a colon is a data field with an empty value, too. BatchProgress, BatchOutcome and what holds them have new stored forms; the earlier ones moved to protocol.legacy and convert with the same results as before, byte for byte, so replicas and restarts agree on what is listed.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.engine;
 
+import io.pathdeck.protocol.fleet.EventData;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -15,7 +16,7 @@
   private static final int MAX_EVENT_LENGTH = 1 << 20;
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
-  private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.UTF_8);
+  private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.UTF_8);
 
   private byte[] buffer = new byte[512];
   private int bufferedBytes;
@@ -80,7 +81,7 @@
         if (isId) {
           checkId(textOf(lineStart + ID_FIELD.length, i));
         }
-        isEvent |= isId || startsWith(DATA_FIELD, lineStart, i);
+        isEvent |= isId || dataStart(buffer, lineStart, lineEnd(buffer, lineStart, i)) >= 0;
         lineStart = i + 1;
       }
     }
@@ -133,7 +134,10 @@
     return bufferedBytes > 0;
   }
 
-  /** Joins the values of all data fields in {@code events} with line feeds. */
+  /**
+   * Returns the {@link EventData} of complete events. An event without a data field, such as a
+   * comment or an id alone, has none.
+   */
   public static String dataOf(byte[] events) {
     ByteArrayOutputStream data = new ByteArrayOutputStream();
     int lineStart = 0;
@@ -141,28 +145,37 @@
       if (events[i] != '\n') {
         continue;
       }
-      int end = i > lineStart && events[i - 1] == '\r' ? i - 1 : i;
-      boolean isData =
-          end - lineStart >= DATA_FIELD.length
-              && Arrays.equals(
-                  events,
-                  lineStart,
-                  lineStart + DATA_FIELD.length,
-                  DATA_FIELD,
-                  0,
-                  DATA_FIELD.length);
-      if (isData) {
-        int from = lineStart + DATA_FIELD.length;
-        if (from < end && events[from] == ' ') {
-          from++;
-        }
-        if (data.size() > 0) {
-          data.write('\n');
-        }
+      int end = lineEnd(events, lineStart, i);
+      int from = dataStart(events, lineStart, end);
+      if (from >= 0) {
         data.write(events, from, end - from);
+        data.write('\n');
       }
       lineStart = i + 1;
     }
     return data.toString(StandardCharsets.UTF_8);
   }
+
+  /** Returns where the line that {@code lineFeed} ends has its last character, exclusive. */
+  private static int lineEnd(byte[] bytes, int from, int lineFeed) {
+    return lineFeed > from && bytes[lineFeed - 1] == '\r' ? lineFeed - 1 : lineFeed;
+  }
+
+  /** Returns where the value of a data field begins; -1 if the line is none. */
+  private static int dataStart(byte[] bytes, int from, int end) {
+    int nameEnd = from + DATA_FIELD.length;
+    boolean hasName =
+        nameEnd <= end && Arrays.equals(bytes, from, nameEnd, DATA_FIELD, 0, DATA_FIELD.length);
+    if (!hasName) {
+      return -1;
+    }
+    if (nameEnd == end) {
+      return end;
+    }
+    if (bytes[nameEnd] != ':') {
+      return -1;
+    }
+    int valueStart = nameEnd + 1;
+    return valueStart < end && bytes[valueStart] == ' ' ? valueStart + 1 : valueStart;
+  }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemEvents.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemEvents.java
@@ -8,9 +8,9 @@
  * @param origin the engines that can write what follows
  * @param afterEvent number of the event before the first one; -1 if there is none
  * @param lastEvent number of the last event; {@code afterEvent} if there are no events
- * @param text data of the events, one line each
+ * @param data the {@link io.pathdeck.protocol.fleet.EventData} of the events
  */
-record ItemEvents(StreamOrigin origin, long afterEvent, long lastEvent, String text) {
+record ItemEvents(StreamOrigin origin, long afterEvent, long lastEvent, String data) {
   boolean isEmpty() {
     return lastEvent == afterEvent;
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemRun.java
@@ -7,10 +7,10 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EventData;
 import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.state.BatchJob;
-import io.pathdeck.state.ItemProgress;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -31,10 +31,11 @@
   private final long minAgeWhenKnownMs;
   private final boolean startedAtFirstEvent;
   private final long inheritedEvents;
-  private String unrecordedText = "";
+  private String unrecordedData = EventData.NONE;
   private long recordedEvent;
   private long lastEvent;
   private StreamOrigin origin;
+  private boolean mayLackData;
   private boolean discarding;
   private int failures;
   private int unclearResponses;
@@ -72,6 +73,7 @@
     this.minAgeWhenKnownMs = (logTimeMs - job.submittedAtMs()) / LogTime.MAX_RATE;
     this.recordedEvent = job.progress(item.id()).lastEvent();
     this.origin = job.progress(item.id()).origin();
+    this.mayLackData = job.progress(item.id()).mayLackData();
     this.lastEvent = recordedEvent;
     this.startedAtFirstEvent = recordedEvent == BatchProgress.NO_EVENT;
     this.inheritedEvents = recordedEvent - BatchProgress.NO_EVENT;
@@ -254,6 +256,11 @@
     return lastEvent == BatchProgress.NO_EVENT ? Optional.empty() : Optional.of(origin);
   }
 
+  /** Whether lines may be missing in the recorded events, so that the item has to begin anew. */
+  boolean mayLackData() {
+    return mayLackData;
+  }
+
   /** Keeps the item from starting until its recorded events are discarded. */
   void awaitDiscard() {
     discarding = true;
@@ -262,9 +269,10 @@
   /** Forgets all events, so that any engine may run the item from its beginning. */
   void beginAnew() {
     discarding = false;
+    mayLackData = false;
     recordedEvent = BatchProgress.NO_EVENT;
     lastEvent = BatchProgress.NO_EVENT;
-    unrecordedText = "";
+    unrecordedData = EventData.NONE;
   }
 
   /**
@@ -280,7 +288,7 @@
       return false;
     }
     origin = events.origin();
-    unrecordedText = ItemProgress.join(unrecordedText, events.text());
+    unrecordedData += events.data();
     lastEvent = events.lastEvent();
     crashBackoff.onEvents();
     return true;
@@ -302,16 +310,17 @@
     }
     String jobId = job.submission().jobId();
     BatchProgress progress =
-        new BatchProgress(jobId, item.id(), origin, recordedEvent, lastEvent, unrecordedText);
+        new BatchProgress(
+            jobId, item.id(), origin, recordedEvent, lastEvent, unrecordedData, mayLackData);
     recordedEvent = lastEvent;
-    unrecordedText = "";
+    unrecordedData = EventData.NONE;
     return Optional.of(progress);
   }
 
   /** Marks the item as completed and returns its outcome. */
   BatchOutcome finishCompleted() {
     finished = true;
-    return new BatchOutcome(item.id(), true, recordedEvent, unrecordedText);
+    return new BatchOutcome(item.id(), true, recordedEvent, unrecordedData);
   }
 
   /** Marks the item as given up and returns its outcome. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemScheduler.java
@@ -89,7 +89,7 @@
       if (!run.mayStart(nowMs) || run.origin().isEmpty()) {
         continue;
       }
-      if (!canGoOn(run, view, nowMs)) {
+      if (run.mayLackData() || !canGoOn(run, view, nowMs)) {
         toBeginAnew.add(run);
       } else if (run.waitMs(nowMs) >= MAX_VERSION_WAIT_MS) {
         waitForVersion.add(run);
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -40,7 +40,7 @@
   private final StreamOrigin origin;
   private final Consumer<ItemOutcome> listener;
   private final SseEventScanner scanner;
-  private final ByteArrayOutputStream undrainedData = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream undrainedEvents = new ByteArrayOutputStream();
   private EngineTransport.Handle handle;
   private EngineResponse response;
   private volatile EngineLoadReport load;
@@ -117,11 +117,11 @@
   }
 
   private ItemEvents takeEvents() {
-    String text = SseEventScanner.dataOf(undrainedData.toByteArray());
-    undrainedData.reset();
+    String data = SseEventScanner.dataOf(undrainedEvents.toByteArray());
+    undrainedEvents.reset();
     long afterEvent = lastDrainedEvent;
     lastDrainedEvent = Math.max(afterEvent, scanner.lastId());
-    return new ItemEvents(origin, afterEvent, lastDrainedEvent, text);
+    return new ItemEvents(origin, afterEvent, lastDrainedEvent, data);
   }
 
   /** Whether the attempt has ended; safe from any thread. */
@@ -170,7 +170,7 @@
     if (over || !isSuccess()) {
       return;
     }
-    undrainedData.writeBytes(scanner.feed(chunk));
+    undrainedEvents.writeBytes(scanner.feed(chunk));
     if (scanner.hasAdvanced()) {
       lastEventMs = lastReceivedMs;
     }
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
@@ -65,9 +65,17 @@
   }
 
   @Test
-  void joinsDataWithLineFeeds() {
+  void endsEachDataFieldWithALineFeed() {
     String stream = "id: 1\ndata: a\n\nid: 2\nweight-versions:2\ndata:b\ndata: c\n\n";
-    assertThat(SseEventScanner.dataOf(bytes(stream))).isEqualTo("a\nb\nc");
+    assertThat(SseEventScanner.dataOf(bytes(stream))).isEqualTo("a\nb\nc\n");
+  }
+
+  @Test
+  void tellsEmptyDataFromNone() {
+    String empty = "id: 1\ndata:\n\nid: 2\ndata: \r\n\r\nid: 3\ndata\n\n";
+    assertThat(SseEventScanner.dataOf(bytes(empty))).isEqualTo("\n\n\n");
+    String none = "id: 4\n\n: data: comment\n\ndatabase: x\n\n";
+    assertThat(SseEventScanner.dataOf(bytes(none))).isEmpty();
   }
 
   /** Guards against a stream of comments without end, which passes for a stream of events. */
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemRun.java
@@ -43,13 +43,13 @@
   void takesEventsOnceInOrder() {
     ItemRun run = run();
     assertThat(run.startedAtFirstEvent()).isTrue();
-    assertThat(run.appendEvents(new ItemEvents(ORIGIN, -1, 3, "a\nb"))).isTrue();
-    assertThat(run.appendEvents(new ItemEvents(ORIGIN, 3, 4, "c"))).isTrue();
+    assertThat(run.appendEvents(new ItemEvents(ORIGIN, -1, 3, "a\nb\n"))).isTrue();
+    assertThat(run.appendEvents(new ItemEvents(ORIGIN, 3, 4, "c\n"))).isTrue();
     assertThat(run.takeUnrecorded())
-        .contains(new BatchProgress("j", "i", ORIGIN, -1, 4, "a\nb\nc"));
+        .contains(new BatchProgress("j", "i", ORIGIN, -1, 4, "a\nb\nc\n", false));
     assertThat(run.takeUnrecorded()).isEmpty();
-    run.appendEvents(new ItemEvents(ORIGIN, 4, 5, "d"));
-    assertThat(run.finishCompleted()).isEqualTo(new BatchOutcome("i", true, 4, "d"));
+    run.appendEvents(new ItemEvents(ORIGIN, 4, 5, "d\n"));
+    assertThat(run.finishCompleted()).isEqualTo(new BatchOutcome("i", true, 4, "d\n"));
     assertThat(run.takeUnrecorded()).isEmpty();
   }
 
@@ -65,7 +65,7 @@
 
   @Test
   void startsAfterRecordedEvents() {
-    record(new BatchProgress("j", "i", ORIGIN, -1, 7, "recorded"));
+    record(new BatchProgress("j", "i", ORIGIN, -1, 7, "recorded\n", false));
     assertThat(run().startedAtFirstEvent()).isFalse();
     ItemRun run = run();
     assertThat(run.lastEvent()).isEqualTo(7);
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemScheduler.java
@@ -8,8 +8,10 @@
 import io.pathdeck.fleet.engine.EngineTable;
 import io.pathdeck.fleet.member.FleetView;
 import io.pathdeck.protocol.command.CommandEnvelope;
+import io.pathdeck.protocol.command.RecordBatchProgressV2;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
+import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.CallerLimits;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.EvacuatedZones;
@@ -20,6 +22,8 @@
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.RouteTarget;
 import io.pathdeck.protocol.fleet.StreamOrigin;
+import io.pathdeck.protocol.legacy.BatchProgressV2;
+import io.pathdeck.state.BatchJob;
 import io.pathdeck.state.BatchStateMachine;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -152,6 +156,23 @@
     assertThat(scheduler.itemsToBeginAnew(runs, view, NOW_MS)).containsExactly(runs.get(0));
   }
 
+  /** Events recorded by earlier releases may lack lines, so the item must not go on after them. */
+  @Test
+  void itemBeginsAnewIfItsEventsMayLackLines() {
+    BatchProgressV2 text = new BatchProgressV2("job-late", "late", ORIGIN, -1, 3, "text");
+    RecordBatchProgressV2 command = new RecordBatchProgressV2(List.of(text));
+    machine.apply(new CommandEnvelope("", 0, ++logIndex, command));
+    listEngines(engineOf("same", "v1", false));
+    BatchJob job = machine.job("job-late").orElseThrow();
+    ItemRun run = new ItemRun(job, job.openItems().get("late"), 0, machine.logTimeMs());
+    assertThat(scheduler.itemsToBeginAnew(List.of(run), view, NOW_MS)).containsExactly(run);
+    run.awaitDiscard();
+    run.beginAnew();
+    run.appendEvents(new ItemEvents(ORIGIN, -1, 0, "\n"));
+    assertThat(run.takeUnrecorded())
+        .contains(new BatchProgress("job-late", "late", ORIGIN, -1, 0, "\n", false));
+  }
+
   @Test
   void itemKeepsItsEventsWhileOnlyItsOwnSoftwareVersionHasRoom() {
     ItemRun run = runs.get(0);
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemSlack.java
@@ -108,7 +108,7 @@
 
   @Test
   void inheritedEventsReduceUrgency() {
-    BatchProgress progress = new BatchProgress("j", "i", ORIGIN, -1, 99, "recorded");
+    BatchProgress progress = new BatchProgress("j", "i", ORIGIN, -1, 99, "recorded\n", false);
     machine.apply(new CommandEnvelope("", 0, 2, new RecordBatchProgress(List.of(progress))));
     logTimeMs += RUN_TARGET_MS - 5_000;
     for (int i = 0; i < 30; i++) {
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -27,12 +27,14 @@
 import io.pathdeck.protocol.command.LeaseItems;
 import io.pathdeck.protocol.command.LeasesRenewed;
 import io.pathdeck.protocol.command.ListBatchResults;
+import io.pathdeck.protocol.command.ListBatchResultsV1;
 import io.pathdeck.protocol.command.PutRouteTable;
 import io.pathdeck.protocol.command.PutRouteTableV1;
 import io.pathdeck.protocol.command.QuarantineRequests;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.RecordBatchProgressV1;
+import io.pathdeck.protocol.command.RecordBatchProgressV2;
 import io.pathdeck.protocol.command.RecordItemCrashes;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
@@ -79,7 +81,10 @@
 import io.pathdeck.protocol.fleet.StreamOriginRecord;
 import io.pathdeck.protocol.fleet.TenantUse;
 import io.pathdeck.protocol.legacy.BatchJobRecordV1;
+import io.pathdeck.protocol.legacy.BatchJobRecordV2;
+import io.pathdeck.protocol.legacy.BatchOutcomeV1;
 import io.pathdeck.protocol.legacy.BatchProgressV1;
+import io.pathdeck.protocol.legacy.BatchProgressV2;
 import io.pathdeck.protocol.legacy.CallerTenantV1;
 import io.pathdeck.protocol.legacy.FleetRecordV1;
 import io.pathdeck.protocol.legacy.RouteSpecV1;
@@ -303,7 +308,7 @@
           FoundJobsGroups.class,
           SetStoreLeaving.class,
           SubmitBatch.class,
-          ListBatchResults.class,
+          ListBatchResultsV1.class,
           EndBatch.class,
           RouteTableHeld.class,
           BatchAccepted.class,
@@ -321,7 +326,7 @@
           FleetRecordV1.class,
           BatchJobRecordV1.class,
           BatchProgressV1.class,
-          BatchOutcome.class,
+          BatchOutcomeV1.class,
           RecordBatchProgressV1.class,
           CallerLimits.class,
           TimeoutNow.class,
@@ -355,10 +360,10 @@
           RecordStreamOrigins.class,
           FindStreamOrigin.class,
           StreamOriginReply.class,
-          BatchProgress.class,
-          RecordBatchProgress.class,
+          BatchProgressV2.class,
+          RecordBatchProgressV2.class,
           DiscardBatchProgress.class,
-          BatchJobRecord.class,
+          BatchJobRecordV2.class,
           ServedFingerprint.class,
           TrialRequest.class,
           TrialReply.class,
@@ -366,7 +371,12 @@
           QuarantineTrialsRecord.class,
           ItemCrashes.class,
           RecordItemCrashes.class,
-          ItemCrashesRecord.class);
+          ItemCrashesRecord.class,
+          BatchProgress.class,
+          RecordBatchProgress.class,
+          BatchOutcome.class,
+          ListBatchResults.class,
+          BatchJobRecord.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/command/BatchCommand.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/BatchCommand.java
@@ -4,8 +4,10 @@
 public sealed interface BatchCommand extends Command
     permits SubmitBatch,
         RecordBatchProgressV1,
+        RecordBatchProgressV2,
         RecordBatchProgress,
         DiscardBatchProgress,
         RecordItemCrashes,
         ListBatchResults,
+        ListBatchResultsV1,
         EndBatch {}
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/BatchProgress.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/BatchProgress.java
@@ -6,7 +6,9 @@
  * @param origin the engines that can write what follows
  * @param afterEvent the event that they follow; -1 when they are the first
  * @param lastEvent the last of them
- * @param text their data, one line for each event
+ * @param data their {@link EventData}
+ * @param mayLackData whether empty values may be missing in {@code data}, as in the forms of
+ *     earlier releases
  */
 public record BatchProgress(
     String jobId,
@@ -14,7 +16,8 @@
     StreamOrigin origin,
     long afterEvent,
     long lastEvent,
-    String text) {
+    String data,
+    boolean mayLackData) {
   /** The number before that of the first event. */
   public static final long NO_EVENT = -1;
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/legacy/BatchProgressV1.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/legacy/BatchProgressV1.java
@@ -8,6 +8,7 @@
     String jobId, String itemId, long afterEvent, long lastEvent, String text) {
   /** Converts to the current form, of unknown origin. */
   public BatchProgress toCurrent() {
-    return new BatchProgress(jobId, itemId, StreamOrigin.UNKNOWN, afterEvent, lastEvent, text);
+    return new BatchProgressV2(jobId, itemId, StreamOrigin.UNKNOWN, afterEvent, lastEvent, text)
+        .toCurrent();
   }
 }
--- a/protocol/src/test/java/io/pathdeck/protocol/transport/TypicalTraffic.java
+++ b/protocol/src/test/java/io/pathdeck/protocol/transport/TypicalTraffic.java
@@ -182,7 +182,8 @@
     return new RecordBatchProgress(
         IntStream.range(0, items)
             .mapToObj(
-                item -> new BatchProgress(id(), id(), ORIGIN, 20, 20 + events, events(events)))
+                item ->
+                    new BatchProgress(id(), id(), ORIGIN, 20, 20 + events, events(events), false))
             .toList());
   }
 
--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -5,6 +5,7 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.EventData;
 import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.snapshot.BatchJobRecord;
 import java.util.ArrayList;
@@ -95,7 +96,7 @@
     if (outcome.afterEvent() != recorded.lastEvent()) {
       return false;
     }
-    String text = ItemProgress.join(recorded.text(), outcome.text());
+    String text = EventData.toText(recorded.data() + outcome.data());
     addResult(new BatchResult(outcome.itemId(), true, text));
     return true;
   }
@@ -133,7 +134,8 @@
         events.origin(),
         BatchProgress.NO_EVENT,
         events.lastEvent(),
-        events.text());
+        events.data(),
+        events.mayLackData());
   }
 
   /** The job as it was submitted. */
--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -9,9 +9,11 @@
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.ListBatchResults;
+import io.pathdeck.protocol.command.ListBatchResultsV1;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.RecordBatchProgressV1;
+import io.pathdeck.protocol.command.RecordBatchProgressV2;
 import io.pathdeck.protocol.command.RecordItemCrashes;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.RejectionCode;
@@ -22,7 +24,10 @@
 import io.pathdeck.protocol.fleet.BatchResult;
 import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.legacy.BatchJobRecordV1;
+import io.pathdeck.protocol.legacy.BatchJobRecordV2;
+import io.pathdeck.protocol.legacy.BatchOutcomeV1;
 import io.pathdeck.protocol.legacy.BatchProgressV1;
+import io.pathdeck.protocol.legacy.BatchProgressV2;
 import io.pathdeck.protocol.query.BatchItemBody;
 import io.pathdeck.protocol.query.BatchMissing;
 import io.pathdeck.protocol.query.BatchResults;
@@ -96,6 +101,9 @@
     if (command instanceof RecordBatchProgressV1 progress) {
       return recordProgress(progress.progress().stream().map(BatchProgressV1::toCurrent).toList());
     }
+    if (command instanceof RecordBatchProgressV2 progress) {
+      return recordProgress(progress.progress().stream().map(BatchProgressV2::toCurrent).toList());
+    }
     if (command instanceof DiscardBatchProgress discard) {
       return discardProgress(discard);
     }
@@ -104,7 +112,12 @@
       return new Done();
     }
     if (command instanceof ListBatchResults listResults) {
-      return addOutcomes(listResults);
+      return addOutcomes(listResults.jobId(), listResults.outcomes());
+    }
+    if (command instanceof ListBatchResultsV1 listResults) {
+      List<BatchOutcome> outcomes =
+          listResults.outcomes().stream().map(BatchOutcomeV1::toCurrent).toList();
+      return addOutcomes(listResults.jobId(), outcomes);
     }
     if (command instanceof EndBatch end) {
       return endJob(end);
@@ -174,13 +187,13 @@
     return new Done();
   }
 
-  private CommandResult addOutcomes(ListBatchResults command) {
-    BatchJob job = jobs.get(command.jobId());
+  private CommandResult addOutcomes(String jobId, List<BatchOutcome> outcomes) {
+    BatchJob job = jobs.get(jobId);
     if (job == null) {
-      return new Rejected(RejectionCode.NOT_FOUND, "no job " + command.jobId());
+      return new Rejected(RejectionCode.NOT_FOUND, "no job " + jobId);
     }
     boolean allListed = true;
-    for (BatchOutcome outcome : command.outcomes()) {
+    for (BatchOutcome outcome : outcomes) {
       allListed &= job.addOutcome(outcome);
     }
     return allListed
@@ -264,6 +277,8 @@
         jobs.put(saved.submission().jobId(), BatchJob.restore(saved));
       } else if (next instanceof BatchJobRecordV1 saved) {
         jobs.put(saved.submission().jobId(), BatchJob.restore(saved.toCurrent()));
+      } else if (next instanceof BatchJobRecordV2 saved) {
+        jobs.put(saved.submission().jobId(), BatchJob.restore(saved.toCurrent()));
       } else if (next instanceof ItemCrashesRecord saved) {
         recordCrashes(saved.items());
       } else {
--- a/state/src/main/java/io/pathdeck/state/ItemProgress.java
+++ b/state/src/main/java/io/pathdeck/state/ItemProgress.java
@@ -1,22 +1,25 @@
 package io.pathdeck.state;
 
 import io.pathdeck.protocol.fleet.BatchProgress;
+import io.pathdeck.protocol.fleet.EventData;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 
 /** The recorded beginning of an open item's response stream, which consists of events. */
 public final class ItemProgress {
   /** No recorded events. */
   public static final ItemProgress NONE =
-      new ItemProgress(StreamOrigin.UNKNOWN, BatchProgress.NO_EVENT, "");
+      new ItemProgress(StreamOrigin.UNKNOWN, BatchProgress.NO_EVENT, EventData.NONE, false);
 
   private final StreamOrigin origin;
   private final long lastEvent;
-  private final String text;
+  private final String data;
+  private final boolean mayLackData;
 
-  private ItemProgress(StreamOrigin origin, long lastEvent, String text) {
+  private ItemProgress(StreamOrigin origin, long lastEvent, String data, boolean mayLackData) {
     this.origin = origin;
     this.lastEvent = lastEvent;
-    this.text = text;
+    this.data = data;
+    this.mayLackData = mayLackData;
   }
 
   /** The engines that can write what follows the recorded events. */
@@ -34,9 +37,14 @@
     return lastEvent == BatchProgress.NO_EVENT;
   }
 
-  /** The data of the recorded events, one line each. */
-  public String text() {
-    return text;
+  /** The {@link EventData} of the recorded events. */
+  public String data() {
+    return data;
+  }
+
+  /** Whether empty values may be missing in the data, so that the item has to begin anew. */
+  public boolean mayLackData() {
+    return mayLackData;
   }
 
   /** Whether the events directly follow the recorded ones and come from the same origin. */
@@ -47,14 +55,10 @@
 
   /** The progress after further events. */
   ItemProgress plus(BatchProgress events) {
-    return new ItemProgress(events.origin(), events.lastEvent(), join(text, events.text()));
-  }
-
-  /** Joins the data of two successive runs of events. */
-  public static String join(String text, String moreText) {
-    if (text.isEmpty() || moreText.isEmpty()) {
-      return text + moreText;
-    }
-    return text + '\n' + moreText;
+    return new ItemProgress(
+        events.origin(),
+        events.lastEvent(),
+        data + events.data(),
+        mayLackData || events.mayLackData());
   }
 }
--- a/state/src/test/java/io/pathdeck/state/TestBatchProgressProperties.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchProgressProperties.java
@@ -11,6 +11,7 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.EventData;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.query.BatchResults;
 import io.pathdeck.protocol.query.ReadBatchResults;
@@ -60,14 +61,14 @@
       if (resultProposed) {
         return;
       }
-      String text = text(lastRecordedEvent, lastReceivedEvent);
+      String data = data(lastRecordedEvent, lastReceivedEvent);
       if (lastReceivedEvent == LAST_EVENT) {
         resultProposed = true;
-        BatchOutcome outcome = new BatchOutcome(ITEM, true, lastRecordedEvent, text);
+        BatchOutcome outcome = new BatchOutcome(ITEM, true, lastRecordedEvent, data);
         proposals.add(new ListBatchResults(JOB, List.of(outcome)));
       } else if (lastReceivedEvent > lastRecordedEvent) {
         BatchProgress progress =
-            new BatchProgress(JOB, ITEM, ORIGIN, lastRecordedEvent, lastReceivedEvent, text);
+            new BatchProgress(JOB, ITEM, ORIGIN, lastRecordedEvent, lastReceivedEvent, data, false);
         proposals.add(new RecordBatchProgress(List.of(progress)));
         lastRecordedEvent = lastReceivedEvent;
       }
@@ -86,10 +87,10 @@
     }
   }
 
-  private static String text(long afterEvent, long lastEvent) {
+  private static String data(long afterEvent, long lastEvent) {
     return LongStream.rangeClosed(afterEvent + 1, lastEvent)
-        .mapToObj(Long::toString)
-        .collect(Collectors.joining("\n"));
+        .mapToObj(event -> event % 2 == 0 ? "\n" : event + "\n")
+        .collect(Collectors.joining());
   }
 
   private void apply(Command command) {
@@ -118,8 +119,8 @@
       perform(leaders.get(action / ACTIONS_PER_LEADER), action % ACTIONS_PER_LEADER);
     }
     ItemProgress progress = machine.job(JOB).orElseThrow().progress(ITEM);
-    assertThat(progress.text()).isEqualTo(text(-1, progress.lastEvent()));
-    String completeText = text(-1, LAST_EVENT);
+    assertThat(progress.data()).isEqualTo(data(-1, progress.lastEvent()));
+    String completeText = EventData.toText(data(-1, LAST_EVENT));
     assertThat(results()).allSatisfy(result -> assertThat(result.text()).isEqualTo(completeText));
     assertThat(results()).hasSizeLessThan(2);
   }
@@ -139,7 +140,8 @@
       leader.propose();
       leader.applyNext();
     }
-    assertThat(results()).containsExactly(new BatchResult(ITEM, true, text(-1, LAST_EVENT)));
+    assertThat(results())
+        .containsExactly(new BatchResult(ITEM, true, EventData.toText(data(-1, LAST_EVENT))));
   }
 
   private static void perform(Leader leader, int action) {
--- a/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
@@ -11,9 +11,11 @@
 import io.pathdeck.protocol.command.Done;
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.ListBatchResults;
+import io.pathdeck.protocol.command.ListBatchResultsV1;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.RecordBatchProgress;
 import io.pathdeck.protocol.command.RecordBatchProgressV1;
+import io.pathdeck.protocol.command.RecordBatchProgressV2;
 import io.pathdeck.protocol.command.RecordItemCrashes;
 import io.pathdeck.protocol.command.Rejected;
 import io.pathdeck.protocol.command.SubmitBatch;
@@ -21,10 +23,14 @@
 import io.pathdeck.protocol.fleet.BatchOutcome;
 import io.pathdeck.protocol.fleet.BatchProgress;
 import io.pathdeck.protocol.fleet.BatchResult;
+import io.pathdeck.protocol.fleet.EventData;
 import io.pathdeck.protocol.fleet.ItemCrashes;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.legacy.BatchJobRecordV1;
+import io.pathdeck.protocol.legacy.BatchJobRecordV2;
+import io.pathdeck.protocol.legacy.BatchOutcomeV1;
 import io.pathdeck.protocol.legacy.BatchProgressV1;
+import io.pathdeck.protocol.legacy.BatchProgressV2;
 import io.pathdeck.protocol.query.BatchItemBody;
 import io.pathdeck.protocol.query.BatchMissing;
 import io.pathdeck.protocol.query.BatchResults;
@@ -64,13 +70,14 @@
 
   private static ListBatchResults addOutcomeAfter(
       long afterEvent, String job, String item, boolean done, String text) {
-    return new ListBatchResults(job, List.of(new BatchOutcome(item, done, afterEvent, text)));
+    String data = EventData.ofText(text);
+    return new ListBatchResults(job, List.of(new BatchOutcome(item, done, afterEvent, data)));
   }
 
   private static RecordBatchProgress recordProgress(
       String job, String item, long afterEvent, long lastEvent, String text) {
     return new RecordBatchProgress(
-        List.of(new BatchProgress(job, item, ORIGIN, afterEvent, lastEvent, text)));
+        List.of(new BatchProgress(job, item, ORIGIN, afterEvent, lastEvent, text + "\n", false)));
   }
 
   private ItemProgress progressOf(String job, String item) {
@@ -175,7 +182,7 @@
     apply(recordProgress("a", "a-0", -1, 6, "again"));
     apply(recordProgress("a", "a-0", 6, 9, "after a gap"));
     assertThat(progressOf("a", "a-0").lastEvent()).isEqualTo(4);
-    assertThat(progressOf("a", "a-0").text()).isEqualTo("one");
+    assertThat(progressOf("a", "a-0").data()).isEqualTo("one\n");
   }
 
   @Test
@@ -210,9 +217,9 @@
     apply(submitJob("a", 1, 0));
     apply(recordProgress("a", "a-0", -1, 3, "part"));
     StreamOrigin other = new StreamOrigin(ORIGIN.service(), "v2");
-    BatchProgress mixed = new BatchProgress("a", "a-0", other, 3, 5, "of another");
+    BatchProgress mixed = new BatchProgress("a", "a-0", other, 3, 5, "of another\n", false);
     apply(new RecordBatchProgress(List.of(mixed)));
-    assertThat(progressOf("a", "a-0").text()).isEqualTo("part");
+    assertThat(progressOf("a", "a-0").data()).isEqualTo("part\n");
     assertThat(progressOf("a", "a-0").origin()).isEqualTo(ORIGIN);
   }
 
@@ -264,6 +271,50 @@
     assertThat(restored.job("b").orElseThrow().openItems()).containsOnlyKeys("b-0");
   }
 
+  /** What earlier releases wrote does not tell whether an event with empty data was among it. */
+  @Test
+  void textsOfEarlierReleasesMayLackEmptyLines() {
+    apply(submitJob("a", 2, 0));
+    recordText("a-0", -1, 3, "part");
+    assertThat(progressOf("a", "a-0").mayLackData()).isTrue();
+    BatchStateMachine restored = new BatchStateMachine();
+    restored.restoreSnapshot(machine.captureSnapshot());
+    ItemProgress progress = restored.job("a").orElseThrow().progress("a-0");
+    assertThat(progress.mayLackData()).isTrue();
+    assertThat(progress.data()).isEqualTo("part\n");
+    apply(new DiscardBatchProgress("a", "a-0"));
+    apply(recordProgress("a", "a-0", -1, 3, ""));
+    assertThat(progressOf("a", "a-0").mayLackData()).isFalse();
+  }
+
+  /** Stores of both releases, and those that restart, list the same results. */
+  @Test
+  void resultsOfEarlierReleasesStayAsListed() {
+    apply(submitJob("a", 1, 0));
+    recordText("a-0", -1, 3, "one");
+    recordText("a-0", 3, 4, "");
+    recordText("a-0", 4, 6, "two\n");
+    BatchOutcomeV1 outcome = new BatchOutcomeV1("a-0", true, 6, "three");
+    apply(new ListBatchResultsV1("a", List.of(outcome)));
+    assertThat(readResults("a", 0).results().get(0).text()).isEqualTo("one\ntwo\n\nthree");
+  }
+
+  @Test
+  void snapshotsOfEarlierReleasesAreRead() {
+    BatchProgressV2 text = new BatchProgressV2("a", "a-0", ORIGIN, -1, 3, "part");
+    BatchJobRecordV2 saved =
+        new BatchJobRecordV2(submitJob("a", 1, 0), 7, false, List.of(), List.of(text));
+    Object decoded = ObjectCodec.decode(ObjectCodec.encode(saved), Object.class).value();
+    machine.restoreSnapshot(List.of(decoded).iterator());
+    assertThat(progressOf("a", "a-0").lastEvent()).isEqualTo(3);
+    assertThat(progressOf("a", "a-0").mayLackData()).isTrue();
+  }
+
+  private void recordText(String item, long afterEvent, long lastEvent, String text) {
+    BatchProgressV2 events = new BatchProgressV2("a", item, ORIGIN, afterEvent, lastEvent, text);
+    apply(new RecordBatchProgressV2(List.of(events)));
+  }
+
   @Test
   void snapshotRestoresEverything() {
     apply(submitJob("a", 3, 500));
@@ -284,7 +335,7 @@
         .isEqualTo(machine.query(new ReadBatchResults("a", "", 0, 1_000, 0)));
     assertThat(restored.job("a").orElseThrow().openItems()).containsOnlyKeys("a-1");
     assertThat(restored.job("a").orElseThrow().progress("a-1").lastEvent()).isEqualTo(3);
-    assertThat(restored.job("a").orElseThrow().progress("a-1").text()).isEqualTo("part");
+    assertThat(restored.job("a").orElseThrow().progress("a-1").data()).isEqualTo("part\n");
     assertThat(restored.job("b").orElseThrow().isEnded()).isTrue();
   }
 }
