Take a view that no leader has confirmed for no proof of a stream's origin

Cause, one way of it: OriginKnowledge took a view that no leader had confirmed for reliable if any other gateway answered, or if none was known to ask. After all were lost, those that answer have just started and know nothing, and the first one back knows no others.

Change: without a record only a confirmed view tells the origin. A return that the view alone cannot decide is refused at once with the short Retry-After, since a leader confirms the view soon. Ways that were looked at and hold: a view from saved state (never confirmed), returns without Resumes (confirmed view only), versions that left (told by the leader, 60 s).

Tests: answersWithoutARecordDoNotConfirmTheView fails with the former condition (Known(v1) for 3 asked, 1 or 3 answered, and for nobody asked). Two assertions of gatewayThatIsCutOffFromAllDoesNotTrustItsView held the fault (one answer, or no other gateway, confirmed the view); they are replaced by the opposite. A return without a name in an unconfirmed view now says that it may be known soon.

A gateway that is cut off from all coordinators, or returns within an election, are refused for that time even in a fleet of one version.

--- a/fleet/src/main/java/io/pathdeck/fleet/origin/OriginKnowledge.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/OriginKnowledge.java
@@ -27,22 +27,24 @@
 
   /** Decides for a stream whose caller does not tell which request began it. */
   Resolution ofUnnamed() {
-    return onlyOriginIf(viewIsConfirmed, false);
+    return onlyOriginElse(false);
   }
 
-  /** Decides by the answers of other gateways; a fleet of one gateway has none to ask. */
+  /**
+   * Decides by the answers of other gateways. An answer without a record does not confirm the view:
+   * the gateway that sent it may have just started, too.
+   */
   Resolution after(Lookup lookup) {
     if (lookup.found().isPresent()) {
       return new Resolution.Known(lookup.found().get());
     }
-    boolean isViewReliable = viewIsConfirmed || lookup.answered() > 0 || lookup.asked() == 0;
-    return onlyOriginIf(isViewReliable, lookup.answered() < lookup.asked());
+    return onlyOriginElse(lookup.answered() < lookup.asked());
   }
 
-  private Resolution onlyOriginIf(boolean isViewReliable, boolean mayBeFound) {
-    return onlyOrigin
-        .filter(origin -> isViewReliable)
-        .<Resolution>map(Resolution.Known::new)
-        .orElseGet(() -> new Resolution.Unknown(mayBeFound));
+  private Resolution onlyOriginElse(boolean mayBeFound) {
+    if (onlyOrigin.isEmpty()) {
+      return new Resolution.Unknown(mayBeFound);
+    }
+    return viewIsConfirmed ? new Resolution.Known(onlyOrigin.get()) : new Resolution.Unknown(true);
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -40,7 +40,8 @@
     /**
      * The stream must not go on, since nobody knows its origin.
      *
-     * @param mayBeFound whether a gateway that did not answer may know it
+     * @param mayBeFound whether it may be known soon: by a gateway that did not answer, or by a
+     *     leader that confirms the only possible origin
      */
     record Unknown(boolean mayBeFound) implements Resolution {}
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestOriginKnowledge.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestOriginKnowledge.java
@@ -52,9 +52,16 @@
   void gatewayThatIsCutOffFromAllDoesNotTrustItsView() {
     OriginKnowledge cutOff = new OriginKnowledge(Optional.of(V1), false, true);
     assertThat(cutOff.after(notFound(3, 0))).isEqualTo(new Resolution.Unknown(true));
-    assertThat(cutOff.ofUnnamed()).isEqualTo(new Resolution.Unknown(false));
-    assertThat(cutOff.after(notFound(3, 1))).isEqualTo(known(V1));
-    assertThat(cutOff.after(notFound(0, 0))).as("the only gateway").isEqualTo(known(V1));
+    assertThat(cutOff.ofUnnamed()).isEqualTo(new Resolution.Unknown(true));
+  }
+
+  /** After all gateways were lost, those that answer, or the only one, know nothing of before. */
+  @Test
+  void answersWithoutARecordDoNotConfirmTheView() {
+    OriginKnowledge started = new OriginKnowledge(Optional.of(V1), false, false);
+    assertThat(started.after(notFound(3, 1))).isEqualTo(new Resolution.Unknown(true));
+    assertThat(started.after(notFound(3, 3))).isEqualTo(new Resolution.Unknown(true));
+    assertThat(started.after(notFound(0, 0))).isEqualTo(new Resolution.Unknown(true));
   }
 
   @Test
