Let the leader tell which software versions have not settled

And a stream could begin at a version that other gateways, with a view confirmed 0.5 s ago, did not know: they take a return for one of the only version they know.

Cause: each gateway counted the 0.8 s in which a version settles from its own first sight. One that starts knows nothing before, so it guessed: the version of most engines was old, all others had just joined. Both may be wrong, during a replacement most of all.

Change: the leading coordinator counts, goes on with the time that it saw as a follower, and tells the joining versions with its answers (joiningOrigins in FleetUpdate and the saved view). A gateway settles a version by the leader's word alone. A version that joins or leaves is saved without delay, so that coordinators that lose power still know it.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -120,15 +120,21 @@
     this.leadershipListener = leadershipListener;
     savedUpdate.ifPresent(
         saved ->
-            softwareVersions.onEngines(
-                saved.engines().changed(), saved.retiredOrigins(), clock.monotonicMs()));
+            softwareVersions.onView(
+                saved.engines().changed(),
+                saved.retiredOrigins(),
+                saved.joiningOrigins(),
+                clock.monotonicMs()));
   }
 
   /** Applies the view that another leader sent, so that this one knows it when it leads. */
   void onView(FleetView view) {
     if (!leading && view.engines() != null) {
-      softwareVersions.onEngines(
-          view.engines().values(), view.retiredOrigins(), clock.monotonicMs());
+      softwareVersions.onView(
+          view.engines().values(),
+          view.retiredOrigins(),
+          view.joiningOrigins(),
+          clock.monotonicMs());
     }
   }
 
@@ -227,6 +233,7 @@
             evacuatedZonesFor(heartbeat),
             state.jobsGroupRegions(),
             softwareVersions.retiredOrigins(nowMs),
+            softwareVersions.joiningOrigins(nowMs),
             quarantineManager.suspectedParts()));
   }
 
@@ -359,7 +366,7 @@
     if (!leading) {
       return;
     }
-    softwareVersions.onEngines(listedEngines, List.of(), clock.monotonicMs());
+    softwareVersions.onList(listedEngines, clock.monotonicMs());
     Set<String> listedIds =
         listedEngines.stream().map(EngineInstance::id).collect(Collectors.toSet());
     int changes = 0;
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -74,22 +74,28 @@
   /**
    * Saves a view that a leader sent; does not block. A change to the quarantined requests or the
    * evacuated zones is written without delay: a gateway that starts with an older list would send
-   * requests to engines that must not get them.
+   * requests to engines that must not get them. So is a software version that joins or leaves:
+   * callers may return to streams that began there before the view is written the next time.
    */
   void saveAsync(FleetView view) {
     if (!view.isComplete()) {
       return;
     }
     FleetView previous = latestView.getAndSet(view);
-    boolean isUrgent =
-        previous != null
-            && !(previous.quarantine().equals(view.quarantine())
-                && previous.evacuatedZones().equals(view.evacuatedZones()));
-    if (isUrgent) {
+    if (previous != null && isUrgent(previous, view)) {
       LockSupport.unpark(writer);
     }
   }
 
+  private static boolean isUrgent(FleetView previous, FleetView view) {
+    boolean isUnchanged =
+        previous.quarantine().equals(view.quarantine())
+            && previous.evacuatedZones().equals(view.evacuatedZones())
+            && previous.retiredOrigins().equals(view.retiredOrigins())
+            && previous.joiningOrigins().equals(view.joiningOrigins());
+    return !isUnchanged;
+  }
+
   private void writeChanges() {
     FleetView writtenView = null;
     while (!closed) {
@@ -130,6 +136,7 @@
             view.evacuatedZones(),
             view.jobsGroupRegions(),
             view.retiredOrigins(),
+            view.joiningOrigins(),
             new ArrayList<>());
     return Base64.getEncoder().encodeToString(ObjectCodec.encode(update));
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownResponder.java
@@ -85,6 +85,7 @@
         evacuatedZones,
         update.jobsGroupRegions(),
         update.retiredOrigins(),
+        update.joiningOrigins(),
         update.suspectedParts());
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/EngineEligibility.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/EngineEligibility.java
@@ -61,7 +61,7 @@
     if (!constraints.allowedRegions().allows(topology.regionOf(engine.zone()))) {
       return Eligibility.REGION_NOT_ALLOWED;
     }
-    if (constraints.beginsStream() && !softwareVersions.isSettled(engine, nowMs)) {
+    if (constraints.beginsStream() && !softwareVersions.isSettled(engine)) {
       return Eligibility.SOFTWARE_VERSION_NOT_SETTLED;
     }
     return coldStartLimit.allows(engine, nowMs)
--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
@@ -16,9 +16,10 @@
  * The software versions of each service's engines that this process has seen in the list of
  * engines. Performs no I/O; confined to one thread.
  *
- * <p>A version that joins a service settles only after {@value #SETTLING_MS} ms. Engines begin no
- * streams before, so that a gateway whose view a leader has confirmed within {@link
- * #MAX_VIEW_AGE_MS} knows each version at which a stream may have begun.
+ * <p>A version that joins a service settles {@value #SETTLING_MS} ms after the leading coordinator
+ * has listed it, and only the leader tells so. Engines begin no streams before, so that a gateway
+ * whose view a leader has confirmed within {@link #MAX_VIEW_AGE_MS} knows each version at which a
+ * stream may have begun. A gateway that has just started learns it from the leader, too.
  */
 public final class SoftwareVersions {
   /** Maximum age of a view that shows all versions at which streams may have begun. */
@@ -30,11 +31,11 @@
   /** How long a version that has left the list is remembered. */
   static final long RETENTION_MS = 60_000;
 
-  private static final long SETTLED_AT_START = Long.MIN_VALUE / 2;
+  private static final long SETTLED = Long.MIN_VALUE / 2;
 
-  /** When a version joined its service and when it was last listed. */
+  /** When a version joined its service, as far as this process knows, and was last listed. */
   private static final class Presence {
-    final long joinedMs;
+    long joinedMs;
     long lastListedMs;
 
     Presence(long joinedMs) {
@@ -44,26 +45,56 @@
 
   private final Map<String, Map<String, Presence>> services = new HashMap<>();
   private Map<String, Map<String, Integer>> listed = Map.of();
+  private Set<StreamOrigin> joining = Set.of();
   private boolean anyListSeen;
   private long firstListMs;
 
+  /** Applies the list of engines that this process, a leading coordinator, has read. */
+  public void onList(Collection<EngineInstance> engines, long nowMs) {
+    replaceList(engines, nowMs);
+    listed.forEach((service, versions) -> addVersions(service, versions, nowMs));
+    touchListed(nowMs);
+    removeForgotten(nowMs);
+  }
+
   /**
-   * Applies the list of engines.
+   * Applies a view that a leading coordinator has sent.
    *
-   * @param retired versions that others have seen in the list recently
+   * @param retired versions that have left the list recently
+   * @param joiningOrigins versions that have not settled
    */
-  public void onEngines(
-      Collection<EngineInstance> engines, Collection<StreamOrigin> retired, long nowMs) {
+  public void onView(
+      Collection<EngineInstance> engines,
+      Collection<StreamOrigin> retired,
+      Collection<StreamOrigin> joiningOrigins,
+      long nowMs) {
+    replaceList(engines, nowMs);
+    joining = Set.copyOf(joiningOrigins);
+    listed.forEach(
+        (service, versions) ->
+            versions.keySet().forEach(version -> addVersion(service, version, nowMs)));
+    touchListed(nowMs);
+    retired.forEach(origin -> addRetired(origin, nowMs));
+    removeForgotten(nowMs);
+  }
+
+  private void replaceList(Collection<EngineInstance> engines, long nowMs) {
     if (!anyListSeen) {
       anyListSeen = true;
       firstListMs = nowMs;
     }
     touchListed(nowMs);
     listed = countByVersion(engines);
-    listed.forEach((service, versions) -> addVersions(service, versions, nowMs));
-    touchListed(nowMs);
-    retired.forEach(origin -> addRetired(origin, nowMs));
-    removeForgotten(nowMs);
+  }
+
+  private void addVersion(String service, String version, long nowMs) {
+    Map<String, Presence> known = services.computeIfAbsent(service, name -> new TreeMap<>());
+    boolean isJoining = joining.contains(new StreamOrigin(service, version));
+    Presence presence =
+        known.computeIfAbsent(version, name -> new Presence(isJoining ? nowMs : SETTLED));
+    if (!isJoining) {
+      presence.joinedMs = SETTLED;
+    }
   }
 
   private static Map<String, Map<String, Integer>> countByVersion(
@@ -91,7 +122,7 @@
     String mostCommon = mostCommon(versions);
     for (String version : versions.keySet()) {
       boolean isSettled = isNewService && version.equals(mostCommon);
-      known.computeIfAbsent(version, name -> new Presence(isSettled ? SETTLED_AT_START : nowMs));
+      known.computeIfAbsent(version, name -> new Presence(isSettled ? SETTLED : nowMs));
     }
   }
 
@@ -101,7 +132,7 @@
         .computeIfAbsent(
             origin.softwareVersion(),
             version -> {
-              Presence presence = new Presence(SETTLED_AT_START);
+              Presence presence = new Presence(SETTLED);
               presence.lastListedMs = nowMs;
               return presence;
             });
@@ -127,10 +158,21 @@
   }
 
   /** Whether new streams may begin at the engine's software version. */
-  boolean isSettled(EngineInstance engine, long nowMs) {
-    Presence presence =
-        services.getOrDefault(engine.service(), Map.of()).get(engine.softwareVersion());
-    return presence == null || nowMs - presence.joinedMs >= SETTLING_MS;
+  boolean isSettled(EngineInstance engine) {
+    return !joining.contains(StreamOrigin.of(engine));
+  }
+
+  /** Returns the listed versions that have not settled, by the time at which they joined. */
+  public List<StreamOrigin> joiningOrigins(long nowMs) {
+    List<StreamOrigin> origins = new ArrayList<>();
+    for (String service : new TreeSet<>(listed.keySet())) {
+      for (String version : listed.get(service).keySet()) {
+        if (nowMs - services.get(service).get(version).joinedMs < SETTLING_MS) {
+          origins.add(new StreamOrigin(service, version));
+        }
+      }
+    }
+    return origins;
   }
 
   /** Returns the versions of a service that are listed or were in the last {@code windowMs}. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -152,7 +152,11 @@
       long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
       eligibility
           .softwareVersions()
-          .onEngines(newView.engines().values(), newView.retiredOrigins(), nowMs);
+          .onView(
+              newView.engines().values(),
+              newView.retiredOrigins(),
+              newView.joiningOrigins(),
+              nowMs);
       context.engines().update(newView.engines());
       context.metrics().streams().onEngines(newView.engines().values());
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -289,7 +289,8 @@
             mergeEvacuatedZones(
                 previous.evacuatedZones(), update.evacuatedZones(), update.isLastKnown()),
             update.jobsGroupRegions(),
-            update.retiredOrigins());
+            update.retiredOrigins(),
+            update.joiningOrigins());
     if (!changed && next.equals(previous)) {
       return;
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetView.java
@@ -33,6 +33,7 @@
  * @param evacuatedZones the zones whose engines must get nothing new
  * @param jobsGroupRegions the regions of the groups' first members; none in a fleet without regions
  * @param retiredOrigins software versions that have left the list of engines recently
+ * @param joiningOrigins software versions at which no stream may begin yet
  */
 public record FleetView(
     RouteTable routes,
@@ -45,7 +46,8 @@
     QuarantineList quarantine,
     EvacuatedZones evacuatedZones,
     List<JobsGroupRegions> jobsGroupRegions,
-    List<StreamOrigin> retiredOrigins) {
+    List<StreamOrigin> retiredOrigins,
+    List<StreamOrigin> joiningOrigins) {
   /** A view without any information. */
   public static final FleetView EMPTY =
       new FleetView(
@@ -81,6 +83,7 @@
         quarantine,
         evacuatedZones,
         List.of(),
+        List.of(),
         List.of());
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestJobsGroupLocator.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestJobsGroupLocator.java
@@ -39,6 +39,7 @@
             QuarantineList.NONE,
             EvacuatedZones.NONE,
             regions,
+            List.of(),
             List.of());
     return new JobsGroupLocator(null, null, () -> view, topology);
   }
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -35,6 +35,8 @@
  * @param jobsGroupRegions the regions of the groups' first members; none in a fleet without regions
  * @param retiredOrigins software versions that have left the list of engines so recently that
  *     callers may still take up streams which began there
+ * @param joiningOrigins software versions that the leader has listed for so short a time that other
+ *     processes may not know them, so that no stream may begin there
  * @param suspectedParts parts of prompts that may soon count as causes of crashes; whoever has seen
  *     one of them served tells the leader
  */
@@ -51,6 +53,7 @@
     EvacuatedZones evacuatedZones,
     List<JobsGroupRegions> jobsGroupRegions,
     List<StreamOrigin> retiredOrigins,
+    List<StreamOrigin> joiningOrigins,
     List<RequestFingerprint> suspectedParts)
     implements Message {
   /** The epoch of lists that no leader counted; every leader sends its own lists after it. */
@@ -66,6 +69,7 @@
     contendedTenants = new ArrayList<>(contendedTenants);
     jobsGroupRegions = new ArrayList<>(jobsGroupRegions);
     retiredOrigins = new ArrayList<>(retiredOrigins);
+    joiningOrigins = new ArrayList<>(joiningOrigins);
     suspectedParts = new ArrayList<>(suspectedParts);
   }
 
@@ -94,6 +98,7 @@
         evacuatedZones,
         List.of(),
         List.of(),
+        List.of(),
         List.of());
   }
 
