Keep an engine that refuses a request for other weights in service

Cause: a 421 was taken for the answer of another instance at that address, whatever the request asked for. Gateways and stores then marked the engine as removed, which nothing takes back while the list shows the same instance.

Change: the answer is read together with its call. A 421 to a call that names a version of the weights says that the engine is not suitable for this call (UNSUITABLE), and nothing of the engine: the request goes to engines that were not tried yet and is refused at once when there are none; an item is repeated with the growing delay of unclear responses, at other engines first. A 421 to any other call, and to a probe, means another instance as before. An engine that is gone and is first met by such a request is found by the next one.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineProtocol.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineProtocol.java
@@ -10,8 +10,11 @@
   /** Encodes the request to an engine. */
   FullHttpRequest write(EngineCall call);
 
-  /** Parses the status and headers of a response. */
-  EngineResponse read(HttpResponse head);
+  /** Returns the id of the request that a response names; empty if it names none. */
+  String requestIdOf(HttpResponse head);
+
+  /** Parses the status and headers of the response to a call. */
+  EngineResponse read(HttpResponse head, EngineCall call);
 
   /** Returns the ids of the parts of a call's prompt that other requests may share, in order. */
   List<String> sharedPromptParts(EngineCall call);
--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineResponse.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineResponse.java
@@ -10,6 +10,8 @@
  * @param stamped whether the response carries the stamp that engines add
  * @param notRun whether the engine guarantees that the request did not run
  * @param wrongInstance whether an engine other than the addressed one answered
+ * @param unsuitable whether the engine cannot run this call, such as one for another version of its
+ *     weights; it says nothing of other calls
  * @param load the load of the engine; null if not given
  * @param idleTimeoutMs how long the engine keeps an idle connection open; 0 if not given
  * @param retryAfterMs how long to wait before a retry; 0 if not given
@@ -22,6 +24,7 @@
     boolean stamped,
     boolean notRun,
     boolean wrongInstance,
+    boolean unsuitable,
     EngineLoadReport load,
     long idleTimeoutMs,
     long retryAfterMs,
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -208,7 +208,7 @@
       }
       return;
     }
-    EngineResponse response = protocol.read(head);
+    EngineResponse response = protocol.read(head, currentCall.call());
     success = status.codeClass() == HttpStatusClass.SUCCESS;
     if (!response.requestId().equals(currentCall.call().requestId())) {
       logDropped(head, "it names another request");
@@ -234,7 +234,7 @@
     String namedRequestId = NO_VALUE;
     String status = NO_VALUE;
     if (message instanceof HttpResponse head) {
-      namedRequestId = protocol.read(head).requestId();
+      namedRequestId = protocol.requestIdOf(head);
       status = String.valueOf(head.status().code());
     }
     EVENTS.log(
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -433,6 +433,8 @@
       if (response.wrongInstance()) {
         engine().onRemoved();
         retryOrFinish(true, "another engine has the address");
+      } else if (response.unsuitable()) {
+        retryOrFinish(true, "the engine is not suitable for the request");
       } else if (response.notRun()) {
         engine().onFull(now, Math.max(response.retryAfterMs(), 50));
         retryOrFinish(true, "the engine refused with " + response.status());
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemOutcome.java
@@ -17,6 +17,8 @@
     REFUSED,
     /** The address now belongs to another engine instance. */
     OTHER_INSTANCE,
+    /** The engine cannot run this item, but others. */
+    UNSUITABLE,
     /** The engine ran the item and failed. */
     FAILED,
     /** The response shows neither a failed attempt nor that the item did not run. */
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -189,6 +189,8 @@
       finish(complete ? ItemOutcome.Kind.DONE : ItemOutcome.Kind.BROKEN, "ended");
     } else if (response.wrongInstance()) {
       finish(ItemOutcome.Kind.OTHER_INSTANCE, "another engine");
+    } else if (response.unsuitable()) {
+      finish(ItemOutcome.Kind.UNSUITABLE, "not suitable for the item");
     } else if (response.notRun()) {
       finish(ItemOutcome.Kind.REFUSED, "refused with " + response.status());
     } else if (response.status() == UNPROCESSABLE_CONTENT) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/RetryPolicy.java
@@ -32,7 +32,7 @@
     }
     switch (outcome.kind()) {
       case FAILED -> run.waitUntil(nowMs + RETRY_DELAY_MS, WaitReason.RETRY_DELAY);
-      case UNCLEAR ->
+      case UNCLEAR, UNSUITABLE ->
           run.waitUntil(
               nowMs + unclearRetryDelayMs(run.countUnclearResponse()), WaitReason.RETRY_DELAY);
       case OTHER_INSTANCE -> engine.onRemoved();
@@ -71,7 +71,8 @@
 
   /**
    * The delay doubles with each unclear response, up to {@link #MAX_RETRY_DELAY_MS}, so that an
-   * item with only unclear responses does not occupy slots continuously.
+   * item with only unclear responses, or without a suitable engine, does not occupy slots
+   * continuously.
    */
   private static long unclearRetryDelayMs(int unclearResponses) {
     int doublings = Math.min(unclearResponses, MAX_DOUBLINGS);
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
@@ -45,13 +45,19 @@
   }
 
   @Override
-  public EngineResponse read(HttpResponse head) {
+  public String requestIdOf(HttpResponse head) {
+    return head.headers().get(ID, unnamedId);
+  }
+
+  @Override
+  public EngineResponse read(HttpResponse head, EngineCall call) {
     return new EngineResponse(
         head.status().code(),
-        head.headers().get(ID, unnamedId),
+        requestIdOf(head),
         true,
         false,
         false,
+        false,
         null,
         0,
         0,
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSuspendedWhileConnecting.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSuspendedWhileConnecting.java
@@ -36,7 +36,12 @@
     }
 
     @Override
-    public EngineResponse read(HttpResponse head) {
+    public String requestIdOf(HttpResponse head) {
+      throw new AssertionError("the engine never responds");
+    }
+
+    @Override
+    public EngineResponse read(HttpResponse head, EngineCall call) {
       throw new AssertionError("the engine never responds");
     }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestRefusalsCutOff.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestRefusalsCutOff.java
@@ -63,6 +63,7 @@
             false,
             notRun,
             false,
+            false,
             null,
             0,
             0,
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemTextProperties.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemTextProperties.java
@@ -35,7 +35,8 @@
   private static final BatchItem ITEM =
       new BatchItem("i", "/p", Map.of(), new byte[0], 1_000, 1_000);
   private static final EngineResponse OK =
-      new EngineResponse(200, "i", true, false, false, null, 0, 0, 0, EmptyHttpHeaders.INSTANCE);
+      new EngineResponse(
+          200, "i", true, false, false, false, null, 0, 0, 0, EmptyHttpHeaders.INSTANCE);
 
   /** The data fields of an event, one line each. */
   private enum Event {
