Write files in parts of bounded size

The JDK copies a heap buffer to direct memory of the same length and keeps that for the thread, while a store has 64 MB of it, shared with its connections.

Change: LocalDisk writes parts of 256 KB.

Evidence: TestLocalDisk.memoryOutsideTheHeapDoesNotGrowWithTheContent failed before for 16 MB (11,184,811 bytes more) and 48 MB (33,554,432), and passes now.

--- a/consensus/src/main/java/io/pathdeck/consensus/storage/LocalDisk.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/LocalDisk.java
@@ -45,10 +45,18 @@
   }
 
   private record LocalFile(FileChannel channel) implements DiskFile {
+    /**
+     * A write of a heap buffer is copied to direct memory of the same size, which the thread keeps.
+     */
+    private static final int MAX_WRITE_BYTES = 256 * 1_024;
+
     @Override
     public void append(ByteBuffer bytes) throws IOException {
       while (bytes.hasRemaining()) {
-        channel.write(bytes);
+        int length = Math.min(bytes.remaining(), MAX_WRITE_BYTES);
+        ByteBuffer part = bytes.slice(bytes.position(), length);
+        int written = channel.write(part);
+        bytes.position(bytes.position() + written);
       }
     }
 
