Let a store that lost its disk before the first group found it

Cause: only stores that had recorded the first start on their disk were candidates, so two of the three that a group needs were left.

Change: FoundingCandidates, taken out of FleetMembership. While the replicated state has no groups, each store without a group is a candidate; one of them at least must have taken part in the first start, so that coordinators set up anew found nothing of stores set up anew.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -31,7 +31,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -49,9 +48,6 @@
   /** How long a new leader collects heartbeats before it sends the list of processes. */
   private static final long COLLECTION_PERIOD_MS = JobsGroupRegistry.COLLECTION_PERIOD_MS;
 
-  /** How long no new founding candidate may have appeared before the jobs groups are founded. */
-  private static final long FOUNDING_SETTLE_MS = 700;
-
   private static final EventLog EVENTS = EventLog.of(FleetMembership.class);
 
   private final GroupRuntime group;
@@ -68,14 +64,13 @@
   private final VersionedList<EngineInstance> engines = new VersionedList<>();
   private final SoftwareVersions softwareVersions = new SoftwareVersions();
   private final Map<String, Long> lastHeartbeatMs = new HashMap<>();
-  private final TreeMap<Integer, FleetProcess> foundingCandidates = new TreeMap<>();
+  private final FoundingCandidates foundingCandidates = new FoundingCandidates();
   private final ReplacementPolicy replacementPolicy;
   private final JobsGroupRegistry jobsGroups;
   private boolean leading;
   private long epoch;
   private long leaderSinceMs;
   private boolean enginesKnown;
-  private long newestCandidateMs;
   private boolean foundingProposed;
 
   /**
@@ -255,16 +250,7 @@
     if (report != null) {
       jobsGroups.onReport(report);
     }
-    if (sender.role() == FleetRole.STORE && heartbeat.mayFound()) {
-      recordFoundingCandidate(sender, nowMs);
-    }
-  }
-
-  private void recordFoundingCandidate(FleetProcess sender, long nowMs) {
-    FleetProcess previous = foundingCandidates.put(sender.memberId(), sender);
-    if (previous == null || previous.incarnation() != sender.incarnation()) {
-      newestCandidateMs = nowMs;
-    }
+    foundingCandidates.onHeartbeat(sender, heartbeat.mayFound(), nowMs);
   }
 
   /** Admits or rejects one request of a tenant near its rate limit. */
@@ -302,10 +288,8 @@
   }
 
   private void foundJobsGroupsIfReady(long nowMs) {
-    boolean candidatesSettled =
-        foundingCandidates.size() >= minGroupSize
-            && nowMs - newestCandidateMs >= FOUNDING_SETTLE_MS;
-    if (foundingProposed || !candidatesSettled || !state.jobsFounders().isEmpty()) {
+    boolean canFound = foundingCandidates.areSettled(minGroupSize, nowMs);
+    if (foundingProposed || !canFound || !state.jobsFounders().isEmpty()) {
       return;
     }
     foundingProposed = true;
@@ -314,7 +298,7 @@
       return;
     }
     JobsFounding founding =
-        JobsFounding.of(foundingCandidates.values(), minGroupSize, toleratedZones, topology);
+        JobsFounding.of(foundingCandidates.stores(), minGroupSize, toleratedZones, topology);
     for (JobsGroupFounders founders : founding.groups()) {
       EVENTS.log(
           EventCode.JOBS_GROUP_FOUNDED,
