Drop the content of batch items that have a result

Cause: a job is kept for 250 s, with the bodies and headers of all its items, although an item is sent and read only until it is listed.

Evidence: contentOfListedItemsIsNotKept failed before (bodies of 1, 1 and 1 bytes kept, expected 0, 0 and 1).

--- a/protocol/src/main/java/io/pathdeck/protocol/command/SubmitBatch.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/command/SubmitBatch.java
@@ -26,4 +26,10 @@
   public SubmitBatch {
     items = new ArrayList<>(items);
   }
+
+  /** Returns this submission with other items. */
+  public SubmitBatch withItems(List<BatchItem> newItems) {
+    return new SubmitBatch(
+        jobId, tenant, route, host, newItems, maxAttempts, runTargetMs, retainMs, maxQueuedTokens);
+  }
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/fleet/BatchItem.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/fleet/BatchItem.java
@@ -20,4 +20,9 @@
   public BatchItem {
     headers = new HashMap<>(headers);
   }
+
+  /** Returns this item without what an engine is sent. */
+  public BatchItem withoutContent() {
+    return new BatchItem(id, path, Map.of(), new byte[0], tokens, outputTokens);
+  }
 }
--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -16,7 +16,8 @@
 
 /**
  * A job of a {@link BatchStateMachine}: its items are part of the submission, and their progress is
- * recorded until each has a result.
+ * recorded until each has a result. The content of an item is kept until then, since jobs stay
+ * readable for long after their last result.
  */
 public final class BatchJob {
   private final SubmitBatch submission;
@@ -29,7 +30,8 @@
   private boolean ended;
 
   BatchJob(SubmitBatch submission, long submittedAtMs) {
-    this.submission = submission;
+    this.submission =
+        submission.withItems(submission.items().stream().map(BatchItem::withoutContent).toList());
     this.submittedAtMs = submittedAtMs;
     for (BatchItem item : submission.items()) {
       openItems.put(item.id(), item);
@@ -116,8 +118,14 @@
   BatchJobRecord capture() {
     List<BatchProgress> recordedProgress = new ArrayList<>();
     progress.forEach((item, events) -> recordedProgress.add(capture(item, events)));
+    List<BatchItem> items =
+        submission.items().stream().map(item -> openItems.getOrDefault(item.id(), item)).toList();
     return new BatchJobRecord(
-        submission, submittedAtMs, ended, new ArrayList<>(results), recordedProgress);
+        submission.withItems(items),
+        submittedAtMs,
+        ended,
+        new ArrayList<>(results),
+        recordedProgress);
   }
 
   /** Returns the open items under which engines have crashed in a row. */
@@ -138,7 +146,7 @@
         events.mayLackData());
   }
 
-  /** The job as it was submitted. */
+  /** The job as it was submitted, without the content of its items. */
   public SubmitBatch submission() {
     return submission;
   }
--- a/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
@@ -36,6 +36,7 @@
 import io.pathdeck.protocol.query.BatchResults;
 import io.pathdeck.protocol.query.ReadBatchItem;
 import io.pathdeck.protocol.query.ReadBatchResults;
+import io.pathdeck.protocol.snapshot.BatchJobRecord;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -315,6 +316,27 @@
     apply(new RecordBatchProgressV2(List.of(events)));
   }
 
+  /** Guards against stores that end for want of memory after many jobs that are long done. */
+  @Test
+  void contentOfListedItemsIsNotKept() {
+    apply(submitJob("a", 3, 0));
+    apply(addOutcome("a", "a-0", true, "x"));
+    apply(addOutcome("a", "a-1", false, ""));
+    List<BatchItem> kept = new ArrayList<>();
+    machine
+        .captureSnapshot()
+        .forEachRemaining(
+            each -> {
+              if (each instanceof BatchJobRecord job) {
+                kept.addAll(job.submission().items());
+              }
+            });
+    assertThat(kept).extracting(BatchItem::id).containsExactly("a-0", "a-1", "a-2");
+    assertThat(kept).extracting(item -> item.body().length).containsExactly(0, 0, 1);
+    assertThat(machine.job("a").orElseThrow().openItems().get("a-2").headers()).isNotEmpty();
+    assertThat(machine.job("a").orElseThrow().total()).isEqualTo(3);
+  }
+
   @Test
   void snapshotRestoresEverything() {
     apply(submitJob("a", 3, 500));
