A response head that the next response completes fails the call

The decoder read both as one head: status of the first, request id and signature of the second, so the check of the id passed.

The decoder rejects the second status line where a header name is due, and chunks beside a length, but takes it for the end of a reason phrase or of a header value. A head with a status line in either, or with an identity header twice, is now BROKEN, and its connection is closed. The names of identity headers come from the adapter.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineProtocol.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineProtocol.java
@@ -13,6 +13,9 @@
   /** Returns the id of the request that a response names; empty if it names none. */
   String requestIdOf(HttpResponse head);
 
+  /** Returns the names of the headers that a response has at most once, such as its id. */
+  List<String> uniqueHeaders();
+
   /** Parses the status and headers of the response to a call. */
   EngineResponse read(HttpResponse head, EngineCall call);
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -21,6 +21,7 @@
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.io.IOException;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -33,7 +34,7 @@
  * only if its request id is that of the current call. Other responses are dropped, and so is data
  * that arrives without a call in progress. An error response without a request id cannot be
  * attributed to a call, so it is dropped and fails the current call, whose request may have run. A
- * connection that dropped anything is not reused.
+ * connection that dropped anything is not reused. A head of several responses fails the call.
  *
  * <p>A response without a length or chunks ends with the engine's end of stream. That is read from
  * the open channel, which therefore allows half-closure. A channel that has closed shows no end: a
@@ -68,6 +69,7 @@
   private final NettyEngineTransport owner;
   private final EngineProtocol protocol;
   private final EngineInstance engine;
+  private final ResponseHeadValidator validator;
   private final Set<String> sentRequestIds = new HashSet<>();
   private ChannelHandlerContext context;
   private PendingCall currentCall;
@@ -91,6 +93,7 @@
     this.owner = owner;
     this.protocol = protocol;
     this.engine = engine;
+    this.validator = new ResponseHeadValidator(protocol.uniqueHeaders());
   }
 
   EngineInstance engine() {
@@ -200,6 +203,11 @@
   }
 
   private void readHead(HttpResponse head) {
+    Optional<String> problem = validator.problemOf(head);
+    if (problem.isPresent()) {
+      abortCall("not an answer: " + problem.get());
+      return;
+    }
     HttpResponseStatus status = head.status();
     if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
       readState = ReadState.IGNORED_BODY;
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/ResponseHeadValidator.java
@@ -0,0 +1,50 @@
+package io.pathdeck.fleet.engine;
+
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * Finds heads that were decoded from the bytes of several responses.
+ *
+ * <p>An engine may stop within a head and go on with another response on the same connection. The
+ * decoder rejects the status line of the second one as a header name, but not as the end of a
+ * header value or of a reason phrase: such a head has the status of the first response, and the
+ * request id of the second one.
+ */
+final class ResponseHeadValidator {
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
+  private final List<String> uniqueHeaders;
+
+  /**
+   * Creates a validator.
+   *
+   * @param uniqueHeaders the names of the headers that a response has at most once
+   */
+  ResponseHeadValidator(List<String> uniqueHeaders) {
+    this.uniqueHeaders = uniqueHeaders;
+  }
+
+  /** Returns why a head is not that of one response; empty if it may be. */
+  Optional<String> problemOf(HttpResponse head) {
+    if (hasStatusLine(head.status().reasonPhrase())) {
+      return Optional.of("a status line within the status line");
+    }
+    for (Map.Entry<String, String> header : head.headers()) {
+      if (hasStatusLine(header.getValue())) {
+        return Optional.of("a status line within the header " + header.getKey());
+      }
+    }
+    return uniqueHeaders.stream()
+        .filter(name -> head.headers().getAll(name).size() > 1)
+        .map(name -> "more than one header " + name)
+        .findFirst();
+  }
+
+  private static boolean hasStatusLine(String text) {
+    return STATUS_LINE.matcher(text).find();
+  }
+}
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/PlainEngineProtocol.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,9 +15,10 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 
-/** Calls that name their request, and answers that may name it and tell no load. */
+/** Calls that name their request, and answers that may name it, have a stamp and tell no load. */
 public final class PlainEngineProtocol implements EngineProtocol {
   private static final String ID = "x-id";
+  private static final String STAMP = "x-stamp";
 
   private final String unnamedId;
   private final LongSupplier reportedBornMs;
@@ -49,6 +49,11 @@
     return head.headers().get(ID, unnamedId);
   }
 
+  @Override
+  public List<String> uniqueHeaders() {
+    return List.of(ID, STAMP);
+  }
+
   @Override
   public EngineResponse read(HttpResponse head, EngineCall call) {
     return new EngineResponse(
@@ -62,7 +67,7 @@
         0,
         0,
         EngineResponse.COLD_UNKNOWN,
-        new DefaultHttpHeaders());
+        head.headers().copy());
   }
 
   @Override
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSuspendedWhileConnecting.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSuspendedWhileConnecting.java
@@ -40,6 +40,11 @@
       throw new AssertionError("the engine never responds");
     }
 
+    @Override
+    public List<String> uniqueHeaders() {
+      return List.of();
+    }
+
     @Override
     public EngineResponse read(HttpResponse head, EngineCall call) {
       throw new AssertionError("the engine never responds");
