A head cut off by the end of its connection is a lost connection

A request that ends engines in the middle of their heads went on to engine after engine (rule BUDGET): the decoder's message for a head that the end of stream cuts off counted as an invalid answer (BROKEN), for which no liveness probe runs and no end is counted. A status line cut off on a connection that had been idle even passed for an idle close.

The message of the decoder is now ignored, since the event of the connection's end follows, and any byte counts as the beginning of a response. Heads cut off by a reset were lost connections before.

Before: TestCutHeads.byEndOfStream got BROKEN from the first cut behind the status line on, withinStatusLineAfterIdling CLOSED_BEFORE_ANSWER, and requestThatEndedThreeEngines- WithinTheirHeadsReachesNoMore 502 instead of 503. TestCutHeads.byReset held before: no cut of a head, by an end of stream or a reset, gave the caller a head.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -172,6 +173,11 @@
     return messages;
   }
 
+  /** Handles bytes before they are decoded. */
+  void onBytes() {
+    responseStarted = true;
+  }
+
   /** Handles bytes from which the decoder gets no message. */
   void onUndecodableBytes() {
     abortCall("not an answer: nothing but blank lines");
@@ -180,6 +186,10 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
     messages++;
+    if (message.decoderResult().cause() instanceof PrematureChannelClosureException) {
+      // The event of the connection's end follows.
+      return;
+    }
     if (message.decoderResult().isFailure()) {
       abortCall("not an answer: " + message.decoderResult().cause());
       return;
@@ -193,7 +203,6 @@
       close();
       return;
     }
-    responseStarted = true;
     if (message instanceof HttpResponse head) {
       readHead(head);
     }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/UndecodedBytes.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/UndecodedBytes.java
@@ -23,6 +23,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     int messagesBefore = connection.messages();
     int received = ((ByteBuf) message).readableBytes();
+    connection.onBytes();
     ctx.fireChannelRead(message);
     bytes = connection.messages() == messagesBefore ? bytes + received : 0;
     if (bytes > MAX_BYTES) {
