An event that the scanner rejects no longer counts as received

RequestForwarder and ItemStream take the last id of the scanner for that of the last event passed on.

Before: TestSseEventScanner.doesNotCountInvalidEvent got lastId 2 where event 1 was the last one returned.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
@@ -48,9 +48,14 @@
       }
       boolean blank = i == lineStart || (i == lineStart + 1 && buffer[lineStart] == '\r');
       if (blank) {
+        long idBefore = lastId;
+        boolean hadIdBefore = hasLastId;
         checkEvent(start, i + 1);
         if (problem == null) {
           start = i + 1;
+        } else {
+          lastId = idBefore;
+          hasLastId = hadIdBefore;
         }
       }
       lineStart = i + 1;
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
@@ -57,6 +57,15 @@
     assertThat(scanner.problem()).isNotNull();
   }
 
+  /** Guards against a stream that resumes behind an event that was not passed on. */
+  @Test
+  void doesNotCountInvalidEvent() {
+    SseEventScanner scanner = new SseEventScanner(-1);
+    assertThat(scanner.feed(bytes(event(1) + "id: 2\n" + event(2)))).isEqualTo(bytes(event(1)));
+    assertThat(scanner.problem()).isNotNull();
+    assertThat(scanner.lastId()).isEqualTo(1);
+  }
+
   @Test
   void resumesAfterLastEvent() {
     SseEventScanner scanner = new SseEventScanner(4);
