A stream with lines that are no event is broken off

A block without any field of an event (data, id, event, retry, comment) is a problem now, and so is a line that is no field and holds a status line or stands below one. The latter finds a response that begins within a line of an event; text of events may hold status lines as before, and other lines, such as weight-versions, may stand beside fields. The stream resumes after the last event before.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/ResponseHeadValidator.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/ResponseHeadValidator.java
@@ -44,7 +44,8 @@
         .findFirst();
   }
 
-  private static boolean hasStatusLine(String text) {
+  /** Whether a text contains the beginning of a status line. */
+  static boolean hasStatusLine(String text) {
     return STATUS_LINE.matcher(text).find();
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
@@ -6,10 +6,10 @@
 import java.util.Arrays;
 
 /**
- * Splits a stream of server-sent events into complete events and checks their ids.
+ * Splits a stream of server-sent events into complete events and checks them.
  *
- * <p>Ids must be consecutive. Complete events are returned byte for byte; a partial event is
- * buffered until the rest arrives.
+ * <p>Ids must be consecutive, and what blank lines end must be events. Complete events are returned
+ * byte for byte; a partial event is buffered until the rest arrives.
  */
 public final class SseEventScanner {
   /** Bounds an event, and what is between two events with an id or data. */
@@ -80,16 +80,24 @@
   private void checkEvent(int from, int to) {
     int lineStart = from;
     boolean isEvent = false;
+    SseBlockValidator validator = new SseBlockValidator();
     for (int i = from; i < to; i++) {
       if (buffer[i] == '\n') {
+        int lineEnd = lineEnd(buffer, lineStart, i);
         boolean isId = startsWith(ID_FIELD, lineStart, i);
         if (isId) {
           checkId(textOf(lineStart + ID_FIELD.length, i));
         }
-        isEvent |= isId || dataStart(buffer, lineStart, lineEnd(buffer, lineStart, i)) >= 0;
+        isEvent |= isId || dataStart(buffer, lineStart, lineEnd) >= 0;
+        if (lineEnd > lineStart) {
+          validator.addLine(buffer, lineStart, lineEnd);
+        }
         lineStart = i + 1;
       }
     }
+    if (validator.isInvalid()) {
+      problem = "bytes that are no event";
+    }
     advanced |= isEvent;
     bytesSinceEvent = isEvent ? 0 : bytesSinceEvent + to - from;
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
@@ -8,8 +8,13 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TestSseEventScanner {
+  private static final String HEAD =
+      "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: r\r\nServer-Stamp: s\r\n\r\n";
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
@@ -66,6 +71,55 @@
     assertThat(scanner.lastId()).isEqualTo(1);
   }
 
+  /** Guards against callers and items that get a second response within the first one. */
+  @Test
+  void rejectsResponseWithinStreamAtEveryCut() {
+    String last = "id: 2\r\nevent: e\ndata: piece 2\n\n";
+    for (int length = 0; length < last.length(); length++) {
+      String stream = event(1) + last.substring(0, length) + HEAD + "failed\n\n";
+      SseEventScanner scanner = new SseEventScanner(-1);
+      assertThat(scanner.feed(bytes(stream))).as(stream).isEqualTo(bytes(event(1)));
+      assertThat(scanner.problem()).as(stream).isNotNull();
+      assertThat(scanner.lastId()).as(stream).isEqualTo(1);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "garbage\n\n",
+        "{\"error\": \"x\"}\n\n",
+        "weight-versions: 2\n\n",
+        "database: x\r\n\r\n"
+      })
+  void rejectsLinesWithoutField(String lines) {
+    SseEventScanner scanner = new SseEventScanner(-1);
+    assertThat(scanner.feed(bytes(event(1) + lines))).isEqualTo(bytes(event(1)));
+    assertThat(scanner.problem()).isNotNull();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "id: 1\n\n",
+        "data\n\n",
+        "data:\r\n\r\n",
+        "event: e\n\n",
+        "retry: 5\n\n",
+        ": comment\n\n",
+        ":\n\n",
+        "\n\n\r\n",
+        "weight-versions: 2\nid: 1\ndata: a\n\n",
+        "id: 1\nother: x\ndata: a\n\n",
+        "weight-versions: 2\ndata: HTTP/1.1 200 OK\ndata: Request-Id: r\n\n",
+        "data: HTTP/1.1 200 OK\n\n: HTTP/1.1 200 OK\n\nid: 1\n\n"
+      })
+  void passesEventsOn(String events) {
+    SseEventScanner scanner = new SseEventScanner(-1);
+    assertThat(scanner.feed(bytes(events))).isEqualTo(bytes(events));
+    assertThat(scanner.problem()).isNull();
+  }
+
   @Test
   void resumesAfterLastEvent() {
     SseEventScanner scanner = new SseEventScanner(4);
