--- a/fleet/src/test/java/io/pathdeck/fleet/engine/CallOutcome.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/CallOutcome.java
@@ -48,6 +48,11 @@
     failure.complete(Optional.empty());
   }
 
+  @Override
+  public void onClose() {
+    onEnd();
+  }
+
   @Override
   public void onFailure(EngineFailure cause, String reason) {
     failure.complete(Optional.of(cause));
