--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -6,7 +6,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -21,6 +23,7 @@
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.io.IOException;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -33,11 +36,12 @@
  * only if its request id is that of the current call. Other responses are dropped, and so is data
  * that arrives without a call in progress. An error response without a request id cannot be
  * attributed to a call, so it is dropped and fails the current call, whose request may have run. A
- * connection that dropped anything is not reused.
+ * connection that dropped anything is not reused. A head of several responses fails the call.
  *
- * <p>A response without a length or chunks ends with the engine's end of stream. That is read from
- * the open channel, which therefore allows half-closure. A channel that has closed shows no end: a
- * write that fails closes it, too, and takes the error of a reset from the reader.
+ * <p>A response without a length or chunks ends with the engine's end of stream, which cuts off a
+ * new stream that has no event yet. The end is read from the open channel, which therefore allows
+ * half-closure. A channel that has closed shows no end: a write that fails closes it, too, and
+ * takes the error of a reset from the reader.
  */
 final class EngineConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final EventLog EVENTS = EventLog.of(EngineConnection.class);
@@ -68,6 +72,7 @@
   private final NettyEngineTransport owner;
   private final EngineProtocol protocol;
   private final EngineInstance engine;
+  private final ResponseHeadValidator validator;
   private final Set<String> sentRequestIds = new HashSet<>();
   private ChannelHandlerContext context;
   private PendingCall currentCall;
@@ -77,6 +82,7 @@
   private boolean success;
   private boolean keepAlive;
   private boolean closeDelimited;
+  private boolean lacksFirstEvent;
   private boolean usedBefore;
   private boolean responseStarted;
   private boolean responseDropped;
@@ -91,6 +97,7 @@
     this.owner = owner;
     this.protocol = protocol;
     this.engine = engine;
+    this.validator = new ResponseHeadValidator(protocol.uniqueHeaders());
   }
 
   EngineInstance engine() {
@@ -169,6 +176,11 @@
     return messages;
   }
 
+  /** Handles bytes before they are decoded. */
+  void onBytes() {
+    responseStarted = true;
+  }
+
   /** Handles bytes from which the decoder gets no message. */
   void onUndecodableBytes() {
     abortCall("not an answer: nothing but blank lines");
@@ -177,6 +189,10 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
     messages++;
+    if (message.decoderResult().cause() instanceof PrematureChannelClosureException) {
+      // The event of the connection's end follows.
+      return;
+    }
     if (message.decoderResult().isFailure()) {
       abortCall("not an answer: " + message.decoderResult().cause());
       return;
@@ -190,7 +206,6 @@
       close();
       return;
     }
-    responseStarted = true;
     if (message instanceof HttpResponse head) {
       readHead(head);
     }
@@ -200,6 +215,11 @@
   }
 
   private void readHead(HttpResponse head) {
+    Optional<String> problem = validator.problemOf(head);
+    if (problem.isPresent()) {
+      abortCall("not an answer: " + problem.get());
+      return;
+    }
     HttpResponseStatus status = head.status();
     if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
       readState = ReadState.IGNORED_BODY;
@@ -225,6 +245,7 @@
     }
     readState = ReadState.BODY;
     closeDelimited = isCloseDelimited(head);
+    lacksFirstEvent = success && isEventStream(head) && currentCall.call().resumeAfter() < 0;
     keepAlive = HttpUtil.isKeepAlive(head) && !closeDelimited;
     engineIdleTimeoutMs = response.idleTimeoutMs();
     currentCall.listener().onHead(response);
@@ -257,12 +278,18 @@
     return !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
   }
 
+  private static boolean isEventStream(HttpResponse head) {
+    CharSequence mimeType = HttpUtil.getMimeType(head);
+    return mimeType != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(mimeType);
+  }
+
   private void readBody(HttpContent content) {
     if (!isWithinLimit(content.content().readableBytes())) {
       abortCall("the response is too long");
       return;
     }
     if (readState == ReadState.BODY && content.content().isReadable()) {
+      lacksFirstEvent = false;
       currentCall.listener().onBody(ByteBufUtil.getBytes(content.content()));
     }
     if (content instanceof LastHttpContent && currentCall != null) {
@@ -285,6 +312,10 @@
       onConnectionLost("no end of stream; request write: " + requestWrite.cause());
       return;
     }
+    if (endedByClose && lacksFirstEvent) {
+      onConnectionLost("the connection ended before the first event");
+      return;
+    }
     PendingCall completedCall = currentCall;
     currentCall = null;
     completedCalls++;
