Malformed request body is rejected instead of dispatched truncated

What callers saw: a request whose body breaks off at a malformed chunk or trailer ran with the part before it, and its answer looked like any other. Cause: the decoder reports such a body as a last content whose decoder result is a failure; ExchangeHandler looked only at the type. Now it answers 400 and closes, also when the request was pipelined behind another.

--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -87,7 +87,7 @@
     body = Unpooled.compositeBuffer(1024);
     memory.setOwner(UNKNOWN_TENANT, this::rejectOutOfMemory);
     if (head.decoderResult().isFailure()) {
-      reject(ApiError.invalid("bad_request", "the request is not valid HTTP"));
+      rejectMalformed();
       return;
     }
     long length = HttpUtil.getContentLength(head, 0L);
@@ -110,6 +110,11 @@
       data.release();
       return;
     }
+    if (content.decoderResult().isFailure()) {
+      data.release();
+      rejectMalformed();
+      return;
+    }
     if (body.readableBytes() + data.readableBytes() > maxBodyLength()) {
       data.release();
       reject(ApiError.tooLarge("the body is larger than " + maxBodyLength() + " bytes"));
@@ -127,6 +132,10 @@
     }
   }
 
+  private void rejectMalformed() {
+    reject(ApiError.invalid("bad_request", "the request is not valid HTTP"));
+  }
+
   private boolean rejectOutOfMemory() {
     reject(ApiError.unavailable("overloaded", "too many large requests at a time", RETRY_AFTER_MS));
     return true;
