Request with a transfer encoding beside chunked is refused

What happened: of "Transfer-Encoding: gzip, chunked" the server removed the chunks, dropped the header and handed the compressed bytes on as the body. The product removes no encoding but chunked, so it answers 501 and closes.

TestRequestFraming.ambiguousHeadIsRejected: the rows with gzip were dispatched before, now 501.

--- a/serving/src/main/java/io/pathdeck/serving/http/ApiError.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ApiError.java
@@ -39,6 +39,11 @@
     return new ApiError(413, INVALID_REQUEST, "request_too_large", message, true, 0);
   }
 
+  /** The server does not support a feature that the request needs. */
+  public static ApiError notImplemented(String message) {
+    return new ApiError(501, INVALID_REQUEST, "not_implemented", message, true, 0);
+  }
+
   /** The caller reached a limit, and the request was not run. */
   public static ApiError rateLimited(String code, String message, long retryAfterMs) {
     return new ApiError(429, "rate_limit_error", code, message, true, retryAfterMs);
--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -90,6 +91,10 @@
       rejectMalformed();
       return;
     }
+    if (hasUnknownEncoding(head)) {
+      reject(ApiError.notImplemented("the only transfer encoding supported is chunked"));
+      return;
+    }
     long length = HttpUtil.getContentLength(head, 0L);
     if (length > maxBodyLength()) {
       reject(ApiError.tooLarge("the body is larger than " + maxBodyLength() + " bytes"));
@@ -99,6 +104,12 @@
     }
   }
 
+  /** Whether the body has an encoding that is not removed on receipt. */
+  private static boolean hasUnknownEncoding(HttpRequest head) {
+    return head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+        .anyMatch(encoding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding));
+  }
+
   private int maxBodyLength() {
     boolean upload = request.uri().startsWith("/v1/files");
     return upload ? limits.maxUploadBytes() : limits.maxBodyBytes();
--- a/serving/src/test/java/io/pathdeck/serving/http/TestRequestFraming.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestRequestFraming.java
@@ -77,6 +77,8 @@
         "Transfer-Encoding: xchunked\r\n",
         "Transfer-Encoding: chunked, identity\r\n",
         "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
         "Transfer-Encoding : chunked\r\n",
         "Transfer-Encoding:\u000bchunked\r\n",
