CONNECT is refused

A 2xx answer to CONNECT has neither length nor chunks by definition, and the encoder removes the header of the chunks while it writes the body; with a target such as /a the request was routed. The server has no tunnels: 501.

TestRequestFraming.connectIsRejected: both targets were dispatched before.

--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -95,6 +96,10 @@
       reject(ApiError.notImplemented("the only transfer encoding supported is chunked"));
       return;
     }
+    if (head.method().equals(HttpMethod.CONNECT)) {
+      reject(ApiError.notImplemented("tunnels are not supported"));
+      return;
+    }
     long length = HttpUtil.getContentLength(head, 0L);
     if (length > maxBodyLength()) {
       reject(ApiError.tooLarge("the body is larger than " + maxBodyLength() + " bytes"));
--- a/serving/src/test/java/io/pathdeck/serving/http/TestRequestFraming.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestRequestFraming.java
@@ -128,4 +128,17 @@
       assertThat(LoopbackServer.readAll(socket)).isEmpty();
     }
   }
+
+  @ParameterizedTest(name = "{index}")
+  @ValueSource(strings = {"h:80", "/a"})
+  void connectIsRejected(String target) throws Exception {
+    String request = "CONNECT " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    try (Socket socket = server.connect(request + NEXT)) {
+      assertThat(LoopbackServer.readAll(socket))
+          .startsWith("HTTP/1.1 501")
+          .contains("connection: close")
+          .containsOnlyOnce("HTTP/1.1 ");
+      assertThat(server.dispatchesAnother()).isFalse();
+    }
+  }
 }
