Rejection drops the requests pipelined behind it

After an early rejection (413, 400) the queued messages went on to be processed: a second head could send a second error or a 100 on a connection that the first answer closes. Where the output is shut down at once the caller never saw it; over TLS, or while the first answer waits to be sent, it did.

TestExchangeHandler.refusesOnlyFirstOfPipelinedRequests: two 413 before.

--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -173,6 +173,7 @@
   private void reject(ApiError error) {
     rejected = true;
     cancelReadTimeout();
+    releasePipelined();
     HttpExchange errorExchange =
         new HttpExchange(context.channel(), request, new byte[0], memory, () -> {});
     request.headers().set(HttpHeaderNames.CONNECTION, "close");
@@ -242,6 +243,11 @@
     }
   }
 
+  private void releasePipelined() {
+    pipelined.forEach(ReferenceCountUtil::release);
+    pipelined.clear();
+  }
+
   private void releaseBody() {
     if (body != null) {
       body.release();
@@ -254,8 +260,7 @@
     cancelReadTimeout();
     releaseBody();
     memory.releaseAll();
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
+    releasePipelined();
     if (exchange != null) {
       exchange.handleDisconnect();
     }
--- a/serving/src/test/java/io/pathdeck/serving/http/TestExchangeHandler.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestExchangeHandler.java
@@ -46,6 +46,17 @@
     assertThat(dispatched).isEmpty();
   }
 
+  /** Guards against a second response on a connection that the first rejection closes. */
+  @Test
+  void refusesOnlyFirstOfPipelinedRequests() {
+    EmbeddedChannel channel = connect(new BodyBudget(10_000));
+    channel.writeInbound(post("/v1/batches", 1, 1));
+    channel.writeInbound(post("/v1/batches", 101, 101), post("/v1/batches", 102, 0));
+    dispatched.get(0).sendJson(200, new byte[0]);
+    assertThat(readResponse(channel)).startsWith("HTTP/1.1 200").containsOnlyOnce("HTTP/1.1 413");
+    assertThat(dispatched).hasSize(1);
+  }
+
   /** Guards against running out of memory when several allowed uploads arrive at once. */
   @Test
   void refusesBodiesBeyondServerBudget() {
