Response that cannot be written closes the connection

A response whose last write fails, such as a whole response sent after a stream was begun, left the connection open: the next pipelined request was dispatched, and its answer could stand in the place of the first. The connection now closes, and it closes before the next request is read from it (the two listeners had no sure order when another thread sends the response).

TestPipelinedRequests.responseThatCannotBeSentClosesTheConnection: the connection stayed open before (read timeout).

--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -313,10 +313,16 @@
     if (closesAfterResponse && last instanceof HttpResponse response) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
-    ChannelFuture written = channel.writeAndFlush(last);
-    written.addListener(future -> notifyEndListeners());
+    channel.writeAndFlush(last).addListener((ChannelFutureListener) this::onLastWritten);
+  }
+
+  /** Closes the connection before the next request is read from it, if it must not be reused. */
+  private void onLastWritten(ChannelFuture written) throws Exception {
     if (closesAfterResponse) {
-      written.addListener(closer);
+      closer.operationComplete(written);
+    } else if (!written.isSuccess()) {
+      channel.close();
     }
+    notifyEndListeners();
   }
 }
--- a/serving/src/test/java/io/pathdeck/serving/http/TestPipelinedRequests.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestPipelinedRequests.java
@@ -132,6 +132,19 @@
     }
   }
 
+  @Test
+  void responseThatCannotBeSentClosesTheConnection() throws Exception {
+    try (Socket socket = server.connect(FIRST + SECOND)) {
+      HttpExchange first = server.nextRequest();
+      first.startStream(200, new DefaultHttpHeaders());
+      first.write(text("part"));
+      LoopbackServer.readUntil(socket, "part\r\n");
+      respond(first);
+      assertThat(LoopbackServer.readAll(socket)).isEmpty();
+      assertThat(server.dispatchesAnother()).isFalse();
+    }
+  }
+
   @Test
   void continueIsSentAfterThePreviousResponse() throws Exception {
     String expecting =
