Stream that starts after the end of the response is not sent

Of all ways to send, startStream alone did not ask whether the response has ended. A stream begun after a timeout or an error had been sent would reach the caller as a success on a connection where no request waits. No path of the gateway is known that does so; the guard makes it impossible. Both forms of startStream now write the head the same way, so "Connection: close" is also told to callers of the own API.

TestPipelinedRequests.streamThatStartsAfterTheResponseIsNotSent: before, the caller read the head of the 200 in the place of the next answer.

--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -213,12 +213,7 @@
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().set(headers);
-    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-    if (closesAfterResponse) {
-      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
-    streaming = true;
-    channel.write(response, channel.voidPromise());
+    writeStreamHead(response);
   }
 
   /** Sends the head of a chunked response. */
@@ -232,7 +227,17 @@
     headers.forEach(response.headers()::set);
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
     response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE);
+    writeStreamHead(response);
+  }
+
+  private void writeStreamHead(HttpResponse response) {
+    if (ended.get()) {
+      return;
+    }
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    if (closesAfterResponse) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
     streaming = true;
     channel.write(response, channel.voidPromise());
   }
--- a/serving/src/test/java/io/pathdeck/serving/http/TestPipelinedRequests.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestPipelinedRequests.java
@@ -145,6 +145,23 @@
     }
   }
 
+  @Test
+  void streamThatStartsAfterTheResponseIsNotSent() throws Exception {
+    try (Socket socket = server.connect(FIRST)) {
+      HttpExchange first = server.nextRequest();
+      respond(first);
+      LoopbackServer.readUntil(socket, "/first");
+      first.startStream(200, new DefaultHttpHeaders());
+      first.write(text("part"));
+      first.endStream();
+      LoopbackServer.send(socket, SECOND);
+      HttpExchange second = server.nextRequest();
+      second.closeAfterResponse();
+      second.send(404, "text/plain", text("/second"));
+      assertThat(LoopbackServer.readAll(socket)).startsWith("HTTP/1.1 404");
+    }
+  }
+
   @Test
   void continueIsSentAfterThePreviousResponse() throws Exception {
     String expecting =
