Stream to a caller of HTTP/1.0 ends with the connection

What callers saw: a response in chunks, which HTTP/1.0 does not know, so the sizes of the chunks stood in the body. Now such a stream has neither length nor chunks and ends with the connection; until it has been sent whole, every close is a reset, so a stream that was broken off, evicted or lost with the process does not look whole.

TestOldCallers: streamEndsWithTheConnection timed out and abortedStreamIsReset read a clean end before.

--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -208,7 +209,7 @@
 
   // ---- streamed responses
 
-  /** Sends the head of a chunked response with these headers. */
+  /** Sends the head of a streamed response with these headers. */
   public void startStream(int status, HttpHeaders headers) {
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
@@ -216,12 +217,12 @@
     writeStreamHead(response);
   }
 
-  /** Sends the head of a chunked response. */
+  /** Sends the head of a streamed response. */
   public void startStream(String contentType) {
     startStream(contentType, Map.of());
   }
 
-  /** Sends the head of a chunked response with additional headers. */
+  /** Sends the head of a streamed response with additional headers. */
   public void startStream(String contentType, Map<String, String> headers) {
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     headers.forEach(response.headers()::set);
@@ -234,7 +235,12 @@
     if (ended.get()) {
       return;
     }
-    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    if (acceptsChunks()) {
+      response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else {
+      closesAfterResponse = true;
+      setReset(true);
+    }
     if (closesAfterResponse) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
@@ -242,6 +248,16 @@
     channel.write(response, channel.voidPromise());
   }
 
+  /** Returns whether the caller knows chunks; for others, a stream ends with the connection. */
+  private boolean acceptsChunks() {
+    return request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+  }
+
+  /** Sets whether a close resets the connection, so that an incomplete body does not look whole. */
+  private void setReset(boolean reset) {
+    channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+  }
+
   /** Returns whether {@link #startStream} was called. */
   public boolean isStreaming() {
     return streaming;
@@ -323,6 +339,9 @@
 
   /** Closes the connection before the next request is read from it, if it must not be reused. */
   private void onLastWritten(ChannelFuture written) throws Exception {
+    if (streaming && !acceptsChunks() && written.isSuccess()) {
+      setReset(false);
+    }
     if (closesAfterResponse) {
       closer.operationComplete(written);
     } else if (!written.isSuccess()) {
