--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -65,12 +67,13 @@
   }
 
   private void enqueuePipelined(Object message) {
-    if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
-      ReferenceCountUtil.release(message);
-      context.close();
-      return;
-    }
     pipelined.add(message);
+    updateReading();
+  }
+
+  /** Stops reading while many messages wait, so that a caller cannot fill the memory with them. */
+  private void updateReading() {
+    context.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED_MESSAGES);
   }
 
   private void processMessage(Object message) {
@@ -87,7 +90,15 @@
     body = Unpooled.compositeBuffer(1024);
     memory.setOwner(UNKNOWN_TENANT, this::rejectOutOfMemory);
     if (head.decoderResult().isFailure()) {
-      reject(ApiError.invalid("bad_request", "the request is not valid HTTP"));
+      rejectMalformed();
+      return;
+    }
+    if (hasUnknownEncoding(head)) {
+      reject(ApiError.notImplemented("the only transfer encoding supported is chunked"));
+      return;
+    }
+    if (head.method().equals(HttpMethod.CONNECT)) {
+      reject(ApiError.notImplemented("tunnels are not supported"));
       return;
     }
     long length = HttpUtil.getContentLength(head, 0L);
@@ -99,6 +110,12 @@
     }
   }
 
+  /** Whether the body has an encoding that is not removed on receipt. */
+  private static boolean hasUnknownEncoding(HttpRequest head) {
+    return head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+        .anyMatch(encoding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding));
+  }
+
   private int maxBodyLength() {
     boolean upload = request.uri().startsWith("/v1/files");
     return upload ? limits.maxUploadBytes() : limits.maxBodyBytes();
@@ -110,6 +127,11 @@
       data.release();
       return;
     }
+    if (content.decoderResult().isFailure()) {
+      data.release();
+      rejectMalformed();
+      return;
+    }
     if (body.readableBytes() + data.readableBytes() > maxBodyLength()) {
       data.release();
       reject(ApiError.tooLarge("the body is larger than " + maxBodyLength() + " bytes"));
@@ -127,6 +149,10 @@
     }
   }
 
+  private void rejectMalformed() {
+    reject(ApiError.invalid("bad_request", "the request is not valid HTTP"));
+  }
+
   private boolean rejectOutOfMemory() {
     reject(ApiError.unavailable("overloaded", "too many large requests at a time", RETRY_AFTER_MS));
     return true;
@@ -147,6 +173,7 @@
   private void reject(ApiError error) {
     rejected = true;
     cancelReadTimeout();
+    releasePipelined();
     HttpExchange errorExchange =
         new HttpExchange(context.channel(), request, new byte[0], memory, () -> {});
     request.headers().set(HttpHeaderNames.CONNECTION, "close");
@@ -182,6 +209,7 @@
       while (!pipelined.isEmpty() && exchange == null) {
         processMessage(pipelined.poll());
       }
+      updateReading();
     }
   }
 
@@ -215,6 +243,11 @@
     }
   }
 
+  private void releasePipelined() {
+    pipelined.forEach(ReferenceCountUtil::release);
+    pipelined.clear();
+  }
+
   private void releaseBody() {
     if (body != null) {
       body.release();
@@ -227,8 +260,7 @@
     cancelReadTimeout();
     releaseBody();
     memory.releaseAll();
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
+    releasePipelined();
     if (exchange != null) {
       exchange.handleDisconnect();
     }
