Streams: a record tells only where a stream has begun

Callers saw streams that go on at another software version (ORDER): a gateway that was cut off or stood still during a release took a return by the record of an attempt that an engine had refused, since attempt 2, at another version, had begun the stream while the gateway missed the message.

Cause: a gateway told at each send which engine it asks. Such a record gets outdated by the next attempt, and neither the gateway's own table nor the first answer of another one shows that. What is told now is told at the first event, before it is passed to the caller, and never changes: any gateway that has it may go by it. Attempts before leave no record. A record of an earlier release says at which engine a stream was asked for; it decides nothing. The form stays: a stream that has begun has the greatest number of an attempt, which earlier releases prefer.

Cost: a gateway that is lost before its messages have left loses the record (503), and in a fleet of both releases returns to streams of earlier gateways are refused while several versions are possible, unless that gateway is theirs.

OriginModel gains gateways that are cut off from all or stand still, whose messages wait and are handled in a drawn order, attempts that are refused, and leaders that answer before they have read the list. The bound on refusals: a return at a gateway that reaches the one that began the stream goes on.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -115,7 +115,7 @@
     }
     budget.onSend(placement.get().engine().instance().id());
     context.metrics().onAttempt();
-    binding.onSend(placement.get().engine().instance());
+    binding.onSend();
     attempt = new Attempt(placement.get(), now);
     attempt.start();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/StreamBinding.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/StreamBinding.java
@@ -15,7 +15,7 @@
 final class StreamBinding {
   /** Records where streams began, for callers that return. */
   interface Recorder {
-    void record(long stream, StreamOrigin origin, int attempt, RouteSpec route);
+    void record(long stream, StreamOrigin origin, RouteSpec route);
   }
 
   private final Recorder recorder;
@@ -24,7 +24,6 @@
   private final long stream;
   private final boolean isRecorded;
   private Optional<StreamOrigin> origin;
-  private int attempt;
 
   private StreamBinding(
       Recorder recorder,
@@ -32,15 +31,13 @@
       RouteSpec route,
       long stream,
       boolean isRecorded,
-      Optional<StreamOrigin> origin,
-      int attempt) {
+      Optional<StreamOrigin> origin) {
     this.recorder = recorder;
     this.metrics = metrics;
     this.route = route;
     this.stream = stream;
     this.isRecorded = isRecorded;
     this.origin = origin;
-    this.attempt = attempt;
   }
 
   /** The binding of a request whose response begins with it. */
@@ -51,21 +48,14 @@
       CallerRequest.Routed request,
       String tenant) {
     long stream = StreamOrigins.streamOf(tenant, request.requestId());
-    return new StreamBinding(
-        recorder, metrics, route, stream, route.resumable(), Optional.empty(), 0);
+    return new StreamBinding(recorder, metrics, route, stream, route.resumable(), Optional.empty());
   }
 
   /** The binding of a request that takes up a stream. */
   static StreamBinding ofResumed(
       Recorder recorder, StreamMetrics metrics, RouteSpec route, StreamOriginRecord record) {
     return new StreamBinding(
-        recorder,
-        metrics,
-        route,
-        record.stream(),
-        route.resumable(),
-        Optional.of(record.origin()),
-        record.attempt());
+        recorder, metrics, route, record.stream(), route.resumable(), Optional.of(record.origin()));
   }
 
   /** Where the stream began; empty before its first event. */
@@ -78,23 +68,25 @@
     return origin.map(StreamOrigin::softwareVersion).orElse("");
   }
 
-  /**
-   * Records the origin that the stream has if this engine sends the next event. The record reaches
-   * others while the engine works on the first event.
-   */
-  void onSend(EngineInstance engine) {
-    if (origin.isEmpty()) {
-      attempt++;
-    }
+  /** Extends the record of a stream that goes on. An engine may still refuse to begin one. */
+  void onSend() {
+    origin.ifPresent(this::record);
+  }
+
+  private void record(StreamOrigin known) {
     if (isRecorded) {
-      recorder.record(stream, origin.orElse(StreamOrigin.of(engine)), attempt, route);
+      recorder.record(stream, known, route);
     }
   }
 
-  /** Binds the stream to the engine that sent its first event; later events change nothing. */
+  /**
+   * Binds the stream to the engine that sent its first event, before the caller gets it; later
+   * events change nothing.
+   */
   void onEvents(EngineInstance engine) {
     if (origin.isEmpty()) {
       origin = Optional.of(StreamOrigin.of(engine));
+      record(origin.get());
       metrics.onStream(StreamMetrics.Outcome.BEGUN, engine.softwareVersion());
     }
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOriginExchange.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOriginExchange.java
@@ -133,7 +133,7 @@
   }
 
   /** Collects the answers to one lookup. */
-  private static final class PendingLookup {
+  static final class PendingLookup {
     private final int asked;
     private final Consumer<Lookup> callback;
     private int ended;
@@ -149,7 +149,7 @@
       ended++;
       if (result.isOk() && result.value() instanceof StreamOriginReply reply) {
         answered++;
-        if (reply.record() != null) {
+        if (reply.record() != null && reply.record().hasBegun()) {
           finish(Optional.of(reply.record()));
         }
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOriginTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOriginTable.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
-/** The origins of streams that this gateway knows, bounded in time and number. */
+/** The origins of streams that have begun, as far as known; bounded in time and number. */
 final class StreamOriginTable {
   /** About 100 bytes each. */
   static final int MAX_ENTRIES = 50_000;
@@ -27,25 +27,25 @@
 
     StreamOriginRecord remaining(long nowMs) {
       int validMs = (int) (expiresMs - nowMs);
-      return new StreamOriginRecord(record.stream(), record.origin(), record.attempt(), validMs);
+      return new StreamOriginRecord(record.stream(), record.origin(), validMs);
     }
   }
 
   private final Map<Long, Entry> entries = new LinkedHashMap<>();
   private long nextSweepMs;
 
-  /** Adds or extends a record; ignored if a later attempt of the stream is known. */
+  /** Adds or extends a record; ignored if the stream may have begun elsewhere. */
   void put(StreamOriginRecord added, long nowMs) {
     sweep(nowMs);
-    Entry known = entries.get(added.stream());
-    boolean isOlder =
-        known != null && !known.isExpired(nowMs) && known.record().attempt() > added.attempt();
-    if (isOlder) {
+    if (!added.hasBegun()) {
       return;
     }
-    entries.remove(added.stream());
-    int validMs = Math.min(MAX_VALID_MS, added.validMs());
-    entries.put(added.stream(), new Entry(added, nowMs + validMs));
+    Entry known = entries.remove(added.stream());
+    long expiresMs = nowMs + Math.min(MAX_VALID_MS, added.validMs());
+    if (known != null) {
+      expiresMs = Math.max(expiresMs, known.expiresMs());
+    }
+    entries.put(added.stream(), new Entry(added, expiresMs));
     if (entries.size() > MAX_ENTRIES) {
       Iterator<Entry> oldest = entries.values().iterator();
       oldest.next();
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -133,9 +133,9 @@
     eventLoop.execute(() -> exchange.tell(table.matching(origin -> true, nowMs())));
   }
 
-  /** Records where a stream begins or goes on, before the engine is asked for it. */
-  public void record(long stream, StreamOrigin origin, int attempt, RouteSpec route) {
-    StreamOriginRecord added = new StreamOriginRecord(stream, origin, attempt, validMs(route));
+  /** Records where a stream has begun, before its caller gets the first event, or goes on. */
+  public void record(long stream, StreamOrigin origin, RouteSpec route) {
+    StreamOriginRecord added = new StreamOriginRecord(stream, origin, validMs(route));
     table.put(added, nowMs());
     if (possibleOrigins(route, nowMs()).size() > 1) {
       exchange.tell(List.of(added));
@@ -172,7 +172,7 @@
   private Optional<StreamOriginRecord> onlyOrigin(long stream, RouteSpec route, long nowMs) {
     Set<StreamOrigin> possible = possibleOrigins(route, nowMs);
     return possible.size() == 1
-        ? Optional.of(new StreamOriginRecord(stream, possible.iterator().next(), 1, validMs(route)))
+        ? Optional.of(new StreamOriginRecord(stream, possible.iterator().next(), validMs(route)))
         : Optional.empty();
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -172,7 +172,7 @@
         new RequestAuthorization(caller, () -> true, () -> AllowedRegions.ANYWHERE);
     StreamBinding binding =
         StreamBinding.ofNew(
-            (stream, origin, attempt, of) -> {}, new StreamMetrics(), route, request, tenant);
+            (stream, origin, of) -> {}, new StreamMetrics(), route, request, tenant);
     ForwardedRequest forwarded =
         ForwardedRequest.arrived(
             context.settings(), exchange, request, route, SERVICE, 1, authorization, nowMs);
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/OriginModel.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/OriginModel.java
@@ -10,24 +10,28 @@
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.fleet.StreamOriginRecord;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 
 /**
  * Gateways and two coordinators on virtual time, with one service. Coordinators read the list of
  * engines and answer each gateway every {@value #STEP_MS} ms; they save each view at once, but one
- * of them may have been down and tell an older one while there is no leader.
+ * of them may have been down and tell an older one while there is no leader. A leader answers
+ * before it has read the list. A gateway that stands still handles what waits for it in a drawn
+ * order.
  */
 final class OriginModel {
   private static final long STEP_MS = 100;
   private static final int VALID_MS = 10_000;
   private static final String SERVICE = "s";
 
-  /** What a coordinator tells. */
+  /** What a coordinator tells; {@code engines} is null before a leader has read the list. */
   private record View(
       List<EngineInstance> engines, List<StreamOrigin> retired, List<StreamOrigin> joining) {}
 
@@ -39,6 +43,13 @@
     private long confirmedMs = Long.MIN_VALUE / 2;
     private boolean cutOff;
     private boolean stopped;
+    private boolean isolated;
+    private boolean still;
+    private boolean awaitsAnswer;
+    private long suspendedMs;
+    private boolean severalVersions;
+    private int life;
+    private final List<Runnable> inbox = new ArrayList<>();
 
     private SoftwareVersions versions() {
       return eligibility.softwareVersions();
@@ -49,19 +60,44 @@
       table = new StreamOriginTable();
       view = null;
       confirmedMs = Long.MIN_VALUE / 2;
+      severalVersions = false;
+      life++;
+      inbox.clear();
+    }
+
+    private void handleAll() {
+      List<Runnable> waiting = List.copyOf(inbox);
+      inbox.clear();
+      waiting.forEach(Runnable::run);
+    }
+
+    private boolean isInTouch() {
+      return !stopped && !isolated && !still && inbox.isEmpty();
+    }
+  }
+
+  private record Stream(String version, long begunMs, Gateway beginner, int life) {
+    boolean isKnownByItsGateway() {
+      return beginner.life == life && beginner.isInTouch();
     }
   }
 
-  private record Stream(String version, long begunMs) {}
+  /** A stream without an event. */
+  private record Asked(long stream, Gateway gateway, int life) {}
 
   private final List<Gateway> gateways = new ArrayList<>();
   private final List<EngineInstance> listed = new ArrayList<>();
   private final Map<Long, Stream> streams = new HashMap<>();
+  private final List<Asked> asked = new ArrayList<>();
+  private final Random random = new Random(72);
   private SoftwareVersions leader = new SoftwareVersions();
   private SoftwareVersions follower = new SoftwareVersions();
   private View saved;
   private View keptView;
   private boolean leaderless;
+  private long followerBehindUntilMs;
+  private boolean listUnread;
+  private String lastThatLeft = "v1";
   private long nowMs;
   private long severalVersionsUntilMs = Long.MIN_VALUE / 2;
   private int names = 1;
@@ -94,7 +130,13 @@
     join("v" + ++names);
   }
 
+  /** Lists the version that left last again. */
+  void joinAgain() {
+    join(lastThatLeft);
+  }
+
   void leave(String version) {
+    lastThatLeft = version;
     listed.removeIf(engine -> engine.softwareVersion().equals(version));
   }
 
@@ -121,6 +163,41 @@
     gateways.get(index).cutOff = cutOff;
   }
 
+  /** Separates a gateway from coordinators and gateways, or connects it again. */
+  void isolate(int index, boolean isolated) {
+    gateways.get(index).isolated = isolated;
+    gateways.get(index).cutOff = isolated;
+  }
+
+  /** Suspends a gateway whose report has just been sent. */
+  void suspend(int index) {
+    Gateway gateway = gateways.get(index);
+    gateway.awaitsAnswer = !gateway.still && !gateway.cutOff;
+    gateway.suspendedMs = nowMs;
+    gateway.still = true;
+  }
+
+  /** Continues a gateway; what waits for it is handled by {@link #handleNext} or the next step. */
+  void resume(int index) {
+    gateways.get(index).still = false;
+    Collections.shuffle(gateways.get(index).inbox, random);
+  }
+
+  /** Lets a gateway handle one of the messages that waited for it; returns whether it did. */
+  boolean handleNext(int index) {
+    Gateway gateway = gateways.get(index);
+    boolean handles = !gateway.still && !gateway.inbox.isEmpty();
+    if (handles) {
+      gateway.inbox.remove(0).run();
+    }
+    return handles;
+  }
+
+  /** Lets the coordinator that does not lead miss the leader's views until it reports again. */
+  void keepFollowerBehind() {
+    followerBehindUntilMs = nowMs + 3 * STEP_MS;
+  }
+
   void setLeaderless(boolean leaderless) {
     this.leaderless = leaderless;
   }
@@ -129,6 +206,7 @@
     SoftwareVersions previous = leader;
     leader = follower;
     follower = previous;
+    listUnread = true;
   }
 
   void restartCoordinators() {
@@ -155,19 +233,41 @@
   }
 
   private void step() {
+    gateways.stream().filter(each -> !each.still).forEach(Gateway::handleAll);
     if (listed.stream().map(EngineInstance::softwareVersion).distinct().count() > 1) {
       severalVersionsUntilMs = nowMs;
     }
     if (leaderless) {
-      gateways.stream().filter(each -> each.view == null && !each.cutOff).forEach(this::tellSaved);
+      gateways.stream()
+          .filter(each -> each.view == null && !each.cutOff && !each.still)
+          .forEach(this::tellSaved);
+      return;
+    }
+    if (listUnread) {
+      listUnread = false;
+      answer(new View(null, leader.retiredOrigins(nowMs), leader.joiningOrigins(nowMs)));
       return;
     }
     leader.onList(listed, nowMs);
     View view =
         new View(List.copyOf(listed), leader.retiredOrigins(nowMs), leader.joiningOrigins(nowMs));
-    apply(follower, view);
+    if (nowMs > followerBehindUntilMs) {
+      apply(follower, view);
+    }
     saved = view;
-    gateways.stream().filter(each -> !each.cutOff).forEach(each -> tell(each, view));
+    answer(view);
+  }
+
+  private void answer(View view) {
+    for (Gateway each : gateways) {
+      if (each.still && each.awaitsAnswer) {
+        long sentMs = each.suspendedMs;
+        each.awaitsAnswer = false;
+        each.inbox.add(() -> tell(each, view, sentMs));
+      } else if (!each.still && !each.cutOff) {
+        tell(each, view, nowMs);
+      }
+    }
   }
 
   private void tellSaved(Gateway gateway) {
@@ -175,17 +275,41 @@
     apply(gateway.versions(), gateway.view);
   }
 
-  private void tell(Gateway gateway, View view) {
-    gateway.confirmedMs = nowMs;
+  private void tell(Gateway gateway, View update, long sentMs) {
+    View view = update;
+    if (update.engines() == null) {
+      if (gateway.view == null) {
+        return;
+      }
+      view = new View(gateway.view.engines(), update.retired(), update.joining());
+    } else {
+      gateway.confirmedMs = sentMs;
+    }
     gateway.view = view;
     apply(gateway.versions(), view);
-    if (possible(gateway).size() > 1) {
+    tellRecordsIfVersionJoined(gateway);
+  }
+
+  private void tellRecordsIfVersionJoined(Gateway gateway) {
+    int versions =
+        gateway.versions().recentVersions(SERVICE, StreamOriginTable.MAX_VALID_MS, nowMs).size();
+    if (versions > 1 && !gateway.severalVersions) {
       gateway.table.matching(origin -> true, nowMs).forEach(each -> tellOthers(gateway, each));
     }
+    gateway.severalVersions = versions > 1;
   }
 
   private void tellOthers(Gateway sender, StreamOriginRecord added) {
-    gateways.stream().filter(each -> each != sender).forEach(each -> each.table.put(added, nowMs));
+    for (Gateway each : gateways) {
+      if (each == sender || each.isolated || sender.isolated) {
+        continue;
+      }
+      if (each.still) {
+        each.inbox.add(() -> each.table.put(added, nowMs));
+      } else {
+        each.table.put(added, nowMs);
+      }
+    }
   }
 
   // ---- streams
@@ -193,24 +317,68 @@
   /** Begins a stream at a version, if the gateway may. */
   Optional<Long> begin(int index, String version) {
     Gateway gateway = gateways.get(index);
-    boolean mayBegin =
-        gateway.view != null
-            && gateway.view.engines().stream()
-                .filter(listed::contains)
-                .filter(engine -> engine.softwareVersion().equals(version))
-                .anyMatch(engine -> isEligible(gateway, engine));
-    if (!mayBegin) {
+    if (eligibleVersions(gateway).noneMatch(version::equals)) {
       return Optional.empty();
     }
     long stream = nextStream++;
-    streams.put(stream, new Stream(version, nowMs));
-    StreamOriginRecord added =
-        new StreamOriginRecord(stream, new StreamOrigin(SERVICE, version), 1, VALID_MS);
+    onFirstEvent(gateway, stream, version);
+    return Optional.of(stream);
+  }
+
+  /**
+   * Asks an engine of the oldest version for a stream; it does not answer yet. The gateway records
+   * that, as those of an earlier release do.
+   */
+  void ask(int index) {
+    Gateway gateway = gateways.get(index);
+    eligibleVersions(gateway).findFirst().ifPresent(version -> ask(gateway, version));
+  }
+
+  private void ask(Gateway gateway, String version) {
+    long stream = nextStream++;
+    record(
+        gateway, new StreamOriginRecord(stream, new StreamOrigin(SERVICE, version), 1, VALID_MS));
+    asked.add(new Asked(stream, gateway, gateway.life));
+  }
+
+  /** Lets the engines that were asked refuse; streams begin at the newest version. */
+  Optional<Long> beginElsewhere(int index) {
+    Gateway gateway = gateways.get(index);
+    Optional<String> newest = eligibleVersions(gateway).reduce((first, second) -> second);
+    List<Asked> ready =
+        asked.stream()
+            .filter(each -> each.gateway() == gateway && each.life() == gateway.life)
+            .toList();
+    if (newest.isEmpty()) {
+      return Optional.empty();
+    }
+    asked.removeAll(ready);
+    for (Asked each : ready) {
+      onFirstEvent(gateway, each.stream(), newest.get());
+    }
+    return ready.stream().map(Asked::stream).findFirst();
+  }
+
+  private java.util.stream.Stream<String> eligibleVersions(Gateway gateway) {
+    if (gateway.view == null || gateway.still) {
+      return java.util.stream.Stream.empty();
+    }
+    return gateway.view.engines().stream()
+        .filter(listed::contains)
+        .filter(engine -> isEligible(gateway, engine))
+        .map(EngineInstance::softwareVersion);
+  }
+
+  private void onFirstEvent(Gateway gateway, long stream, String version) {
+    streams.put(stream, new Stream(version, nowMs, gateway, gateway.life));
+    record(gateway, new StreamOriginRecord(stream, new StreamOrigin(SERVICE, version), VALID_MS));
+  }
+
+  private void record(Gateway gateway, StreamOriginRecord added) {
     gateway.table.put(added, nowMs);
     if (possible(gateway).size() > 1) {
       tellOthers(gateway, added);
     }
-    return Optional.of(stream);
   }
 
   private boolean isEligible(Gateway gateway, EngineInstance engine) {
@@ -233,7 +401,7 @@
     return List.copyOf(streams.keySet());
   }
 
-  Resolution resume(int index, long stream) {
+  Resolution takeUp(int index, long stream) {
     Gateway gateway = gateways.get(index);
     Optional<StreamOriginRecord> own = gateway.table.find(stream, nowMs);
     if (own.isPresent()) {
@@ -244,11 +412,13 @@
   }
 
   private Lookup lookup(Gateway asking, long stream) {
-    List<Gateway> asked =
+    List<Gateway> peers =
         gateways.stream().filter(each -> each != asking && !each.stopped).toList();
+    List<Gateway> answering =
+        peers.stream().filter(each -> !each.still && !each.isolated && !asking.isolated).toList();
     Optional<StreamOriginRecord> found =
-        asked.stream().flatMap(each -> each.table.find(stream, nowMs).stream()).findFirst();
-    return new Lookup(found, asked.size(), asked.size());
+        answering.stream().flatMap(each -> each.table.find(stream, nowMs).stream()).findFirst();
+    return new Lookup(found, peers.size(), answering.size());
   }
 
   private OriginKnowledge knowledge(Gateway gateway, long stream) {
@@ -257,7 +427,7 @@
         possible.stream()
             .filter(version -> possible.size() == 1)
             .map(version -> new StreamOrigin(SERVICE, version))
-            .map(origin -> new StreamOriginRecord(stream, origin, 1, VALID_MS))
+            .map(origin -> new StreamOriginRecord(stream, origin, VALID_MS))
             .findFirst();
     boolean followedLong = gateway.versions().hasFollowedFor(VALID_MS, nowMs);
     return new OriginKnowledge(only, isConfirmed(gateway), followedLong);
@@ -276,6 +446,15 @@
     return names == 1 && severalVersionsUntilMs < 0;
   }
 
+  /** Whether the gateway runs, and reaches the one that began the stream, which runs as well. */
+  boolean reachesBeginnerOf(long stream, int index) {
+    return gateways.get(index).isInTouch() && streams.get(stream).isKnownByItsGateway();
+  }
+
+  boolean isRunning(int index) {
+    return !gateways.get(index).still;
+  }
+
   String versionThatBegan(long stream) {
     return Objects.requireNonNull(streams.get(stream)).version();
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestOriginKnowledge.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestOriginKnowledge.java
@@ -11,9 +11,9 @@
 
 class TestOriginKnowledge {
   private static final StreamOriginRecord V1 =
-      new StreamOriginRecord(7, new StreamOrigin("s", "v1"), 1, 1_000);
+      new StreamOriginRecord(7, new StreamOrigin("s", "v1"), 1_000);
   private static final StreamOriginRecord V2 =
-      new StreamOriginRecord(7, new StreamOrigin("s", "v2"), 1, 1_000);
+      new StreamOriginRecord(7, new StreamOrigin("s", "v2"), 1_000);
   private static final Optional<StreamOriginRecord> SEVERAL = Optional.empty();
 
   private static Lookup notFound(int asked, int answered) {
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestReturnsAfterLossOfGateways.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestReturnsAfterLossOfGateways.java
@@ -39,7 +39,7 @@
     model.setLeaderless(true);
     model.loseAllGateways();
     model.advance(300);
-    assertThat(goesOn(model.resume(1, stream))).as("at v1, since others answer").isFalse();
+    assertThat(goesOn(model.takeUp(1, stream))).as("at v1, since others answer").isFalse();
   }
 
   @Test
@@ -52,7 +52,7 @@
     model.loseAllGateways();
     model.stopAllBut(1);
     model.advance(300);
-    assertThat(goesOn(model.resume(1, stream))).isFalse();
+    assertThat(goesOn(model.takeUp(1, stream))).isFalse();
   }
 
   /** The version of most engines may be the one that has just joined. */
@@ -86,7 +86,7 @@
     long stream = model.begin(0, "v1").orElseThrow();
     model.loseAllGateways();
     model.advance(100);
-    assertThat(goesOn(model.resume(1, stream))).isTrue();
+    assertThat(goesOn(model.takeUp(1, stream))).isTrue();
   }
 
   private void perform(int action, int gateway) {
@@ -116,7 +116,7 @@
       perform(action / GATEWAYS, action % GATEWAYS);
       for (long stream : model.openStreams()) {
         for (int gateway = 0; gateway < GATEWAYS; gateway++) {
-          check(stream, model.resume(gateway, stream), model.gateway(gateway));
+          check(stream, model.takeUp(gateway, stream), model.gateway(gateway));
         }
       }
     }
