Software versions: a leader that has not read the list settles none

A version begins no streams until the leader has listed it for 800 ms and tells that it no longer joins. A new leader answers before it has read the list of engines; if it had not heard from the one before that a version joins, it told none, and gateways that had that version in their list took it for settled at once. Another gateway, confirmed up to 600 ms ago, knows the old version only and lets returns go on there (ORDER). After a planned stop of the leader, the next one answers within milliseconds. An update without a list of engines now leaves the versions that join as they are.

leaderThatHasNotReadTheListSettlesNoVersion fails without it ("containing value: 1L", begun at v2 within 200 ms of its first listing).

--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -290,7 +290,7 @@
                 previous.evacuatedZones(), update.evacuatedZones(), update.isLastKnown()),
             update.jobsGroupRegions(),
             update.retiredOrigins(),
-            update.joiningOrigins());
+            update.joiningOriginsAfter(previous.joiningOrigins()));
     if (!changed && next.equals(previous)) {
       return;
     }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/OriginModel.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/OriginModel.java
@@ -7,8 +7,10 @@
 import io.pathdeck.fleet.origin.StreamOriginExchange.Lookup;
 import io.pathdeck.fleet.origin.StreamOrigins.Resolution;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.fleet.StreamOriginRecord;
+import io.pathdeck.protocol.message.FleetUpdate;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -281,7 +283,8 @@
       if (gateway.view == null) {
         return;
       }
-      view = new View(gateway.view.engines(), update.retired(), update.joining());
+      List<StreamOrigin> joining = unread(update).joiningOriginsAfter(gateway.view.joining());
+      view = new View(gateway.view.engines(), update.retired(), joining);
     } else {
       gateway.confirmedMs = sentMs;
     }
@@ -290,6 +293,25 @@
     tellRecordsIfVersionJoined(gateway);
   }
 
+  /** The update of a leader that has not read the list of engines. */
+  private static FleetUpdate unread(View view) {
+    return new FleetUpdate(
+        null,
+        null,
+        null,
+        List.of(),
+        List.of(),
+        FleetProcess.NO_GROUP,
+        List.of(),
+        List.of(),
+        null,
+        null,
+        List.of(),
+        view.retired(),
+        view.joining(),
+        List.of());
+  }
+
   private void tellRecordsIfVersionJoined(Gateway gateway) {
     int versions =
         gateway.versions().recentVersions(SERVICE, StreamOriginTable.MAX_VALID_MS, nowMs).size();
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestGatewayOutOfStep.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestGatewayOutOfStep.java
@@ -83,6 +83,17 @@
     } while (model.handleNext(1));
   }
 
+  @Test
+  void leaderThatHasNotReadTheListSettlesNoVersion() {
+    model.keepFollowerBehind();
+    model.cut(1, true);
+    model.join("v2");
+    model.advance(100);
+    model.changeLeader();
+    model.advance(100);
+    assertThat(model.begin(0, "v2")).as("gateway 1 knows v1 only, confirmed").isEmpty();
+  }
+
   private void perform(int action, int gateway) {
     switch (action) {
       case 0 -> model.joinNext();
--- a/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/FleetUpdate.java
@@ -102,6 +102,14 @@
         List.of());
   }
 
+  /**
+   * Returns the software versions that join after this update. Without a list of engines, {@code
+   * known} ones go on joining: the leader may not know them yet.
+   */
+  public List<StreamOrigin> joiningOriginsAfter(List<StreamOrigin> known) {
+    return engines == null ? known : joiningOrigins;
+  }
+
   /** Whether this is what a coordinator knew before its restart, and not a leader's answer. */
   public boolean isLastKnown() {
     return processes != null && processes.epoch() == NO_LEADERS_EPOCH;
