Begin a stream's response with its first event

Callers saw a 200 with the signature and version of an engine that sent no event: the head was passed on when it came. If that engine then fell silent, ended, was reset, sent another answer or bytes that are no chunk, or stopped inside its first event, another engine sent all events under that head. If the retry was refused or answered 500, the 200 was broken off.

Cause: the head committed the response before the engine had given anything. An attempt now holds its head, and comments before its first event, until the first event or the end of a whole stream without events. Until then another engine's response or an error is possible; 503 stays for requests that have certainly not run. A return after Last-Event-Id follows the same rule, and the stream is bound to a software version with its first event, not a comment.

Attempt (what comes from the engine) and CallerResponse (what the caller got) are split from RequestForwarder. An attempt that ended inside an event, or with an error that is retried, is logged as failed, too.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BufferedResponse.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BufferedResponse.java
@@ -2,8 +2,12 @@
 
 import io.pathdeck.serving.http.ConnectionMemory;
 import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
 
-/** The body of a non-streaming response, counted against the memory of callers and responses. */
+/**
+ * The part of a response body that waits to be sent, counted against the memory of callers and
+ * responses: a whole body, or what precedes the first event of a stream.
+ */
 final class BufferedResponse {
   /** What became of a part of the body. */
   enum Result {
@@ -52,6 +56,18 @@
     bytes.reset();
   }
 
+  /** Returns the body followed by {@code part}, and discards it. */
+  byte[] drain(byte[] part) {
+    if (bytes.size() == 0) {
+      return part;
+    }
+    byte[] held = Arrays.copyOf(bytes.toByteArray(), bytes.size() + part.length);
+    System.arraycopy(part, 0, held, bytes.size(), part.length);
+    end();
+    discard();
+    return held;
+  }
+
   byte[] toByteArray() {
     return bytes.toByteArray();
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestCompletion.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestCompletion.java
@@ -20,15 +20,15 @@
   }
 
   /** Breaks off a response that has begun. */
-  void abort(String reason, long lastEventId) {
-    log.failed(reason, "after_event", lastEventId);
+  void abort(String reason, CallerResponse response) {
+    log.brokenOff(reason, response);
     metrics.onEnd(kind, RequestMetrics.Outcome.FAILED);
     exchange.abort();
   }
 
   /** Ends a request that may have run with an error of the gateway. */
   void fail(int status, String code, String reason) {
-    log.failed(reason, "status", status);
+    log.failed(reason, status);
     metrics.onEnd(kind, RequestMetrics.Outcome.FAILED);
     exchange.sendError(ApiError.failed(status, code, reason, true));
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -3,7 +3,6 @@
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.fleet.adapter.CallerRequest;
-import io.pathdeck.fleet.engine.EngineFailure;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.protocol.fleet.EngineInstance;
 import java.util.Locale;
@@ -13,10 +12,15 @@
   private static final EventLog EVENTS = EventLog.of(RequestLog.class);
   private static final String NO_ENGINE = "";
 
+  /** The failure of an attempt that an engine answered with an error. */
+  static final String ERROR_RESPONSE = "error_response";
+
   /**
    * Details of a served request.
    *
    * @param routesVersion the version of the route table that the request was matched with
+   * @param headEngineId the engine whose head the caller got
+   * @param status the status that the caller got
    * @param engineId the engine that completed the response
    * @param softwareVersion the software version of that engine
    * @param estimatedLoad the engine's estimated load when it was chosen
@@ -29,6 +33,8 @@
    */
   record Served(
       long routesVersion,
+      String headEngineId,
+      int status,
       String engineId,
       String softwareVersion,
       double estimatedLoad,
@@ -40,22 +46,23 @@
       long lastEvent) {
     static Served by(
         AttemptTracker attempt,
+        CallerResponse response,
         long routesVersion,
         long waitedMs,
-        long timeToFirstByteMs,
-        long totalMs,
-        long lastEvent) {
+        long totalMs) {
       return new Served(
           routesVersion,
+          response.headEngineId(),
+          response.status(),
           attempt.engine().instance().id(),
           attempt.engine().instance().softwareVersion(),
           attempt.estimatedLoad(),
           attempt.loadAgeMs(),
           attempt.engine().pace().msPerEvent(),
           waitedMs,
-          timeToFirstByteMs,
+          response.timeToFirstByteMs(),
           totalMs,
-          lastEvent);
+          response.lastEventId());
     }
   }
 
@@ -115,11 +122,24 @@
         waitedMs);
   }
 
-  /**
-   * Logs a failed request; {@code key} is the log field of {@code value}: the status sent or the
-   * last event delivered.
-   */
-  void failed(String reason, String key, long value) {
+  /** Logs a request whose caller gets an error of the gateway with this status. */
+  void failed(String reason, int status) {
+    EVENTS.log(
+        EventCode.REQUEST_FAILED,
+        "request",
+        requestId,
+        "route",
+        route,
+        "reason",
+        reason,
+        "status",
+        status,
+        "sends",
+        budget.sends());
+  }
+
+  /** Logs a request whose response is broken off. */
+  void brokenOff(String reason, CallerResponse response) {
     EVENTS.log(
         EventCode.REQUEST_FAILED,
         "request",
@@ -128,21 +148,22 @@
         route,
         "reason",
         reason,
-        key,
-        value,
+        "after_event",
+        response.lastEventId(),
         "sends",
         budget.sends());
   }
 
-  void attemptFailed(String engineId, EngineFailure failure, String reason, long afterEvent) {
+  /** Logs a failed attempt; {@code afterEvent} is the last event that the caller got. */
+  void attemptFailed(Attempt attempt, String failure, String reason, long afterEvent) {
     EVENTS.log(
         EventCode.ATTEMPT_FAILED,
         "request",
         requestId,
         "engine",
-        engineId,
+        attempt.engine().instance().id(),
         "failure",
-        failure.name().toLowerCase(Locale.ROOT),
+        failure,
         "reason",
         reason,
         "after_event",
