Retry a stream whose connection closed before its first event

A caller got an empty 200, framed as whole, and an item was listed as done with an empty text, when an engine that told neither a length nor chunks closed the connection after its head and went on living. Such an end tells nothing before the first event, so the attempt has failed: it is retried if allowed, else answered 502; an item runs again.

EngineListener.onEndByClose tells it from an end that the framing shows.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineListener.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineListener.java
@@ -3,8 +3,8 @@
 import io.pathdeck.fleet.adapter.EngineResponse;
 
 /**
- * Receives the events of one call on the event loop; {@code onEnd}, {@code onClose} or {@code
- * onFailure} is the last.
+ * Receives the events of one call on the event loop; {@code onEnd}, {@code onEndByClose}, {@code
+ * onClose} or {@code onFailure} is the last.
  */
 public interface EngineListener {
   /** The head of the response arrived. */
@@ -16,6 +16,14 @@
   /** The response is complete. */
   void onEnd();
 
+  /**
+   * The response is complete, as far as the end of its connection tells: it has neither a length
+   * nor chunks, and the engine has not crashed.
+   */
+  default void onEndByClose() {
+    onEnd();
+  }
+
   /**
    * The connection closed, and with it a response that has neither a length nor chunks. It is
    * complete only if the engine closed the connection on purpose and did not crash.
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Attempt.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Attempt.java
@@ -206,10 +206,22 @@
 
   @Override
   public void onEnd() {
-    if (ended) {
-      return;
+    if (!ended) {
+      end();
+      onEnd(false);
     }
-    end();
+  }
+
+  /** An engine that stopped before its first event would end its response in the same way. */
+  @Override
+  public void onEndByClose() {
+    if (!ended) {
+      end();
+      onEnd(true);
+    }
+  }
+
+  private void onEnd(boolean byClose) {
     if (!response.isSuccess()) {
       owner.onErrorResponse(this, response, body.toByteArray());
     } else if (!isStream) {
@@ -218,6 +230,8 @@
       callerResponse.send(body.toByteArray());
     } else if (scanner.hasPartialEvent()) {
       failStream("the stream ended inside an event");
+    } else if (byClose && !hasEvents) {
+      failStream("the connection closed before the first event");
     } else if (pass(NOTHING)) {
       tracker.onStreamCompleted(nowMs());
       owner.onServed(this);
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -186,10 +186,14 @@
 
     @Override
     public void onEnd() {
+      recordServed();
+      listener.onEnd();
+    }
+
+    private void recordServed() {
       if (call.hasRequestId() && isSuccess()) {
         recorder.onServed(call, nowMs());
       }
-      listener.onEnd();
     }
 
     private boolean isSuccess() {
@@ -217,7 +221,8 @@
      */
     private void onResultAfterClose(EngineLivenessProbe.Result result) {
       if (result.hasRunSince(startedUnixMs)) {
-        onEnd();
+        recordServed();
+        listener.onEndByClose();
         return;
       }
       if (result.verdict().isCrash() && call.hasRequestId()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -43,6 +43,7 @@
   private final ByteArrayOutputStream undrainedEvents = new ByteArrayOutputStream();
   private EngineTransport.Handle handle;
   private EngineResponse response;
+  private boolean hasEvents;
   private volatile EngineLoadReport load;
   private volatile long headReceivedMs;
   private long lastDrainedEvent;
@@ -172,6 +173,7 @@
     }
     undrainedEvents.writeBytes(scanner.feed(chunk));
     if (scanner.hasAdvanced()) {
+      hasEvents = true;
       lastEventMs = lastReceivedMs;
     }
     if (scanner.problem() != null) {
@@ -202,6 +204,16 @@
     }
   }
 
+  /** An engine that stopped before its first event would end its response in the same way. */
+  @Override
+  public void onEndByClose() {
+    if (!over && isSuccess() && !hasEvents) {
+      finish(ItemOutcome.Kind.BROKEN, "the connection closed before the first event");
+    } else {
+      onEnd();
+    }
+  }
+
   @Override
   public void onFailure(EngineFailure failure, String reason) {
     if (!over) {
