Release a quarantined request only if causes explain its crashes

Cause: causes() leaves a request out also if its evidence is only doubtful: a part of prompts that ended engines at the same time, not yet a cause itself, made the request explain no longer most ends. releaseExonerated took the absence for an explanation.

Change: isExonerated. A request is released if the causes explain its crashes but for a weight of less than three. Parts are released as before. A request that was quarantined by mistake is cleared by its trial.

Weighed: looser limits for doubt once quarantined (a second part would cross them, too); no release but by trials (an innocent request waits four seconds although the cause is known).

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/QuarantineManager.java
@@ -166,7 +166,7 @@
   private void releaseExonerated(List<RequestFingerprint> causes) {
     List<RequestFingerprint> exonerated =
         state.quarantine().requests().stream()
-            .filter(request -> detector.hasSufficientEvidence(request) && !causes.contains(request))
+            .filter(request -> detector.isExonerated(request, causes))
             .toList();
     if (!exonerated.isEmpty()) {
       release(exonerated, "another request explains the ends");
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/CrashCauseDetector.java
@@ -162,6 +162,22 @@
         : crashes.against(suspect).weight() >= SUFFICIENT_CRASHES;
   }
 
+  /**
+   * Whether {@code causes} explain so many crashes of a request or part, which is none of them,
+   * that those left are too few to judge it. Doubt is not enough for a request: it may crash
+   * engines beside other causes that are not found yet.
+   */
+  public boolean isExonerated(RequestFingerprint fingerprint, List<RequestFingerprint> causes) {
+    if (causes.contains(fingerprint) || !hasSufficientEvidence(fingerprint)) {
+      return false;
+    }
+    CrashSuspect suspect = suspects.get(fingerprint);
+    Set<String> explained = new HashSet<>();
+    causes.forEach(cause -> explained.addAll(suspects.get(cause).crashedEngines()));
+    return suspect.isPart()
+        || unexplainedCrashes(explained).against(suspect).weight() < SUFFICIENT_CRASHES;
+  }
+
   /** What crashes say against a request or part, apart from other causes; for operators. */
   public String describeEvidence(RequestFingerprint fingerprint, long nowMs) {
     CrashSuspect suspect = suspects.get(fingerprint);
--- a/fleet/src/test/java/io/pathdeck/fleet/quarantine/PromptPartModel.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/PromptPartModel.java
@@ -385,9 +385,7 @@
 
   private void judge() {
     List<RequestFingerprint> causes = leader.causes(quarantined::contains);
-    boolean changed =
-        quarantined.removeIf(
-            known -> leader.hasSufficientEvidence(known) && !causes.contains(known));
+    boolean changed = quarantined.removeIf(known -> leader.isExonerated(known, causes));
     changed |= quarantined.addAll(causes);
     causes.stream()
         .filter(cause -> !cause.equals(part(BAD)) && cause.isPromptPart())
--- a/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestCrashCauseDetector.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestCrashCauseDetector.java
@@ -300,4 +300,33 @@
     }
     assertThat(causes()).containsExactly(BAD_PART);
   }
+
+  /**
+   * Guards against a release for no other reason than that engines also crash without the request.
+   */
+  @Test
+  void doubtDoesNotExonerateWhileNoCauseExplainsTheCrashes() {
+    addCrashes(BAD, "a", "c", "e");
+    assertThat(causes()).containsExactly(BAD);
+    addCrash("b", crashMs("b"), 1, RARE);
+    addCrash("d", crashMs("d"), 2, RARE);
+    assertThat(causes()).as("three of five crashes are not most of them").isEmpty();
+    assertThat(detector.isExonerated(BAD, causes())).isFalse();
+  }
+
+  @Test
+  void causesThatExplainTheCrashesExonerate() {
+    addCrashes(OTHER, "a", "b", "c");
+    addCrashes(BAD, "a", "b", "d", "e");
+    assertThat(causes()).containsExactly(BAD);
+    assertThat(detector.isExonerated(OTHER, causes())).isTrue();
+  }
+
+  @Test
+  void crashesBesideThoseOfACauseDoNotExonerate() {
+    addCrashes(BAD, "a", "b", "c", "d", "e", "f", "g");
+    addCrashes(OTHER, "g", "h", "i", "j");
+    addCrashes(new RequestFingerprint(3, "third"), "k");
+    assertThat(detector.isExonerated(OTHER, List.of(BAD))).isFalse();
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestQuarantineFalsePositives.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/quarantine/TestQuarantineFalsePositives.java
@@ -86,8 +86,7 @@
     }
     fillEngine(engine);
     List<RequestFingerprint> causes = detector.causes(quarantined::contains);
-    quarantined.removeIf(
-        request -> detector.hasSufficientEvidence(request) && !causes.contains(request));
+    quarantined.removeIf(request -> detector.isExonerated(request, causes));
     quarantined.addAll(causes);
     everQuarantined.addAll(causes);
   }
