Streams without an event are judged where events are read

A stream that was taken up and closes before an event is not taken for whole: the rest may be missing.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -38,10 +37,9 @@
  * attributed to a call, so it is dropped and fails the current call, whose request may have run. A
  * connection that dropped anything is not reused. A head of several responses fails the call.
  *
- * <p>A response without a length or chunks ends with the engine's end of stream, which cuts off a
- * new stream that has no event yet. The end is read from the open channel, which therefore allows
- * half-closure. A channel that has closed shows no end: a write that fails closes it, too, and
- * takes the error of a reset from the reader.
+ * <p>A response without a length or chunks ends with the engine's end of stream. That is read from
+ * the open channel, which therefore allows half-closure. A channel that has closed shows no end: a
+ * write that fails closes it, too, and takes the error of a reset from the reader.
  */
 final class EngineConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final EventLog EVENTS = EventLog.of(EngineConnection.class);
@@ -82,7 +80,6 @@
   private boolean success;
   private boolean keepAlive;
   private boolean closeDelimited;
-  private boolean lacksFirstEvent;
   private boolean usedBefore;
   private boolean responseStarted;
   private boolean responseDropped;
@@ -245,7 +242,6 @@
     }
     readState = ReadState.BODY;
     closeDelimited = isCloseDelimited(head);
-    lacksFirstEvent = success && isEventStream(head) && currentCall.call().resumeAfter() < 0;
     keepAlive = HttpUtil.isKeepAlive(head) && !closeDelimited;
     engineIdleTimeoutMs = response.idleTimeoutMs();
     currentCall.listener().onHead(response);
@@ -278,18 +274,12 @@
     return !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
   }
 
-  private static boolean isEventStream(HttpResponse head) {
-    CharSequence mimeType = HttpUtil.getMimeType(head);
-    return mimeType != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(mimeType);
-  }
-
   private void readBody(HttpContent content) {
     if (!isWithinLimit(content.content().readableBytes())) {
       abortCall("the response is too long");
       return;
     }
     if (readState == ReadState.BODY && content.content().isReadable()) {
-      lacksFirstEvent = false;
       currentCall.listener().onBody(ByteBufUtil.getBytes(content.content()));
     }
     if (content instanceof LastHttpContent && currentCall != null) {
@@ -312,10 +302,6 @@
       onConnectionLost("no end of stream; request write: " + requestWrite.cause());
       return;
     }
-    if (endedByClose && lacksFirstEvent) {
-      onConnectionLost("the connection ended before the first event");
-      return;
-    }
     PendingCall completedCall = currentCall;
     currentCall = null;
     completedCalls++;
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/CallOutcome.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/CallOutcome.java
@@ -48,11 +48,6 @@
     failure.complete(Optional.empty());
   }
 
-  @Override
-  public void onClose() {
-    onEnd();
-  }
-
   @Override
   public void onFailure(EngineFailure cause, String reason) {
     failure.complete(Optional.of(cause));
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/ScriptedServerTest.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/ScriptedServerTest.java
@@ -36,11 +36,6 @@
 
   /** Makes a call and returns it once it has ended. */
   CallOutcome call(String requestId) throws Exception {
-    return call(requestId, -1);
-  }
-
-  /** Makes a call for what follows an event. */
-  CallOutcome call(String requestId, long resumeAfter) throws Exception {
     EngineCall call =
         new EngineCall(
             server.engine("e"),
@@ -52,7 +47,7 @@
             new DefaultHttpHeaders(),
             new byte[0],
             0,
-            resumeAfter);
+            -1);
     CallOutcome outcome = new CallOutcome();
     eventLoop.execute(() -> transport.start(call, outcome));
     outcome.failureWithin(BOUND_MS);
