Software versions: a version that returns after five seconds settles again

Leaders remember versions that left for 60 s and took one that is listed again for settled; gateways count it among the possible origins of a route for two timeouts only, 5 s at least. So after a release that was taken back, or when the only engine of a version was replaced, streams began there at once, while a gateway confirmed up to 600 ms ago knew one version and let returns go on at it (ORDER). A version that was absent for more than 4.2 s settles like a new one, unless it is the only one that the service had. A coordinator that hears of its return counts from there when it leads.

Taken out: versionThatReturnsSettlesAgain ("containing value: 1L"), the property of TestGatewayOutOfStep and versionThatReturnsAfterOthersMayHaveForgottenItSettlesAgain fail; for followers, coordinatorThatBeginsToLeadKnowsThatAVersionHasReturned.

--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
@@ -31,6 +31,15 @@
   /** How long a version that has left the list is remembered. */
   static final long RETENTION_MS = 60_000;
 
+  /**
+   * How long each process at least counts a version that has left the list among those at which a
+   * stream may have begun.
+   */
+  public static final long MIN_MEMORY_MS = 5_000;
+
+  /** A version that was absent for longer may be unknown to others, and settles again. */
+  static final long MAX_ABSENCE_MS = MIN_MEMORY_MS - SETTLING_MS;
+
   private static final long SETTLED = Long.MIN_VALUE / 2;
 
   /** When a version joined its service, as far as this process knows, and was last listed. */
@@ -41,6 +50,10 @@
     Presence(long joinedMs) {
       this.joinedMs = joinedMs;
     }
+
+    boolean isAbsent(long nowMs) {
+      return nowMs - lastListedMs > MAX_ABSENCE_MS;
+    }
   }
 
   private final Map<String, Map<String, Presence>> services = new HashMap<>();
@@ -89,11 +102,11 @@
 
   private void addVersion(String service, String version, long nowMs) {
     Map<String, Presence> known = services.computeIfAbsent(service, name -> new TreeMap<>());
-    boolean isJoining = joining.contains(new StreamOrigin(service, version));
-    Presence presence =
-        known.computeIfAbsent(version, name -> new Presence(isJoining ? nowMs : SETTLED));
-    if (!isJoining) {
+    Presence presence = known.computeIfAbsent(version, name -> new Presence(SETTLED));
+    if (!joining.contains(new StreamOrigin(service, version))) {
       presence.joinedMs = SETTLED;
+    } else if (presence.joinedMs == SETTLED || presence.isAbsent(nowMs)) {
+      presence.joinedMs = nowMs;
     }
   }
 
@@ -122,7 +135,11 @@
     String mostCommon = mostCommon(versions);
     for (String version : versions.keySet()) {
       boolean isSettled = isNewService && version.equals(mostCommon);
-      known.computeIfAbsent(version, name -> new Presence(isSettled ? SETTLED : nowMs));
+      Presence presence =
+          known.computeIfAbsent(version, name -> new Presence(isSettled ? SETTLED : nowMs));
+      if (!isNewService && known.size() > 1 && presence.isAbsent(nowMs)) {
+        presence.joinedMs = nowMs;
+      }
     }
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -27,7 +27,7 @@
  * caller's return needs no question. As soon as there are several, other gateways are told.
  */
 public final class StreamOrigins {
-  private static final int MIN_VALID_MS = 5_000;
+  private static final int MIN_VALID_MS = (int) SoftwareVersions.MIN_MEMORY_MS;
 
   /** A stream whose caller does not tell which request began it. */
   private static final long UNNAMED = 0;
--- a/fleet/src/test/java/io/pathdeck/fleet/eligibility/TestSoftwareVersions.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/eligibility/TestSoftwareVersions.java
@@ -85,4 +85,34 @@
     list(backMs, "v1", "v2");
     assertThat(versions.joiningOrigins(backMs)).containsExactly(origin("v2"));
   }
+
+  @Test
+  void versionThatReturnsAfterOthersMayHaveForgottenItSettlesAgain() {
+    list(0, "v1", "v2");
+    list(1_000, "v1");
+    long shortlyMs = 1_000 + SoftwareVersions.MAX_ABSENCE_MS;
+    list(shortlyMs, "v1", "v2");
+    assertThat(versions.joiningOrigins(shortlyMs)).isEmpty();
+    list(shortlyMs + 1, "v1");
+    long laterMs = shortlyMs + 2 + SoftwareVersions.MAX_ABSENCE_MS;
+    list(laterMs, "v1", "v2");
+    assertThat(versions.joiningOrigins(laterMs)).containsExactly(origin("v2"));
+  }
+
+  @Test
+  void coordinatorThatBeginsToLeadKnowsThatAVersionHasReturned() {
+    versions.onView(engines("v1", "v2"), List.of(), List.of(), 0);
+    versions.onView(engines("v1"), List.of(origin("v2")), List.of(), 1_000);
+    versions.onView(engines("v1", "v2"), List.of(), List.of(origin("v2")), 3_000);
+    list(3_100, "v1", "v2");
+    assertThat(versions.joiningOrigins(3_100)).containsExactly(origin("v2"));
+  }
+
+  @Test
+  void onlyVersionOfAServiceNeedNotSettleAgain() {
+    list(0, "v1");
+    list(1_000);
+    list(9_000, "v1");
+    assertThat(versions.joiningOrigins(9_000)).isEmpty();
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestGatewayOutOfStep.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestGatewayOutOfStep.java
@@ -94,6 +94,18 @@
     assertThat(model.begin(0, "v2")).as("gateway 1 knows v1 only, confirmed").isEmpty();
   }
 
+  @Test
+  void versionThatReturnsSettlesAgain() {
+    model.join("v2");
+    settle();
+    model.leave("v2");
+    model.advance(11_000);
+    model.cut(1, true);
+    model.join("v2");
+    model.advance(100);
+    assertThat(model.begin(0, "v2")).as("gateway 1 knows v1 only, confirmed").isEmpty();
+  }
+
   private void perform(int action, int gateway) {
     switch (action) {
       case 0 -> model.joinNext();
