Streams: a return that names no attempt is decided anew each time

All streams whose callers name no attempt have one number. When one of them went on at the only version, it was recorded under that number, so that after another version had joined, the next such return went on at the first version without a question, wherever its stream had begun (ORDER). Nothing is recorded under that number any more.

recordOfOneCallerThatNamesNoAttemptDoesNotServeTheNext fails without it (Known at v1 beside v2, Unknown expected).

--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -135,6 +135,9 @@
 
   /** Records where a stream has begun, before its caller gets the first event, or goes on. */
   public void record(long stream, StreamOrigin origin, RouteSpec route) {
+    if (stream == UNNAMED) {
+      return;
+    }
     StreamOriginRecord added = new StreamOriginRecord(stream, origin, validMs(route));
     table.put(added, nowMs());
     if (possibleOrigins(route, nowMs()).size() > 1) {
