--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -27,7 +27,7 @@
  * caller's return needs no question. As soon as there are several, other gateways are told.
  */
 public final class StreamOrigins {
-  private static final int MIN_VALID_MS = 5_000;
+  private static final int MIN_VALID_MS = (int) SoftwareVersions.MIN_MEMORY_MS;
 
   /** A stream whose caller does not tell which request began it. */
   private static final long UNNAMED = 0;
@@ -135,6 +135,9 @@
 
   /** Records where a stream has begun, before its caller gets the first event, or goes on. */
   public void record(long stream, StreamOrigin origin, RouteSpec route) {
+    if (stream == UNNAMED) {
+      return;
+    }
     StreamOriginRecord added = new StreamOriginRecord(stream, origin, validMs(route));
     table.put(added, nowMs());
     if (possibleOrigins(route, nowMs()).size() > 1) {
