Found the coordinators' group after a kill before its founders were saved

Cause: a coordinator founds the group only if it has saved the founders at the first start, 0.4 to 0.6 s after its own. Killed before, nothing on its disk tells the first start from a lost disk.

Change: stores save the seeds of the first start and tell them to these seeds (FirstStartNotice, twice a second) until a leader has answered, which they save, too (FirstStartRecord). A coordinator with an empty disk may then found the group with exactly these, once all of them have announced an empty disk within the same second. Announcements expire now after a second; JoinTracker kept them for ever.

No second group: all founders are the same for all, since they come from the first start, and each must be empty at one time; a replica whose state was given up learns no founders; a store that ever heard of a leader tells none.

Weighed: empty disks at all seeds alone (coordinators beyond the seeds may hold the state); the seeds of each coordinator's own settings (they may differ at a later start, and two overlapping sets found two groups); writing the mark sooner (a kill may come before any write). Price: if all stores are killed before they saved theirs as well, no group is formed.

--- a/consensus/src/main/java/io/pathdeck/consensus/JoinProtocol.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/JoinProtocol.java
@@ -12,10 +12,11 @@
 /**
  * Forms a group or joins a running one, for a replica with an empty disk.
  *
- * <p>A new group starts once every founder has announced an empty disk; all founders derive the
- * same first configuration from these announcements. A replica that finds a running group adopts
- * that group's first configuration. If the configuration does not contain its incarnation, the
- * replica is new or has lost its disk: it follows without a vote until the leader admits it.
+ * <p>A new group starts once every founder has announced an empty disk within the same second; all
+ * founders derive the same first configuration from these announcements. A replica that finds a
+ * running group adopts that group's first configuration. If the configuration does not contain its
+ * incarnation, the replica is new or has lost its disk: it follows without a vote until the leader
+ * admits it.
  */
 final class JoinProtocol {
   private static final long JOIN_INTERVAL_MS = 200;
@@ -24,6 +25,7 @@
   private final JoinSettings settings;
   private final Set<Integer> contacts;
   private final JoinTracker emptyReplicas = new JoinTracker();
+  private Set<Integer> founders;
   private GroupConfiguration bootstrap;
   private long nextJoinMs;
 
@@ -31,12 +33,13 @@
     this.state = state;
     this.settings = settings;
     this.contacts = new HashSet<>(settings.contacts());
+    this.founders = settings.founders();
     this.bootstrap = bootstrap.orElse(null);
   }
 
   /** Whether a replica may become a member of the group. */
   boolean isEligible(int id) {
-    return settings.policy().open() || settings.founders().contains(id);
+    return settings.policy().open() || founders.contains(id);
   }
 
   /** Adds replicas to ask for admission. */
@@ -44,6 +47,18 @@
     contacts.addAll(ids);
   }
 
+  /**
+   * Lets this replica form a group with {@code ids} if it is one of them and may form a group, but
+   * does not know its founders; returns whether it knows them now.
+   */
+  boolean learnFounders(Set<Integer> ids) {
+    if (!settings.mayFound() || !founders.isEmpty() || !ids.contains(state.id)) {
+      return false;
+    }
+    founders = Set.copyOf(ids);
+    return true;
+  }
+
   /**
    * Announces the empty disk when an announcement is due; returns whether the first configuration
    * is now known. A replica that may not form a group does not announce itself as an empty one, so
@@ -57,9 +72,9 @@
       askToJoin(nowMs);
       return false;
     }
-    emptyReplicas.add(state.id, state.incarnation, settings.address());
+    emptyReplicas.add(state.id, state.incarnation, settings.address(), nowMs);
     sendJoinRequests(false, nowMs);
-    return tryBootstrap();
+    return tryBootstrap(nowMs);
   }
 
   /**
@@ -84,7 +99,7 @@
 
   private Set<Integer> knownReplicas() {
     Set<Integer> known = new HashSet<>(contacts);
-    known.addAll(settings.founders());
+    known.addAll(founders);
     if (state.log.hasConfiguration()) {
       state.log.configuration().members().stream().map(Member::id).forEach(known::add);
     }
@@ -95,10 +110,11 @@
    * Handles a peer's request while this replica is joining; returns whether the first configuration
    * is now known.
    */
-  boolean onJoinRequestWhileJoining(JoinRequest join) {
+  boolean onJoinRequestWhileJoining(JoinRequest join, long nowMs) {
     if (!join.bootstrapped()) {
-      emptyReplicas.add(join.header().from(), join.header().fromIncarnation(), join.address());
-      return tryBootstrap();
+      emptyReplicas.add(
+          join.header().from(), join.header().fromIncarnation(), join.address(), nowMs);
+      return tryBootstrap(nowMs);
     }
     if (join.bootstrapConfiguration() == null) {
       return false;
@@ -116,12 +132,12 @@
     }
   }
 
-  private boolean tryBootstrap() {
-    boolean isFounder = settings.mayFound() && settings.founders().contains(state.id);
-    if (!isFounder || !emptyReplicas.containsAll(settings.founders())) {
+  private boolean tryBootstrap(long nowMs) {
+    boolean isFounder = settings.mayFound() && founders.contains(state.id);
+    if (!isFounder || !emptyReplicas.containsAll(founders, nowMs)) {
       return false;
     }
-    adopt(emptyReplicas.configuration(settings.founders()));
+    adopt(emptyReplicas.configuration(founders));
     return true;
   }
 
--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -139,6 +139,17 @@
     joining.addContacts(ids);
   }
 
+  /**
+   * Lets a joining replica that does not know the founders of its group form the group with {@code
+   * ids}; returns whether it may do so from now on.
+   *
+   * @param ids the founders named at the first start of the system, so that no replica hears of
+   *     others
+   */
+  public boolean learnFounders(Set<Integer> ids) {
+    return role == ReplicaRole.JOINING && joining.learnFounders(ids);
+  }
+
   /**
    * Starts a joining replica from the first configuration of its group; ignored in any other role.
    */
@@ -344,7 +355,7 @@
       return;
     }
     if (role == ReplicaRole.JOINING) {
-      if (joining.onJoinRequestWhileJoining(join)) {
+      if (joining.onJoinRequestWhileJoining(join, nowMs)) {
         onBootstrapped(nowMs);
       }
       return;
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -29,6 +29,7 @@
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.message.AdmissionRequest;
 import io.pathdeck.protocol.message.EngineEndNotice;
+import io.pathdeck.protocol.message.FirstStartNotice;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.Message;
 import io.pathdeck.protocol.message.TrialRequest;
@@ -227,7 +228,7 @@
             eventLoops,
             tls,
             fleet.peerCompression(),
-            (message, reply) -> dispatch(message, reply, host, membership[0])));
+            (message, reply) -> dispatch(message, reply, host, membership[0], pool)));
     resources.push(host);
     host.start(membership[0]);
     GatewaySelector selector = new GatewaySelector(settings.namedGatewaysShare());
@@ -319,7 +320,11 @@
   }
 
   private static void dispatch(
-      Message message, ReplySink reply, ReplicaHost host, FleetMembership membership) {
+      Message message,
+      ReplySink reply,
+      ReplicaHost host,
+      FleetMembership membership,
+      PeerPool pool) {
     if (message instanceof FleetHeartbeat heartbeat) {
       host.execute(() -> membership.onHeartbeat(heartbeat, reply));
     } else if (message instanceof AdmissionRequest request) {
@@ -328,11 +333,28 @@
       host.execute(() -> membership.onEngineCrashes(notice, reply));
     } else if (message instanceof TrialRequest request) {
       host.execute(() -> membership.onTrialRequest(request, reply));
+    } else if (message instanceof FirstStartNotice notice) {
+      learnFounders(notice.seedAddresses(), host, pool);
     } else {
       host.handle(message, reply);
     }
   }
 
+  /**
+   * Lets a coordinator that was killed before it saved the initial members found the group with
+   * them.
+   */
+  private static void learnFounders(List<String> addresses, ReplicaHost host, PeerPool pool) {
+    Set<Integer> ids = memberIds(Set.copyOf(addresses));
+    host.execute(
+        () -> {
+          if (host.group().replica().learnFounders(ids)) {
+            addresses.forEach(address -> pool.learn(MemberIds.of(address), address));
+            EVENTS.log(EventCode.FOUNDERS_LEARNED, "founders", addresses);
+          }
+        });
+  }
+
   private void startHttpServer(
       HostPort address, EventLoopGroup eventLoops, Consumer<HttpExchange> handler) {
     HttpServer server = new HttpServer(address, eventLoops, HTTP_LIMITS, Optional.empty(), handler);
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -107,6 +107,11 @@
     return freshness.isConfirmedWithin(maxAgeMs, System.nanoTime());
   }
 
+  /** Whether a leader has ever answered this process. Thread-safe. */
+  public boolean hasLeaderAnswered() {
+    return freshness.hasLeaderAnswered();
+  }
+
   /**
    * Whether the view may be used: a leader has sent it, or a coordinator that knows no leader has
    * just sent its last-known state. Later a newer configuration may be in force. Thread-safe.
--- a/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/StoreProcess.java
@@ -27,6 +27,7 @@
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.FleetRole;
 import io.pathdeck.protocol.fleet.RequestFingerprint;
+import io.pathdeck.protocol.message.FirstStartNotice;
 import io.pathdeck.protocol.message.Message;
 import io.pathdeck.protocol.message.ProposeRequest;
 import io.pathdeck.protocol.message.QueryRequest;
@@ -35,6 +36,7 @@
 import io.pathdeck.protocol.transport.TransportTls;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A store: keeps a replica of one group of batch jobs and runs the group's items while it leads.
@@ -44,13 +46,14 @@
  */
 public final class StoreProcess implements FleetMemberProcess {
   private static final EventLog EVENTS = EventLog.of(StoreProcess.class);
-  private static final String FIRST_START_FILE = "first-start";
   private static final String JOBS_GROUP_FILE = "jobs-group";
+  private static final long FIRST_START_NOTICE_INTERVAL_MS = 500;
 
   private final StoreSettings settings;
   private final DataFolder folder;
   private final FleetAdapter adapter;
   private final ResourceStack resources = new ResourceStack();
+  private FirstStartRecord firstStart;
   private EventLoop eventLoop;
   private PeerPool pool;
   private RegionTraffic regionTraffic;
@@ -91,12 +94,13 @@
   }
 
   private Result<Void, StorageError> run(TransportTls tls) {
-    Result<Boolean, StorageError> firstStart = recordFirstStart();
-    if (!firstStart.isOk()) {
-      return Result.err(firstStart.error());
-    }
-    boolean mayFound = firstStart.value();
     FleetSettings fleet = settings.fleet();
+    Result<FirstStartRecord, StorageError> opened =
+        FirstStartRecord.open(folder, settings.firstStart(), fleet.seedAddresses());
+    if (!opened.isOk()) {
+      return Result.err(opened.error());
+    }
+    firstStart = opened.value();
     EventLoopGroup eventLoops = EventLoops.create(1);
     resources.push(eventLoops::shutdownGracefully);
     eventLoop = eventLoops.next();
@@ -105,7 +109,7 @@
         resources.push(
             new PeerPool(eventLoops, tls, fleet.peerCompression(), regionTraffic::meterOf));
     contacts = new CoordinatorContacts(fleet, pool, eventLoops);
-    follower = contacts.createFollower(eventLoop, () -> selfReport(mayFound));
+    follower = contacts.createFollower(eventLoop, this::selfReport);
     follower.setChangeListener(this::onChange);
     follower.setSuspectedPartsListener(this::onSuspectedParts);
     reporter = new EngineCrashReporter(eventLoop, contacts.client(), follower::reportNow);
@@ -120,6 +124,7 @@
         fleet, eventLoops, follower, this::status, pool, resources, this::bindMetrics);
     resources.push(follower);
     follower.start();
+    eventLoop.execute(this::tellFirstStart);
     EVENTS.log(
         EventCode.PROCESS_STARTED,
         "role",
@@ -148,20 +153,32 @@
     return currentReplica == null ? ItemWaits.Count.NONE : currentReplica.waiting(reason);
   }
 
-  /** Whether this store takes part in the first start of the system, or did so. */
-  private Result<Boolean, StorageError> recordFirstStart() {
-    Result<Optional<String>, StorageError> stored = folder.readFile(FIRST_START_FILE);
-    if (!stored.isOk()) {
-      return Result.err(stored.error());
+  /**
+   * Tells the seeds of the first start that no coordinator has led since, until one does: if all
+   * were killed before they recorded the first start, nothing else lets them found their group.
+   */
+  private void tellFirstStart() {
+    List<String> seeds = firstStart.seedsWithoutLeader();
+    if (seeds.isEmpty()) {
+      return;
+    }
+    if (!follower.hasLeaderAnswered()) {
+      FirstStartNotice notice = new FirstStartNotice(seeds);
+      seeds.forEach(seed -> pool.client(seed).ifPresent(client -> client.send(notice)));
+    } else {
+      recordLeader();
     }
-    boolean isRecorded = stored.value().isPresent();
-    if (isRecorded || !settings.firstStart() || folder.isGivenUp()) {
-      return Result.ok(isRecorded);
+    eventLoop.schedule(this::tellFirstStart, FIRST_START_NOTICE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void recordLeader() {
+    Result<Void, StorageError> written = firstStart.onLeader();
+    if (!written.isOk()) {
+      EVENTS.log(EventCode.STORAGE_FAILED, "group", groupNumber(), "reason", written.error());
     }
-    return folder.writeFile(FIRST_START_FILE, "yes").map(written -> true);
   }
 
-  private FleetFollower.SelfReport selfReport(boolean mayFound) {
+  private FleetFollower.SelfReport selfReport() {
     FleetSettings fleet = settings.fleet();
     String address = fleet.listen().toString();
     JobsReplica currentReplica = replica;
@@ -177,7 +194,7 @@
             true,
             groupNumber());
     return new FleetFollower.SelfReport(
-        self, mayFound, currentReplica == null ? null : currentReplica.report());
+        self, firstStart.tookPart(), currentReplica == null ? null : currentReplica.report());
   }
 
   private int groupNumber() {
--- a/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/codec/RegisteredTypes.java
@@ -97,6 +97,7 @@
 import io.pathdeck.protocol.message.EngineEndNoted;
 import io.pathdeck.protocol.message.EngineEndNotice;
 import io.pathdeck.protocol.message.FindStreamOrigin;
+import io.pathdeck.protocol.message.FirstStartNotice;
 import io.pathdeck.protocol.message.FleetHeartbeat;
 import io.pathdeck.protocol.message.FleetUpdate;
 import io.pathdeck.protocol.message.NotLeader;
@@ -376,7 +377,8 @@
           RecordBatchProgress.class,
           BatchOutcome.class,
           ListBatchResults.class,
-          BatchJobRecord.class);
+          BatchJobRecord.class,
+          FirstStartNotice.class);
 
   private RegisteredTypes() {}
 }
--- a/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
+++ b/protocol/src/main/java/io/pathdeck/protocol/message/Message.java
@@ -9,6 +9,7 @@
         EngineEndNotice,
         EngineEndNoted,
         FindStreamOrigin,
+        FirstStartNotice,
         FleetHeartbeat,
         FleetUpdate,
         NotLeader,
