A head of the engine list that breaks off is no document

A server that ended the connection within its head gave HttpFetcher a 200 with an empty body: the aggregator turns the decoder's message for the cut head into a whole response whose decoder result is a failure, which nobody read. The reader of the list rejects an empty document, so no list was lost; the reason logged was "no list of instances".

Before: TestHttpFetcher.cutByEndOfStream got a document from the first cut behind the status line on; cutByReset held.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/HttpFetcher.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/HttpFetcher.java
@@ -92,14 +92,20 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      int status = response.status().code();
-      outcome.complete(
-          status == STATUS_OK
-              ? Result.ok(ByteBufUtil.getBytes(response.content()))
-              : Result.err("status " + status));
+      outcome.complete(document(response));
       context.close();
     }
 
+    private static Result<byte[], String> document(FullHttpResponse response) {
+      if (response.decoderResult().isFailure()) {
+        return Result.err(String.valueOf(response.decoderResult().cause()));
+      }
+      int status = response.status().code();
+      return status == STATUS_OK
+          ? Result.ok(ByteBufUtil.getBytes(response.content()))
+          : Result.err("status " + status);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       outcome.complete(Result.err("the connection ended"));
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestHttpFetcher.java
@@ -0,0 +1,64 @@
+package io.pathdeck.fleet.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.pathdeck.common.http.EventLoops;
+import io.pathdeck.common.result.Result;
+import io.pathdeck.common.settings.HostPort;
+import io.pathdeck.fleet.engine.ScriptedServer;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A response that breaks off must not pass for a document. */
+class TestHttpFetcher {
+  private static final long BOUND_MS = 5_000;
+  private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+  private final EventLoopGroup eventLoops = EventLoops.create(1);
+  private final HttpFetcher fetcher = new HttpFetcher(eventLoops.next());
+  private ScriptedServer server;
+
+  @BeforeEach
+  void start() throws IOException {
+    server = new ScriptedServer();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    server.close();
+    eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  private Result<byte[], String> fetch(String response) throws Exception {
+    server.respond(response);
+    HostPort address = HostPort.parse(server.engine("e").address()).orElseThrow();
+    return fetcher.get(address, "/", BOUND_MS).get(2 * BOUND_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void assertCutsAreNoDocuments() throws Exception {
+    for (int length = 0; length < RESPONSE.length(); length++) {
+      String cut = RESPONSE.substring(0, length);
+      assertThat(fetch(cut)).as(cut).isInstanceOf(Result.Err.class);
+    }
+  }
+
+  @Test
+  void cutByEndOfStream() throws Exception {
+    assertCutsAreNoDocuments();
+  }
+
+  @Test
+  void cutByReset() throws Exception {
+    server.resetConnections();
+    assertCutsAreNoDocuments();
+  }
+
+  @Test
+  void wholeResponseIsDocument() throws Exception {
+    assertThat(fetch(RESPONSE)).isInstanceOf(Result.Ok.class);
+  }
+}
