Tests of heads that break off for HttpEngineClient and HttpLoadProbe

An engine that ends or resets its connection at any byte of a head with status 200 gives an attempt that is broken, and no load. Both held on the code as it is: AsyncHttpClient fails a response whose decoder result is a failure.

--- a/dispatch/src/test/java/io/pathdeck/dispatch/TestHttpLoadProbe.java
+++ b/dispatch/src/test/java/io/pathdeck/dispatch/TestHttpLoadProbe.java
@@ -12,11 +12,19 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TestHttpLoadProbe {
   private static final String LOAD = "online=3;batch=1;waiting=2";
@@ -44,12 +52,15 @@
   }
 
   private CompletableFuture<EngineLoad> probeLoad() {
-    String address = "127.0.0.1:" + engine.getAddress().getPort();
     CompletableFuture<EngineLoad> load = new CompletableFuture<>();
-    probe.probe(new EngineSpec("engine-0", address, "z", "s", 4, false), load::complete);
+    probeLoad(engine.getAddress().getPort(), load::complete);
     return load;
   }
 
+  private void probeLoad(int port, Consumer<EngineLoad> listener) {
+    probe.probe(new EngineSpec("engine-0", "127.0.0.1:" + port, "z", "s", 4, false), listener);
+  }
+
   private void writeWithoutEnd(HttpExchange exchange) throws IOException {
     exchange.sendResponseHeaders(200, 0);
     long sent = 0;
@@ -83,4 +94,37 @@
     assertThat(probeLoad().get(BOUND_MS, TimeUnit.MILLISECONDS))
         .isEqualTo(EngineLoad.parse(LOAD).orElseThrow());
   }
+
+  /** Guards against a load that is read although the engine ended within its head. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void headThatBreaksOffTellsNoLoad(boolean reset) throws Exception {
+    BlockingQueue<EngineLoad> loads = new LinkedBlockingQueue<>();
+    String cutHead =
+        "HTTP/1.1 200 OK\r\n" + EngineHeaders.LOAD + ": online=9;batch=9;waiting=9\r\n";
+    String head = "HTTP/1.1 200 OK\r\n" + EngineHeaders.LOAD + ": " + LOAD + "\r\n";
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      for (int length = 0; length <= cutHead.length(); length++) {
+        probeLoad(server.getLocalPort(), loads::add);
+        respond(server, cutHead.substring(0, length), reset);
+      }
+      probeLoad(server.getLocalPort(), loads::add);
+      respond(server, head + "Content-Length: 0\r\n\r\n", false);
+      assertThat(loads.poll(BOUND_MS, TimeUnit.MILLISECONDS))
+          .isEqualTo(EngineLoad.parse(LOAD).orElseThrow());
+      assertThat(loads).isEmpty();
+    }
+  }
+
+  private static void respond(ServerSocket server, String response, boolean reset)
+      throws IOException {
+    try (Socket connection = server.accept()) {
+      StringBuilder request = new StringBuilder();
+      while (!request.toString().endsWith("\r\n\r\n")) {
+        request.append((char) connection.getInputStream().read());
+      }
+      connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+      connection.setSoLinger(reset, 0);
+    }
+  }
 }
--- a/serving/src/test/java/io/pathdeck/serving/engine/TestHttpEngineClient.java
+++ b/serving/src/test/java/io/pathdeck/serving/engine/TestHttpEngineClient.java
@@ -7,8 +7,12 @@
 import io.pathdeck.common.http.EventLoops;
 import io.pathdeck.protocol.model.EngineSpec;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -63,7 +67,11 @@
   }
 
   private AttemptFailure failure() throws Exception {
-    String address = "127.0.0.1:" + engine.getAddress().getPort();
+    return failureAt(engine.getAddress().getPort());
+  }
+
+  private AttemptFailure failureAt(int port) throws Exception {
+    String address = "127.0.0.1:" + port;
     EngineSpec spec = new EngineSpec("engine-0", address, "zone-a", "svc", 4, false);
     EngineRequest request =
         new EngineRequest(ATTEMPT, "run-1", "/v1", new byte[0], Priority.BATCH, 0, 2_000, 2_000);
@@ -119,6 +127,35 @@
     assertThat(sentBytes.get(5, TimeUnit.SECONDS)).isLessThan(MAX_SENT_BYTES);
   }
 
+  /** Guards against an attempt that completes although the engine ended within its head. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void headThatBreaksOffIsBroken(boolean reset) throws Exception {
+    String head = "HTTP/1.1 200 OK\r\n" + EngineHeaders.REQUEST_ID + ": " + ATTEMPT + "\r\n\r\n";
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      for (int length = 0; length < head.length(); length++) {
+        String cutHead = head.substring(0, length);
+        CompletableFuture.runAsync(() -> respond(server, cutHead, reset));
+        assertThat(failureAt(server.getLocalPort()))
+            .as(cutHead)
+            .isInstanceOf(AttemptFailure.Broken.class);
+      }
+    }
+  }
+
+  private static void respond(ServerSocket server, String response, boolean reset) {
+    try (Socket connection = server.accept()) {
+      StringBuilder request = new StringBuilder();
+      while (!request.toString().endsWith("\r\n\r\n")) {
+        request.append((char) connection.getInputStream().read());
+      }
+      connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+      connection.setSoLinger(reset, 0);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private record FailureListener(CompletableFuture<AttemptFailure> failure)
       implements AttemptListener {
     @Override
