A body with another response within fails the call

A line with a status line, followed by headers one of which is the request id of a call that this connection has carried, is such a second response. The call is then BROKEN. Only bodies of successes that are no event streams are searched; events have the scanner. A second head that names no request, or that is cut before its id, still passes.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -35,7 +36,8 @@
  * only if its request id is that of the current call. Other responses are dropped, and so is data
  * that arrives without a call in progress. An error response without a request id cannot be
  * attributed to a call, so it is dropped and fails the current call, whose request may have run. A
- * connection that dropped anything is not reused. A head of several responses fails the call.
+ * connection that dropped anything is not reused. A head of several responses fails the call, and
+ * so does a body with another one within; events are checked by their receiver.
  *
  * <p>A response without a length or chunks ends with the engine's end of stream. That is read from
  * the open channel, which therefore allows half-closure. A channel that has closed shows no end: a
@@ -80,6 +82,8 @@
   private boolean success;
   private boolean keepAlive;
   private boolean closeDelimited;
+  private boolean eventStream;
+  private EmbeddedHeadDetector embeddedHeads;
   private boolean usedBefore;
   private boolean responseStarted;
   private boolean responseDropped;
@@ -242,6 +246,8 @@
     }
     readState = ReadState.BODY;
     closeDelimited = isCloseDelimited(head);
+    eventStream = isEventStream(head);
+    embeddedHeads = new EmbeddedHeadDetector(protocol.uniqueHeaders(), sentRequestIds);
     keepAlive = HttpUtil.isKeepAlive(head) && !closeDelimited;
     engineIdleTimeoutMs = response.idleTimeoutMs();
     currentCall.listener().onHead(response);
@@ -274,13 +280,18 @@
     return !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
   }
 
+  private static boolean isEventStream(HttpResponse head) {
+    CharSequence mimeType = HttpUtil.getMimeType(head);
+    return mimeType != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(mimeType);
+  }
+
   private void readBody(HttpContent content) {
     if (!isWithinLimit(content.content().readableBytes())) {
       abortCall("the response is too long");
       return;
     }
     if (readState == ReadState.BODY && content.content().isReadable()) {
-      currentCall.listener().onBody(ByteBufUtil.getBytes(content.content()));
+      passOn(ByteBufUtil.getBytes(content.content()));
     }
     if (content instanceof LastHttpContent && currentCall != null) {
       if (readState == ReadState.BODY) {
@@ -290,6 +301,15 @@
     }
   }
 
+  private void passOn(byte[] part) {
+    boolean searched = success && !eventStream;
+    if (searched && embeddedHeads.add(part)) {
+      abortCall("another response within the body");
+    } else {
+      currentCall.listener().onBody(part);
+    }
+  }
+
   private boolean isWithinLimit(int bytes) {
     return (readState == ReadState.BODY && success)
         ? limit.allowsSuccessfulBody(bytes)
