A refusal completed by the next response's head is no refusal

HttpEngineClient took a head cut off behind 429 or 503, completed by the head of a whole 200 for the same attempt, for a refusal: the attempt would run again though it had run. It now checks heads as EngineConnection does; ResponseHeadValidator moves to common. A merged 200 was Broken before, for its stream has no end marker.

Before: TestHttpEngineClient.successAfterRefusalThatBreaksOffIsBroken got Refused at the first cut behind the status. HttpLoadProbe reads nothing but the load, which one engine told in either head, and is left as it is.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EmbeddedHeadDetector.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EmbeddedHeadDetector.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.engine;
 
+import io.pathdeck.common.http.ResponseHeadValidator;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
+import io.pathdeck.common.http.ResponseHeadValidator;
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineProtocol;
 import io.pathdeck.fleet.adapter.EngineResponse;
@@ -216,12 +217,12 @@
   }
 
   private void readHead(HttpResponse head) {
-    Optional<String> problem = validator.problemOf(head);
+    HttpResponseStatus status = head.status();
+    Optional<String> problem = validator.problemOf(status.reasonPhrase(), head.headers());
     if (problem.isPresent()) {
       abortCall("not an answer: " + problem.get());
       return;
     }
-    HttpResponseStatus status = head.status();
     if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
       readState = ReadState.IGNORED_BODY;
       if (!limit.allowsInformationalHead()) {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/SseBlockValidator.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/SseBlockValidator.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.engine;
 
+import io.pathdeck.common.http.ResponseHeadValidator;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
--- a/serving/src/main/java/io/pathdeck/serving/engine/HttpEngineClient.java
+++ b/serving/src/main/java/io/pathdeck/serving/engine/HttpEngineClient.java
@@ -3,10 +3,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.pathdeck.common.http.ResponseHeadValidator;
 import io.pathdeck.protocol.model.EngineSpec;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.AsyncHttpClient;
@@ -25,6 +28,8 @@
   private static final int CONNECT_TIMEOUT_MS = 500;
   private static final int MAX_ERROR_BODY_LENGTH = 64 * 1024;
   private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
+  private static final ResponseHeadValidator HEADS =
+      new ResponseHeadValidator(List.of(EngineHeaders.REQUEST_ID));
 
   private final AsyncHttpClient client;
 
@@ -78,6 +83,7 @@
     private final SseReader reader;
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private int status;
+    private String reasonPhrase;
     private boolean leaving;
     private long retryAfterMs = DEFAULT_RETRY_AFTER_MS;
     private volatile boolean sent;
@@ -101,6 +107,7 @@
     @Override
     public State onStatusReceived(HttpResponseStatus responseStatus) {
       status = responseStatus.getStatusCode();
+      reasonPhrase = responseStatus.getStatusText();
       return ended ? State.ABORT : State.CONTINUE;
     }
 
@@ -109,6 +116,11 @@
       if (ended) {
         return State.ABORT;
       }
+      Optional<String> problem = HEADS.problemOf(reasonPhrase, headers);
+      if (problem.isPresent()) {
+        fail(new AttemptFailure.Broken(problem.get()));
+        return State.ABORT;
+      }
       // An engine may send a second, late response, which arrives in place of the next one. An
       // error response without this attempt's ID says nothing about this attempt.
       if (!request.attemptId().equals(headers.get(EngineHeaders.REQUEST_ID))) {
--- a/serving/src/test/java/io/pathdeck/serving/engine/TestHttpEngineClient.java
+++ b/serving/src/test/java/io/pathdeck/serving/engine/TestHttpEngineClient.java
@@ -143,6 +143,22 @@
     }
   }
 
+  /** Guards against a refusal that breaks off and makes the response to a run pass for another. */
+  @Test
+  void successAfterRefusalThatBreaksOffIsBroken() throws Exception {
+    String refusal = "HTTP/1.1 429 Too Many Requests\r\nServer: e\r\n";
+    String success = "HTTP/1.1 200 OK\r\n" + EngineHeaders.REQUEST_ID + ": " + ATTEMPT + "\r\n\r\n";
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      for (int length = 0; length < refusal.length(); length++) {
+        String response = refusal.substring(0, length) + success;
+        CompletableFuture.runAsync(() -> respond(server, response, false));
+        assertThat(failureAt(server.getLocalPort()))
+            .as(response)
+            .isInstanceOf(AttemptFailure.Broken.class);
+      }
+    }
+  }
+
   private static void respond(ServerSocket server, String response, boolean reset) {
     try (Socket connection = server.accept()) {
       StringBuilder request = new StringBuilder();
