Fleet view: an answer that a later report has overtaken is not applied

A gateway reports out of turn when an engine crashes, so two reports may be on their way. If the leader changes between them, the answer of the old leader may come last: applied on top of the new list, it would name no version that joins and settle one at once. It is ignored; the next report brings what changed. Found by reading, not seen; shown by answerToAnEarlierReportIsOvertaken for the rule only, not for its use in FleetFollower.

--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -234,7 +234,7 @@
       FleetUpdate update = (FleetUpdate) result.value();
       if (update.isLastKnown()) {
         onLastKnown(update);
-      } else {
+      } else if (!freshness.isOvertaken(sentNs)) {
         freshness.onLeaderAnswered(sentNs);
         if (isListOfLeader(update.engines())) {
           enginesConfirmedNs = sentNs;
--- a/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
@@ -66,6 +66,11 @@
     }
   }
 
+  /** Whether a leader has answered a report that was sent after {@code sentNs}. */
+  boolean isOvertaken(long sentNs) {
+    return everConfirmed && sentNs - lastConfirmedNs < 0;
+  }
+
   /** Records that a report sent at {@code sentNs} was answered or given up. */
   void onReportEnded(long sentNs) {
     lastEndedReportNs = sentNs;
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
@@ -52,6 +52,15 @@
     assertThat(afterStartup.isConfirmedWithin(2_500, after(2_610))).isFalse();
   }
 
+  /** A leader that has been replaced meanwhile may have answered the earlier report. */
+  @Test
+  void answerToAnEarlierReportIsOvertaken() {
+    assertThat(afterStartup.isOvertaken(START_NS)).isFalse();
+    afterStartup.onLeaderAnswered(after(10));
+    assertThat(afterStartup.isOvertaken(after(9))).isTrue();
+    assertThat(afterStartup.isOvertaken(after(10))).isFalse();
+  }
+
   @Test
   void repetitionDoesNotExtendValidityAfterStartup() {
     afterStartup.onLastKnownReceived(START_NS);
