--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/CallerRequest.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/CallerRequest.java
@@ -11,7 +11,7 @@
    *
    * @param requestId the caller's id of this attempt; empty if not given
    * @param host the host that the caller addressed
-   * @param path the path without the query, as matched by routes
+   * @param path the path without the query, not decoded, as matched by routes
    * @param maxWaitMs how long the caller waits; 0 if not given
    * @param resumeAfter the last event that the caller has; -1 to start from the beginning
    * @param resumedRequestId the id of the caller's attempt that brought the first event of the
--- a/serving/src/main/java/io/pathdeck/serving/api/ApiRouter.java
+++ b/serving/src/main/java/io/pathdeck/serving/api/ApiRouter.java
@@ -87,9 +87,9 @@
     if (path.equals("/v1/files")) {
       runIfAllowed(post, caller, () -> files.upload(caller));
     } else if (content.matches()) {
-      runIfAllowed(!post, caller, () -> files.download(caller, content.group(1)));
+      runIfAllowed(!post, caller, () -> files.download(caller, id(content)));
     } else if (file.matches()) {
-      runIfAllowed(!post, caller, () -> files.get(caller, file.group(1)));
+      runIfAllowed(!post, caller, () -> files.get(caller, id(file)));
     } else {
       sendNotFound(caller.exchange());
     }
@@ -105,14 +105,18 @@
         batches.list(caller);
       }
     } else if (cancel.matches()) {
-      runIfAllowed(post, caller, () -> batches.cancel(caller, cancel.group(1)));
+      runIfAllowed(post, caller, () -> batches.cancel(caller, id(cancel)));
     } else if (batch.matches()) {
-      runIfAllowed(!post, caller, () -> batches.get(caller, batch.group(1)));
+      runIfAllowed(!post, caller, () -> batches.get(caller, id(batch)));
     } else {
       sendNotFound(caller.exchange());
     }
   }
 
+  private static String id(Matcher path) {
+    return HttpExchange.decode(path.group(1));
+  }
+
   private static void routeModels(CallerContext caller, String path) {
     Matcher model = MODEL.matcher(path);
     if (path.equals("/v1/models")) {
@@ -122,13 +126,11 @@
       caller.configuration().services().forEach(service -> data.add(modelJson(service)));
       caller.exchange().sendJson(OK, Json.encode(list));
     } else if (model.matches()) {
-      Optional<ServiceSpec> service = caller.configuration().serviceByModel(model.group(1));
+      Optional<ServiceSpec> service = caller.configuration().serviceByModel(id(model));
       if (service.isPresent()) {
         caller.exchange().sendJson(OK, Json.encode(modelJson(service.get())));
       } else {
-        caller
-            .exchange()
-            .sendError(ApiError.notFound("model_not_found", "no model " + model.group(1)));
+        caller.exchange().sendError(ApiError.notFound("model_not_found", "no model " + id(model)));
       }
     } else {
       sendNotFound(caller.exchange());
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -75,9 +75,14 @@
     return request.uri();
   }
 
-  /** Returns the path without the query. */
+  /** Returns the path without the query as received, so an encoded slash separates nothing. */
   public String path() {
-    return uri.path();
+    return uri.rawPath();
+  }
+
+  /** Decodes a part of a path, such as an id. */
+  public static String decode(String pathPart) {
+    return new QueryStringDecoder(pathPart).path();
   }
 
   /** Returns the first value of a query parameter, or null. */
