Items of an anonymous caller name no tenant to engines

Cause: a job without an owner was taken for one of a fleet without tenants, whose headers pass. Items now follow the rule of requests: by the routes in force at each send, a fleet with tenants removes the caller's headers of the tenant, also from jobs that were accepted before it had any. No stored form changes.

TestTenants.itemsOfAnonymousCallerNameNoTenant failed before (the engine got Tenant: alice); jobsBelongToTheirTenantAndItemsCarryItsName holds.

--- a/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineTenant.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/adapter/EngineTenant.java
@@ -11,8 +11,16 @@
   /** Sends the tenant {@code name}; removes the caller's tenant headers. */
   record Named(String name) implements EngineTenant {}
 
-  /** Selects the headers for a batch job; {@code owner} is empty if the fleet had no tenants. */
-  static EngineTenant ofOwner(String owner) {
-    return owner.isEmpty() ? new PassThrough() : new Named(owner);
+  /**
+   * Selects the headers for a batch job.
+   *
+   * @param owner the job's tenant; empty if its caller was anonymous or the fleet had no tenants
+   * @param hasTenants whether the fleet has tenants
+   */
+  static EngineTenant ofOwner(String owner, boolean hasTenants) {
+    if (!owner.isEmpty()) {
+      return new Named(owner);
+    }
+    return hasTenants ? new Anonymous() : new PassThrough();
   }
 }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -382,7 +382,7 @@
     eventLoop.execute(() -> stream.start(transport, call));
   }
 
-  private static EngineCall call(ItemRun run, EngineState engine) {
+  private EngineCall call(ItemRun run, EngineState engine) {
     HttpHeaders headers = new DefaultHttpHeaders();
     run.item.headers().forEach(headers::set);
     return new EngineCall(
@@ -391,7 +391,7 @@
         run.item.path(),
         run.job.submission().host(),
         run.item.id(),
-        EngineTenant.ofOwner(run.job.submission().tenant()),
+        EngineTenant.ofOwner(run.job.submission().tenant(), view.routes().requiresKeys()),
         headers,
         run.item.body(),
         0,
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSuspendedWhileConnecting.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSuspendedWhileConnecting.java
@@ -97,7 +97,7 @@
               "/",
               "h",
               "r",
-              EngineTenant.ofOwner("t"),
+              new EngineTenant.Named("t"),
               new DefaultHttpHeaders(),
               new byte[0],
               1_000,
