--- a/consensus/src/main/java/io/pathdeck/consensus/FollowerLog.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/FollowerLog.java
@@ -195,6 +195,7 @@
     if (receiver.isComplete()) {
       installing = true;
       pendingInstall = receiver.toInstall();
+      receiver = null;
     }
   }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/SnapshotInstall.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/SnapshotInstall.java
@@ -1,4 +1,10 @@
 package io.pathdeck.consensus;
 
-/** A snapshot received from the leader, to be stored and restored. */
-public record SnapshotInstall(SnapshotMetadata metadata, byte[] content) {}
+import java.util.List;
+
+/**
+ * A snapshot received from the leader, to be stored and restored.
+ *
+ * @param parts the content in order, as it was received
+ */
+public record SnapshotInstall(SnapshotMetadata metadata, List<byte[]> parts) {}
--- a/consensus/src/main/java/io/pathdeck/consensus/SnapshotReceiver.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/SnapshotReceiver.java
@@ -1,12 +1,14 @@
 package io.pathdeck.consensus;
 
 import io.pathdeck.protocol.raft.SnapshotChunk;
-import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
 
-/** Assembles the chunks of one snapshot. */
+/** Collects the chunks of one snapshot. */
 final class SnapshotReceiver {
   private final SnapshotMetadata metadata;
-  private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+  private final List<byte[]> parts = new ArrayList<>();
+  private long length;
   private boolean complete;
 
   SnapshotReceiver(SnapshotChunk first) {
@@ -20,11 +22,12 @@
 
   /** Appends a chunk if it is the next one; returns the offset expected next. */
   long accept(SnapshotChunk chunk) {
-    if (chunk.offset() == content.size() && !complete) {
-      content.writeBytes(chunk.data());
+    if (chunk.offset() == length && !complete) {
+      parts.add(chunk.data());
+      length += chunk.data().length;
       complete = chunk.last();
     }
-    return content.size();
+    return length;
   }
 
   boolean isComplete() {
@@ -32,6 +35,6 @@
   }
 
   SnapshotInstall toInstall() {
-    return new SnapshotInstall(metadata, content.toByteArray());
+    return new SnapshotInstall(metadata, parts);
   }
 }
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/DataFolder.java
@@ -181,9 +181,16 @@
    * Writes a file durably and atomically: after a crash the file is either unchanged or complete.
    */
   static void writeDurably(Disk disk, Path target, byte[] content) throws IOException {
+    writeDurably(disk, target, List.of(content));
+  }
+
+  /** Writes a file, whose content comes in parts, durably and atomically. */
+  static void writeDurably(Disk disk, Path target, List<byte[]> parts) throws IOException {
     Path temporary = target.resolveSibling(target.getFileName() + ".tmp");
     try (DiskFile file = disk.create(temporary)) {
-      file.append(ByteBuffer.wrap(content));
+      for (byte[] part : parts) {
+        file.append(ByteBuffer.wrap(part));
+      }
       file.sync();
     }
     renameDurably(disk, temporary, target);
--- a/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/storage/SnapshotFiles.java
@@ -61,7 +61,7 @@
 
   /** Stores a snapshot received from the leader. */
   public void store(int group, SnapshotInstall install) throws IOException {
-    DataFolder.writeDurably(disk, file(group, install.metadata().index()), install.content());
+    DataFolder.writeDurably(disk, file(group, install.metadata().index()), install.parts());
     deleteOlder(group, install.metadata().index());
   }
 
--- a/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
+++ b/control/src/main/java/io/pathdeck/control/ConsensusDuty.java
@@ -6,7 +6,6 @@
 import io.pathdeck.common.events.EventCode;
 import io.pathdeck.common.events.EventLog;
 import io.pathdeck.consensus.Ready;
-import io.pathdeck.consensus.SnapshotInstall;
 import io.pathdeck.consensus.SnapshotRequest;
 import io.pathdeck.protocol.message.RaftBatch;
 import io.pathdeck.protocol.message.Unavailable;
@@ -186,19 +185,18 @@
 
   private void installSnapshot(ControllerEvent.SnapshotStored stored, long nowMs) {
     GroupRuntime group = groups.get(stored.group());
-    SnapshotInstall install = stored.install();
     try {
       group.stateMachine().restoreSnapshot(groupStorage.readSnapshot(stored.group()));
     } catch (IOException e) {
       EVENTS.log(EventCode.STORAGE_FAILED, e, "group", stored.group());
       return;
     }
-    long index = install.metadata().index();
+    long index = stored.metadata().index();
     List<LogRecord> reset = new ArrayList<>();
     reset.add(new ResetRecord(stored.group(), index));
     submit(reset, new ControllerEvent.SyncedGroup(stored.group(), 0, 0, List.of()));
     group.onSnapshotInstalled(index);
-    group.replica().onSnapshotInstalled(install.metadata(), nowMs);
+    group.replica().onSnapshotInstalled(stored.metadata(), nowMs);
     coverSegments();
     EVENTS.log(EventCode.SNAPSHOT_INSTALLED, "group", stored.group(), "index", index);
   }
--- a/control/src/main/java/io/pathdeck/control/ControllerEvent.java
+++ b/control/src/main/java/io/pathdeck/control/ControllerEvent.java
@@ -1,6 +1,5 @@
 package io.pathdeck.control;
 
-import io.pathdeck.consensus.SnapshotInstall;
 import io.pathdeck.consensus.SnapshotMetadata;
 import io.pathdeck.consensus.SnapshotRequest;
 import io.pathdeck.protocol.command.Command;
@@ -61,7 +60,7 @@
   record SnapshotWritten(int group, long index) implements ControllerEvent {}
 
   /** A snapshot received from the leader is durable. */
-  record SnapshotStored(int group, SnapshotInstall install) implements ControllerEvent {}
+  record SnapshotStored(int group, SnapshotMetadata metadata) implements ControllerEvent {}
 
   /** A part of the newest snapshot was read for a follower. */
   record SnapshotPartRead(
--- a/control/src/main/java/io/pathdeck/control/SnapshotDuty.java
+++ b/control/src/main/java/io/pathdeck/control/SnapshotDuty.java
@@ -70,7 +70,8 @@
           new ControllerEvent.SnapshotWritten(write.group(), write.metadata().index()));
     } else if (task instanceof SnapshotTask.StoreSnapshot store) {
       files.store(store.group(), store.install());
-      completions.accept(new ControllerEvent.SnapshotStored(store.group(), store.install()));
+      completions.accept(
+          new ControllerEvent.SnapshotStored(store.group(), store.install().metadata()));
     } else if (task instanceof SnapshotTask.DiscardSetAside discard) {
       discard.folder().discardSetAside();
     } else if (task instanceof SnapshotTask.ReadPart read) {
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimController.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimController.java
@@ -265,7 +265,8 @@
             disk.storeSnapshot(store.group(), store.install());
             rings
                 .completions()
-                .offer(new ControllerEvent.SnapshotStored(store.group(), store.install()));
+                .offer(
+                    new ControllerEvent.SnapshotStored(store.group(), store.install().metadata()));
           });
     } else if (task instanceof SnapshotTask.ReadPart read) {
       disk.snapshot(read.group()).ifPresent(stored -> sendPart(read, stored));
--- a/testkit/src/main/java/io/pathdeck/testkit/sim/SimDisk.java
+++ b/testkit/src/main/java/io/pathdeck/testkit/sim/SimDisk.java
@@ -85,7 +85,9 @@
   }
 
   void storeSnapshot(int group, SnapshotInstall install) {
-    storeSnapshot(group, install.metadata(), install.content());
+    ByteArrayOutputStream content = new ByteArrayOutputStream();
+    install.parts().forEach(content::writeBytes);
+    storeSnapshot(group, install.metadata(), content.toByteArray());
   }
 
   Optional<StoredSnapshot> snapshot(int group) {
