--- a/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/RaftReplica.java
@@ -329,16 +329,7 @@
   /** Returns the pending outputs and clears them. */
   public Ready takeReady() {
     List<LogEntry> committed = followerLog.isInstalling() ? List.of() : committedEntries.take();
-    Ready ready =
-        new Ready(
-            state.messages,
-            state.records,
-            state.messagesAfterSync,
-            committed,
-            Optional.ofNullable(followerLog.takeInstall()),
-            state.snapshotRequests);
-    state.clearOutputs();
-    return ready;
+    return state.takeOutputs(committed, Optional.ofNullable(followerLog.takeInstall()));
   }
 
   // ---- bootstrap and joining
--- a/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
+++ b/consensus/src/main/java/io/pathdeck/consensus/ReplicaState.java
@@ -6,6 +6,7 @@
 import io.pathdeck.protocol.raft.RaftMessage;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The state shared by the components of one replica: its identity, log, term and pending outputs.
@@ -64,11 +65,14 @@
     return new RaftHeader(group, id, incarnation, to, toIncarnation, term);
   }
 
-  /** Replaces the lists of pending outputs; lists that were handed out stay unchanged. */
-  void clearOutputs() {
+  /** Returns the pending outputs and replaces their lists; those handed out stay unchanged. */
+  Ready takeOutputs(List<LogEntry> committed, Optional<SnapshotInstall> install) {
+    Ready ready =
+        new Ready(messages, records, messagesAfterSync, committed, install, snapshotRequests);
     messages = new ArrayList<>();
     records = new ArrayList<>();
     messagesAfterSync = new ArrayList<>();
     snapshotRequests = new ArrayList<>();
+    return ready;
   }
 }
--- a/consensus/src/test/java/io/pathdeck/consensus/TestLearnedFounders.java
+++ b/consensus/src/test/java/io/pathdeck/consensus/TestLearnedFounders.java
@@ -172,6 +172,7 @@
       case RECONNECT -> group.reconnect(id);
       case CUT_OFF_THIS_AND_NEXT -> group.cutOff(Set.of(id, id % REPLICAS + 1));
       case HEAL -> group.cutOff(Set.of());
+      default -> throw new IllegalStateException("no action of kind " + action.kind());
     }
   }
 
