A stream whose events have no ids is not begun again

Callers of a route whose streams may be resumed got the first events twice (rule ORDER) when an engine that sends no ids broke a stream off: without an id the next engine is asked for the whole. After the first event a stream goes on only after the id of the last one; without one it is broken off.

TestHeadOfTheServingEngine.streamWhoseEventsHaveNoIdsIsNotBegunAgain failed before (a whole 200 with the event twice).

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerResponse.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/CallerResponse.java
@@ -37,6 +37,11 @@
     return head != null;
   }
 
+  /** Whether another engine may go on: after the last event, or from the start if none was sent. */
+  boolean mayGoOn() {
+    return !hasBegun() || lastEventId >= 0;
+  }
+
   /** Id of the last event that the caller got; -1 if none. */
   long lastEventId() {
     return lastEventId;
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -135,13 +135,17 @@
     boolean timeLeft = request.deadlineMs() - nowMs() > 0;
     if (!request.isStillAllowed()) {
       finishUnserved("the configuration does not allow the request any more");
-    } else if (timeLeft && budget.mayRetry()) {
+    } else if (timeLeft && mayRetry()) {
       sendToNextEngine();
     } else {
       finishUnserved(reason);
     }
   }
 
+  private boolean mayRetry() {
+    return budget.mayRetry() && response.mayGoOn();
+  }
+
   /** Called periodically; abandons an engine that is silent too long if a retry is allowed. */
   void checkSilence(long nowMs) {
     if (finished || attempt == null || isReadPaused(nowMs)) {
@@ -157,14 +161,14 @@
       return;
     }
     attempt.engine().onFailure(nowMs);
-    if (budget.mayRetry()) {
+    if (mayRetry()) {
       context.silenceTimeout().onTimeout(silence);
     }
     abandonIfRetryIsAllowed("silent for " + silence.callMs() + " ms");
   }
 
   private void abandonIfRetryIsAllowed(String reason) {
-    if (budget.mayRetry()) {
+    if (mayRetry()) {
       attempt.abandon(reason);
     }
   }
@@ -199,7 +203,7 @@
     } else if (error.notRun()) {
       failed.engine().onFull(now, Math.max(error.retryAfterMs(), 50));
       retryOrFinish(true, "the engine refused with " + error.status());
-    } else if (error.status() >= SERVER_ERROR && budget.mayRetry()) {
+    } else if (error.status() >= SERVER_ERROR && mayRetry()) {
       String reason = "the engine answered " + error.status();
       log.attemptFailed(failed, RequestLog.ERROR_RESPONSE, reason, response.lastEventId());
       retryOrFinish(false, reason);
