An event that is rejected begins no stream, and no event of the own interface holds a response

A block that was rejected counted as progress of the stream: the attempt took the head and stamp of the engine, told other gateways that the stream had begun there, and then went on at another engine. Callers saw the success of an engine that had answered 500 within its first event. The scanner neither advances nor keeps the id.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/SseBlockValidator.java
+++ b/common/src/main/java/io/pathdeck/common/http/SseBlockValidator.java
@@ -1,6 +1,5 @@
-package io.pathdeck.fleet.engine;
+package io.pathdeck.common.http;
 
-import io.pathdeck.common.http.ResponseHeadValidator;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -12,7 +11,7 @@
  * not a status line, and not below the text of one: an engine may stop within a line of an event
  * and go on with another response on the same connection.
  */
-final class SseBlockValidator {
+public final class SseBlockValidator {
   private static final List<byte[]> FIELD_NAMES =
       List.of(ascii("data"), ascii("id"), ascii("event"), ascii("retry"));
   private static final byte[] PROTOCOL = ascii("HTTP/");
@@ -30,7 +29,7 @@
   }
 
   /** Adds a line, which is not blank, without its end. */
-  void addLine(byte[] bytes, int from, int to) {
+  public void addLine(byte[] bytes, int from, int to) {
     empty = false;
     hasStatusLine |= containsStatusLine(bytes, from, to);
     if (isField(bytes, from, to)) {
@@ -41,7 +40,7 @@
   }
 
   /** Whether the lines are no event. */
-  boolean isInvalid() {
+  public boolean isInvalid() {
     return hasHead || !(hasField || empty);
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/SseEventScanner.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.engine;
 
+import io.pathdeck.common.http.SseBlockValidator;
 import io.pathdeck.protocol.fleet.EventData;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -98,8 +99,10 @@
     if (validator.isInvalid()) {
       problem = "bytes that are no event";
     }
-    advanced |= isEvent;
-    bytesSinceEvent = isEvent ? 0 : bytesSinceEvent + to - from;
+    if (problem == null) {
+      advanced |= isEvent;
+      bytesSinceEvent = isEvent ? 0 : bytesSinceEvent + to - from;
+    }
   }
 
   private void checkId(String text) {
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
@@ -71,6 +71,16 @@
     assertThat(scanner.lastId()).isEqualTo(1);
   }
 
+  /** Guards against a stream that has begun with an event that nobody got. */
+  @ParameterizedTest
+  @ValueSource(strings = {"id: x\ndata: a\n\n", "id: 1\nid: 1\n\n", "id: 1\ndata: a" + HEAD})
+  void doesNotAdvanceByInvalidEvent(String first) {
+    SseEventScanner scanner = new SseEventScanner(-1);
+    assertThat(scanner.feed(bytes(first))).isEmpty();
+    assertThat(scanner.problem()).isNotNull();
+    assertThat(scanner.hasAdvanced()).isFalse();
+  }
+
   /** Guards against callers and items that get a second response within the first one. */
   @Test
   void rejectsResponseWithinStreamAtEveryCut() {
--- a/serving/src/main/java/io/pathdeck/serving/engine/SseReader.java
+++ b/serving/src/main/java/io/pathdeck/serving/engine/SseReader.java
@@ -1,5 +1,6 @@
 package io.pathdeck.serving.engine;
 
+import io.pathdeck.common.http.SseBlockValidator;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -62,6 +63,8 @@
   private void processEvent(int start, int end) {
     if (endMarkerRead) {
       problem = "data after the end marker";
+    } else if (!isEvent(start, end)) {
+      problem = "bytes that are no event";
     } else if (buffer[start] == ':') {
       processComment(start, end);
     } else if (startsWith(ID_PREFIX, start, end)) {
@@ -72,6 +75,20 @@
     }
   }
 
+  private boolean isEvent(int start, int end) {
+    SseBlockValidator validator = new SseBlockValidator();
+    int lineStart = start;
+    for (int i = start; i < end; i++) {
+      if (buffer[i] == '\n') {
+        if (i > lineStart) {
+          validator.addLine(buffer, lineStart, i);
+        }
+        lineStart = i + 1;
+      }
+    }
+    return !validator.isInvalid();
+  }
+
   private void processComment(int start, int end) {
     if (startsWith(LOAD_PREFIX, start, end)) {
       int from = start + LOAD_PREFIX.length;
--- a/serving/src/test/java/io/pathdeck/serving/engine/TestSseReader.java
+++ b/serving/src/test/java/io/pathdeck/serving/engine/TestSseReader.java
@@ -48,6 +48,19 @@
     }
   }
 
+  /** Guards against a second response that is passed on as a part of the first one. */
+  @Test
+  void reportsResponseWithinEvent() {
+    String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    String event = token(2).substring(0, token(2).length() - 2);
+    for (int cut = 0; cut <= event.length(); cut++) {
+      SseReader reader = new SseReader(0);
+      reader.read(bytes(token(1) + event.substring(0, cut) + head + token(1)));
+      assertThat(reader.problem()).as(event.substring(0, cut)).isNotNull();
+      assertThat(reader.tokens()).isEqualTo(1);
+    }
+  }
+
   @Test
   void resumesAfterGivenOffset() {
     SseReader reader = new SseReader(7);
