A stream that was taken up may end with its connection and no further event

Found by the review: after the last event nothing is left, so a return or an item at an engine that tells no length was never whole, and an item ran again without an end. Only a new stream has an event to come. A response that closed before its first byte does not clear its request of crashes either.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Attempt.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Attempt.java
@@ -212,7 +212,7 @@
     }
   }
 
-  /** An engine that stopped before its first event would end its response in the same way. */
+  /** An engine that stopped before the first event of a new stream would end it in the same way. */
   @Override
   public void onEndByClose() {
     if (!ended) {
@@ -230,7 +230,7 @@
       callerResponse.send(body.toByteArray());
     } else if (scanner.hasPartialEvent()) {
       failStream("the stream ended inside an event");
-    } else if (byClose && !hasEvents) {
+    } else if (byClose && !hasEvents && resumedAfter < 0) {
       failStream("the connection closed before the first event");
     } else if (pass(NOTHING)) {
       tracker.onStreamCompleted(nowMs());
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -221,7 +221,9 @@
      */
     private void onResultAfterClose(EngineLivenessProbe.Result result) {
       if (result.hasRunSince(startedUnixMs)) {
-        recordServed();
+        if (progress.pieces() > 0) {
+          recordServed();
+        }
         listener.onEndByClose();
         return;
       }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -39,6 +39,7 @@
 
   private final StreamOrigin origin;
   private final Consumer<ItemOutcome> listener;
+  private final boolean isNew;
   private final SseEventScanner scanner;
   private final ByteArrayOutputStream undrainedEvents = new ByteArrayOutputStream();
   private EngineTransport.Handle handle;
@@ -54,6 +55,7 @@
   /** Creates an attempt at an engine of {@code origin}. */
   ItemStream(StreamOrigin origin, long resumeAfter, Consumer<ItemOutcome> listener) {
     this.origin = origin;
+    this.isNew = resumeAfter < 0;
     this.scanner = new SseEventScanner(resumeAfter);
     this.lastDrainedEvent = resumeAfter;
     this.listener = listener;
@@ -204,10 +206,10 @@
     }
   }
 
-  /** An engine that stopped before its first event would end its response in the same way. */
+  /** An engine that stopped before the first event of a new stream would end it in the same way. */
   @Override
   public void onEndByClose() {
-    if (!over && isSuccess() && !hasEvents) {
+    if (!over && isSuccess() && isNew && !hasEvents) {
       finish(ItemOutcome.Kind.BROKEN, "the connection closed before the first event");
     } else {
       onEnd();
