A response to HEAD has no body

By reading: the decoder waited for the body that a response to HEAD only tells of and took the next response on the connection for it.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -178,6 +179,11 @@
     return messages;
   }
 
+  /** Whether the response to the current call has no body. */
+  boolean awaitsHeadOnly() {
+    return currentCall != null && currentCall.call().method().equals(HttpMethod.HEAD);
+  }
+
   /** Handles bytes before they are decoded. */
   void onBytes() {
     responseStarted = true;
--- /dev/null
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineResponseDecoder.java
@@ -0,0 +1,18 @@
+package io.pathdeck.fleet.engine;
+
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/** Decodes the responses on a connection; a response to HEAD has no body, whatever it tells. */
+final class EngineResponseDecoder extends HttpResponseDecoder {
+  private final EngineConnection connection;
+
+  EngineResponseDecoder(EngineConnection connection) {
+    this.connection = connection;
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return connection.awaitsHeadOnly() || super.isContentAlwaysEmpty(message);
+  }
+}
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.pathdeck.common.settings.HostPort;
 import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineProtocol;
@@ -167,7 +166,7 @@
                 meters.apply(pending.call().engine()).ifPresent(channel.pipeline()::addLast);
                 channel.pipeline().addLast(new HttpRequestEncoder());
                 channel.pipeline().addLast(new UndecodedBytes(connection));
-                channel.pipeline().addLast(new HttpResponseDecoder());
+                channel.pipeline().addLast(new EngineResponseDecoder(connection));
                 channel.pipeline().addLast(connection);
               }
             })
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/ScriptedServerTest.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/ScriptedServerTest.java
@@ -36,10 +36,15 @@
 
   /** Makes a call and returns it once it has ended. */
   CallOutcome call(String requestId) throws Exception {
+    return call(HttpMethod.POST, requestId);
+  }
+
+  /** Makes a call with this method. */
+  CallOutcome call(HttpMethod method, String requestId) throws Exception {
     EngineCall call =
         new EngineCall(
             server.engine("e"),
-            HttpMethod.POST,
+            method,
             "/",
             "h",
             requestId,
