--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -260,7 +260,9 @@
 
   /** Sets whether a close resets the connection, so that an incomplete body does not look whole. */
   private void setReset(boolean reset) {
-    channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+    }
   }
 
   /** Returns whether {@link #startStream} was called. */
