--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestSseEventScanner.java
@@ -13,7 +13,7 @@
 
 class TestSseEventScanner {
   private static final String HEAD =
-      "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: r\r\nServer-Stamp: s\r\n\r\n";
+      "HTTP/1.1 500 Internal Server Error\r\nx-id: r\r\nx-stamp: s\r\n\r\n";
 
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
