Stores refuse new batch jobs while the kept ones take too much heap

JobSubmissions refuses a new job while the jobs of the group, with those whose commit is awaited, take more than a fifth of the store's heap. Nothing that is kept is dropped. Before the refusal a linearizable read applies what earlier leaders appended: such a job is acknowledged.

Evidence: refusesJobsForWhichNoHeapIsLeft fails with the limit raised by a factor of 1,000 and passes with it. heapSizeFollowsContentProgressAndResults is new.

--- a/common/src/main/java/io/pathdeck/common/events/EventCode.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventCode.java
@@ -91,6 +91,7 @@
   ITEM_LISTED(4005, Level.INFO, true),
   ITEM_WAITS(4006, Level.WARN, true),
   JOB_ACCEPTED(4016, Level.INFO, true),
+  JOB_REFUSED(4017, Level.WARN, true),
   LEASE_REVOKED(4002, Level.INFO),
   PARTITION_UNREACHABLE(4003, Level.WARN),
   STAND_IN_FAULT(9001, Level.INFO);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
@@ -15,6 +15,7 @@
 import io.pathdeck.protocol.command.EndBatch;
 import io.pathdeck.protocol.command.QuotaExceeded;
 import io.pathdeck.protocol.command.Rejected;
+import io.pathdeck.protocol.command.RejectionCode;
 import io.pathdeck.protocol.command.SubmitBatch;
 import io.pathdeck.protocol.fleet.BatchItem;
 import io.pathdeck.protocol.fleet.RouteSpec;
@@ -51,6 +52,10 @@
   private static final long MAX_RESULTS_WAIT_MS = 1_000;
   private static final long QUOTA_RETRY_AFTER_MS = 1_000;
   private static final long RETRY_AFTER_MS = 300;
+
+  /** Memory is freed as results grow old, which takes minutes. */
+  private static final long STORES_FULL_RETRY_AFTER_MS = 5_000;
+
   private static final int MAX_PAGE_BYTES = 900_000;
   private static final int MIN_PAGE_BYTES = 1;
   private static final long NO_REGION_RETRY_AFTER_MS = 1_000;
@@ -155,6 +160,10 @@
           } else if (result.value() instanceof QuotaExceeded exceeded) {
             String reason = exceeded.queuedTokens() + " tokens wait on the route";
             Refusals.overQuota(exchange, reason, QUOTA_RETRY_AFTER_MS);
+          } else if (result.value() instanceof Rejected rejected) {
+            boolean areStoresFull = rejected.code() == RejectionCode.TOO_LARGE;
+            long retryAfterMs = areStoresFull ? STORES_FULL_RETRY_AFTER_MS : RETRY_AFTER_MS;
+            Refusals.unavailable(exchange, rejected.message(), retryAfterMs);
           } else {
             Refusals.unavailable(exchange, String.valueOf(result.value()), RETRY_AFTER_MS);
           }
--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobsReplica.java
@@ -53,6 +53,9 @@
   private static final long SNAPSHOT_THRESHOLD_BYTES = 16L * 1024 * 1024;
   private static final long MAX_SEGMENT_BYTES = 16L * 1024 * 1024;
 
+  /** A store that holds this much can still receive and install a snapshot of the same size. */
+  private static final long MAX_JOBS_HEAP_BYTES = Runtime.getRuntime().maxMemory() / 5;
+
   private final int number;
   private final ReplicaHost host;
   private final PeerPool pool;
@@ -81,7 +84,7 @@
     this.host = host;
     this.pool = pool;
     this.reads = new BatchResultReads(host.group(), state);
-    this.submissions = new JobSubmissions(host.group(), state, host.clock());
+    this.submissions = new JobSubmissions(host.group(), state, host.clock(), MAX_JOBS_HEAP_BYTES);
     this.runner =
         new BatchRunner(
             host.group(),
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestJobSubmissions.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestJobSubmissions.java
@@ -34,6 +34,7 @@
   private static final long FILE_BYTES = 1 << 20;
   private static final int COPIES = 5;
   private static final long TIMEOUT_S = 10;
+  private static final int MAX_HEAP_BYTES = 2_000;
 
   @TempDir Path folder;
   private ReplicaHost host;
@@ -57,7 +58,7 @@
     ReplicaHost.Options options =
         new ReplicaHost.Options(GROUP, MEMBER, join, state, FILE_BYTES, FILE_BYTES);
     host = ReplicaHost.open(options, DataFolder.open(folder).value(), new NoPeers()).value();
-    submissions = new JobSubmissions(host.group(), state, host.clock());
+    submissions = new JobSubmissions(host.group(), state, host.clock(), MAX_HEAP_BYTES);
     host.start(nowMs -> {});
     while (!onConsensusThread(() -> host.group().isLeading())) {
       Thread.sleep(20);
@@ -87,8 +88,12 @@
   }
 
   private static SubmitBatch job(String tenant) {
-    BatchItem item = new BatchItem("item", "/p", Map.of(), new byte[10], 100, 40);
-    return new SubmitBatch("job", tenant, "route", "host", List.of(item), 3, 20_000, 60_000, 0);
+    return job("job", tenant, 10);
+  }
+
+  private static SubmitBatch job(String id, String tenant, int bytes) {
+    BatchItem item = new BatchItem("item", "/p", Map.of(), new byte[bytes], 100, 40);
+    return new SubmitBatch(id, tenant, "route", "host", List.of(item), 3, 20_000, 60_000, 0);
   }
 
   private List<CompletableFuture<Message>> submitCopies() throws Exception {
@@ -151,4 +156,26 @@
           .isInstanceOf(Rejected.class);
     }
   }
+
+  @Test
+  void refusesJobsForWhichNoHeapIsLeft() throws Exception {
+    SubmitBatch large = job("large", "", MAX_HEAP_BYTES / 2);
+    SubmitBatch next = job("next", "", MAX_HEAP_BYTES / 2);
+    List<CompletableFuture<Message>> replies = new ArrayList<>();
+    for (SubmitBatch each : List.of(large, next, large, next)) {
+      CompletableFuture<Message> reply = new CompletableFuture<>();
+      replies.add(reply);
+      onConsensusThread(
+          () -> {
+            submissions.submit(each, reply::complete);
+            return null;
+          });
+      if (replies.size() > 1) {
+        reply.get(TIMEOUT_S, TimeUnit.SECONDS);
+      }
+    }
+    assertThat(replies)
+        .extracting(reply -> ((ProposeReply) reply.join()).result().getClass().getSimpleName())
+        .containsExactly("BatchAccepted", "Rejected", "BatchAccepted", "Rejected");
+  }
 }
--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -27,6 +27,7 @@
   private final Map<String, Integer> crashes = new HashMap<>();
   private final List<BatchResult> results = new ArrayList<>();
   private long openTokens;
+  private long heapBytes;
   private boolean ended;
 
   BatchJob(SubmitBatch submission, long submittedAtMs) {
@@ -36,6 +37,7 @@
     for (BatchItem item : submission.items()) {
       openItems.put(item.id(), item);
       openTokens += item.tokens();
+      heapBytes += HeapSizes.ofOpenItem(item);
     }
   }
 
@@ -65,13 +67,16 @@
     if (!openItems.containsKey(events.itemId()) || !recorded.isFollowedBy(events)) {
       return false;
     }
-    progress.put(events.itemId(), recorded.plus(events));
+    ItemProgress advanced = recorded.plus(events);
+    progress.put(events.itemId(), advanced);
+    heapBytes += HeapSizes.ofText(advanced.data()) - HeapSizes.ofText(recorded.data());
     crashes.remove(events.itemId());
     return true;
   }
 
   /** Discards the recorded events of an item, which begins anew. */
   void discardProgress(String itemId) {
+    heapBytes -= HeapSizes.ofText(progress(itemId).data());
     progress.remove(itemId);
   }
 
@@ -105,9 +110,10 @@
 
   private void addResult(BatchResult result) {
     BatchItem item = openItems.remove(result.itemId());
-    progress.remove(result.itemId());
+    discardProgress(result.itemId());
     crashes.remove(result.itemId());
     openTokens -= item.tokens();
+    heapBytes += HeapSizes.ofText(result.text()) - HeapSizes.ofContent(item);
     results.add(result);
   }
 
@@ -191,6 +197,11 @@
     return !ended && !openItems.isEmpty();
   }
 
+  /** The heap that the job takes, roughly. */
+  long heapBytes() {
+    return heapBytes;
+  }
+
   /** The tokens of open items; 0 once the job has ended. */
   long queuedTokens() {
     return ended ? 0 : openTokens;
--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -77,6 +77,11 @@
     return jobs.values();
   }
 
+  /** The heap that all jobs take, roughly. */
+  public long heapBytes() {
+    return jobs.values().stream().mapToLong(BatchJob::heapBytes).sum();
+  }
+
   @Override
   public long logTimeMs() {
     return clock.nowMs();
--- a/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
@@ -337,6 +337,26 @@
     assertThat(machine.job("a").orElseThrow().total()).isEqualTo(3);
   }
 
+  @Test
+  void heapSizeFollowsContentProgressAndResults() {
+    apply(submitJob("a", 2, 0));
+    long empty = machine.heapBytes();
+    apply(recordProgress("a", "a-0", -1, 3, "part"));
+    assertThat(machine.heapBytes()).isEqualTo(empty + "part\n".length());
+    apply(new DiscardBatchProgress("a", "a-0"));
+    assertThat(machine.heapBytes()).isEqualTo(empty);
+    apply(recordProgress("a", "a-1", -1, 3, "part"));
+    apply(addOutcome("a", "a-0", true, "\u4f60".repeat(1_000)));
+    assertThat(machine.heapBytes()).isBetween(empty + 1_500, empty + 2_100);
+    BatchStateMachine restored = new BatchStateMachine();
+    restored.restoreSnapshot(machine.captureSnapshot());
+    assertThat(restored.heapBytes()).isEqualTo(machine.heapBytes());
+    apply(new EndBatch("a", ""));
+    timeMs += BatchStateMachine.MIN_RETENTION_MS;
+    apply(new EndBatch("a", ""));
+    assertThat(machine.heapBytes()).isZero();
+  }
+
   @Test
   void snapshotRestoresEverything() {
     apply(submitJob("a", 3, 500));
