A view does not mix the lists of two leaders

What callers saw: a stream could begin at a software version that other gateways did not know yet, and go on at another version there; shown on the follower only, not seen at callers.

Cause: two reports may be under way at once. After the answer to the first had brought a new leader's list, with a version that joins, the former leader's answer to the second was applied onto it: changes of another list, and no joining versions. An earlier report that ended late also took back how recently a report had ended.

Change: an answer whose list was counted by another leader than the list that came meanwhile is dropped; the next report tells what this process has. TestFleetFollower also covers the use of the rule on overtaken answers, which had no test.

Evidence: with both conditions of onAnswer taken out both tests fail; with either one taken out its test fails. The new line of TestViewFreshness fails without the change.

--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -51,6 +51,13 @@
     }
   }
 
+  /**
+   * A report that was sent.
+   *
+   * @param engineEpoch the leadership whose list of engines this process had at that time
+   */
+  record SentReport(long sentNs, long engineEpoch) {}
+
   private final EventLoop eventLoop;
   private final GroupClient coordinators;
   private final Supplier<SelfReport> selfReport;
@@ -214,15 +221,15 @@
             view().quarantine().version(),
             view().evacuatedZones().version(),
             report.tenantUse());
-    long sentNs = System.nanoTime();
+    SentReport sent = new SentReport(System.nanoTime(), engineEpoch);
     return coordinators
         .call(heartbeat, CALL_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
-        .thenAcceptAsync(result -> onAnswer(result, sentNs), eventLoop);
+        .thenAcceptAsync(result -> onAnswer(result, sent), eventLoop);
   }
 
-  private void onAnswer(Result<Message, GroupCallError> result, long sentNs) {
+  void onAnswer(Result<Message, GroupCallError> result, SentReport sent) {
     boolean answered = result.isOk() && result.value() instanceof FleetUpdate;
-    freshness.onReportEnded(sentNs);
+    freshness.onReportEnded(sent.sentNs());
     if (answered != connected) {
       connected = answered;
       EventCode code = answered ? EventCode.COORDINATORS_REACHED : EventCode.COORDINATORS_LOST;
@@ -234,10 +241,10 @@
       FleetUpdate update = (FleetUpdate) result.value();
       if (update.isLastKnown()) {
         onLastKnown(update);
-      } else if (!freshness.isOvertaken(sentNs)) {
-        freshness.onLeaderAnswered(sentNs);
+      } else if (!freshness.isOvertaken(sent.sentNs()) && continuesList(update.engines(), sent)) {
+        freshness.onLeaderAnswered(sent.sentNs());
         if (isListOfLeader(update.engines())) {
-          enginesConfirmedNs = sentNs;
+          enginesConfirmedNs = sent.sentNs();
         }
         contentionListener.accept(update.contendedTenants());
         suspectedPartsListener.accept(update.suspectedParts());
@@ -246,6 +253,14 @@
     }
   }
 
+  /**
+   * Whether the list of engines continues the present one. After another answer has brought the
+   * list of another leader, nothing tells which of the two leaders is the newer one.
+   */
+  private boolean continuesList(EngineListDelta engines, SentReport sent) {
+    return engines == null || sent.engineEpoch() == engineEpoch || engines.epoch() == engineEpoch;
+  }
+
   /** A leader that has not read the list yet sends none, or the saved one. */
   private static boolean isListOfLeader(EngineListDelta engines) {
     return engines != null && engines.epoch() != FleetUpdate.NO_LEADERS_EPOCH;
--- a/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
@@ -73,7 +73,9 @@
 
   /** Records that a report sent at {@code sentNs} was answered or given up. */
   void onReportEnded(long sentNs) {
-    lastEndedReportNs = sentNs;
+    if (!reportEnded || sentNs - lastEndedReportNs > 0) {
+      lastEndedReportNs = sentNs;
+    }
     reportEnded = true;
   }
 
--- /dev/null
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestFleetFollower.java
@@ -0,0 +1,77 @@
+package io.pathdeck.fleet.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.pathdeck.common.result.Result;
+import io.pathdeck.fleet.member.FleetFollower.SentReport;
+import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.EngineListDelta;
+import io.pathdeck.protocol.fleet.FleetProcess;
+import io.pathdeck.protocol.fleet.StreamOrigin;
+import io.pathdeck.protocol.message.FleetUpdate;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a view that mixes what two leaders told, or returns to an earlier one, since
+ * answers to reports that are under way at the same time come in any order.
+ */
+class TestFleetFollower {
+  private static final long NONE = FleetUpdate.NO_LEADERS_EPOCH;
+
+  private final GroupClient coordinators = new GroupClient(null, null, List::of);
+  private final FleetFollower follower = new FleetFollower(null, coordinators, () -> null);
+  private final long startNs = System.nanoTime();
+
+  private static EngineListDelta list(long epoch, boolean full, String... versions) {
+    List<EngineInstance> engines =
+        Stream.of(versions)
+            .map(each -> new EngineInstance(each, "s", "h:1", "z", 8, false))
+            .map(each -> each.withSoftwareVersion(each.id()))
+            .toList();
+    return new EngineListDelta(epoch, full, engines, List.of(), 1);
+  }
+
+  private void answer(SentReport report, EngineListDelta engines, StreamOrigin... joining) {
+    FleetUpdate update =
+        new FleetUpdate(
+            null,
+            engines,
+            null,
+            List.of(),
+            List.of(),
+            FleetProcess.NO_GROUP,
+            List.of(),
+            List.of(),
+            null,
+            null,
+            List.of(),
+            List.of(),
+            List.of(joining),
+            List.of());
+    follower.onAnswer(Result.ok(update), report);
+  }
+
+  @Test
+  void answerToAnEarlierReportChangesNothing() {
+    answer(new SentReport(startNs + 2, NONE), list(7, true, "v1", "v2"));
+    answer(new SentReport(startNs + 1, NONE), list(7, true, "v1"));
+    assertThat(follower.view().engines()).containsOnlyKeys("v1", "v2");
+  }
+
+  @Test
+  void listOfAnotherLeaderDoesNotReplaceTheOneThatCameMeanwhile() {
+    answer(new SentReport(startNs, NONE), list(7, true, "v1"));
+    SentReport first = new SentReport(startNs + 1, 7);
+    SentReport second = new SentReport(startNs + 2, 7);
+    StreamOrigin joining = new StreamOrigin("s", "v2");
+    answer(first, list(8, true, "v1", "v2"), joining);
+    answer(second, list(7, false, "v1"));
+    assertThat(follower.view().joiningOrigins()).containsExactly(joining);
+    answer(new SentReport(startNs + 3, 8), list(8, false));
+    assertThat(follower.view().joiningOrigins()).as("settled by the new leader").isEmpty();
+    answer(new SentReport(startNs + 4, 8), list(3, true, "v3"));
+    assertThat(follower.view().engines()).as("told by whoever leads").containsOnlyKeys("v3");
+  }
+}
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
@@ -124,5 +124,7 @@
     assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS + 1))).isTrue();
     afterStartup.onReportEnded(after(ViewFreshness.REPORT_OVERDUE_MS));
     assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS + 1))).isFalse();
+    afterStartup.onReportEnded(after(1));
+    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS + 1))).isFalse();
   }
 }
