Streams begun between two changes of versions are told to others

What callers saw: after one version had left and a third one joined, the return of a caller whose gateway was lost was refused with 503: only the lost gateway knew where the stream had begun.

Cause: a stream was told if its route had several possible origins, versions listed in two timeouts; streams from before were told if the service came to have several versions in 60 s. A stream in between was neither.

Change: ToldServices decides both by the same versions, and takes a stream that is not told for an earlier one at the next change. The model uses it, too.

Evidence: streamBetweenTwoChangesOfVersionsOutlivesItsGateway fails with the former rules of the model (nobody knows the origin).

--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import net.openhft.hashing.LongHashFunction;
 
 /**
@@ -51,7 +52,7 @@
   private final StreamOriginExchange exchange;
   private final SoftwareVersions softwareVersions;
   private final BooleanSupplier viewIsConfirmed;
-  private Set<String> servicesOfSeveralVersions = Set.of();
+  private final ToldServices toldServices;
 
   /**
    * Creates an empty record.
@@ -70,6 +71,7 @@
     this.exchange = new StreamOriginExchange(eventLoop, pool, selfName, table);
     this.softwareVersions = softwareVersions;
     this.viewIsConfirmed = viewIsConfirmed;
+    this.toldServices = new ToldServices(softwareVersions);
   }
 
   private static long nowMs() {
@@ -100,27 +102,12 @@
   public void onChange(FleetView view) {
     exchange.onChange(view);
     if (view.engines() != null) {
-      Set<String> severalVersions = servicesOfSeveralVersions(view);
-      Set<String> joined = new HashSet<>(severalVersions);
-      joined.removeAll(servicesOfSeveralVersions);
-      servicesOfSeveralVersions = severalVersions;
-      tellRecordsOf(joined);
+      Set<String> services =
+          view.engines().values().stream().map(EngineInstance::service).collect(Collectors.toSet());
+      tellRecordsOf(toldServices.onChange(services, nowMs()));
     }
   }
 
-  private Set<String> servicesOfSeveralVersions(FleetView view) {
-    long nowMs = nowMs();
-    Set<String> services = new HashSet<>();
-    for (EngineInstance engine : view.engines().values()) {
-      services.add(engine.service());
-    }
-    services.removeIf(
-        service ->
-            softwareVersions.recentVersions(service, StreamOriginTable.MAX_VALID_MS, nowMs).size()
-                < 2);
-    return services;
-  }
-
   /** Tells others of streams that began while their service had a single version. */
   private void tellRecordsOf(Set<String> services) {
     if (!services.isEmpty()) {
@@ -140,7 +127,8 @@
     }
     StreamOriginRecord added = new StreamOriginRecord(stream, origin, validMs(route));
     table.put(added, nowMs());
-    if (possibleOrigins(route, nowMs()).size() > 1) {
+    boolean isTold = toldServices.onStream(origin.service(), nowMs());
+    if (isTold || possibleOrigins(route, nowMs()).size() > 1) {
       exchange.tell(List.of(added));
     }
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/OriginModel.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/OriginModel.java
@@ -49,7 +49,7 @@
     private boolean still;
     private boolean awaitsAnswer;
     private long suspendedMs;
-    private boolean severalVersions;
+    private ToldServices toldServices = new ToldServices(versions());
     private int life;
     private final List<Runnable> inbox = new ArrayList<>();
 
@@ -62,7 +62,7 @@
       table = new StreamOriginTable();
       view = null;
       confirmedMs = Long.MIN_VALUE / 2;
-      severalVersions = false;
+      toldServices = new ToldServices(versions());
       life++;
       inbox.clear();
     }
@@ -313,12 +313,9 @@
   }
 
   private void tellRecordsIfVersionJoined(Gateway gateway) {
-    int versions =
-        gateway.versions().recentVersions(SERVICE, StreamOriginTable.MAX_VALID_MS, nowMs).size();
-    if (versions > 1 && !gateway.severalVersions) {
+    if (!gateway.toldServices.onChange(Set.of(SERVICE), nowMs).isEmpty()) {
       gateway.table.matching(origin -> true, nowMs).forEach(each -> tellOthers(gateway, each));
     }
-    gateway.severalVersions = versions > 1;
   }
 
   private void tellOthers(Gateway sender, StreamOriginRecord added) {
@@ -398,7 +395,7 @@
 
   private void record(Gateway gateway, StreamOriginRecord added) {
     gateway.table.put(added, nowMs);
-    if (possible(gateway).size() > 1) {
+    if (gateway.toldServices.onStream(SERVICE, nowMs)) {
       tellOthers(gateway, added);
     }
   }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestGatewayOutOfStep.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestGatewayOutOfStep.java
@@ -106,6 +106,19 @@
     assertThat(model.begin(0, "v2")).as("gateway 1 knows v1 only, confirmed").isEmpty();
   }
 
+  @Test
+  void streamBetweenTwoChangesOfVersionsOutlivesItsGateway() {
+    model.join("v2");
+    settle();
+    model.leave("v1");
+    model.advance(15_000);
+    long stream = model.begin(0, "v2").orElseThrow();
+    model.join("v3");
+    settle();
+    model.loseGateway(0);
+    assertThat(OriginModel.versionOf(model.takeUp(1, stream))).contains("v2");
+  }
+
   private void perform(int action, int gateway) {
     switch (action) {
       case 3 -> model.loseGateway(gateway);
