Views age by the time of day as well as by the steady clock

What callers saw: after a machine was suspended together with its steady clock, its gateway took its view for confirmed for up to 600 ms more, so that a stream that had begun at a version it did not know could go on at the only one it knew. Shown on the classes, not on a suspended machine.

Cause: the age of a view counted by System.nanoTime, which may stand still while a machine is suspended. An answer that waited meanwhile made the view look fresh, too.

Change: reports are noted by both clocks (Moment), and the age of what they confirm is the longer of both. This holds for routes, the list of engines, and sends that wait for a report after a suspension. A step of the time of day forward lasts until the next report is answered; one backward leaves the steady clock.

Evidence: suspendedMachineConfirmsNothing fails with the steady clock only, timeOfDayThatIsSetBackConfirmsNothingForLonger with the time of day only.

--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -37,7 +37,6 @@
   private static final EventLog EVENTS = EventLog.of(FleetFollower.class);
   private static final long CALL_TIMEOUT_MS = 900;
   private static final long ATTEMPT_TIMEOUT_MS = 500;
-  private static final long NEVER = Long.MIN_VALUE;
 
   /** The content of a heartbeat that describes the process; created for each heartbeat. */
   public record SelfReport(
@@ -56,7 +55,7 @@
    *
    * @param engineEpoch the leadership whose list of engines this process had at that time
    */
-  record SentReport(long sentNs, long engineEpoch) {}
+  record SentReport(Moment sent, long engineEpoch) {}
 
   private final EventLoop eventLoop;
   private final GroupClient coordinators;
@@ -76,7 +75,6 @@
   private final ViewFreshness freshness = new ViewFreshness(processStartNs());
   private final long createdNs = System.nanoTime();
   private final ReportInterval reportInterval = new ReportInterval(createdNs);
-  private volatile long enginesConfirmedNs = NEVER;
   private boolean connected;
   private boolean closed;
 
@@ -103,7 +101,7 @@
    * the meantime. Thread-safe.
    */
   public boolean isConfirmed() {
-    return freshness.isConfirmed(System.nanoTime());
+    return freshness.isConfirmed(Moment.now());
   }
 
   /**
@@ -111,7 +109,7 @@
    * Thread-safe.
    */
   public boolean isConfirmedWithin(long maxAgeMs) {
-    return freshness.isConfirmedWithin(maxAgeMs, System.nanoTime());
+    return freshness.isConfirmedWithin(maxAgeMs, Moment.now());
   }
 
   /** Whether a leader has ever answered this process. Thread-safe. */
@@ -132,9 +130,7 @@
    * last {@code maxAgeMs}. Thread-safe.
    */
   public boolean areEnginesConfirmedWithin(long maxAgeMs) {
-    long confirmedNs = enginesConfirmedNs;
-    return confirmedNs != NEVER
-        && System.nanoTime() - confirmedNs < TimeUnit.MILLISECONDS.toNanos(maxAgeMs);
+    return freshness.areEnginesConfirmedWithin(maxAgeMs, Moment.now());
   }
 
   /**
@@ -143,7 +139,7 @@
    * Thread-safe.
    */
   public boolean isResuming() {
-    return freshness.isReportOverdue(System.nanoTime());
+    return freshness.isReportOverdue(Moment.now());
   }
 
   /** Returns how far this process has got in obtaining a view of the fleet. Thread-safe. */
@@ -206,30 +202,30 @@
   }
 
   private java.util.concurrent.CompletableFuture<Void> sendReport() {
-    SelfReport report = selfReport.get();
+    SelfReport self = selfReport.get();
     RouteTable routes = view().routes();
     FleetHeartbeat heartbeat =
         new FleetHeartbeat(
-            report.process(),
-            report.mayFound(),
+            self.process(),
+            self.mayFound(),
             routes == null ? RouteTable.NO_VERSION : routes.version(),
             engineEpoch,
             engineSequence,
             processEpoch,
             processSequence,
-            report.jobsGroup(),
+            self.jobsGroup(),
             view().quarantine().version(),
             view().evacuatedZones().version(),
-            report.tenantUse());
-    SentReport sent = new SentReport(System.nanoTime(), engineEpoch);
+            self.tenantUse());
+    SentReport report = new SentReport(Moment.now(), engineEpoch);
     return coordinators
         .call(heartbeat, CALL_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
-        .thenAcceptAsync(result -> onAnswer(result, sent), eventLoop);
+        .thenAcceptAsync(result -> onAnswer(result, report), eventLoop);
   }
 
-  void onAnswer(Result<Message, GroupCallError> result, SentReport sent) {
+  void onAnswer(Result<Message, GroupCallError> result, SentReport report) {
     boolean answered = result.isOk() && result.value() instanceof FleetUpdate;
-    freshness.onReportEnded(sent.sentNs());
+    freshness.onReportEnded(report.sent());
     if (answered != connected) {
       connected = answered;
       EventCode code = answered ? EventCode.COORDINATORS_REACHED : EventCode.COORDINATORS_LOST;
@@ -241,10 +237,10 @@
       FleetUpdate update = (FleetUpdate) result.value();
       if (update.isLastKnown()) {
         onLastKnown(update);
-      } else if (!freshness.isOvertaken(sent.sentNs()) && continuesList(update.engines(), sent)) {
-        freshness.onLeaderAnswered(sent.sentNs());
+      } else if (!freshness.isOvertaken(report.sent()) && continuesList(update.engines(), report)) {
+        freshness.onLeaderAnswered(report.sent());
         if (isListOfLeader(update.engines())) {
-          enginesConfirmedNs = sent.sentNs();
+          freshness.onEnginesConfirmed(report.sent());
         }
         contentionListener.accept(update.contendedTenants());
         suspectedPartsListener.accept(update.suspectedParts());
@@ -257,8 +253,8 @@
    * Whether the list of engines continues the present one. After another answer has brought the
    * list of another leader, nothing tells which of the two leaders is the newer one.
    */
-  private boolean continuesList(EngineListDelta engines, SentReport sent) {
-    return engines == null || sent.engineEpoch() == engineEpoch || engines.epoch() == engineEpoch;
+  private boolean continuesList(EngineListDelta engines, SentReport report) {
+    return engines == null || report.engineEpoch() == engineEpoch || engines.epoch() == engineEpoch;
   }
 
   /** A leader that has not read the list yet sends none, or the saved one. */
--- a/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/ViewFreshness.java
@@ -43,48 +43,52 @@
   static final long REPORT_OVERDUE_MS = 3_000;
 
   private final long processStartNs;
-  private volatile long lastConfirmedNs;
+  private volatile Moment lastConfirmed;
+  private volatile Moment enginesConfirmed;
   private volatile long firstConfirmedNs;
   private volatile boolean everConfirmed;
   private volatile long lastKnownFirstNs;
   private volatile long lastKnownLatestNs;
   private volatile boolean lastKnownReceived;
-  private volatile long lastEndedReportNs;
-  private volatile boolean reportEnded;
+  private volatile Moment lastEndedReport;
 
   /** Creates the state of a process that has received no view yet. */
   ViewFreshness(long processStartNs) {
     this.processStartNs = processStartNs;
   }
 
-  /** Records the answer of the leader to a report that was sent at {@code sentNs}. */
-  void onLeaderAnswered(long sentNs) {
-    lastConfirmedNs = sentNs;
+  /** Records the answer of the leader to a report. */
+  void onLeaderAnswered(Moment sent) {
+    lastConfirmed = sent;
     if (!everConfirmed) {
-      firstConfirmedNs = sentNs;
+      firstConfirmedNs = sent.steadyNs();
       everConfirmed = true;
     }
   }
 
-  /** Whether a leader has answered a report that was sent after {@code sentNs}. */
-  boolean isOvertaken(long sentNs) {
-    return everConfirmed && sentNs - lastConfirmedNs < 0;
+  /** Records the answer of a leader that has read the list of engines. */
+  void onEnginesConfirmed(Moment sent) {
+    enginesConfirmed = sent;
   }
 
-  /** Records that a report sent at {@code sentNs} was answered or given up. */
-  void onReportEnded(long sentNs) {
-    if (!reportEnded || sentNs - lastEndedReportNs > 0) {
-      lastEndedReportNs = sentNs;
+  /** Whether a leader has answered a report that was sent later. */
+  boolean isOvertaken(Moment sent) {
+    return everConfirmed && sent.isBefore(lastConfirmed);
+  }
+
+  /** Records that a report was answered or given up. */
+  void onReportEnded(Moment sent) {
+    if (lastEndedReport == null || lastEndedReport.isBefore(sent)) {
+      lastEndedReport = sent;
     }
-    reportEnded = true;
   }
 
   /**
    * Whether no recent report has ended, as after a suspension of the process: changes may have come
    * into force meanwhile, and the coordinators have not been asked since.
    */
-  boolean isReportOverdue(long nowNs) {
-    return reportEnded && nowNs - lastEndedReportNs >= millisToNanos(REPORT_OVERDUE_MS);
+  boolean isReportOverdue(Moment now) {
+    return lastEndedReport != null && !isWithin(REPORT_OVERDUE_MS, lastEndedReport, now);
   }
 
   /** Records that a coordinator without a leader sent its last-known state, possibly again. */
@@ -129,13 +133,22 @@
   }
 
   /** Whether the leader has answered a report of the last {@link #CONFIRMATION_VALID_MS}. */
-  boolean isConfirmed(long nowNs) {
-    return isConfirmedWithin(CONFIRMATION_VALID_MS, nowNs);
+  boolean isConfirmed(Moment now) {
+    return isConfirmedWithin(CONFIRMATION_VALID_MS, now);
   }
 
   /** Whether the leader has answered a report that was sent in the last {@code maxAgeMs}. */
-  boolean isConfirmedWithin(long maxAgeMs, long nowNs) {
-    return everConfirmed && nowNs - lastConfirmedNs < millisToNanos(maxAgeMs);
+  boolean isConfirmedWithin(long maxAgeMs, Moment now) {
+    return isWithin(maxAgeMs, lastConfirmed, now);
+  }
+
+  /** As {@link #isConfirmedWithin}, of a leader that has read the list of engines. */
+  boolean areEnginesConfirmedWithin(long maxAgeMs, Moment now) {
+    return isWithin(maxAgeMs, enginesConfirmed, now);
+  }
+
+  private static boolean isWithin(long maxAgeMs, Moment event, Moment now) {
+    return event != null && event.elapsedNs(now) < millisToNanos(maxAgeMs);
   }
 
   private static long millisToNanos(long ms) {
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestFleetFollower.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestFleetFollower.java
@@ -22,7 +22,11 @@
 
   private final GroupClient coordinators = new GroupClient(null, null, List::of);
   private final FleetFollower follower = new FleetFollower(null, coordinators, () -> null);
-  private final long startNs = System.nanoTime();
+  private final Moment start = Moment.now();
+
+  private Moment sent(long ns) {
+    return new Moment(start.steadyNs() + ns, start.wallMs());
+  }
 
   private static EngineListDelta list(long epoch, boolean full, String... versions) {
     List<EngineInstance> engines =
@@ -55,23 +59,23 @@
 
   @Test
   void answerToAnEarlierReportChangesNothing() {
-    answer(new SentReport(startNs + 2, NONE), list(7, true, "v1", "v2"));
-    answer(new SentReport(startNs + 1, NONE), list(7, true, "v1"));
+    answer(new SentReport(sent(2), NONE), list(7, true, "v1", "v2"));
+    answer(new SentReport(sent(1), NONE), list(7, true, "v1"));
     assertThat(follower.view().engines()).containsOnlyKeys("v1", "v2");
   }
 
   @Test
   void listOfAnotherLeaderDoesNotReplaceTheOneThatCameMeanwhile() {
-    answer(new SentReport(startNs, NONE), list(7, true, "v1"));
-    SentReport first = new SentReport(startNs + 1, 7);
-    SentReport second = new SentReport(startNs + 2, 7);
+    answer(new SentReport(sent(0), NONE), list(7, true, "v1"));
+    SentReport first = new SentReport(sent(1), 7);
+    SentReport second = new SentReport(sent(2), 7);
     StreamOrigin joining = new StreamOrigin("s", "v2");
     answer(first, list(8, true, "v1", "v2"), joining);
     answer(second, list(7, false, "v1"));
     assertThat(follower.view().joiningOrigins()).containsExactly(joining);
-    answer(new SentReport(startNs + 3, 8), list(8, false));
+    answer(new SentReport(sent(3), 8), list(8, false));
     assertThat(follower.view().joiningOrigins()).as("settled by the new leader").isEmpty();
-    answer(new SentReport(startNs + 4, 8), list(3, true, "v3"));
+    answer(new SentReport(sent(4), 8), list(3, true, "v3"));
     assertThat(follower.view().engines()).as("told by whoever leads").containsOnlyKeys("v3");
   }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestViewFreshness.java
@@ -18,10 +18,14 @@
     return START_NS + TimeUnit.MILLISECONDS.toNanos(ms);
   }
 
+  private static Moment at(long ms) {
+    return new Moment(after(ms), ms);
+  }
+
   @Test
   void unusableBeforeAnyAnswer() {
     assertThat(afterStartup.isUsable(START_NS)).isFalse();
-    assertThat(afterStartup.isConfirmed(START_NS)).isFalse();
+    assertThat(afterStartup.isConfirmed(at(0))).isFalse();
   }
 
   @Test
@@ -29,36 +33,36 @@
     afterStartup.onLastKnownReceived(START_NS);
     assertThat(afterStartup.isUsable(after(ViewFreshness.LAST_KNOWN_VALID_MS - 1))).isTrue();
     assertThat(afterStartup.isUsable(after(ViewFreshness.LAST_KNOWN_VALID_MS))).isFalse();
-    assertThat(afterStartup.isConfirmed(START_NS)).isFalse();
+    assertThat(afterStartup.isConfirmed(at(0))).isFalse();
   }
 
   @Test
   void leaderAnswerStaysUsableAfterConfirmationExpires() {
     afterStartup.onLastKnownReceived(START_NS);
-    afterStartup.onLeaderAnswered(after(10));
+    afterStartup.onLeaderAnswered(at(10));
     long laterMs = 10 + ViewFreshness.CONFIRMATION_VALID_MS;
-    assertThat(afterStartup.isConfirmed(after(laterMs - 1))).isTrue();
-    assertThat(afterStartup.isConfirmed(after(laterMs))).isFalse();
+    assertThat(afterStartup.isConfirmed(at(laterMs - 1))).isTrue();
+    assertThat(afterStartup.isConfirmed(at(laterMs))).isFalse();
     assertThat(afterStartup.isUsable(after(100 * laterMs))).isTrue();
   }
 
   @Test
   void confirmationAgeCountsFromSendTime() {
-    assertThat(afterStartup.isConfirmedWithin(2_500, START_NS)).isFalse();
-    afterStartup.onLeaderAnswered(after(10));
-    assertThat(afterStartup.isConfirmedWithin(2_500, after(2_509))).isTrue();
-    assertThat(afterStartup.isConfirmedWithin(2_500, after(2_510))).isFalse();
+    assertThat(afterStartup.isConfirmedWithin(2_500, at(0))).isFalse();
+    afterStartup.onLeaderAnswered(at(10));
+    assertThat(afterStartup.isConfirmedWithin(2_500, at(2_509))).isTrue();
+    assertThat(afterStartup.isConfirmedWithin(2_500, at(2_510))).isFalse();
     afterStartup.onLastKnownReceived(after(2_600));
-    assertThat(afterStartup.isConfirmedWithin(2_500, after(2_610))).isFalse();
+    assertThat(afterStartup.isConfirmedWithin(2_500, at(2_610))).isFalse();
   }
 
   /** A leader that has been replaced meanwhile may have answered the earlier report. */
   @Test
   void answerToAnEarlierReportIsOvertaken() {
-    assertThat(afterStartup.isOvertaken(START_NS)).isFalse();
-    afterStartup.onLeaderAnswered(after(10));
-    assertThat(afterStartup.isOvertaken(after(9))).isTrue();
-    assertThat(afterStartup.isOvertaken(after(10))).isFalse();
+    assertThat(afterStartup.isOvertaken(at(0))).isFalse();
+    afterStartup.onLeaderAnswered(at(10));
+    assertThat(afterStartup.isOvertaken(at(9))).isTrue();
+    assertThat(afterStartup.isOvertaken(at(10))).isFalse();
   }
 
   @Test
@@ -78,7 +82,7 @@
     }
     duringStartup.onLastKnownReceived(after(endMs - 1));
     assertThat(duringStartup.isUsable(after(endMs))).isFalse();
-    assertThat(duringStartup.isConfirmed(after(endMs - 1))).isFalse();
+    assertThat(duringStartup.isConfirmed(at(endMs - 1))).isFalse();
   }
 
   @Test
@@ -108,23 +112,47 @@
     duringStartup.onLastKnownReceived(after(60));
     assertThat(duringStartup.startProgress(START_NS, after(70)))
         .isEqualTo(new StartProgress(StartProgress.Phase.NO_LEADER, 30));
-    duringStartup.onLeaderAnswered(after(100));
-    duringStartup.onLeaderAnswered(after(110));
+    duringStartup.onLeaderAnswered(at(100));
+    duringStartup.onLeaderAnswered(at(110));
     assertThat(duringStartup.startProgress(START_NS, after(120)))
         .isEqualTo(new StartProgress(StartProgress.Phase.LIST_MISSING, 20));
   }
 
   @Test
   void reportIsOverdueAfterSuspensionUntilOneSentSinceHasEnded() {
-    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS))).isFalse();
-    afterStartup.onReportEnded(START_NS);
-    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS - 1))).isFalse();
-    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS))).isTrue();
-    afterStartup.onReportEnded(after(1));
-    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS + 1))).isTrue();
-    afterStartup.onReportEnded(after(ViewFreshness.REPORT_OVERDUE_MS));
-    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS + 1))).isFalse();
-    afterStartup.onReportEnded(after(1));
-    assertThat(afterStartup.isReportOverdue(after(ViewFreshness.REPORT_OVERDUE_MS + 1))).isFalse();
+    assertThat(afterStartup.isReportOverdue(at(ViewFreshness.REPORT_OVERDUE_MS))).isFalse();
+    afterStartup.onReportEnded(at(0));
+    assertThat(afterStartup.isReportOverdue(at(ViewFreshness.REPORT_OVERDUE_MS - 1))).isFalse();
+    assertThat(afterStartup.isReportOverdue(at(ViewFreshness.REPORT_OVERDUE_MS))).isTrue();
+    afterStartup.onReportEnded(at(1));
+    assertThat(afterStartup.isReportOverdue(at(ViewFreshness.REPORT_OVERDUE_MS + 1))).isTrue();
+    afterStartup.onReportEnded(at(ViewFreshness.REPORT_OVERDUE_MS));
+    assertThat(afterStartup.isReportOverdue(at(ViewFreshness.REPORT_OVERDUE_MS + 1))).isFalse();
+    afterStartup.onReportEnded(at(1));
+    assertThat(afterStartup.isReportOverdue(at(ViewFreshness.REPORT_OVERDUE_MS + 1))).isFalse();
+  }
+
+  /** The steady clock of a suspended machine may stand still, also under a report's answer. */
+  @Test
+  void suspendedMachineConfirmsNothing() {
+    Moment sent = at(10);
+    afterStartup.onReportEnded(sent);
+    afterStartup.onLeaderAnswered(sent);
+    afterStartup.onEnginesConfirmed(sent);
+    Moment resumed = new Moment(after(20), 20 + ViewFreshness.REPORT_OVERDUE_MS);
+    assertThat(afterStartup.isConfirmed(resumed)).isFalse();
+    assertThat(afterStartup.areEnginesConfirmedWithin(600, resumed)).isFalse();
+    assertThat(afterStartup.isReportOverdue(resumed)).isTrue();
+    afterStartup.onEnginesConfirmed(resumed);
+    assertThat(afterStartup.areEnginesConfirmedWithin(600, resumed)).isTrue();
+  }
+
+  @Test
+  void timeOfDayThatIsSetBackConfirmsNothingForLonger() {
+    afterStartup.onEnginesConfirmed(at(10));
+    assertThat(afterStartup.areEnginesConfirmedWithin(600, new Moment(after(609), -90_000)))
+        .isTrue();
+    assertThat(afterStartup.areEnginesConfirmedWithin(600, new Moment(after(610), -90_000)))
+        .isFalse();
   }
 }
