A version that returned while a gateway was out of touch is possible

What callers saw: a stream went on at another software version. A version had left, returned, begun streams and left again while a gateway was cut off; back in touch, that gateway took the other version for the only possible one.

Cause: a gateway that knows a version counts from when it saw it listed last. That leaders told it as one that left recently changed nothing.

Evidence: versionThatReturnedWhileAGatewayWasCutOffIsPossible goes on at v1 instead of v2 without the change. firstListAfterAGapIsTold covers when the follower tells it; the wiring in both processes has no test of its own.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/CoordinatorProcess.java
@@ -18,6 +18,7 @@
 import io.pathdeck.fleet.FleetMemberProcess;
 import io.pathdeck.fleet.FleetSettings;
 import io.pathdeck.fleet.adapter.FleetAdapter;
+import io.pathdeck.fleet.eligibility.SoftwareVersions;
 import io.pathdeck.fleet.member.CoordinatorContacts;
 import io.pathdeck.fleet.member.FleetFollower;
 import io.pathdeck.fleet.member.FleetView;
@@ -221,6 +222,9 @@
           host.execute(() -> membership[0].onView(view));
           saveIfConfirmed(view, follower, lastKnownFleet);
         });
+    follower.setMissedViewsListener(
+        SoftwareVersions.MAX_VIEW_AGE_MS,
+        view -> host.execute(() -> membership[0].onViewsMissed(view)));
     lastKnownFleet.start();
     resources.push(
         new PeerServer(
--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -133,6 +133,13 @@
     }
   }
 
+  /** Applies that views of another leader have been missed before {@code view}. */
+  void onViewsMissed(FleetView view) {
+    if (!leading) {
+      softwareVersions.onViewsMissed(view.retiredOrigins(), clock.monotonicMs());
+    }
+  }
+
   @Override
   public void onStep(long nowMs) {
     boolean leads = group.isLeading();
--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
@@ -144,15 +144,26 @@
   }
 
   private void addRetired(StreamOrigin origin, long nowMs) {
-    services
+    Map<String, Presence> known = services.get(origin.service());
+    if (known == null || !known.containsKey(origin.softwareVersion())) {
+      presence(origin).lastListedMs = nowMs;
+    }
+  }
+
+  private Presence presence(StreamOrigin origin) {
+    return services
         .computeIfAbsent(origin.service(), name -> new TreeMap<>())
-        .computeIfAbsent(
-            origin.softwareVersion(),
-            version -> {
-              Presence presence = new Presence(SETTLED);
-              presence.lastListedMs = nowMs;
-              return presence;
-            });
+        .computeIfAbsent(origin.softwareVersion(), version -> new Presence(SETTLED));
+  }
+
+  /**
+   * Applies that this process has missed views for more than {@link #MAX_VIEW_AGE_MS}. A version
+   * that has left the list may have been listed again meanwhile.
+   *
+   * @param retired versions that have left the list recently, by the view that came after
+   */
+  public void onViewsMissed(Collection<StreamOrigin> retired, long nowMs) {
+    retired.forEach(origin -> presence(origin).lastListedMs = nowMs);
   }
 
   /** At the first sight of a service, the version of most engines was there before the others. */
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -169,6 +169,15 @@
     }
   }
 
+  /** Applies that views have been missed before {@code view}. */
+  void onViewsMissed(FleetView view) {
+    context
+        .engines()
+        .eligibility()
+        .softwareVersions()
+        .onViewsMissed(view.retiredOrigins(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  }
+
   /** Stops sending requests to a terminated engine until it may be back. */
   void onEngineEnded(EngineInstance engine) {
     context.engines().onDown(engine, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -129,6 +129,7 @@
       gateway.setCallStartListener(loadExchange::onCallStarted);
     }
     follower.setChangeListener(view -> onChange(view, transport));
+    follower.setMissedViewsListener(SoftwareVersions.MAX_VIEW_AGE_MS, gateway::onViewsMissed);
     startPeerServer(eventLoops, tls);
     callerServer = startCallerServer(eventLoops, metrics.memory());
     startReadinessServer(eventLoops);
--- a/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/FleetFollower.java
@@ -67,6 +67,8 @@
   private Consumer<List<String>> contentionListener = ignored -> {};
   private Consumer<List<RequestFingerprint>> suspectedPartsListener = ignored -> {};
   private Runnable newLeaderListener = () -> {};
+  private long maxViewGapMs = Long.MAX_VALUE;
+  private Consumer<FleetView> missedViewsListener = ignored -> {};
   private boolean enginesKnown;
   private long engineEpoch = FleetUpdate.NO_LEADERS_EPOCH;
   private long engineSequence;
@@ -173,6 +175,15 @@
     newLeaderListener = listener;
   }
 
+  /**
+   * Sets a listener for the first view after more than {@code maxGapMs} without a leader that knew
+   * the list of engines, called on the event loop after the change listener; call before the start.
+   */
+  public void setMissedViewsListener(long maxGapMs, Consumer<FleetView> listener) {
+    maxViewGapMs = maxGapMs;
+    missedViewsListener = listener;
+  }
+
   public void start() {
     eventLoop.execute(this::reportPeriodically);
   }
@@ -238,17 +249,26 @@
       if (update.isLastKnown()) {
         onLastKnown(update);
       } else if (!freshness.isOvertaken(report.sent()) && continuesList(update.engines(), report)) {
-        freshness.onLeaderAnswered(report.sent());
-        if (isListOfLeader(update.engines())) {
-          freshness.onEnginesConfirmed(report.sent());
-        }
-        contentionListener.accept(update.contendedTenants());
-        suspectedPartsListener.accept(update.suspectedParts());
-        applyUpdate(update);
+        onLeaderAnswered(update, report.sent());
       }
     }
   }
 
+  private void onLeaderAnswered(FleetUpdate update, Moment sent) {
+    boolean hasList = isListOfLeader(update.engines());
+    boolean missedViews = hasList && !areEnginesConfirmedWithin(maxViewGapMs);
+    freshness.onLeaderAnswered(sent);
+    if (hasList) {
+      freshness.onEnginesConfirmed(sent);
+    }
+    contentionListener.accept(update.contendedTenants());
+    suspectedPartsListener.accept(update.suspectedParts());
+    applyUpdate(update);
+    if (missedViews) {
+      missedViewsListener.accept(view());
+    }
+  }
+
   /**
    * Whether the list of engines continues the present one. After another answer has brought the
    * list of another leader, nothing tells which of the two leaders is the newer one.
--- a/fleet/src/test/java/io/pathdeck/fleet/member/TestFleetFollower.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/member/TestFleetFollower.java
@@ -9,6 +9,7 @@
 import io.pathdeck.protocol.fleet.FleetProcess;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.message.FleetUpdate;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -78,4 +79,20 @@
     answer(new SentReport(sent(4), 8), list(3, true, "v3"));
     assertThat(follower.view().engines()).as("told by whoever leads").containsOnlyKeys("v3");
   }
+
+  @Test
+  void firstListAfterAGapIsTold() {
+    List<FleetView> views = new ArrayList<>();
+    follower.setMissedViewsListener(60_000, views::add);
+    answer(new SentReport(new Moment(start.steadyNs() - 1, start.wallMs() - 70_000), NONE), null);
+    assertThat(views).as("the leader has not read the list").isEmpty();
+    answer(
+        new SentReport(new Moment(start.steadyNs(), start.wallMs() - 65_000), NONE),
+        list(7, true, "v1"));
+    assertThat(views).hasSize(1);
+    answer(new SentReport(sent(1), 7), list(7, false));
+    assertThat(views).as("the list was 65 s old").hasSize(2);
+    answer(new SentReport(sent(2), 7), list(7, false));
+    assertThat(views).hasSize(2);
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/OriginModel.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/OriginModel.java
@@ -279,6 +279,7 @@
 
   private void tell(Gateway gateway, View update, long sentMs) {
     View view = update;
+    boolean missedViews = update.engines() != null && !isConfirmed(gateway);
     if (update.engines() == null) {
       if (gateway.view == null) {
         return;
@@ -290,6 +291,9 @@
     }
     gateway.view = view;
     apply(gateway.versions(), view);
+    if (missedViews) {
+      gateway.versions().onViewsMissed(view.retired(), nowMs);
+    }
     tellRecordsIfVersionJoined(gateway);
   }
 
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestGatewayOutOfStep.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestGatewayOutOfStep.java
@@ -106,6 +106,24 @@
     assertThat(model.begin(0, "v2")).as("gateway 1 knows v1 only, confirmed").isEmpty();
   }
 
+  @Test
+  void versionThatReturnedWhileAGatewayWasCutOffIsPossible() {
+    model.join("v2");
+    settle();
+    model.leave("v2");
+    model.advance(1_000);
+    model.isolate(1, true);
+    model.advance(5_000);
+    model.join("v2");
+    settle();
+    long stream = model.begin(0, "v2").orElseThrow();
+    model.leave("v2");
+    model.advance(4_000);
+    model.isolate(1, false);
+    model.advance(100);
+    assertThat(OriginModel.versionOf(model.takeUp(1, stream))).contains("v2");
+  }
+
   @Test
   void streamBetweenTwoChangesOfVersionsOutlivesItsGateway() {
     model.join("v2");
