Versions are remembered for as long as callers of the longest route may return

What callers saw: on a route with a timeout over 30 s, a stream could go on at another software version when the one that began it had left more than a minute before.

Cause: versions that left, and records of origins, were kept for 60 s, while callers may return for two timeouts of the route.

Change: gateways and coordinators remember versions for two timeouts of the longest route that may be resumed, between 60 s and 10 min; the records of a route are kept for its two timeouts up to 10 min. Routes up to 30 s are as before.

Evidence: versionIsPossibleForAsLongAsCallersOfALongRouteMayReturn goes on at v2 with the former bound, and when the routes are not applied.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/FleetMembership.java
@@ -124,6 +124,9 @@
 
   /** Applies the view that another leader sent, so that this one knows it when it leads. */
   void onView(FleetView view) {
+    if (view.routes() != null) {
+      softwareVersions.onRoutes(view.routes());
+    }
     if (!leading && view.engines() != null) {
       softwareVersions.onView(
           view.engines().values(),
@@ -357,6 +360,7 @@
     if (!leading) {
       return;
     }
+    state.routeTable().ifPresent(softwareVersions::onRoutes);
     softwareVersions.onList(listedEngines, clock.monotonicMs());
     Set<String> listedIds =
         listedEngines.stream().map(EngineInstance::id).collect(Collectors.toSet());
--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
@@ -1,6 +1,8 @@
 package io.pathdeck.fleet.eligibility;
 
 import io.pathdeck.protocol.fleet.EngineInstance;
+import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -28,8 +30,11 @@
   /** Longer than {@link #MAX_VIEW_AGE_MS}, by the time between two reads of the clock. */
   static final long SETTLING_MS = 800;
 
-  /** How long a version that has left the list is remembered. */
-  static final long RETENTION_MS = 60_000;
+  /** How long a version that has left the list is remembered, or longer if a route needs it. */
+  public static final long RETENTION_MS = 60_000;
+
+  /** Maximum time for which versions that have left the list and origins of streams are kept. */
+  public static final long MAX_RETENTION_MS = 600_000;
 
   /**
    * How long each process at least counts a version that has left the list among those at which a
@@ -61,6 +66,27 @@
   private Set<StreamOrigin> joining = Set.of();
   private boolean anyListSeen;
   private long firstListMs;
+  private long retentionMs = RETENTION_MS;
+
+  /**
+   * Returns for how long a caller of the route may take a stream up again: it may be held for one
+   * timeout, and so may the next attempt.
+   */
+  public static long returnPeriodMs(RouteSpec route) {
+    long periodMs = 2 * Math.min(MAX_RETENTION_MS, route.timeoutMs());
+    return Math.max(MIN_MEMORY_MS, Math.min(MAX_RETENTION_MS, periodMs));
+  }
+
+  /** Applies the routes in force: a version is remembered for as long as callers may return. */
+  public void onRoutes(RouteTable routes) {
+    long longestMs =
+        routes.routes().stream()
+            .filter(RouteSpec::resumable)
+            .mapToLong(SoftwareVersions::returnPeriodMs)
+            .max()
+            .orElse(0);
+    retentionMs = Math.max(RETENTION_MS, longestMs);
+  }
 
   /** Applies the list of engines that this process, a leading coordinator, has read. */
   public void onList(Collection<EngineInstance> engines, long nowMs) {
@@ -181,7 +207,7 @@
             versions ->
                 versions
                     .values()
-                    .removeIf(presence -> nowMs - presence.lastListedMs > RETENTION_MS));
+                    .removeIf(presence -> nowMs - presence.lastListedMs > retentionMs));
     services.values().removeIf(Map::isEmpty);
   }
 
@@ -218,12 +244,17 @@
     return recent;
   }
 
-  /** Returns the versions that have left the list in the last {@value #RETENTION_MS} ms. */
+  /** Returns the versions of a service that are listed or are still remembered. */
+  public Set<String> rememberedVersions(String service, long nowMs) {
+    return recentVersions(service, retentionMs, nowMs);
+  }
+
+  /** Returns the versions that have left the list and are still remembered. */
   public List<StreamOrigin> retiredOrigins(long nowMs) {
     List<StreamOrigin> retired = new ArrayList<>();
     for (String service : services.keySet()) {
       Set<String> listedVersions = listed.getOrDefault(service, Map.of()).keySet();
-      for (String version : recentVersions(service, RETENTION_MS, nowMs)) {
+      for (String version : rememberedVersions(service, nowMs)) {
         if (!listedVersions.contains(version)) {
           retired.add(new StreamOrigin(service, version));
         }
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -148,6 +148,9 @@
   void onChange(FleetView newView) {
     EngineEligibility eligibility = context.engines().eligibility();
     eligibility.setEvacuatedZones(newView.evacuatedZones());
+    if (newView.routes() != null) {
+      eligibility.softwareVersions().onRoutes(newView.routes());
+    }
     if (newView.engines() != null) {
       long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
       eligibility
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOriginTable.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOriginTable.java
@@ -1,5 +1,6 @@
 package io.pathdeck.fleet.origin;
 
+import io.pathdeck.fleet.eligibility.SoftwareVersions;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.fleet.StreamOriginRecord;
 import java.util.ArrayList;
@@ -15,8 +16,8 @@
   /** About 100 bytes each. */
   static final int MAX_ENTRIES = 50_000;
 
-  /** Longer than any caller waits; bounds what another process may ask to remember. */
-  static final int MAX_VALID_MS = 60_000;
+  /** Bounds what another process may ask to remember. */
+  static final int MAX_VALID_MS = (int) SoftwareVersions.MAX_RETENTION_MS;
 
   private static final long SWEEP_INTERVAL_MS = 1_000;
 
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/StreamOrigins.java
@@ -28,8 +28,6 @@
  * caller's return needs no question. As soon as there are several, other gateways are told.
  */
 public final class StreamOrigins {
-  private static final int MIN_VALID_MS = (int) SoftwareVersions.MIN_MEMORY_MS;
-
   /** A stream whose caller does not tell which request began it. */
   private static final long UNNAMED = 0;
 
@@ -89,8 +87,7 @@
 
   /** Returns for how long a caller of the route may take a stream up again. */
   static int validMs(RouteSpec route) {
-    long validMs = 2 * route.timeoutMs();
-    return (int) Math.max(MIN_VALID_MS, Math.min(StreamOriginTable.MAX_VALID_MS, validMs));
+    return (int) SoftwareVersions.returnPeriodMs(route);
   }
 
   /** What other gateways ask and tell. */
--- a/fleet/src/main/java/io/pathdeck/fleet/origin/ToldServices.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/origin/ToldServices.java
@@ -41,9 +41,6 @@
   }
 
   private boolean hasSeveralVersions(String service, long nowMs) {
-    return softwareVersions
-            .recentVersions(service, StreamOriginTable.MAX_VALID_MS, nowMs)
-            .size()
-        > 1;
+    return softwareVersions.rememberedVersions(service, nowMs).size() > 1;
   }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestStreamOrigins.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestStreamOrigins.java
@@ -11,6 +11,7 @@
 import io.pathdeck.protocol.fleet.EngineInstance;
 import io.pathdeck.protocol.fleet.RouteKind;
 import io.pathdeck.protocol.fleet.RouteSpec;
+import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.protocol.fleet.RouteTarget;
 import io.pathdeck.protocol.fleet.StreamOrigin;
 import io.pathdeck.protocol.transport.FrameCompression;
@@ -23,24 +24,27 @@
 import org.junit.jupiter.api.Test;
 
 class TestStreamOrigins {
-  private static final RouteSpec ROUTE =
-      new RouteSpec(
-          "r",
-          "h",
-          "/",
-          RouteKind.STREAM,
-          1_000,
-          0,
-          0,
-          List.of(new RouteTarget("s", 1)),
-          2,
-          false,
-          true,
-          0,
-          0,
-          0,
-          0,
-          true);
+  private static final RouteSpec ROUTE = route(1_000);
+
+  private static RouteSpec route(long timeoutMs) {
+    return new RouteSpec(
+        "r",
+        "h",
+        "/",
+        RouteKind.STREAM,
+        timeoutMs,
+        0,
+        0,
+        List.of(new RouteTarget("s", 1)),
+        2,
+        false,
+        true,
+        0,
+        0,
+        0,
+        0,
+        true);
+  }
 
   private final EventLoopGroup eventLoops = EventLoops.create(1);
   private final EventLoop eventLoop = eventLoops.next();
@@ -56,12 +60,16 @@
   }
 
   private void list(String... softwareVersions) {
+    listAgo(0, softwareVersions);
+  }
+
+  private void listAgo(long agoMs, String... softwareVersions) {
     List<EngineInstance> engines =
         List.of(softwareVersions).stream()
             .map(each -> engine(each).withSoftwareVersion(each))
             .toList();
-    versions.onView(
-        engines, List.of(), List.of(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    versions.onView(engines, List.of(), List.of(), nowMs - agoMs);
   }
 
   private static EngineInstance engine(String id) {
@@ -69,8 +77,12 @@
   }
 
   private Resolution resolve(long stream) throws Exception {
+    return resolve(stream, ROUTE);
+  }
+
+  private Resolution resolve(long stream, RouteSpec route) throws Exception {
     CompletableFuture<Resolution> resolution = new CompletableFuture<>();
-    eventLoop.execute(() -> origins.resolve(stream, ROUTE, resolution::complete));
+    eventLoop.execute(() -> origins.resolve(stream, route, resolution::complete));
     return resolution.get(5, TimeUnit.SECONDS);
   }
 
@@ -93,4 +105,17 @@
     Resolution resolution = resolve(stream);
     assertThat(((Resolution.Known) resolution).origin().origin()).isEqualTo(origin);
   }
+
+  @Test
+  void versionIsPossibleForAsLongAsCallersOfALongRouteMayReturn() throws Exception {
+    RouteSpec route = route(60_000);
+    versions.onRoutes(
+        new RouteTable(1, List.of(route), List.of(), null, List.of(), new byte[0], new byte[0]));
+    listAgo(150_000, "v1", "v2");
+    listAgo(100_000, "v2");
+    list("v2");
+    assertThat(resolve(StreamOrigins.streamOf("tenant", "id"), route))
+        .as("it may have begun at v1, which left after it")
+        .isEqualTo(new Resolution.Unknown(false));
+  }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/origin/TestToldServices.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/origin/TestToldServices.java
@@ -38,7 +38,7 @@
     list(0, "v1", "v2");
     list(1, "v2");
     assertThat(services.onStream("s", 20_000)).isTrue();
-    assertThat(services.onStream("s", 2 + StreamOriginTable.MAX_VALID_MS)).isFalse();
+    assertThat(services.onStream("s", 2 + SoftwareVersions.RETENTION_MS)).isFalse();
     assertThat(list(70_000, "v2", "v3")).containsExactly("s");
   }
 }
