A version that a coordinator has not seen listed settles again

What callers saw: a stream could go on at another software version. After a coordinator had learned from another one that a version had left, it took it for listed until then; when the version returned while it led, streams began there at once, although gateways that had seen it leave earlier did not count it any more.

Cause: the time up to which a version may have been listed also counted for how long it was absent.

Change: SoftwareVersions keeps both times. Absence counts from the last list that this process has seen.

Evidence: versionThatACoordinatorHasNotSeenListedSettlesAgain finds nothing that joins when both times are one.

--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/SoftwareVersions.java
@@ -46,16 +46,27 @@
   static final long MAX_ABSENCE_MS = MIN_MEMORY_MS - SETTLING_MS;
 
   private static final long SETTLED = Long.MIN_VALUE / 2;
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** When a version joined its service, as far as this process knows, and was last listed. */
   private static final class Presence {
     long joinedMs;
-    long lastListedMs;
+
+    /** By the lists that this process has seen. Others may have seen no later one. */
+    long lastListedMs = NEVER;
+
+    /** The same, or later if this process may have missed a list. */
+    long lastPossibleMs;
 
     Presence(long joinedMs) {
       this.joinedMs = joinedMs;
     }
 
+    void onListed(long nowMs) {
+      lastListedMs = nowMs;
+      lastPossibleMs = nowMs;
+    }
+
     boolean isAbsent(long nowMs) {
       return nowMs - lastListedMs > MAX_ABSENCE_MS;
     }
@@ -152,7 +163,7 @@
         (service, versions) ->
             versions
                 .keySet()
-                .forEach(version -> services.get(service).get(version).lastListedMs = nowMs));
+                .forEach(version -> services.get(service).get(version).onListed(nowMs)));
   }
 
   private void addVersions(String service, Map<String, Integer> versions, long nowMs) {
@@ -172,7 +183,7 @@
   private void addRetired(StreamOrigin origin, long nowMs) {
     Map<String, Presence> known = services.get(origin.service());
     if (known == null || !known.containsKey(origin.softwareVersion())) {
-      presence(origin).lastListedMs = nowMs;
+      presence(origin).lastPossibleMs = nowMs;
     }
   }
 
@@ -189,7 +200,7 @@
    * @param retired versions that have left the list recently, by the view that came after
    */
   public void onViewsMissed(Collection<StreamOrigin> retired, long nowMs) {
-    retired.forEach(origin -> presence(origin).lastListedMs = nowMs);
+    retired.forEach(origin -> presence(origin).lastPossibleMs = nowMs);
   }
 
   /** At the first sight of a service, the version of most engines was there before the others. */
@@ -207,7 +218,7 @@
             versions ->
                 versions
                     .values()
-                    .removeIf(presence -> nowMs - presence.lastListedMs > retentionMs));
+                    .removeIf(presence -> nowMs - presence.lastPossibleMs > retentionMs));
     services.values().removeIf(Map::isEmpty);
   }
 
@@ -237,7 +248,7 @@
         .forEach(
             (version, presence) -> {
               boolean isListed = listed.getOrDefault(service, Map.of()).containsKey(version);
-              if (isListed || nowMs - presence.lastListedMs <= windowMs) {
+              if (isListed || nowMs - presence.lastPossibleMs <= windowMs) {
                 recent.add(version);
               }
             });
--- a/fleet/src/test/java/io/pathdeck/fleet/eligibility/TestSoftwareVersions.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/eligibility/TestSoftwareVersions.java
@@ -108,6 +108,16 @@
     assertThat(versions.joiningOrigins(3_100)).containsExactly(origin("v2"));
   }
 
+  /** Others that have seen it leave long ago may not count it any more. */
+  @Test
+  void versionThatACoordinatorHasNotSeenListedSettlesAgain() {
+    versions.onView(engines("v1"), List.of(origin("v2")), List.of(), 0);
+    versions.onViewsMissed(List.of(origin("v2")), 30_000);
+    assertThat(versions.recentVersions("s", WINDOW_MS, 31_000)).containsExactly("v1", "v2");
+    list(31_000, "v1", "v2");
+    assertThat(versions.joiningOrigins(31_000)).containsExactly(origin("v2"));
+  }
+
   @Test
   void onlyVersionOfAServiceNeedNotSettleAgain() {
     list(0, "v1");
