A plain body that calls itself an event stream is searched for heads

What callers could see: on a route without events, the head and text of a second response as a part of the body, if its content type was that of an event stream.

Cause: the connection left bodies of this type to the receiver, which checks events only on routes of streams.

Change: the receiver tells whether it checks events (EngineListener); all other bodies of successes are searched, whatever type they name. Bodies of another type on routes of streams are no longer searched twice.

Evidence: TestResponsesWithinBodies.withinBodyWithTypeOfEventStream ended without a failure with the former condition, and passes with this one.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -84,7 +83,6 @@
   private boolean success;
   private boolean keepAlive;
   private boolean closeDelimited;
-  private boolean eventStream;
   private EmbeddedHeadDetector embeddedHeads;
   private boolean usedBefore;
   private boolean responseStarted;
@@ -253,7 +251,6 @@
     }
     readState = ReadState.BODY;
     closeDelimited = isCloseDelimited(head);
-    eventStream = isEventStream(head);
     embeddedHeads = new EmbeddedHeadDetector(protocol.uniqueHeaders(), sentRequestIds);
     keepAlive = HttpUtil.isKeepAlive(head) && !closeDelimited;
     engineIdleTimeoutMs = response.idleTimeoutMs();
@@ -287,11 +284,6 @@
     return !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
   }
 
-  private static boolean isEventStream(HttpResponse head) {
-    CharSequence mimeType = HttpUtil.getMimeType(head);
-    return mimeType != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(mimeType);
-  }
-
   private void readBody(HttpContent content) {
     if (!isWithinLimit(content.content().readableBytes())) {
       abortCall("the response is too long");
@@ -309,7 +301,7 @@
   }
 
   private void passOn(byte[] part) {
-    boolean searched = success && !eventStream;
+    boolean searched = success && !currentCall.listener().checksEvents();
     if (searched && embeddedHeads.add(part)) {
       abortCall("another response within the body");
     } else {
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineListener.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineListener.java
@@ -7,6 +7,14 @@
  * onClose} or {@code onFailure} is the last.
  */
 public interface EngineListener {
+  /**
+   * Whether the receiver checks that the body of a successful response consists of events. Other
+   * bodies are searched for responses within, whatever their content type.
+   */
+  default boolean checksEvents() {
+    return false;
+  }
+
   /** The head of the response arrived. */
   void onHead(EngineResponse response);
 
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Attempt.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Attempt.java
@@ -144,6 +144,11 @@
     tracker.onDataReceived(lastProgressMs);
   }
 
+  @Override
+  public boolean checksEvents() {
+    return isStream;
+  }
+
   @Override
   public void onHead(EngineResponse head) {
     if (ended) {
--- a/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/quarantine/QuarantiningTransport.java
@@ -168,6 +168,11 @@
       this.listener = listener;
     }
 
+    @Override
+    public boolean checksEvents() {
+      return listener.checksEvents();
+    }
+
     @Override
     public void onHead(EngineResponse response) {
       status = response.status();
--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -153,6 +153,11 @@
     return headReceivedMs;
   }
 
+  @Override
+  public boolean checksEvents() {
+    return true;
+  }
+
   @Override
   public void onHead(EngineResponse head) {
     lastReceivedMs = nowMs();
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestResponsesWithinBodies.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestResponsesWithinBodies.java
@@ -26,6 +26,13 @@
     assertThat(failureOf("r")).contains(EngineFailure.BROKEN);
   }
 
+  @Test
+  void withinBodyWithTypeOfEventStream() throws Exception {
+    String type = "Content-Type: text/event-stream\r\n";
+    server.respond(HEAD + type + "Content-Length: " + ERROR.length() + "\r\n\r\n" + ERROR);
+    assertThat(failureOf("r")).contains(EngineFailure.BROKEN);
+  }
+
   @Test
   void withinBodyThatBreaksOff() throws Exception {
     server.respond(
