A head of two responses tells the dispatcher no load

What could happen: an engine stops within the head of its report and goes on with another response on the connection; the dispatcher took the load of a refusal for that of a success.

Cause: HttpLoadProbe alone did not use ResponseHeadValidator.

Change: it ends the call at a head with a status line within, or with two loads.

--- a/dispatch/src/main/java/io/pathdeck/dispatch/HttpLoadProbe.java
+++ b/dispatch/src/main/java/io/pathdeck/dispatch/HttpLoadProbe.java
@@ -2,11 +2,13 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.pathdeck.common.http.ResponseHeadValidator;
 import io.pathdeck.protocol.model.EngineSpec;
 import io.pathdeck.serving.engine.EngineHeaders;
 import io.pathdeck.serving.engine.EngineLoad;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.asynchttpclient.AsyncHandler;
@@ -23,6 +25,9 @@
   /** Loads are told in the head; a body says nothing. */
   private static final int MAX_BODY_BYTES = 64 * 1024;
 
+  private static final ResponseHeadValidator HEADS =
+      new ResponseHeadValidator(List.of(EngineHeaders.LOAD));
+
   private final AsyncHttpClient client;
 
   HttpLoadProbe(EventLoopGroup eventLoops) {
@@ -47,19 +52,24 @@
 
   /** Reads the load from the head, and the body up to a limit so that the connection is kept. */
   private static final class LoadHandler implements AsyncHandler<Optional<EngineLoad>> {
-    private boolean ok;
+    private HttpResponseStatus status;
     private int bodyBytes;
     private Optional<EngineLoad> load = Optional.empty();
 
     @Override
-    public State onStatusReceived(HttpResponseStatus status) {
-      ok = status.getStatusCode() == OK;
+    public State onStatusReceived(HttpResponseStatus receivedStatus) {
+      status = receivedStatus;
       return State.CONTINUE;
     }
 
     @Override
     public State onHeadersReceived(HttpHeaders headers) {
-      load = ok ? EngineLoad.parse(headers.get(EngineHeaders.LOAD)) : Optional.empty();
+      if (HEADS.problemOf(status.getStatusText(), headers).isPresent()) {
+        return State.ABORT;
+      }
+      if (status.getStatusCode() == OK) {
+        load = EngineLoad.parse(headers.get(EngineHeaders.LOAD));
+      }
       return State.CONTINUE;
     }
 
--- a/dispatch/src/test/java/io/pathdeck/dispatch/TestHttpLoadProbe.java
+++ b/dispatch/src/test/java/io/pathdeck/dispatch/TestHttpLoadProbe.java
@@ -116,6 +116,26 @@
     }
   }
 
+  /** Guards against the load of a refusal that is read below the status of a success. */
+  @Test
+  void headOfTwoResponsesTellsNoLoad() throws Exception {
+    BlockingQueue<EngineLoad> loads = new LinkedBlockingQueue<>();
+    String load = EngineHeaders.LOAD + ": " + LOAD + "\r\n";
+    String success = "HTTP/1.1 200 OK\r\nDate: today\r\n" + load;
+    String end = "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    String refusal = "HTTP/1.1 503 Service Unavailable\r\n" + load + end;
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      for (int length = 0; length < success.length(); length++) {
+        probeLoad(server.getLocalPort(), loads::add);
+        respond(server, success.substring(0, length) + refusal, false);
+      }
+      probeLoad(server.getLocalPort(), loads::add);
+      respond(server, success + end, false);
+      assertThat(loads.poll(BOUND_MS, TimeUnit.MILLISECONDS)).isNotNull();
+      assertThat(loads).isEmpty();
+    }
+  }
+
   private static void respond(ServerSocket server, String response, boolean reset)
       throws IOException {
     try (Socket connection = server.accept()) {
