The idle limit that an ended engine showed is forgotten

What happened: after an engine had ended, gateways and stores reused connections to all engines of its service only if idle for less than 70 percent of the time since its last call, down to 200 ms, for the life of the process, and opened new ones instead.

Cause: an engine that ends closes its idle connections; IdleTimeouts took each close between calls for the engine's timeout, and kept the limit for good.

Change: a limit is kept with the life of the engine that showed it, and holds for the service only while the list has that life. The list tells within its interval that an engine has ended; until then the limit may be too short, as before.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * Calls engines over persistent HTTP/1.1 connections; confined to one event loop.
@@ -93,6 +94,12 @@
     idleLossListener = listener;
   }
 
+  /** Applies the list of engines; must be called on the event loop. */
+  public void onListed(Map<String, EngineInstance> engines) {
+    idleTimeouts.onListed(
+        engines.values().stream().map(EngineInstance::lifeId).collect(Collectors.toSet()));
+  }
+
   @Override
   public Handle start(EngineCall call, EngineListener listener) {
     PendingCall pending = pendingCall(call, listener);
@@ -225,7 +232,7 @@
   void onIdleClosed(EngineConnection connection, long idleMs) {
     Deque<EngineConnection> connections = idleConnections.get(connection.lifeId());
     if (connections != null && connections.remove(connection)) {
-      idleTimeouts.onIdleClosed(connection.service(), idleMs);
+      idleTimeouts.onIdleClosed(connection.engine(), idleMs);
       if (connections.isEmpty()) {
         idleConnections.remove(connection.lifeId());
         onLastIdleClosed(connection);
--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/GatewayProcess.java
@@ -103,7 +103,10 @@
             fleet.name(),
             eligibility.softwareVersions(),
             () -> follower.areEnginesConfirmedWithin(SoftwareVersions.MAX_VIEW_AGE_MS));
-    QuarantiningTransport transport = createEngineTransport(eventLoop);
+    NettyEngineTransport connections =
+        new NettyEngineTransport(
+            eventLoop, adapter.engines(), engine -> regionTraffic.engineMeter(engine.zone()));
+    QuarantiningTransport transport = createEngineTransport(eventLoop, connections);
     heldBackSends = transport.heldBackSends();
     follower.setSuspectedPartsListener(transport::updateSuspectedParts);
     gateway =
@@ -128,7 +131,7 @@
     if (!fleet.tls().isEnabled()) {
       gateway.setCallStartListener(loadExchange::onCallStarted);
     }
-    follower.setChangeListener(view -> onChange(view, transport));
+    follower.setChangeListener(view -> onChange(view, connections, transport));
     follower.setMissedViewsListener(SoftwareVersions.MAX_VIEW_AGE_MS, gateway::onViewsMissed);
     startPeerServer(eventLoops, tls);
     callerServer = startCallerServer(eventLoops, metrics.memory());
@@ -222,24 +225,23 @@
         settings.shareLoad());
   }
 
-  private QuarantiningTransport createEngineTransport(EventLoop eventLoop) {
+  private QuarantiningTransport createEngineTransport(
+      EventLoop eventLoop, NettyEngineTransport connections) {
     EngineCrashReporter reporter =
         new EngineCrashReporter(eventLoop, contacts.client(), follower::reportNow);
     follower.setNewLeaderListener(reporter::onNewLeader);
-    NettyEngineTransport transport =
-        new NettyEngineTransport(
-            eventLoop, adapter.engines(), engine -> regionTraffic.engineMeter(engine.zone()));
-    EngineLivenessProbe liveness = new EngineLivenessProbe(eventLoop, transport, adapter.engines());
+    EngineLivenessProbe liveness =
+        new EngineLivenessProbe(eventLoop, connections, adapter.engines());
     QuarantiningTransport quarantining =
         new QuarantiningTransport(
-            transport,
+            connections,
             adapter.engines(),
             liveness,
             reporter,
             CrashSuspects.REQUESTS_AND_PROMPT_PARTS,
             eventLoop,
             engine -> gateway.onEngineEnded(engine));
-    watchForColdEngines(eventLoop, transport, quarantining);
+    watchForColdEngines(eventLoop, connections, quarantining);
     return quarantining;
   }
 
@@ -267,10 +269,14 @@
     }
   }
 
-  private void onChange(FleetView view, QuarantiningTransport transport) {
+  private void onChange(
+      FleetView view, NettyEngineTransport connections, QuarantiningTransport transport) {
     regionTraffic.onChange(view);
     transport.updateQuarantine(view.quarantine());
     coldStartBudget.onChange(view, nowMs());
+    if (view.engines() != null) {
+      connections.onListed(view.engines());
+    }
     gateway.onChange(view);
     loadExchange.onChange(view);
     if (view.routes() != null) {
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -66,6 +66,7 @@
   private final BatchStateMachine state;
   private final ControllerClock clock;
   private final EventLoop eventLoop;
+  private final NettyEngineTransport connections;
   private final QuarantiningTransport transport;
   private final Executor consensusExecutor;
   private final LoadPolls loadPolls;
@@ -90,7 +91,7 @@
       BatchStateMachine state,
       ControllerClock clock,
       EventLoop eventLoop,
-      NettyEngineTransport transport,
+      NettyEngineTransport connections,
       EngineProtocol protocol,
       EngineCrashReporter reporter,
       EngineLoadBalancer loadBalancer,
@@ -104,17 +105,18 @@
     this.scheduler = new ItemScheduler(engines, loadBalancer, slack);
     this.clock = clock;
     this.eventLoop = eventLoop;
-    EngineLivenessProbe livenessProbe = new EngineLivenessProbe(eventLoop, transport, protocol);
+    EngineLivenessProbe livenessProbe = new EngineLivenessProbe(eventLoop, connections, protocol);
+    this.connections = connections;
     this.transport =
         new QuarantiningTransport(
-            transport,
+            connections,
             protocol,
             livenessProbe,
             reporter,
             CrashSuspects.PROMPT_PARTS,
             eventLoop,
             engine -> consensusExecutor.execute(() -> onEngineDown(engine)));
-    transport.setIdleLossListener(
+    connections.setIdleLossListener(
         engine -> consensusExecutor.execute(() -> onIdleLoss(engine, eligibility)));
     this.engineListIsRecent = engineListIsRecent;
     this.consensusExecutor = consensusExecutor;
@@ -153,6 +155,7 @@
     eventLoop.execute(() -> transport.updateQuarantine(newView.quarantine()));
     if (newView.engines() != null) {
       engines.update(newView.engines());
+      eventLoop.execute(() -> connections.onListed(newView.engines()));
     }
   }
 
