A connection closed within a late response was not closed for being idle

What happened: an engine that responded twice and stopped within the second head lowered the idle limit of its service, down to 200 ms.

Cause: a close between calls counted as one for idling even if bytes had arrived since the last call, from which the decoder had no message yet.

Change: only a connection on which nothing has arrived since its last call sets a limit. A part of a status line that is read together with the end of the response before is not noticed.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -85,7 +85,12 @@
   private boolean closeDelimited;
   private EmbeddedHeadDetector embeddedHeads;
   private boolean usedBefore;
-  private boolean responseStarted;
+
+  /**
+   * Whether bytes have arrived since the call began or, between calls, since the last one ended.
+   */
+  private boolean receivedBytes;
+
   private boolean responseDropped;
   private boolean closing;
   private int completedCalls;
@@ -138,18 +143,26 @@
     sentAfterIdling =
         usedBefore && System.nanoTime() - idleSinceNs >= MIN_IDLE_TIMEOUT_MS * NANOS_PER_MS;
     readState = ReadState.HEAD;
-    responseStarted = false;
+    receivedBytes = false;
     requestWrite = context.channel().writeAndFlush(protocol.write(call.call()));
   }
 
   /** Whether this idle connection is open and has been idle for less than the limit. */
   boolean isUsable(long nowNs, long limitMs) {
-    long idleMs = TimeUnit.NANOSECONDS.toMillis(nowNs - idleSinceNs);
     long effectiveLimitMs = limitMs;
     if (engineIdleTimeoutMs > 0) {
       effectiveLimitMs = Math.min(effectiveLimitMs, engineIdleTimeoutMs - IDLE_MARGIN_MS);
     }
-    return context.channel().isActive() && idleMs < effectiveLimitMs;
+    return context.channel().isActive() && idleMs(nowNs) < effectiveLimitMs;
+  }
+
+  long idleMs(long nowNs) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNs - idleSinceNs);
+  }
+
+  /** Whether nothing has arrived since the last call, such as a part of a late response. */
+  boolean isIdle() {
+    return currentCall == null && !receivedBytes;
   }
 
   /** Makes this new connection available to other calls, since its own call was canceled. */
@@ -184,7 +197,7 @@
 
   /** Handles bytes before they are decoded. */
   void onBytes() {
-    responseStarted = true;
+    receivedBytes = true;
   }
 
   /** Handles bytes from which the decoder gets no message. */
@@ -197,6 +210,7 @@
     messages++;
     if (message.decoderResult().cause() instanceof PrematureChannelClosureException) {
       // The event of the connection's end follows.
+      receivedBytes = true;
       return;
     }
     if (message.decoderResult().isFailure()) {
@@ -324,6 +338,7 @@
     PendingCall completedCall = currentCall;
     currentCall = null;
     completedCalls++;
+    receivedBytes = false;
     resumeReading();
     if (isReusable()) {
       usedBefore = true;
@@ -354,7 +369,7 @@
   }
 
   private void onConnectionLost(String reason) {
-    boolean closedForIdling = sentAfterIdling && !responseStarted;
+    boolean closedForIdling = sentAfterIdling && !receivedBytes;
     fail(
         closedForIdling ? EngineFailure.CLOSED_BEFORE_ANSWER : EngineFailure.CONNECTION_ENDED,
         reason);
@@ -382,8 +397,7 @@
     if (currentCall != null) {
       onConnectionLost("the connection ended");
     } else if (!closing && usedBefore) {
-      long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNs);
-      owner.onIdleClosed(this, idleMs);
+      owner.onClosedBetweenCalls(this);
     }
   }
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/NettyEngineTransport.java
@@ -228,11 +228,13 @@
     }
   }
 
-  /** Removes a connection that the engine closed after {@code idleMs} without a call. */
-  void onIdleClosed(EngineConnection connection, long idleMs) {
+  /** Removes a connection that the engine closed between calls. */
+  void onClosedBetweenCalls(EngineConnection connection) {
     Deque<EngineConnection> connections = idleConnections.get(connection.lifeId());
     if (connections != null && connections.remove(connection)) {
-      idleTimeouts.onIdleClosed(connection.engine(), idleMs);
+      if (connection.isIdle()) {
+        idleTimeouts.onIdleClosed(connection.engine(), connection.idleMs(System.nanoTime()));
+      }
       if (connections.isEmpty()) {
         idleConnections.remove(connection.lifeId());
         onLastIdleClosed(connection);
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/ScriptedServer.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/ScriptedServer.java
@@ -10,9 +10,15 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.locks.LockSupport;
 
 /** Sends the given bytes, one text for each request, and ends the connection after the last one. */
 public final class ScriptedServer implements AutoCloseable {
+  /** Stands within a text where the rest is sent a little later. */
+  public static final String PAUSE = "\0";
+
+  private static final long PAUSE_NS = 100_000_000;
+
   private final ServerSocket server;
   private final Queue<String> responses = new ConcurrentLinkedQueue<>();
   private volatile boolean resets;
@@ -54,7 +60,11 @@
   private void serve(Socket connection) throws IOException {
     boolean requested = readRequest(connection.getInputStream());
     while (requested && !responses.isEmpty()) {
-      connection.getOutputStream().write(responses.poll().getBytes(StandardCharsets.UTF_8));
+      String[] parts = responses.poll().split(PAUSE, -1);
+      for (int i = 0; i < parts.length; i++) {
+        LockSupport.parkNanos(i * PAUSE_NS);
+        connection.getOutputStream().write(parts[i].getBytes(StandardCharsets.UTF_8));
+      }
       requested = !responses.isEmpty() && readRequest(connection.getInputStream());
     }
     connection.setSoLinger(resets, 0);
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/ScriptedServerTest.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/ScriptedServerTest.java
@@ -16,10 +16,11 @@
 /** Gives each test of a subclass a transport and an engine that sends given bytes. */
 abstract class ScriptedServerTest {
   private static final long BOUND_MS = 5_000;
+  private static final long POLL_MS = 5;
 
   private final EventLoopGroup eventLoops = EventLoops.create(1);
   private final EventLoop eventLoop = eventLoops.next();
-  private final NettyEngineTransport transport =
+  final NettyEngineTransport transport =
       new NettyEngineTransport(eventLoop, new PlainEngineProtocol(""));
   ScriptedServer server;
 
@@ -59,6 +60,13 @@
     return outcome;
   }
 
+  /** Waits until no connection to the engine is open. */
+  void awaitClose() throws Exception {
+    while (eventLoop.submit(() -> transport.openConnections(server.engine("e"))).get() > 0) {
+      Thread.sleep(POLL_MS);
+    }
+  }
+
   /** Makes a call and returns why it failed, or nothing if it did not. */
   Optional<EngineFailure> failureOf(String requestId) throws Exception {
     return call(requestId).failureWithin(BOUND_MS);
