A connection that closes while its linger time is set ends no call

What callers could see: none; the call to the engine of a caller of HTTP/1.0 that had left ended with an exception, and counted as broken.

Change: the exception is caught.

--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
@@ -260,8 +261,10 @@
 
   /** Sets whether a close resets the connection, so that an incomplete body does not look whole. */
   private void setReset(boolean reset) {
-    if (channel.isOpen()) {
+    try {
       channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+    } catch (ChannelException e) {
+      // The connection is closed, which another thread may have done just now.
     }
   }
 
