Lines that are dropped beside the number of dropped lines are counted

Seen once at a load of about 18: TestEventLogBlockedOutput timed out at 20 s, since the line that it awaits never came.

Cause: EventLog asked whether the queue was full, and then queued two lines, the number of dropped lines and the event. With room for one, the appender dropped the second without counting or telling it. Two threads that asked at the same time could lose lines in the same way.

Change: a line, with the number of dropped lines before it, is queued under a lock if there is room for both, and counted as dropped otherwise. Building the lines stays outside the lock.

The test awaited any room and then one line; it now awaits room for both, which is when both have to come. Its checks are the same.

--- a/common/src/main/java/io/pathdeck/common/events/EventLog.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventLog.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -17,7 +16,12 @@
  */
 public final class EventLog {
   private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
-  private static final AtomicLong DROPPED_UNTOLD = new AtomicLong();
+
+  /** Held while lines are queued, so that the room for them is still there. */
+  private static final Object QUEUING = new Object();
+
+  /** Lines that were dropped and not told yet; guarded by {@link #QUEUING}. */
+  private static long droppedUntold;
 
   private final Logger logger;
 
@@ -44,24 +48,33 @@
     }
     LineBudget.Decision decision = LineBudget.SHARED.ask(code, System.nanoTime());
     if (decision.leftOutBefore() > 0) {
-      tellLeftOut(code.label(), decision.leftOutBefore());
+      write(Level.INFO, leftOutLine(code.label(), decision.leftOutBefore()));
     }
-    if (!decision.mayWrite()) {
-      EventCounts.SHARED.onLeftOut();
-    } else if (EventLogConfiguration.isQueueFull()) {
-      EventCounts.SHARED.onDropped();
-      DROPPED_UNTOLD.incrementAndGet();
+    if (decision.mayWrite()) {
+      write(level, line(code, cause, fields));
     } else {
-      long droppedBefore = DROPPED_UNTOLD.getAndSet(0);
-      if (droppedBefore > 0) {
-        tellLeftOut("full-queue", droppedBefore);
+      EventCounts.SHARED.onLeftOut();
+    }
+  }
+
+  private void write(Level level, String line) {
+    synchronized (QUEUING) {
+      int lines = droppedUntold > 0 ? 2 : 1;
+      if (!EventLogConfiguration.hasRoomFor(lines)) {
+        EventCounts.SHARED.onDropped();
+        droppedUntold++;
+        return;
+      }
+      if (droppedUntold > 0) {
+        logger.log(Level.INFO, leftOutLine("full-queue", droppedUntold));
+        droppedUntold = 0;
       }
-      logger.log(level, line(code, cause, fields));
+      logger.log(level, line);
     }
   }
 
-  private void tellLeftOut(String of, long count) {
-    logger.log(Level.INFO, line(EventCode.LINES_LEFT_OUT, null, "of", of, "count", count));
+  private static String leftOutLine(String of, long count) {
+    return line(EventCode.LINES_LEFT_OUT, null, "of", of, "count", count);
   }
 
   /** The line of an event, as it is written. */
--- a/common/src/main/java/io/pathdeck/common/events/EventLogConfiguration.java
+++ b/common/src/main/java/io/pathdeck/common/events/EventLogConfiguration.java
@@ -45,10 +45,10 @@
     Configurator.initialize(new EventLogConfiguration(null));
   }
 
-  /** Whether the queue of lines is full, so that a further line would be dropped. */
-  static boolean isQueueFull() {
+  /** Whether the queue has room for so many further lines; others would be dropped uncounted. */
+  static boolean hasRoomFor(int lines) {
     AsyncAppender appender = queue;
-    return appender != null && appender.getQueueRemainingCapacity() == 0;
+    return appender == null || appender.getQueueRemainingCapacity() >= lines;
   }
 
   @Override
--- a/common/src/test/java/io/pathdeck/common/events/TestEventLogBlockedOutput.java
+++ b/common/src/test/java/io/pathdeck/common/events/TestEventLogBlockedOutput.java
@@ -8,7 +8,8 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -18,11 +19,11 @@
   private static final Duration PATIENCE = Duration.ofSeconds(20);
   private static final EventLog EVENTS = EventLog.of(TestEventLogBlockedOutput.class);
 
-  private final CountDownLatch reading = new CountDownLatch(1);
+  private final Semaphore readLines = new Semaphore(0);
   private final ByteArrayOutputStream written = new ByteArrayOutputStream();
   private final PrintStream original = System.out;
 
-  /** An output whose reader takes nothing until it begins to read. */
+  /** An output whose reader takes as many lines as it is permitted. */
   private final class BlockedOutput extends OutputStream {
     @Override
     public void write(int value) {
@@ -32,7 +33,7 @@
     @Override
     public void write(byte[] bytes, int offset, int length) {
       try {
-        reading.await();
+        readLines.acquire();
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
@@ -57,37 +58,62 @@
 
   @AfterEach
   void restoreOutput() {
-    reading.countDown();
+    readAll();
     System.setOut(original);
     System.clearProperty(EventLogConfiguration.TARGET_PROPERTY);
     Configurator.reconfigure(new EventLogConfiguration(null));
   }
 
-  @Test
-  void eventsAreLoggedWithoutWaitingAndDroppedLinesAreCountedAndTold() {
-    long droppedBefore = EventCounts.SHARED.linesDropped();
-    int events = 3 * EventLogConfiguration.QUEUE_LENGTH;
+  private void readAll() {
+    readLines.release(Integer.MAX_VALUE / 2);
+  }
+
+  private static void logUntilLinesAreDropped() {
+    for (int i = 0; i < 3 * EventLogConfiguration.QUEUE_LENGTH; i++) {
+      EVENTS.log(EventCode.ROLE_CHANGED, "number", i);
+    }
+  }
+
+  private static void awaitRoomFor(int lines) {
+    await(() -> EventLogConfiguration.hasRoomFor(lines));
+  }
+
+  private static void await(BooleanSupplier condition) {
     assertTimeoutPreemptively(
         PATIENCE,
         () -> {
-          for (int i = 0; i < events; i++) {
-            EVENTS.log(EventCode.ROLE_CHANGED, "number", i);
+          while (!condition.getAsBoolean()) {
+            Thread.sleep(5);
           }
         });
+  }
+
+  @Test
+  void eventsAreLoggedWithoutWaitingAndDroppedLinesAreCountedAndTold() {
+    long droppedBefore = EventCounts.SHARED.linesDropped();
+    assertTimeoutPreemptively(PATIENCE, TestEventLogBlockedOutput::logUntilLinesAreDropped);
     long dropped = EventCounts.SHARED.linesDropped() - droppedBefore;
     assertThat(dropped).isGreaterThan(EventLogConfiguration.QUEUE_LENGTH);
-    reading.countDown();
-    assertTimeoutPreemptively(
-        PATIENCE,
-        () -> {
-          while (EventLogConfiguration.isQueueFull()) {
-            Thread.sleep(5);
-          }
-          EVENTS.log(EventCode.ROLE_CHANGED, "number", -1);
-          while (!text().contains("\"number\":-1}")) {
-            Thread.sleep(5);
-          }
-        });
+    readAll();
+    awaitRoomFor(2);
+    EVENTS.log(EventCode.ROLE_CHANGED, "number", -1);
+    await(() -> text().contains("\"number\":-1}"));
     assertThat(text()).contains("\"of\":\"full-queue\",\"count\":" + dropped + "}");
   }
+
+  /** The number of dropped lines takes a line, too. */
+  @Test
+  void lineWithoutRoomBehindTheNumberOfDroppedLinesIsCounted() {
+    logUntilLinesAreDropped();
+    long droppedBefore = EventCounts.SHARED.linesDropped();
+    readLines.release();
+    awaitRoomFor(1);
+    EVENTS.log(EventCode.ROLE_CHANGED, "number", -1);
+    long dropped = EventCounts.SHARED.linesDropped() - droppedBefore;
+    readAll();
+    awaitRoomFor(EventLogConfiguration.QUEUE_LENGTH);
+    EVENTS.log(EventCode.ROLE_CHANGED, "number", -2);
+    await(() -> text().contains("\"number\":-2}"));
+    assertThat(text().contains("\"number\":-1}")).isEqualTo(dropped == 0);
+  }
 }
