The size of an item's progress follows from its new events alone

Each record of progress scanned the whole text of the item twice, before and after it, for characters of two bytes, on the consensus thread of every replica. ItemProgress now knows whether its text has such a character, so only the new events are scanned, in a plain loop.

The sizes are the same: heapSizeFollowsContentProgressAndResults.

--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -69,14 +69,14 @@
     }
     ItemProgress advanced = recorded.plus(events);
     progress.put(events.itemId(), advanced);
-    heapBytes += HeapSizes.ofText(advanced.data()) - HeapSizes.ofText(recorded.data());
+    heapBytes += advanced.heapBytes() - recorded.heapBytes();
     crashes.remove(events.itemId());
     return true;
   }
 
   /** Discards the recorded events of an item, which begins anew. */
   void discardProgress(String itemId) {
-    heapBytes -= HeapSizes.ofText(progress(itemId).data());
+    heapBytes -= progress(itemId).heapBytes();
     progress.remove(itemId);
   }
 
--- a/state/src/main/java/io/pathdeck/state/HeapSizes.java
+++ b/state/src/main/java/io/pathdeck/state/HeapSizes.java
@@ -15,8 +15,21 @@
 
   /** A string takes one byte a character, or two if one of them needs two. */
   static long ofText(String text) {
-    boolean isWide = text.chars().anyMatch(each -> each > LAST_SINGLE_BYTE_CHAR);
-    return isWide ? 2L * text.length() : text.length();
+    return ofText(text.length(), isWide(text));
+  }
+
+  static long ofText(int length, boolean isWide) {
+    return isWide ? 2L * length : length;
+  }
+
+  /** Whether a character of the text needs two bytes. */
+  static boolean isWide(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      if (text.charAt(i) > LAST_SINGLE_BYTE_CHAR) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** The body and the headers of an item. */
--- a/state/src/main/java/io/pathdeck/state/ItemProgress.java
+++ b/state/src/main/java/io/pathdeck/state/ItemProgress.java
@@ -8,18 +8,21 @@
 public final class ItemProgress {
   /** No recorded events. */
   public static final ItemProgress NONE =
-      new ItemProgress(StreamOrigin.UNKNOWN, BatchProgress.NO_EVENT, EventData.NONE, false);
+      new ItemProgress(StreamOrigin.UNKNOWN, BatchProgress.NO_EVENT, EventData.NONE, false, false);
 
   private final StreamOrigin origin;
   private final long lastEvent;
   private final String data;
   private final boolean mayLackData;
+  private final boolean isWide;
 
-  private ItemProgress(StreamOrigin origin, long lastEvent, String data, boolean mayLackData) {
+  private ItemProgress(
+      StreamOrigin origin, long lastEvent, String data, boolean mayLackData, boolean isWide) {
     this.origin = origin;
     this.lastEvent = lastEvent;
     this.data = data;
     this.mayLackData = mayLackData;
+    this.isWide = isWide;
   }
 
   /** The engines that can write what follows the recorded events. */
@@ -47,6 +50,11 @@
     return mayLackData;
   }
 
+  /** The heap that the data takes. */
+  long heapBytes() {
+    return HeapSizes.ofText(data.length(), isWide);
+  }
+
   /** Whether the events directly follow the recorded ones and come from the same origin. */
   boolean isFollowedBy(BatchProgress events) {
     boolean hasSameOrigin = isEmpty() || origin.equals(events.origin());
@@ -59,6 +67,7 @@
         events.origin(),
         events.lastEvent(),
         data + events.data(),
-        mayLackData || events.mayLackData());
+        mayLackData || events.mayLackData(),
+        isWide || HeapSizes.isWide(events.data()));
   }
 }
