The heap size of a job includes the ids and paths of its items

An item keeps its id and its path as long as its job, also when it is listed. They were not counted, so jobs with long paths could fill a store that still accepts new ones: a listed item with an id of 10,000 characters and a path of 20,000 counted 401 bytes.

Evidence: heapSizeIncludesIdsAndPathsOfListedItems failed with these 401 bytes before.

--- a/state/src/main/java/io/pathdeck/state/HeapSizes.java
+++ b/state/src/main/java/io/pathdeck/state/HeapSizes.java
@@ -5,7 +5,7 @@
 
 /** Estimates of the heap that parts of a batch job take, in bytes. */
 public final class HeapSizes {
-  /** Objects of an item and its result, without texts and content. */
+  /** Objects of an item and its result, without texts, long names and content. */
   static final long ITEM_BYTES = 400;
 
   private static final long HEADER_BYTES = 100;
@@ -43,6 +43,6 @@
 
   /** An item without a result. */
   public static long ofOpenItem(BatchItem item) {
-    return ITEM_BYTES + ofContent(item);
+    return ITEM_BYTES + ofText(item.id()) + ofText(item.path()) + ofContent(item);
   }
 }
--- a/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
+++ b/state/src/test/java/io/pathdeck/state/TestBatchStateMachine.java
@@ -357,6 +357,16 @@
     assertThat(machine.heapBytes()).isZero();
   }
 
+  /** The id and the path of an item are kept as long as its job. */
+  @Test
+  void heapSizeIncludesIdsAndPathsOfListedItems() {
+    String id = "i".repeat(10_000);
+    BatchItem item = new BatchItem(id, "/p".repeat(10_000), Map.of(), new byte[0], 100, 40);
+    apply(new SubmitBatch("a", "", "route", "host", List.of(item), 3, 20_000, 60_000, 0));
+    apply(addOutcome("a", id, true, "x"));
+    assertThat(machine.heapBytes()).isBetween(30_000L, 50_000L);
+  }
+
   @Test
   void snapshotRestoresEverything() {
     apply(submitJob("a", 3, 500));
