A job refused after an attempt of unknown outcome is not refused to the caller

A gateway sends a batch job to the leader of its group again if an attempt times out. A refusal of the later attempt (quota, or no heap left) went to the caller as 429 or 503, which promise that nothing runs. The first message may still be on its way over an earlier connection, though, and be accepted after the refusal.

Change: GroupClient.call takes what counts as a refusal, and reports one that follows an attempt which may have run as an error with that mark; callers get 504 and send the job again. Only submissions of jobs use it.

That a job was accepted in this way was not seen, it is by reading.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/BatchCalls.java
@@ -37,6 +37,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Handles callers' batch job requests by forwarding them to the groups that store the jobs.
@@ -151,6 +152,7 @@
     propose(
         group,
         command,
+        BatchCalls::isRefusal,
         result -> {
           log("submit", request.requestId(), group.group(), result, startNs);
           if (!result.isOk()) {
@@ -240,6 +242,7 @@
     propose(
         candidates.get(0),
         command,
+        reply -> false,
         result -> {
           boolean isRejected = result.isOk() && result.value() instanceof Rejected;
           if (isRejected && !others.isEmpty()) {
@@ -294,14 +297,19 @@
     Refusals.unavailable(exchange, "the groups of batch jobs are not known yet", RETRY_AFTER_MS);
   }
 
+  private static boolean isRefusal(Message reply) {
+    return reply instanceof ProposeReply proposed && !(proposed.result() instanceof BatchAccepted);
+  }
+
   private static void propose(
       JobsGroup group,
       BatchCommand command,
+      Predicate<Message> isRefusal,
       Consumer<Result<CommandResult, GroupCallError>> callback) {
     Message message = new ProposeRequest(group.group(), "", 0, command);
     group
         .client()
-        .call(message, SUBMIT_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS)
+        .call(message, SUBMIT_TIMEOUT_MS, ATTEMPT_TIMEOUT_MS, isRefusal)
         .thenAccept(
             result -> callback.accept(result.map(reply -> ((ProposeReply) reply).result())));
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/member/GroupClient.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -54,9 +55,19 @@
   /** Sends {@code message}; the future completes at most slightly later than {@code timeoutMs}. */
   public CompletableFuture<Result<Message, GroupCallError>> call(
       Message message, long timeoutMs, long attemptTimeoutMs) {
+    return call(message, timeoutMs, attemptTimeoutMs, reply -> false);
+  }
+
+  /**
+   * Sends {@code message} as {@link #call(Message, long, long)} does. A refusal that follows an
+   * attempt of unknown outcome is an error: the earlier message may still be on its way to the
+   * leader, over another connection, and be accepted.
+   */
+  public CompletableFuture<Result<Message, GroupCallError>> call(
+      Message message, long timeoutMs, long attemptTimeoutMs, Predicate<Message> isRefusal) {
     CompletableFuture<Result<Message, GroupCallError>> outcome = new CompletableFuture<>();
     long deadlineNs = timer.nowNs() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-    new Call(message, deadlineNs, attemptTimeoutMs, outcome).attempt();
+    new Call(message, deadlineNs, attemptTimeoutMs, isRefusal, outcome).attempt();
     return outcome;
   }
 
@@ -94,6 +105,7 @@
     private final Message message;
     private final long deadlineNs;
     private final long attemptTimeoutMs;
+    private final Predicate<Message> isRefusal;
     private final CompletableFuture<Result<Message, GroupCallError>> outcome;
     private boolean mayHaveRun;
     private String lastFailureReason = "no member is known";
@@ -104,20 +116,19 @@
         Message message,
         long deadlineNs,
         long attemptTimeoutMs,
+        Predicate<Message> isRefusal,
         CompletableFuture<Result<Message, GroupCallError>> outcome) {
       this.message = message;
       this.deadlineNs = deadlineNs;
       this.attemptTimeoutMs = attemptTimeoutMs;
+      this.isRefusal = isRefusal;
       this.outcome = outcome;
     }
 
     void attempt() {
       long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - timer.nowNs());
       if (remainingMs <= 0) {
-        outcome.complete(
-            Result.err(
-                new GroupCallError(
-                    lastFailureReason, mayHaveRun, lastCause, List.copyOf(askedMembers))));
+        fail(lastFailureReason);
         return;
       }
       String target = selectTarget();
@@ -134,6 +145,11 @@
           .thenAccept(result -> onResult(target, result));
     }
 
+    private void fail(String reason) {
+      outcome.complete(
+          Result.err(new GroupCallError(reason, mayHaveRun, lastCause, List.copyOf(askedMembers))));
+    }
+
     private void onResult(String target, Result<Message, TransportError> result) {
       if (!result.isOk()) {
         onFailure(Cause.UNREACHABLE, target + ": " + result.error());
@@ -152,7 +168,11 @@
         retry();
       } else {
         leaderAddress = target;
-        outcome.complete(Result.ok(reply));
+        if (mayHaveRun && isRefusal.test(reply)) {
+          fail(target + ": refused after an attempt of unknown outcome");
+        } else {
+          outcome.complete(Result.ok(reply));
+        }
       }
     }
 
