Test of the last known fleet does not wait for generated code

Seen twice, at loads of 37 and about 30: the file was not written within 5 s.

Cause: the test waits for the writer's interval of 1 s and for the first encoding in its process, for which Fory generates and compiles code. Stacks of the writer at a load of about 25 on 8 cores: 1.0 s parked, then 2.2 s in ObjectCodec.encode, and the file after 3.4 s. A second writer in that process had it after 0.1 s. Deployed programs generate no code (pathdeck.codec.codegen=false), so the program is not changed.

Change: the test encodes the view before it starts the writer. Its limit of 5 s and its checks stay, and the limit covers the writing alone.

--- a/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/coordinator/LastKnownFleet.java
@@ -111,7 +111,7 @@
     }
   }
 
-  private static String encode(FleetView view) {
+  static String encode(FleetView view) {
     FleetUpdate update =
         new FleetUpdate(
             view.routes(),
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestLastKnownFleet.java
@@ -55,6 +55,8 @@
   }
 
   private void write(FleetView view) throws InterruptedException {
+    // The first encoding in a process generates code, which takes seconds on a busy machine.
+    LastKnownFleet.encode(view);
     try (LastKnownFleet lastKnownFleet = new LastKnownFleet(folder())) {
       lastKnownFleet.start();
       lastKnownFleet.saveAsync(view);
