Items whose events have no ids are listed with their text

Callers could see: an item done with an empty text, although its engine sent the whole stream; or without its last events, if these had no ids and came after others had been drained.

Cause: what tells new events was the id of the last one. Events without ids left it as it was, counted as none, and were thrown away when the leader asked for events, and at the end.

Change: such events stay in ItemStream until one with an id follows or the response is complete, at most 4 MB of them; an attempt that breaks off drops them, since the next one brings them again.

--- a/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/ItemStream.java
@@ -37,6 +37,9 @@
    */
   private static final long MAX_CHOICE_AGE_MS = 1_000;
 
+  /** Bounds the events without ids, which are kept until the response is complete. */
+  private static final int MAX_BYTES_WITHOUT_IDS = 4 * 1024 * 1024;
+
   private final StreamOrigin origin;
   private final Consumer<ItemOutcome> listener;
   private final boolean isNew;
@@ -110,15 +113,19 @@
 
   /**
    * Passes the complete events not drained before to {@code receiver}; none after the attempt has
-   * ended.
+   * ended. Events without ids stay until one with an id follows or the response is complete: a
+   * later attempt could not go on after them.
    */
   void drainEvents(Consumer<ItemEvents> receiver) {
-    ItemEvents events = over ? null : takeEvents();
-    if (events != null && !events.isEmpty()) {
-      receiver.accept(events);
+    if (!over && hasUndrainedIds()) {
+      receiver.accept(takeEvents());
     }
   }
 
+  private boolean hasUndrainedIds() {
+    return scanner.lastId() > lastDrainedEvent;
+  }
+
   private ItemEvents takeEvents() {
     String data = SseEventScanner.dataOf(undrainedEvents.toByteArray());
     undrainedEvents.reset();
@@ -185,6 +192,8 @@
     }
     if (scanner.problem() != null) {
       abort(scanner.problem());
+    } else if (!hasUndrainedIds() && undrainedEvents.size() > MAX_BYTES_WITHOUT_IDS) {
+      abort("too many events without ids");
     }
   }
 
@@ -237,6 +246,9 @@
 
   private void finish(ItemOutcome.Kind kind, String reason) {
     over = true;
+    if (kind != ItemOutcome.Kind.DONE && !hasUndrainedIds()) {
+      undrainedEvents.reset();
+    }
     long retryAfterMs =
         response == null || response.retryAfterMs() == 0
             ? DEFAULT_RETRY_AFTER_MS
--- a/fleet/src/test/java/io/pathdeck/fleet/store/TestItemTextProperties.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/store/TestItemTextProperties.java
@@ -21,14 +21,15 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
 /**
- * Guards against results that lack the lines of events without data: wherever progress is recorded,
- * a run ends or another leader goes on, the text equals that of one undisturbed run.
+ * Guards against results that lack events without data or without ids: wherever progress is
+ * recorded, a run ends or another leader goes on, the text equals that of one undisturbed run.
  */
 class TestItemTextProperties {
   private static final StreamOrigin ORIGIN = new StreamOrigin("s", "v1");
@@ -55,8 +56,8 @@
       this.fields = List.of(fields);
     }
 
-    byte[] bytes(int id) {
-      String text = "id: " + id + "\n" + String.join("\n", fields) + "\n\n";
+    byte[] bytes(String idField) {
+      String text = idField + String.join("\n", fields) + "\n\n";
       return text.getBytes(StandardCharsets.UTF_8);
     }
 
@@ -154,16 +155,35 @@
   void textIsThatOfOneRun(
       @ForAll @Size(min = 1, max = 12) List<Event> events,
       @ForAll @Size(max = 40) List<Disturbance> disturbances,
-      @ForAll @IntRange(min = 0, max = 1) int firstId) {
+      @ForAll @IntRange(min = 0, max = 1) int firstId,
+      @ForAll boolean hasIds) {
     this.firstId = firstId;
     submit();
     Iterator<Disturbance> next = disturbances.iterator();
     while (nextId < firstId + events.size()) {
-      stream.onBody(events.get(nextId - firstId).bytes(nextId));
+      stream.onBody(events.get(nextId - firstId).bytes(hasIds ? "id: " + nextId + "\n" : ""));
       nextId++;
       disturb(next.hasNext() ? next.next() : Disturbance.NONE);
     }
     String text = String.join("\n", events.stream().map(Event::data).toList());
     assertThat(complete()).isEqualTo(new BatchResult("i", true, text));
   }
+
+  @Example
+  void eventsWithoutIdsDoNotFillTheMemory() {
+    List<ItemOutcome> outcomes = new ArrayList<>();
+    ItemStream endless = new ItemStream(ORIGIN, -1, outcomes::add);
+    endless.onHead(OK);
+    byte[] event = ("data: " + "x".repeat(1_000_000) + "\n\n").getBytes(StandardCharsets.UTF_8);
+    for (int i = 0; i < 10; i++) {
+      endless.onBody(event);
+    }
+    assertThat(outcomes)
+        .containsExactly(
+            new ItemOutcome(
+                ItemOutcome.Kind.BROKEN,
+                new ItemEvents(ORIGIN, -1, -1, ""),
+                100,
+                "too many events without ids"));
+  }
 }
