Another response within the body of an error fails the call

Only bodies of successes were searched for the head of another response. An engine that stopped within the body of an error and went on with a response to an earlier request on that connection had the caller of the error get that response as a part of its body.

Evidence: TestResponsesWithinBodies.withinBodyOfAnError failed before.

--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineConnection.java
@@ -315,8 +315,8 @@
   }
 
   private void passOn(byte[] part) {
-    boolean searched = success && !currentCall.listener().checksEvents();
-    if (searched && embeddedHeads.add(part)) {
+    boolean areEventsChecked = success && currentCall.listener().checksEvents();
+    if (!areEventsChecked && embeddedHeads.add(part)) {
       abortCall("another response within the body");
     } else {
       currentCall.listener().onBody(part);
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestResponsesWithinBodies.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestResponsesWithinBodies.java
@@ -40,6 +40,13 @@
     assertThat(failureOf("r")).contains(EngineFailure.BROKEN);
   }
 
+  @Test
+  void withinBodyOfAnError() throws Exception {
+    String error = ERROR.replace("\r\n\r\n", "\r\nContent-Length: 60\r\n\r\n");
+    server.respond(error + HEAD + "\r\n" + "text ".repeat(20));
+    assertThat(failureOf("r")).contains(EngineFailure.BROKEN);
+  }
+
   @Test
   void headOfAnotherRequestMayBeQuoted() throws Exception {
     String quoted = ERROR.replace("X-Id: r", "X-Id: other");
