--- a/fleet/src/main/java/io/pathdeck/fleet/store/JobSubmissions.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/JobSubmissions.java
@@ -44,14 +44,13 @@
   private final GroupRuntime group;
   private final BatchStateMachine state;
   private final ControllerClock clock;
-
   private final long maxHeapBytes;
 
   /** Callers to reply to, by job that is in the log but not applied yet. */
   private final Map<JobKey, List<ReplySink>> pendingReplies = new HashMap<>();
 
-  /** The heap that the jobs in {@link #pendingReplies} are going to take. */
-  private long pendingBytes;
+  /** The heap that the jobs in {@link #pendingReplies} are going to take, in bytes. */
+  private long pendingHeapBytes;
 
   /**
    * Creates the submissions of a group.
@@ -82,7 +81,7 @@
   }
 
   private boolean hasRoomFor(SubmitBatch submission) {
-    return state.heapBytes() + pendingBytes + heapBytes(submission) <= maxHeapBytes;
+    return state.heapBytes() + pendingHeapBytes + heapBytes(submission) <= maxHeapBytes;
   }
 
   private static long heapBytes(SubmitBatch submission) {
@@ -101,7 +100,7 @@
         "group",
         group.group(),
         "heap_bytes",
-        state.heapBytes() + pendingBytes,
+        state.heapBytes() + pendingHeapBytes,
         "max_heap_bytes",
         maxHeapBytes);
     reply.reply(new ProposeReply(STORE_FULL));
@@ -118,12 +117,12 @@
     JobKey key = JobKey.of(submission);
     long bytes = heapBytes(submission);
     pendingReplies.put(key, new ArrayList<>(List.of(reply)));
-    pendingBytes += bytes;
+    pendingHeapBytes += bytes;
     group.propose("", 0, submission, result -> completeReplies(key, bytes, result), clock);
   }
 
   private void completeReplies(JobKey key, long bytes, Message result) {
-    pendingBytes -= bytes;
+    pendingHeapBytes -= bytes;
     if (result instanceof ProposeReply reply && reply.result() instanceof BatchAccepted) {
       logAccepted(key.jobId());
     }
--- a/state/src/main/java/io/pathdeck/state/BatchJob.java
+++ b/state/src/main/java/io/pathdeck/state/BatchJob.java
@@ -197,7 +197,7 @@
     return !ended && !openItems.isEmpty();
   }
 
-  /** The heap that the job takes, roughly. */
+  /** An estimate of the heap that the job takes, in bytes. */
   long heapBytes() {
     return heapBytes;
   }
--- a/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
+++ b/state/src/main/java/io/pathdeck/state/BatchStateMachine.java
@@ -77,7 +77,7 @@
     return jobs.values();
   }
 
-  /** The heap that all jobs take, roughly. */
+  /** An estimate of the heap that all jobs take, in bytes. */
   public long heapBytes() {
     return jobs.values().stream().mapToLong(BatchJob::heapBytes).sum();
   }
--- a/state/src/main/java/io/pathdeck/state/ItemProgress.java
+++ b/state/src/main/java/io/pathdeck/state/ItemProgress.java
@@ -50,7 +50,7 @@
     return mayLackData;
   }
 
-  /** The heap that the data takes. */
+  /** An estimate of the heap that the data takes, in bytes. */
   long heapBytes() {
     return HeapSizes.ofText(data.length(), isWide);
   }
