Connections end if a pipelined request cannot be handled

What callers saw: when a handler failed with an exception for a request that had waited behind another one, no response came and the connection stayed open, without a read timeout, until the caller left. The same request alone ended the connection.

Cause: a pipelined request is dispatched by a task of the event loop, whose exceptions reach no handler of the connection.

Change: ExchangeHandler aborts the exchange, so that the connection ends in both cases and the request no longer counts as active.

TestExchangeHandler.closesConnectionIfPipelinedRequestCannotBeHandled failed before: the connection was still open.

--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -166,7 +166,12 @@
     releaseBody();
     exchange = new HttpExchange(context.channel(), request, bytes, memory, this::onExchangeEnd);
     request = null;
-    dispatcher.accept(exchange);
+    try {
+      dispatcher.accept(exchange);
+    } catch (RuntimeException e) {
+      exchange.abort();
+      throw e;
+    }
   }
 
   /** Sends an error before the request was fully read; the connection is not reusable. */
--- a/serving/src/test/java/io/pathdeck/serving/http/TestExchangeHandler.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestExchangeHandler.java
@@ -57,6 +57,28 @@
     assertThat(dispatched).hasSize(1);
   }
 
+  /** Guards against a caller that waits for a response which never comes. */
+  @Test
+  void closesConnectionIfPipelinedRequestCannotBeHandled() {
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            new HttpServerCodec(),
+            new ExchangeHandler(
+                LIMITS, new BodyBudget(10_000).forConnection(), this::handleFirstOnly));
+    channel.writeInbound(post("/first", 1, 1), post("/second", 1, 1), post("/third", 1, 1));
+    dispatched.get(0).sendJson(200, new byte[0]);
+    assertThat(readResponse(channel)).containsOnlyOnce("HTTP/1.1 ");
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(dispatched).hasSize(2).allMatch(HttpExchange::isEnded);
+  }
+
+  private void handleFirstOnly(HttpExchange exchange) {
+    dispatched.add(exchange);
+    if (dispatched.size() > 1) {
+      throw new IllegalStateException("not handled");
+    }
+  }
+
   /** Guards against running out of memory when several allowed uploads arrive at once. */
   @Test
   void refusesBodiesBeyondServerBudget() {
