Malformed percent-encoding is answered with 400

What callers saw: a job or item whose id, or any parameter of whose query, has a malformed percent sign (/-/lots/%zz) ended the connection without an answer. By reading, the same holds for operators and the directory.

Cause: the decoder's IllegalArgumentException reached no code that answers.

Change: HttpExchange throws MalformedUriException where a handler decodes, and ExchangeHandler answers it with 400. The request was read in full, so the connection is kept, and requests behind it are served. Paths and queries that are passed on to an engine are not decoded and go on unaltered.

TestEncodedPaths.malformedIdIsInvalidAndTheConnectionServesOn failed before in each of its four cases: no answer where 400 is expected.

--- a/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/ExchangeHandler.java
@@ -168,6 +168,8 @@
     request = null;
     try {
       dispatcher.accept(exchange);
+    } catch (MalformedUriException e) {
+      exchange.sendError(ApiError.invalid("bad_request", e.getMessage()));
     } catch (RuntimeException e) {
       exchange.abort();
       throw e;
--- a/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
+++ b/serving/src/main/java/io/pathdeck/serving/http/HttpExchange.java
@@ -26,6 +26,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /**
  * A request and its response. Any thread may send the response; only the first call that ends it
@@ -81,17 +82,28 @@
     return uri.rawPath();
   }
 
-  /** Decodes a part of a path, such as an id. */
+  /**
+   * Decodes a part of a path, such as an id. If that fails, the exception that a handler passes on
+   * becomes an error response.
+   */
   public static String decode(String pathPart) {
-    return new QueryStringDecoder(pathPart).path();
+    return decode(() -> new QueryStringDecoder(pathPart).path());
   }
 
-  /** Returns the first value of a query parameter, or null. */
+  /** Returns the first value of a query parameter, or null; fails as {@link #decode(String)}. */
   public String queryParameter(String name) {
-    List<String> values = uri.parameters().get(name);
+    List<String> values = decode(uri::parameters).get(name);
     return values == null ? null : values.get(0);
   }
 
+  private static <T> T decode(Supplier<T> decoder) {
+    try {
+      return decoder.get();
+    } catch (IllegalArgumentException e) {
+      throw new MalformedUriException(e);
+    }
+  }
+
   public HttpHeaders headers() {
     return request.headers();
   }
