An engine's status is passed back only if its promise holds

What callers saw: an engine's 408, 429 or 503 was passed back even if the engine did not say that it had not run the request. Callers take these statuses for a promise that the request has not run and send it again, also if it may run only once.

Cause: engines make that promise by a header of its own, callers are given it by the status, and the status was passed back as it was.

Change: such a response counts as a failure of an attempt that may have run. If no retry is allowed, the caller gets 502 without the engine's signature, which promises nothing.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestForwarder.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -22,6 +23,9 @@
 final class RequestForwarder implements Dispatchable, Attempt.Owner {
   private static final int SERVER_ERROR = 500;
 
+  /** Statuses by which callers are told that a request has not run and will not be. */
+  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
   /** How long coordinators quarantine a request on which engines crashed. */
   private static final long QUARANTINE_RETRY_AFTER_MS = 600_000;
 
@@ -204,17 +208,22 @@
       failed.engine().onFull(now, Math.max(error.retryAfterMs(), 50));
       retryOrFinish(true, "the engine refused with " + error.status());
     } else if (error.status() >= SERVER_ERROR && mayRetry()) {
-      String reason = "the engine answered " + error.status();
-      log.attemptFailed(failed, RequestLog.ERROR_RESPONSE, reason, response.lastEventId());
-      retryOrFinish(false, reason);
-    } else if (response.hasBegun()) {
-      finishUnserved("the engine answered " + error.status());
+      retryOrFinish(false, logErrorResponse(failed));
+    } else if (response.hasBegun() || NOT_RUN_STATUSES.contains(error.status())) {
+      finishUnserved(logErrorResponse(failed));
     } else {
       cleanUp();
       completion.passBack(error, body);
     }
   }
 
+  /** Logs an error response that is not passed back; returns the reason. */
+  private String logErrorResponse(Attempt failed) {
+    String reason = "the engine answered " + failed.status();
+    log.attemptFailed(failed, RequestLog.ERROR_RESPONSE, reason, response.lastEventId());
+    return reason;
+  }
+
   @Override
   public void onFailed(Attempt failed, EngineFailure failure, String reason) {
     if (failure == EngineFailure.QUARANTINED) {
