--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/RequestLog.java
@@ -5,6 +5,7 @@
 import io.pathdeck.fleet.adapter.CallerRequest;
 import io.pathdeck.fleet.engine.EngineState;
 import io.pathdeck.protocol.fleet.EngineInstance;
+import java.util.Arrays;
 import java.util.Locale;
 
 /** Logs events of one request and its attempts. */
@@ -76,13 +77,23 @@
     this.budget = budget;
   }
 
+  private void log(EventCode code, Object... fields) {
+    EVENTS.log(code, join(new Object[] {"request", requestId}, fields));
+  }
+
+  private void logWithRoute(EventCode code, Object... fields) {
+    log(code, join(new Object[] {"route", route}, fields));
+  }
+
+  private static Object[] join(Object[] first, Object[] second) {
+    Object[] all = Arrays.copyOf(first, first.length + second.length);
+    System.arraycopy(second, 0, all, first.length, second.length);
+    return all;
+  }
+
   void served(Served served) {
-    EVENTS.log(
+    logWithRoute(
         EventCode.REQUEST_SERVED,
-        "request",
-        requestId,
-        "route",
-        route,
         "routes_version",
         served.routesVersion(),
         "status",
@@ -112,12 +123,8 @@
   }
 
   void refused(String reason, long waitedMs) {
-    EVENTS.log(
+    logWithRoute(
         EventCode.REQUEST_REFUSED,
-        "request",
-        requestId,
-        "route",
-        route,
         "reason",
         reason,
         "sends",
@@ -128,28 +135,14 @@
 
   /** Logs a request whose caller gets an error of the gateway with this status. */
   void failed(String reason, int status) {
-    EVENTS.log(
-        EventCode.REQUEST_FAILED,
-        "request",
-        requestId,
-        "route",
-        route,
-        "reason",
-        reason,
-        "status",
-        status,
-        "sends",
-        budget.sends());
+    logWithRoute(
+        EventCode.REQUEST_FAILED, "reason", reason, "status", status, "sends", budget.sends());
   }
 
   /** Logs a request whose response is broken off. */
   void brokenOff(String reason, CallerResponse response) {
-    EVENTS.log(
+    logWithRoute(
         EventCode.REQUEST_FAILED,
-        "request",
-        requestId,
-        "route",
-        route,
         "reason",
         reason,
         "head_engine",
@@ -162,10 +155,8 @@
 
   /** Logs a failed attempt; {@code afterEvent} is the last event that the caller got. */
   void attemptFailed(Attempt attempt, String failure, String reason, long afterEvent) {
-    EVENTS.log(
+    log(
         EventCode.ATTEMPT_FAILED,
-        "request",
-        requestId,
         "engine",
         attempt.engine().instance().id(),
         "failure",
@@ -188,10 +179,8 @@
    */
   void streamResumed(
       CallerRequest.Routed request, String begunAt, long afterEvent, EngineInstance engine) {
-    EVENTS.log(
+    log(
         EventCode.STREAM_RESUMED,
-        "request",
-        requestId,
         "resumes",
         request.resumedRequestId(),
         "begun_at",
@@ -206,12 +195,8 @@
 
   /** Logs a caller that left; {@code engine} is the one that it waited for, or null if none. */
   void callerLeft(EngineState engine, long afterEvent, long totalMs) {
-    EVENTS.log(
+    logWithRoute(
         EventCode.CALLER_LEFT,
-        "request",
-        requestId,
-        "route",
-        route,
         "engine",
         engine == null ? NO_ENGINE : engine.instance().id(),
         "after_event",
@@ -223,6 +208,6 @@
   }
 
   void callerTooSlow() {
-    EVENTS.log(EventCode.CALLER_TOO_SLOW, "request", requestId);
+    log(EventCode.CALLER_TOO_SLOW);
   }
 }
