One base class for the tests of connections of callers

Three classes started and stopped the same server, two wrote the same requests, and three tests of TestRequestFraming checked a rejection in the same way. The check that they share now also covers that nothing follows the rejection of a body in chunks of HTTP/1.0.

--- a/serving/src/test/java/io/pathdeck/serving/http/TestOldCallers.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestOldCallers.java
@@ -7,29 +7,13 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 
 /** Guards against chunks that callers of HTTP/1.0, who know none, take for the body. */
-@Timeout(20)
-class TestOldCallers {
+class TestOldCallers extends LoopbackServerTest {
   private static final String REQUEST =
       "GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n";
 
-  private LoopbackServer server;
-
-  @BeforeEach
-  void startServer() throws Exception {
-    server = new LoopbackServer();
-  }
-
-  @AfterEach
-  void stopServer() {
-    server.close();
-  }
-
   private HttpExchange startStream() throws Exception {
     HttpExchange exchange = server.nextRequest();
     exchange.startStream(200, new DefaultHttpHeaders());
--- a/serving/src/test/java/io/pathdeck/serving/http/TestPipelinedRequests.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestPipelinedRequests.java
@@ -8,33 +8,17 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a response that is read as that of another request of the connection. */
-@Timeout(20)
-class TestPipelinedRequests {
-  private static final String FIRST = "GET /first HTTP/1.1\r\nHost: h\r\n\r\n";
-  private static final String SECOND = "GET /second HTTP/1.1\r\nHost: h\r\n\r\n";
+class TestPipelinedRequests extends LoopbackServerTest {
+  private static final String FIRST = get("/first");
+  private static final String SECOND = get("/second");
   private static final String LAST_CHUNK = "0\r\n\r\n";
 
-  private LoopbackServer server;
-
-  @BeforeEach
-  void startServer() throws Exception {
-    server = new LoopbackServer();
-  }
-
-  @AfterEach
-  void stopServer() {
-    server.close();
-  }
-
   private static byte[] text(String text) {
     return text.getBytes(StandardCharsets.US_ASCII);
   }
@@ -120,7 +104,7 @@
     int count = 100;
     StringBuilder requests = new StringBuilder();
     for (int i = 0; i < count; i++) {
-      requests.append("GET /").append(i).append(" HTTP/1.1\r\nHost: h\r\n\r\n");
+      requests.append(get("/" + i));
     }
     try (Socket socket = server.connect(requests.toString())) {
       for (int i = 0; i < count; i++) {
--- a/serving/src/test/java/io/pathdeck/serving/http/TestRequestFraming.java
+++ b/serving/src/test/java/io/pathdeck/serving/http/TestRequestFraming.java
@@ -4,30 +4,25 @@
 
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against requests that run with a part of their body or are hidden in another request. */
-@Timeout(20)
-class TestRequestFraming {
+class TestRequestFraming extends LoopbackServerTest {
   private static final String CHUNKED =
       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
-  private static final String NEXT = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+  private static final String NEXT = get("/next");
 
-  private LoopbackServer server;
-
-  @BeforeEach
-  void startServer() throws Exception {
-    server = new LoopbackServer();
-  }
-
-  @AfterEach
-  void stopServer() {
-    server.close();
+  /** Checks that a request is answered with one error, and that nothing follows it. */
+  private void assertRejected(String request, String statuses) throws Exception {
+    try (Socket socket = server.connect(request + NEXT)) {
+      assertThat(LoopbackServer.readAll(socket))
+          .matches("(?s)HTTP/1.1 (" + statuses + ") .*")
+          .contains("connection: close")
+          .containsOnlyOnce("HTTP/1.1");
+      assertThat(server.dispatchesAnother()).isFalse();
+    }
   }
 
   @ParameterizedTest(name = "{index}")
@@ -40,13 +35,7 @@
         "5\r\nhello\r\n0\r\nTrailer : v\r\n\r\n"
       })
   void malformedChunkOrTrailerIsRejected(String body) throws Exception {
-    try (Socket socket = server.connect(CHUNKED + body + NEXT)) {
-      assertThat(LoopbackServer.readAll(socket))
-          .startsWith("HTTP/1.1 400")
-          .contains("connection: close")
-          .containsOnlyOnce("HTTP/1.1");
-      assertThat(server.dispatchesAnother()).isFalse();
-    }
+    assertRejected(CHUNKED + body, "400");
   }
 
   @Test
@@ -87,13 +76,7 @@
       })
   void ambiguousHeadIsRejected(String headers) throws Exception {
     String request = "POST /a HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n";
-    try (Socket socket = server.connect(request + "0\r\n\r\n" + NEXT)) {
-      assertThat(LoopbackServer.readAll(socket))
-          .matches("(?s)HTTP/1.1 (400|501) .*")
-          .contains("connection: close")
-          .containsOnlyOnce("HTTP/1.1 ");
-      assertThat(server.dispatchesAnother()).isFalse();
-    }
+    assertRejected(request + "0\r\n\r\n", "400|501");
   }
 
   @ParameterizedTest(name = "{index}")
@@ -111,10 +94,7 @@
   @Test
   void chunkedRequestOfOldVersionIsRejected() throws Exception {
     String old = CHUNKED.replace("HTTP/1.1", "HTTP/1.0");
-    try (Socket socket = server.connect(old + "5\r\nhello\r\n0\r\n\r\n")) {
-      assertThat(LoopbackServer.readAll(socket)).startsWith("HTTP/1.1 400");
-      assertThat(server.dispatchesAnother()).isFalse();
-    }
+    assertRejected(old + "5\r\nhello\r\n0\r\n\r\n", "400");
   }
 
   @Test
@@ -132,13 +112,6 @@
   @ParameterizedTest(name = "{index}")
   @ValueSource(strings = {"h:80", "/a"})
   void connectIsRejected(String target) throws Exception {
-    String request = "CONNECT " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
-    try (Socket socket = server.connect(request + NEXT)) {
-      assertThat(LoopbackServer.readAll(socket))
-          .startsWith("HTTP/1.1 501")
-          .contains("connection: close")
-          .containsOnlyOnce("HTTP/1.1 ");
-      assertThat(server.dispatchesAnother()).isFalse();
-    }
+    assertRejected("CONNECT " + target + " HTTP/1.1\r\nHost: h\r\n\r\n", "501");
   }
 }
