Stores send items to an engine after its cold time only once it has reported

A caller's request ended the engine at 62.22, and its next life began at 62.71, cold for 1.5 s. The store sends cold engines nothing and noticed neither. From 62.84 to 63.30 it started 23 items on the new life, until the list told; gateways sent the rest. The store had polled the engine's load all that time: a report from another life was dropped.

Change: a report from a later life begins a new cold time at stores, as it does at gateways (`ColdStartLimit.onReport`). After a cold time an engine gets items only once it has reported, or 2.5 s later, when the list would show a restart.

--- a/fleet/src/main/java/io/pathdeck/fleet/eligibility/ColdStartLimit.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/eligibility/ColdStartLimit.java
@@ -21,6 +21,9 @@
   /** Applies how much longer the engine is cold, as it says itself; 0 if it is warm. */
   default void onColdTold(EngineInstance engine, long coldLeftMs, long nowMs) {}
 
+  /** Applies when the life of the engine that has just sent a report began. */
+  default void onReport(EngineInstance engine, long bornMs, long nowMs) {}
+
   /** Applies that the engine is down; it is cold when it comes back. */
   default void onDown(EngineInstance engine, long nowMs) {}
 
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineState.java
@@ -187,6 +187,11 @@
     coldStartLimit.onColdTold(instance, coldLeftMs, nowMs);
   }
 
+  /** Applies when the life of the engine that has just sent a report began. */
+  public void onLifeReported(long bornMs, long nowMs) {
+    coldStartLimit.onReport(instance, bornMs, nowMs);
+  }
+
   /** Whether the engine is in service and not ejected. */
   public boolean isUsable(long nowMs) {
     return !isOutOfService(nowMs) && nowMs >= ejectedUntilMs;
--- a/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/store/BatchRunner.java
@@ -213,10 +213,11 @@
     if (engine == null) {
       return;
     }
+    long nowMs = clock.monotonicMs();
+    engine.onLifeReported(load.bornMs(), nowMs);
     if (engine.instance().isOtherLife(load.bornMs())) {
       return;
     }
-    long nowMs = clock.monotonicMs();
     engine.onLoadReport(load, nowMs);
     if (coldLeftMs != EngineResponse.COLD_UNKNOWN) {
       engine.onColdTold(coldLeftMs, nowMs);
--- a/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdEngine.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdEngine.java
@@ -11,7 +11,7 @@
  */
 final class ColdEngine {
   /** The most that a list may be behind: its own delay, the time between reads and reports. */
-  private static final long LIST_DELAY_MS = 2_500;
+  static final long LIST_DELAY_MS = 2_500;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
--- a/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdStartBudget.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/ColdStartBudget.java
@@ -115,7 +115,7 @@
     return true;
   }
 
-  /** Applies a report of an engine that has told when its life began. */
+  @Override
   public void onReport(EngineInstance engine, long bornMs, long nowMs) {
     engines.onReport(engine, bornMs, nowMs);
   }
--- a/fleet/src/main/java/io/pathdeck/fleet/warmup/WarmEnginesOnly.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/warmup/WarmEnginesOnly.java
@@ -6,7 +6,9 @@
 
 /**
  * The limit of a store: items of batch jobs start on warm engines only, so that callers' requests
- * get all that cold engines can take. Performs no I/O; confined to one thread.
+ * get all that cold engines can take. A store that sends a cold engine nothing does not notice its
+ * restart, so once the cold time has ended the engine gets items only after a report, or when the
+ * list would show the restart. Performs no I/O; confined to one thread.
  */
 public final class WarmEnginesOnly implements ColdStartLimit {
   private final ColdEngines engines = new ColdEngines();
@@ -26,7 +28,7 @@
     if (known.takeDown()) {
       engines.assumeCold(engine, known, rule, "back", nowMs);
     }
-    return !known.isCold(nowMs);
+    return !known.isCold(nowMs) && !known.isUnheardSinceCold(nowMs - ColdEngine.LIST_DELAY_MS);
   }
 
   @Override
@@ -39,6 +41,11 @@
     engines.onTold(engine, coldLeftMs, nowMs);
   }
 
+  @Override
+  public void onReport(EngineInstance engine, long bornMs, long nowMs) {
+    engines.onReport(engine, bornMs, nowMs);
+  }
+
   @Override
   public void onDown(EngineInstance engine, long nowMs) {
     ColdEngine known = engines.find(engine);
