A gateway that stood still reads what engines sent before it takes them for silent

Change: a check that comes later than 200 ms after the one before is left to the next one (`SilenceCheck`), before which the event loop reads. Only one check in a row is left out, so a loop that is always late still notices silent engines.

Evidence: with the class and without the skip, engineIsNotTakenForSilentWhenTheEventLoopStoodStill fails (the response is cut) and the other 6 tests of TestSlowCallers pass; with it, all 7 pass.

--- a/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/gateway/Gateway.java
@@ -21,7 +21,6 @@
 import io.pathdeck.protocol.fleet.RouteTable;
 import io.pathdeck.serving.http.ApiError;
 import io.pathdeck.serving.http.HttpExchange;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -33,7 +32,6 @@
 /** Routes callers' requests and serves them; confined to the event loop. */
 final class Gateway {
   private static final EventLog EVENTS = EventLog.of(Gateway.class);
-  private static final long SILENCE_CHECK_INTERVAL_MS = 100;
   private static final long UNCONFIRMED_RETRY_AFTER_MS = 300;
   private static final long NO_REGION_RETRY_AFTER_MS = 1_000;
 
@@ -62,6 +60,7 @@
   private CallerKeys keys = CallerKeys.NONE;
   private long keysVersion = RouteTable.NO_VERSION;
   private boolean hasTenantPolicies;
+  private final SilenceCheck silenceCheck;
   private Runnable periodicCheck = () -> {};
   private Runnable callStartListener = () -> {};
 
@@ -107,10 +106,11 @@
             () -> callStartListener.run(),
             new HashSet<>());
     this.requestStarter = new RequestStarter(context, streamOrigins);
+    this.silenceCheck = new SilenceCheck(context.activeRequests(), nowMs());
     eventLoop.scheduleWithFixedDelay(
         this::checkSilence,
-        SILENCE_CHECK_INTERVAL_MS,
-        SILENCE_CHECK_INTERVAL_MS,
+        SilenceCheck.INTERVAL_MS,
+        SilenceCheck.INTERVAL_MS,
         TimeUnit.MILLISECONDS);
   }
 
@@ -120,7 +120,7 @@
         engines,
         new RequestDispatcher.QueueingRule(() -> hasTenantPolicies, EngineState::reportsPace),
         (delayMs, action) -> eventLoop.schedule(action, delayMs, TimeUnit.MILLISECONDS),
-        () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+        Gateway::nowMs,
         queueMetrics);
   }
 
@@ -152,7 +152,7 @@
       eligibility.softwareVersions().onRoutes(newView.routes());
     }
     if (newView.engines() != null) {
-      long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+      long nowMs = nowMs();
       eligibility
           .softwareVersions()
           .onView(
@@ -183,15 +183,16 @@
 
   /** Stops sending requests to a terminated engine until it may be back. */
   void onEngineEnded(EngineInstance engine) {
-    context.engines().onDown(engine, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    context.engines().onDown(engine, nowMs());
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
 
   private void checkSilence() {
     periodicCheck.run();
-    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    for (RequestForwarder forwarder : new ArrayList<>(context.activeRequests())) {
-      forwarder.checkSilence(nowMs);
-    }
+    silenceCheck.run(nowMs());
   }
 
   void handle(HttpExchange exchange) {
--- a/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/gateway/TestSlowCallers.java
@@ -77,7 +77,9 @@
   private HttpServer server;
   private int serverPort;
   private volatile boolean queueRequests;
+  private volatile long engineWriteGapMs;
   private ForwardingContext context;
+  private SilenceCheck silenceCheck;
 
   @BeforeEach
   void start() throws IOException {
@@ -105,6 +107,7 @@
             dispatcher,
             callsStarted::incrementAndGet,
             new HashSet<>());
+    silenceCheck = new SilenceCheck(context.activeRequests(), nowMs());
     eventLoop.scheduleWithFixedDelay(this::check, 20, 20, TimeUnit.MILLISECONDS);
     serverPort = freePort();
     server =
@@ -117,6 +120,10 @@
             this::forward);
   }
 
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
   private static int freePort() throws IOException {
     try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return probe.getLocalPort();
@@ -135,8 +142,7 @@
 
   private void check() {
     maxHeldBytes.accumulateAndGet(budget.heldBytes(), Math::max);
-    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    new ArrayList<>(context.activeRequests()).forEach(request -> request.checkSilence(nowMs));
+    silenceCheck.run(nowMs());
   }
 
   private void forward(HttpExchange exchange) {
@@ -206,10 +212,13 @@
       out.write((head + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
       for (long i = 0; i < events; i++) {
         out.write(event(i));
+        Thread.sleep(engineWriteGapMs);
         engineBytesSent.addAndGet(EVENT_BYTES);
       }
     } catch (IOException e) {
       abortedEngineCalls.incrementAndGet();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
@@ -330,6 +339,22 @@
     return eventLoop.submit(() -> budget.heldBytes()).syncUninterruptibly().getNow();
   }
 
+  @Test
+  void engineIsNotTakenForSilentWhenTheEventLoopStoodStill() throws Exception {
+    engineWriteGapMs = 10;
+    long events = 200;
+    Socket caller = call("/resumable", "a", "t", events);
+    readHead(caller.getInputStream());
+    eventLoop.submit(this::standStillBeforeCheck);
+    assertThat(isCutOff(caller, events)).isFalse();
+  }
+
+  private Void standStillBeforeCheck() throws InterruptedException {
+    Thread.sleep(LONGER_THAN_SILENCE_TIMEOUT_MS);
+    check();
+    return null;
+  }
+
   @Test
   void stalledReadersAreAbortedAtBudget() throws Exception {
     List<Socket> stalled = new ArrayList<>();
