Events without an offset are passed on with the token or end behind them

What callers of the own interface could see: an engine sends the opening of a stream and fails before the first token, or its closing and fails before the end marker. The next attempt resumes after the last token and repeats these events, so that the caller got them twice, of two engines; and a request of which nothing else was sent failed within a stream.

Cause: SseReader passed on each event at once, also those that no offset tells from their repetition.

Change: such an event is held until a token or the end marker follows on the same attempt, up to 1 MB. Comments are not passed on, as before.

Evidence: TestSseReader.holdsEventsWithoutOffsetUntilTokenOrEnd got the opening at once before. With the change TestSseReader, TestHttpEngineClient and TestCallersApi pass. No run with a failing engine was made.

--- a/serving/src/main/java/io/pathdeck/serving/engine/SseReader.java
+++ b/serving/src/main/java/io/pathdeck/serving/engine/SseReader.java
@@ -9,7 +9,8 @@
  * Splits a stream of server-sent events into complete events and checks their sequence.
  *
  * <p>Each token event has an {@code id} line with the token's offset, starting at 1. Offsets must
- * be consecutive. The {@code id} lines are removed from the output.
+ * be consecutive. The {@code id} lines are removed from the output. Other events are held until the
+ * next token or the end marker: an attempt that resumes after the last token repeats them.
  */
 final class SseReader {
   private static final int MAX_EVENT_LENGTH = 1 << 20;
@@ -26,6 +27,7 @@
   private String problem;
   private EngineLoad load;
   private final ByteArrayOutputStream events = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream heldEvents = new ByteArrayOutputStream();
 
   SseReader(int resumeAfter) {
     this.lastTokenOffset = resumeAfter;
@@ -71,10 +73,24 @@
       processToken(start, end);
     } else {
       endMarkerRead = startsWith(DONE_LINE, start, end);
-      events.write(buffer, start, end - start);
+      hold(start, end);
     }
   }
 
+  private void hold(int start, int end) {
+    heldEvents.write(buffer, start, end - start);
+    if (endMarkerRead) {
+      releaseHeldEvents();
+    } else if (heldEvents.size() > MAX_EVENT_LENGTH) {
+      problem = "no token in " + MAX_EVENT_LENGTH + " bytes of events";
+    }
+  }
+
+  private void releaseHeldEvents() {
+    events.writeBytes(heldEvents.toByteArray());
+    heldEvents.reset();
+  }
+
   private boolean isEvent(int start, int end) {
     SseBlockValidator validator = new SseBlockValidator();
     int lineStart = start;
@@ -110,6 +126,7 @@
     }
     lastTokenOffset = offset;
     tokens++;
+    releaseHeldEvents();
     events.write(buffer, position + 1, end - position - 1);
   }
 
--- a/serving/src/test/java/io/pathdeck/serving/engine/TestSseReader.java
+++ b/serving/src/test/java/io/pathdeck/serving/engine/TestSseReader.java
@@ -69,6 +69,18 @@
     assertThat(reader.hasEndMarker()).isFalse();
   }
 
+  /** Guards against events that a caller gets twice, since the next attempt repeats them. */
+  @Test
+  void holdsEventsWithoutOffsetUntilTokenOrEnd() {
+    SseReader reader = new SseReader(0);
+    reader.read(bytes("data: {}\n\n"));
+    assertThat(reader.events()).isEmpty();
+    reader.read(bytes(token(1) + "data: {}\n\n"));
+    assertThat(reader.events()).asString().isEqualTo("data: {}\n\ndata: {\"token\":1}\n\n");
+    reader.read(bytes("data: [DONE]\n\n"));
+    assertThat(reader.events()).asString().isEqualTo("data: {}\n\ndata: [DONE]\n\n");
+  }
+
   @Property(tries = 300, seed = "32")
   void acceptsArbitraryBytes(@ForAll byte[] noise) {
     new SseReader(0).read(noise);
