Test of refused probes holds its other connection open without a limit

Cause: the connection that has to stay open belonged to a request for the engine's load, which the transport ends after 500 ms. On a busy machine the probe came later, found no open connection, and ENDED was right.

Change: the call that holds the connection has no timeout. The checks are the same.

--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestEngineLivenessProbe.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.pathdeck.common.http.EventLoops;
+import io.pathdeck.fleet.adapter.EngineCall;
 import io.pathdeck.fleet.adapter.EngineResponse;
 import io.pathdeck.fleet.engine.EngineLivenessProbe.Verdict;
 import io.pathdeck.protocol.fleet.EngineInstance;
@@ -180,8 +181,7 @@
   /** Guards against answers of a crashed engine that pass for whole. */
   @Test
   void engineThatRefusesIsNotAliveForAnOpenConnection() throws Exception {
-    eventLoop.execute(
-        () -> transport.start(EngineLoadClient.reportCall(protocol, engine), new NoOpListener()));
+    eventLoop.execute(() -> transport.start(callWithoutTimeout(), new NoOpListener()));
     try (Socket other = server.accept()) {
       server.close();
       CompletableFuture<Verdict> verdict = new CompletableFuture<>();
@@ -190,4 +190,20 @@
       assertThat(other.isClosed()).isFalse();
     }
   }
+
+  /** Returns a call whose connection stays open, however late the probe comes. */
+  private EngineCall callWithoutTimeout() {
+    EngineCall call = EngineLoadClient.reportCall(protocol, engine);
+    return new EngineCall(
+        call.engine(),
+        call.method(),
+        call.uri(),
+        call.host(),
+        call.requestId(),
+        call.tenant(),
+        call.headers(),
+        call.body(),
+        0,
+        call.resumeAfter());
+  }
 }
