Responses in a transfer coding other than chunks are no responses

An engine that wrote "Transfer-Encoding: gzip", "xchunked" or "identity" gave callers a body that was not its own: the framing of the chunks in a body that ended with the connection, or a body that is compressed.

Cause: Netty's decoder reads a body in chunks only if the last coding is "chunked", and otherwise until the connection closes. Nothing looked at the codings themselves. No request of ours allows one beyond chunks (no TE field), so that a response with another one breaks RFC 9112. It is found in the same way as a length or coding under an invalid name.

Change: StrictResponseDecoder fails a complete head whose transfer codings are not "chunked" alone, in any case of letters. The decoder of the fleet asks it before it asks for responses to HEAD, which it would not see otherwise.

--- a/common/src/main/java/io/pathdeck/common/http/StrictResponseDecoder.java
+++ b/common/src/main/java/io/pathdeck/common/http/StrictResponseDecoder.java
@@ -1,8 +1,11 @@
 package io.pathdeck.common.http;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.util.List;
 import java.util.regex.Pattern;
 
 /**
@@ -39,6 +42,25 @@
     return super.splitHeaderName(line, start, length);
   }
 
+  /**
+   * {@inheritDoc}
+   *
+   * <p>Called once the head is complete. A body in a coding other than chunks would be read until
+   * the connection closes, with its framing.
+   */
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    if (!codings.isEmpty() && !isChunked(codings)) {
+      throw new IllegalArgumentException("unsupported transfer codings: " + codings);
+    }
+    return super.isContentAlwaysEmpty(message);
+  }
+
+  private static boolean isChunked(List<String> codings) {
+    return codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+  }
+
   private static void requireMatch(Pattern pattern, String text, String name) {
     if (!pattern.matcher(text).matches()) {
       throw new IllegalArgumentException("invalid " + name + ": " + text);
--- a/common/src/test/java/io/pathdeck/common/http/TestStrictResponseDecoder.java
+++ b/common/src/test/java/io/pathdeck/common/http/TestStrictResponseDecoder.java
@@ -198,6 +198,29 @@
     assertSucceeds(REQUIRED_STATUS_LINE + "\r\n" + line + END);
   }
 
+  /** Guards against the framing of chunks that passes for the body. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "gzip",
+        "gzip, chunked",
+        "chunked, gzip",
+        "chunked, chunked",
+        "xchunked",
+        "chunked x",
+        "\"chunked\"",
+        "chunked;q=1",
+        "identity",
+        "",
+        "chunked\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: gzip"
+      })
+  void otherTransferCodingFails(String coding) {
+    String head = REQUIRED_STATUS_LINE + "\r\nTransfer-Encoding: " + coding;
+    assertFails(head + "\r\n\r\n2\r\nok\r\n0\r\n\r\n", "");
+    assertFails(head + END, "");
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "X-Note: 1\r\n", "X-Note:1\r\nX-More: \r\n"})
   void chunksWithTrailersSucceed(String trailers) {
--- a/dispatch/src/test/java/io/pathdeck/dispatch/TestHttpLoadProbe.java
+++ b/dispatch/src/test/java/io/pathdeck/dispatch/TestHttpLoadProbe.java
@@ -176,6 +176,12 @@
     assertTellsNoLoad("HTTP/1.1 200 OK\r\n" + load + line + "\r\n");
   }
 
+  @Test
+  void otherTransferCodingTellsNoLoad() throws Exception {
+    String load = EngineHeaders.LOAD + ": online=9;batch=9;waiting=9\r\n";
+    assertTellsNoLoad("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + load);
+  }
+
   @Test
   void loadOfInvalidNameIsNotRead() throws Exception {
     assertTellsNoLoad("HTTP/1.1 200 OK\r\n" + EngineHeaders.LOAD + " : " + LOAD + "\r\n");
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineResponseDecoder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineResponseDecoder.java
@@ -13,6 +13,6 @@
 
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
-    return connection.awaitsHeadOnly() || super.isContentAlwaysEmpty(message);
+    return super.isContentAlwaysEmpty(message) || connection.awaitsHeadOnly();
   }
 }
--- a/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestHttpFetcher.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/coordinator/TestHttpFetcher.java
@@ -81,6 +81,13 @@
         .isInstanceOf(Result.Err.class);
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"gzip", "xchunked", "identity", "chunked\r\nTransfer-Encoding: chunked"})
+  void otherTransferCodingIsNoDocument(String coding) throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n";
+    assertThat(fetch(head + "2\r\nok\r\n0\r\n\r\n")).isInstanceOf(Result.Err.class);
+  }
+
   @Test
   void wholeResponseIsDocument() throws Exception {
     assertThat(fetch(RESPONSE)).isInstanceOf(Result.Ok.class);
--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestInvalidResponseHeads.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestInvalidResponseHeads.java
@@ -68,6 +68,13 @@
     assertIsNoResponse(OK + FIELDS + line + "\r\n\r\n");
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"gzip", "gzip, chunked", "xchunked", "identity", "chunked, chunked"})
+  void otherTransferCoding(String coding) throws Exception {
+    assertIsNoResponse(
+        OK + "\r\nx-id: r\r\nTransfer-Encoding: " + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  }
+
   @Test
   void invalidFieldNameInFailure() throws Exception {
     assertIsNoResponse("HTTP/1.1 500 x" + FIELDS + "X Note: 1\r\n\r\n");
--- a/serving/src/test/java/io/pathdeck/serving/engine/TestHttpEngineClient.java
+++ b/serving/src/test/java/io/pathdeck/serving/engine/TestHttpEngineClient.java
@@ -206,6 +206,12 @@
     assertIsBroken("HTTP/1.1 429 x\r\n" + line + "\r\n");
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"gzip", "xchunked", "identity", "gzip, chunked"})
+  void otherTransferCodingIsBroken(String coding) throws Exception {
+    assertIsBroken("HTTP/1.1 422 x\r\nTransfer-Encoding: " + coding + "\r\n");
+  }
+
   private static boolean isClosedAfter(ServerSocket server, String response) {
     try (Socket connection = server.accept()) {
       connection.setSoTimeout(2_000);
