--- a/common/src/main/java/io/pathdeck/common/http/StrictClientCodec.java
+++ b/common/src/main/java/io/pathdeck/common/http/StrictClientCodec.java
@@ -4,8 +4,8 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
- * The codec of a client's connection whose responses are decoded strictly. It does not track
- * methods, so it does not support HEAD and CONNECT, whose responses have no body.
+ * Encodes a client's requests and decodes their responses strictly. It does not track the methods
+ * of requests, so HEAD and CONNECT, whose responses have no body, are not supported.
  */
 public final class StrictClientCodec
     extends CombinedChannelDuplexHandler<StrictResponseDecoder, HttpRequestEncoder> {
--- a/common/src/main/java/io/pathdeck/common/http/StrictResponseDecoder.java
+++ b/common/src/main/java/io/pathdeck/common/http/StrictResponseDecoder.java
@@ -31,8 +31,8 @@
   /**
    * {@inheritDoc}
    *
-   * <p>The base class ends a name at its first blank and then looks for the colon, so that a line
-   * passes for a field that its sender did not write, such as a length.
+   * <p>The base class ends a name at its first blank and goes on to look for the colon, so that a
+   * malformed line could pass for any field, such as the length of the body.
    */
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
@@ -45,8 +45,8 @@
   /**
    * {@inheritDoc}
    *
-   * <p>Called once the head is complete. A body in a coding other than chunks would be read until
-   * the connection closes, with its framing.
+   * <p>Is called once the head is complete. A body in any other coding than chunks would be read
+   * until the connection closes, framing included.
    */
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
--- a/common/src/test/java/io/pathdeck/common/http/TestStrictResponseDecoder.java
+++ b/common/src/test/java/io/pathdeck/common/http/TestStrictResponseDecoder.java
@@ -13,10 +13,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against responses that are repaired where HTTP requires that they are rejected. */
+/** Guards against responses that HTTP does not allow and that are decoded all the same. */
 class TestStrictResponseDecoder {
   private static final int MAX_LENGTH = 1_024;
-  private static final String REQUIRED_STATUS_LINE = "HTTP/1.1 200 OK";
+  private static final String STATUS_LINE = "HTTP/1.1 200 OK";
   private static final String END = "\r\nContent-Length: 2\r\n\r\nok";
 
   /** A response that was read; the message of the failure if there was one. */
@@ -60,12 +60,12 @@
   }
 
   private static void assertFieldFails(String line) {
-    assertFails(REQUIRED_STATUS_LINE + "\r\n" + line + END, "");
+    assertFails(STATUS_LINE + "\r\n" + line + END, "");
   }
 
   /** A failed response is the last one on its connection. */
   private static void assertFails(String response, String failure) {
-    List<Decoded> decoded = decodeInBothWays(response + REQUIRED_STATUS_LINE + END);
+    List<Decoded> decoded = decodeInBothWays(response + STATUS_LINE + END);
     assertThat(decoded).hasSize(1);
     assertThat(decoded.get(0).failure()).isNotEmpty().startsWith(failure);
   }
@@ -112,7 +112,7 @@
   @ParameterizedTest
   @ValueSource(strings = {"HTTP/1.1 000 x", "HTTP/3.0 103 x"})
   void invalidInformationalStatusLineFails(String statusLine) {
-    assertFails(statusLine + "\r\n\r\n" + REQUIRED_STATUS_LINE + END, "invalid");
+    assertFails(statusLine + "\r\n\r\n" + STATUS_LINE + END, "invalid");
   }
 
   @ParameterizedTest
@@ -177,7 +177,7 @@
   @ValueSource(strings = {"X Note: 1", "X-Note : 1", "X-Note\t: 1", "X-Note ", "X\u0001: 1"})
   void invalidTrailerFails(String line) {
     String chunked = "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
-    assertFails(REQUIRED_STATUS_LINE + chunked + line + "\r\n\r\n", "");
+    assertFails(STATUS_LINE + chunked + line + "\r\n\r\n", "");
   }
 
   @ParameterizedTest
@@ -195,7 +195,7 @@
         "content-type:text/plain"
       })
   void unusualFieldSucceeds(String line) {
-    assertSucceeds(REQUIRED_STATUS_LINE + "\r\n" + line + END);
+    assertSucceeds(STATUS_LINE + "\r\n" + line + END);
   }
 
   /** Guards against the framing of chunks that passes for the body. */
@@ -216,7 +216,7 @@
         "chunked\r\nTransfer-Encoding: gzip"
       })
   void otherTransferCodingFails(String coding) {
-    String head = REQUIRED_STATUS_LINE + "\r\nTransfer-Encoding: " + coding;
+    String head = STATUS_LINE + "\r\nTransfer-Encoding: " + coding;
     assertFails(head + "\r\n\r\n2\r\nok\r\n0\r\n\r\n", "");
     assertFails(head + END, "");
   }
@@ -225,7 +225,7 @@
   @ValueSource(strings = {"", "X-Note: 1\r\n", "X-Note:1\r\nX-More: \r\n"})
   void chunksWithTrailersSucceed(String trailers) {
     String chunked = "\r\ntransfer-encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n";
-    assertSucceeds(REQUIRED_STATUS_LINE + chunked + trailers + "\r\n");
+    assertSucceeds(STATUS_LINE + chunked + trailers + "\r\n");
   }
 
   @ParameterizedTest
--- a/fleet/src/main/java/io/pathdeck/fleet/engine/EngineResponseDecoder.java
+++ b/fleet/src/main/java/io/pathdeck/fleet/engine/EngineResponseDecoder.java
@@ -13,6 +13,7 @@
 
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    // The superclass validates the head, so it is asked first.
     return super.isContentAlwaysEmpty(message) || connection.awaitsHeadOnly();
   }
 }
