Test of invalid heads: a response to HEAD in another transfer coding

EngineResponseDecoder asks its superclass first so that responses to HEAD are validated as well; no test showed it.

--- a/fleet/src/test/java/io/pathdeck/fleet/engine/TestInvalidResponseHeads.java
+++ b/fleet/src/test/java/io/pathdeck/fleet/engine/TestInvalidResponseHeads.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.pathdeck.fleet.engine.EngineLivenessProbe.Result;
 import io.pathdeck.fleet.engine.EngineLivenessProbe.Verdict;
 import java.util.concurrent.CompletableFuture;
@@ -75,6 +76,14 @@
         OK + "\r\nx-id: r\r\nTransfer-Encoding: " + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
   }
 
+  @Test
+  void otherTransferCodingInResponseToHead() throws Exception {
+    server.respond(OK + "\r\nx-id: r\r\nTransfer-Encoding: gzip\r\n\r\n");
+    CallOutcome outcome = call(HttpMethod.HEAD, "r");
+    assertThat(outcome.response()).isEmpty();
+    assertThat(outcome.failureWithin(0)).contains(EngineFailure.BROKEN);
+  }
+
   @Test
   void invalidFieldNameInFailure() throws Exception {
     assertIsNoResponse("HTTP/1.1 500 x" + FIELDS + "X Note: 1\r\n\r\n");
